Lay the workspace with its interfaces

The crates follow one job each: decisions without input or output (allowance, placement, routing), bindings to outside systems (platform), the configuration (config, store), links between processes (peer), the daemons (gate, planner), stand-ins, the load tool and the programs (core).

--- /dev/null
+++ b/crates/allowance/src/lib.rs
@@ -0,0 +1,1 @@
+//! Arithmetic of token allowances that are shared between instances.
--- /dev/null
+++ b/crates/config/src/lib.rs
@@ -0,0 +1,7 @@
+//! Operator configuration (the catalog) and daemon settings.
+//!
+//! The catalog is what operators declare: models, adapters, workspaces, keys, upstreams and
+//! routes. It is the same on every instance. Settings belong to one process on one instance.
+
+pub mod catalog;
+pub mod settings;
--- /dev/null
+++ b/crates/core/src/bin/comfreyweir-planner.rs
@@ -0,0 +1,3 @@
+//! Program `comfreyweir-planner`.
+
+fn main() {}
--- /dev/null
+++ b/crates/core/src/bin/comfreyweir-standins.rs
@@ -0,0 +1,3 @@
+//! Program `comfreyweir-standins`.
+
+fn main() {}
--- /dev/null
+++ b/crates/core/src/lib.rs
@@ -0,0 +1,1 @@
+//! The command lines of the programs.
--- /dev/null
+++ b/crates/load/src/lib.rs
@@ -0,0 +1,1 @@
+//! Load and experiment tool.
--- /dev/null
+++ b/crates/planner/src/lib.rs
@@ -0,0 +1,1 @@
+//! The planner: decides which upstream holds which model, adapter and version, and orders it.
--- /dev/null
+++ b/crates/platform/src/instances.rs
@@ -0,0 +1,99 @@
+//! The platform's list of live and leaving instances. The list lags behind the truth.
+
+use std::net::SocketAddr;
+
+use serde::{Deserialize, Serialize};
+use snafu::Snafu;
+
+/// What runs on an instance.
+#[derive(Clone, Copy, Debug, Eq, PartialEq, Deserialize, Serialize)]
+#[serde(rename_all = "lowercase")]
+pub enum Role {
+    /// An instance of the system.
+    Entry,
+    /// An upstream.
+    Upstream,
+}
+
+/// State of an instance as the platform sees it.
+#[derive(Clone, Copy, Debug, Eq, PartialEq, Deserialize, Serialize)]
+#[serde(rename_all = "lowercase")]
+pub enum State {
+    /// In service.
+    Live,
+    /// About to go; receives no new work.
+    Leaving,
+}
+
+/// One entry of the list.
+#[derive(Clone, Debug, Eq, PartialEq, Deserialize, Serialize)]
+pub struct InstanceInfo {
+    /// Name of the instance; for an upstream, its name in the catalog.
+    pub name: String,
+    /// What runs on it.
+    pub role: Role,
+    /// Availability zone.
+    pub zone: String,
+    /// State.
+    pub state: State,
+    /// Peer address of its gate.
+    #[serde(default)]
+    pub gate: Option<SocketAddr>,
+    /// Peer address of its planner.
+    #[serde(default)]
+    pub planner: Option<SocketAddr>,
+}
+
+/// The list as it is sent.
+#[derive(Clone, Debug, Default, Eq, PartialEq, Deserialize, Serialize)]
+pub struct InstanceList {
+    /// All instances.
+    pub instances: Vec<InstanceInfo>,
+}
+
+/// Why the list could not be read.
+#[derive(Debug, Snafu)]
+#[snafu(display("list of instances at {addr} cannot be read: {reason}"))]
+pub struct InstancesError {
+    addr: SocketAddr,
+    reason: String,
+}
+
+/// Client of the list.
+#[derive(Clone)]
+pub struct Instances {
+    http: awc::Client,
+    addr: SocketAddr,
+}
+
+impl Instances {
+    /// Creates a client for the list at `addr`.
+    pub fn new(http: awc::Client, addr: SocketAddr) -> Self {
+        Self { http, addr }
+    }
+
+    /// Reads the list.
+    pub async fn read(&self) -> Result<InstanceList, InstancesError> {
+        let url = format!("http://{}/v1/instances", self.addr);
+        let mut res = self
+            .http
+            .get(url)
+            .send()
+            .await
+            .map_err(|e| self.error(&e))?;
+        if !res.status().is_success() {
+            return Err(self.error(&res.status()));
+        }
+        res.json::<InstanceList>().await.map_err(|e| self.error(&e))
+    }
+
+    fn error<E>(&self, e: &E) -> InstancesError
+    where
+        E: ToString,
+    {
+        InstancesError {
+            addr: self.addr,
+            reason: e.to_string(),
+        }
+    }
+}
--- /dev/null
+++ b/crates/platform/src/kv.rs
@@ -0,0 +1,169 @@
+//! Interface of the key-value service, and writes whose answers may be lost.
+//!
+//! The service promises compare-and-swap on one key only. Every value that the system writes is
+//! wrapped in [`Recorded`], whose write identifier tells after a lost answer whether the write
+//! took effect.
+
+use std::{future::Future, time::Duration};
+
+use bytes::Bytes;
+use serde::{Deserialize, Serialize, de::DeserializeOwned};
+use snafu::Snafu;
+
+/// Version of a key. Versions of one key only rise; zero stands for a key that does not exist.
+pub type Version = u64;
+
+/// A value with the version it was read at.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub struct Versioned {
+    /// Version of the key.
+    pub version: Version,
+    /// Value of the key.
+    pub value: Bytes,
+}
+
+/// Answer to a compare-and-swap.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum Swap {
+    /// The value was written at this version.
+    Written(Version),
+    /// The key stood at another version, and nothing was written.
+    Conflict,
+}
+
+/// Why a call to the key-value service failed.
+#[derive(Debug, Snafu)]
+#[snafu(visibility(pub))]
+pub enum KvError {
+    /// The service did not answer, or answered that it is unavailable. A write may have taken
+    /// effect.
+    #[snafu(display("key-value service did not answer for key {key}: {reason}"))]
+    Unavailable {
+        /// Key of the call.
+        key: String,
+        /// What was seen.
+        reason: String,
+    },
+    /// The service refused the call for being over its rate. Nothing was done.
+    #[snafu(display("key-value service refused a call for key {key}: over its rate"))]
+    RateLimited {
+        /// Key of the call.
+        key: String,
+    },
+    /// The value was not what the system writes.
+    #[snafu(display("value of key {key} cannot be decoded: {reason}"))]
+    Malformed {
+        /// Key of the call.
+        key: String,
+        /// What was wrong.
+        reason: String,
+    },
+}
+
+/// Client of the key-value service.
+pub trait Kv: Clone + 'static {
+    /// Reads a key.
+    fn get(&self, key: &str) -> impl Future<Output = Result<Option<Versioned>, KvError>>;
+
+    /// Writes a key if it stands at `expected`.
+    fn swap(
+        &self,
+        key: &str,
+        expected: Version,
+        value: Bytes,
+    ) -> impl Future<Output = Result<Swap, KvError>>;
+
+    /// Waits up to `wait` for a key to rise above `after`. `None` means that it did not.
+    fn watch(
+        &self,
+        key: &str,
+        after: Version,
+        wait: Duration,
+    ) -> impl Future<Output = Result<Option<Versioned>, KvError>>;
+}
+
+/// A body with the identifier of the write that stored it.
+#[derive(Clone, Debug, Eq, PartialEq, Deserialize, Serialize)]
+pub struct Recorded<T> {
+    /// Identifier of the write, unique over all writers.
+    pub write_id: String,
+    /// What was written.
+    pub body: T,
+}
+
+/// Reads a recorded value with its version.
+pub async fn get_recorded<K, T>(
+    kv: &K,
+    key: &str,
+) -> Result<Option<(Version, Recorded<T>)>, KvError>
+where
+    K: Kv,
+    T: DeserializeOwned,
+{
+    let Some(found) = kv.get(key).await? else {
+        return Ok(None);
+    };
+    let recorded = decode(key, &found.value)?;
+    Ok(Some((found.version, recorded)))
+}
+
+/// Decodes a recorded value.
+pub fn decode<T>(key: &str, value: &[u8]) -> Result<Recorded<T>, KvError>
+where
+    T: DeserializeOwned,
+{
+    serde_json::from_slice(value).map_err(|e| KvError::Malformed {
+        key: key.to_owned(),
+        reason: e.to_string(),
+    })
+}
+
+/// Writes a recorded value, and after a lost answer reads the key to learn what happened.
+///
+/// Returns [`KvError::Unavailable`] only when the outcome is unknown; the caller may call again
+/// with the same record and `expected`, which cannot write twice.
+pub async fn swap_recorded<K, T>(
+    kv: &K,
+    key: &str,
+    expected: Version,
+    record: &Recorded<T>,
+) -> Result<Swap, KvError>
+where
+    K: Kv,
+    T: Serialize + DeserializeOwned,
+{
+    let value = serde_json::to_vec(record).map_err(|e| KvError::Malformed {
+        key: key.to_owned(),
+        reason: e.to_string(),
+    })?;
+    let outcome = kv.swap(key, expected, Bytes::from(value)).await;
+    match outcome {
+        Ok(Swap::Written(version)) => Ok(Swap::Written(version)),
+        // An earlier try of the same write may have taken effect, so a conflict is looked into
+        // as well.
+        Ok(Swap::Conflict) | Err(KvError::Unavailable { .. }) => {
+            settle_unknown(kv, key, expected, record, outcome).await
+        }
+        Err(e) => Err(e),
+    }
+}
+
+async fn settle_unknown<K, T>(
+    kv: &K,
+    key: &str,
+    expected: Version,
+    record: &Recorded<T>,
+    outcome: Result<Swap, KvError>,
+) -> Result<Swap, KvError>
+where
+    K: Kv,
+    T: Serialize + DeserializeOwned,
+{
+    let found = get_recorded::<K, serde_json::Value>(kv, key).await?;
+    match found {
+        Some((version, stored)) if stored.write_id == record.write_id => Ok(Swap::Written(version)),
+        Some((version, _)) if version > expected => Ok(Swap::Conflict),
+        // The write has not taken effect, but it may still be on its way.
+        _ => outcome,
+    }
+}
--- /dev/null
+++ b/crates/routing/src/lib.rs
@@ -0,0 +1,1 @@
+//! Request queues with fairness between workspaces, and choice of upstream.
