Serve completions from caller to engine

Cause: the gate had only its interfaces. Change: callers' HTTP server with a connection that handlers can watch, key authentication, checked and rewritten completion requests, whole and streamed answers, retry and resume on another engine, the model list, and the admin port. Calls to upstreams run over a connection that records whether a byte was written, because the HTTP client reports a connection that broke after the request in the words of one that was never opened; it also takes the end of a connection for the end of a body, so that the end is checked here. Placement and allowances are still filled by hand.

--- /dev/null
+++ b/crates/gate/src/admin.rs
@@ -0,0 +1,83 @@
+//! The port for health checks, metrics and operators.
+
+use actix_http::{
+    Method, Request, Response, StatusCode,
+    body::BoxBody,
+    header::{self, HeaderValue},
+};
+use comfreyweir_store::Freshness;
+
+use crate::{allowances::Allowances, context::Cx, placement_view::PlacementView, stopping::Phase};
+
+/// Answers a request of the admin port.
+pub(crate) fn serve<A, V>(cx: &Cx<A, V>, req: &Request) -> Response<BoxBody>
+where
+    A: Allowances,
+    V: PlacementView,
+{
+    if req.method() != Method::GET && req.method() != Method::HEAD {
+        return text(StatusCode::METHOD_NOT_ALLOWED, "only GET is served here\n");
+    }
+    match req.path() {
+        "/healthz" => text(StatusCode::OK, "ok\n"),
+        "/readyz" => ready(cx),
+        "/metrics" => metrics(cx),
+        "/status" => status(cx),
+        _ => text(
+            StatusCode::NOT_FOUND,
+            "try /healthz, /readyz, /metrics or /status\n",
+        ),
+    }
+}
+
+fn ready<A, V>(cx: &Cx<A, V>) -> Response<BoxBody> {
+    match unready_reason(cx) {
+        None => text(StatusCode::OK, "ready\n"),
+        Some(reason) => text(StatusCode::SERVICE_UNAVAILABLE, reason),
+    }
+}
+
+fn unready_reason<A, V>(cx: &Cx<A, V>) -> Option<&'static str> {
+    if cx.stopping.phase() != Phase::Serving {
+        return Some("stopping\n");
+    }
+    if cx.follower.current().revision == 0 {
+        return Some("no configuration yet\n");
+    }
+    if cx.follower.freshness() == Freshness::CutOff {
+        return Some("cut off from the key-value service and from all peers\n");
+    }
+    None
+}
+
+fn metrics<A, V>(cx: &Cx<A, V>) -> Response<BoxBody> {
+    let in_flight = i64::try_from(cx.stopping.in_flight()).unwrap_or(i64::MAX);
+    cx.metrics.in_flight.set(in_flight);
+    let mut res = text(StatusCode::OK, cx.metrics.encode());
+    res.headers_mut().insert(
+        header::CONTENT_TYPE,
+        HeaderValue::from_static("application/openmetrics-text; version=1.0.0; charset=utf-8"),
+    );
+    res
+}
+
+fn status<A, V>(cx: &Cx<A, V>) -> Response<BoxBody> {
+    let mut res = text(StatusCode::OK, cx.status.page().to_string());
+    res.headers_mut().insert(
+        header::CONTENT_TYPE,
+        HeaderValue::from_static("application/json"),
+    );
+    res
+}
+
+fn text<T>(status: StatusCode, body: T) -> Response<BoxBody>
+where
+    T: Into<String>,
+{
+    let mut res = Response::build(status);
+    res.insert_header((
+        header::CONTENT_TYPE,
+        HeaderValue::from_static("text/plain; charset=utf-8"),
+    ));
+    res.body(body.into()).map_into_boxed_body()
+}
--- /dev/null
+++ b/crates/gate/src/completion/chunk.rs
@@ -0,0 +1,109 @@
+//! Chunks of a streamed completion: what was delivered, and what the caller may see.
+
+use serde_json::Value;
+
+use super::attempt;
+
+/// How far a stream has come, over all engines that served it.
+#[derive(Debug, Default)]
+pub(crate) struct Progress {
+    wants_usage: bool,
+    tokens: u64,
+    source_tokens: u64,
+    sources: u32,
+    identity: Option<(Value, Value)>,
+    finished: bool,
+    usage: Option<u64>,
+}
+
+impl Progress {
+    /// A stream that has not begun. The caller sees usage figures only if it asked for them.
+    pub(crate) fn new(wants_usage: bool) -> Self {
+        Self {
+            wants_usage,
+            ..Self::default()
+        }
+    }
+
+    /// Output tokens that the caller was given.
+    pub(crate) fn tokens(&self) -> u64 {
+        self.tokens
+    }
+
+    /// Output tokens of the current engine.
+    pub(crate) fn source_tokens(&self) -> u64 {
+        self.source_tokens
+    }
+
+    /// Tokens that the engine says were used.
+    pub(crate) fn used_tokens(&self) -> Option<u64> {
+        self.usage
+    }
+
+    /// Whether the caller has everything but the end mark.
+    pub(crate) fn is_complete(&self) -> bool {
+        self.finished && (!self.wants_usage || self.usage.is_some())
+    }
+
+    /// Notes that another engine goes on.
+    pub(crate) fn begin_source(&mut self) {
+        self.source_tokens = 0;
+        self.sources += 1;
+    }
+
+    /// Takes a chunk of the engine and gives what the caller should see of it.
+    pub(crate) fn take(&mut self, mut chunk: Value) -> Result<Option<Value>, String> {
+        if let Some(message) = chunk["error"]["message"].as_str() {
+            return Err(message.to_owned());
+        }
+        let Some(fields) = chunk.as_object_mut() else {
+            return Err("an event is not a JSON object".to_owned());
+        };
+        let usage = fields.get("usage").and_then(attempt::used_tokens);
+        self.usage = usage.or(self.usage);
+        if !self.wants_usage {
+            fields.remove("usage");
+        }
+        self.unify(&mut chunk);
+        let choice = &chunk["choices"][0];
+        if choice.is_null() {
+            return Ok(self.wants_usage.then_some(chunk));
+        }
+        let has_token = has_token(choice);
+        let finishes = !choice["finish_reason"].is_null();
+        if self.finished || (self.sources > 1 && !has_token && !finishes) {
+            // The opening chunk of an engine that goes on, or an end that the caller has.
+            return Ok(None);
+        }
+        if has_token {
+            self.tokens += 1;
+            self.source_tokens += 1;
+        }
+        self.finished |= finishes;
+        Ok(Some(chunk))
+    }
+
+    /// Gives the chunks of all engines the identity of the first.
+    fn unify(&mut self, chunk: &mut Value) {
+        let (id, created) = self
+            .identity
+            .get_or_insert_with(|| (chunk["id"].clone(), chunk["created"].clone()));
+        chunk["id"] = id.clone();
+        chunk["created"] = created.clone();
+    }
+}
+
+/// Whether a choice carries output: text, or any part of a message beside the role.
+fn has_token(choice: &Value) -> bool {
+    if let Some(text) = choice["text"].as_str() {
+        return !text.is_empty();
+    }
+    let Some(delta) = choice["delta"].as_object() else {
+        return false;
+    };
+    delta.iter().any(|(name, part)| match part {
+        Value::Null => false,
+        Value::String(text) => name != "role" && !text.is_empty(),
+        _ => true,
+    })
+}
--- /dev/null
+++ b/crates/gate/src/completion/mod.rs
@@ -0,0 +1,71 @@
+//! Completions by model engines: `POST /v1/chat/completions` and `/v1/completions`.
+
+mod attempt;
+mod chunk;
+mod events;
+mod request;
+mod stream;
+mod whole;
+
+use std::{
+    rc::Rc,
+    time::{Duration, Instant},
+};
+
+use actix_http::{HttpMessage, Payload, Request, Response, body::BoxBody};
+
+pub(crate) use self::attempt::late;
+use self::request::Ask;
+pub use self::request::DEADLINE_HEADER;
+use crate::{
+    Refusal,
+    allowances::Allowances,
+    auth::{self, Identity},
+    body,
+    context::Cx,
+    placement_view::PlacementView,
+};
+
+/// A request for a completion on its way through the gate.
+#[derive(Clone, Debug)]
+pub(crate) struct Job {
+    pub(crate) identity: Identity,
+    pub(crate) ask: Ask,
+    pub(crate) arrived: Instant,
+    /// Latest time for the answer, or for the first token of a stream.
+    pub(crate) deadline: Instant,
+    pub(crate) request_id: String,
+}
+
+/// Answers a request for a completion.
+pub(crate) async fn serve<A, V>(
+    cx: &Rc<Cx<A, V>>,
+    req: &Request,
+    payload: Payload,
+    request_id: &str,
+) -> Result<Response<BoxBody>, Refusal>
+where
+    A: Allowances,
+    V: PlacementView,
+{
+    let arrived = Instant::now();
+    let limits = &cx.settings.limits;
+    let snapshot = cx.follower.current();
+    let identity = auth::authenticate(&snapshot, req.headers())?;
+    let deadline = request::deadline(req.headers(), limits, arrived)?;
+    let stall = Duration::from_millis(limits.stall_ms);
+    let body = body::read(req.headers(), payload, limits.body_bytes, stall).await?;
+    let ask = request::parse(req.path(), &body, &snapshot.catalog, &identity.workspace)?;
+    let job = Job {
+        identity,
+        ask,
+        arrived,
+        deadline,
+        request_id: request_id.to_owned(),
+    };
+    if job.ask.stream {
+        stream::serve(cx, job).await
+    } else {
+        whole::serve(cx, &job).await
+    }
+}
--- /dev/null
+++ b/crates/gate/src/completion/request.rs
@@ -0,0 +1,233 @@
+//! What a caller asks of a model, checked and rewritten for an engine.
+
+use std::time::{Duration, Instant};
+
+use actix_http::{StatusCode, header::HeaderMap};
+use bytes::Bytes;
+use comfreyweir_config::{
+    catalog::{Catalog, Model},
+    settings::Limits,
+};
+use comfreyweir_platform::engine::Artifact;
+use serde_json::{Map, Value, json};
+
+use crate::{Code, Refusal, models::may_use};
+
+/// Header in which a caller may shorten the deadline of its request, in ms.
+pub const DEADLINE_HEADER: &str = "x-deadline-ms";
+
+/// Time that is kept free for telling the caller before its deadline.
+const ANSWER_MARGIN: Duration = Duration::from_millis(20);
+
+/// A checked request for a completion.
+#[derive(Clone, Debug)]
+pub(crate) struct Ask {
+    /// Path at the engine.
+    pub(crate) path: String,
+    /// Name under which engines serve the artifact.
+    pub(crate) served_name: String,
+    /// Whether the answer is a stream of events.
+    pub(crate) stream: bool,
+    /// Whether the caller asked for usage figures in its stream.
+    pub(crate) wants_usage: bool,
+    /// Tokens of the prompt, estimated from its bytes.
+    pub(crate) prompt_tokens: u64,
+    /// Limit of output tokens.
+    pub(crate) output_tokens: u64,
+    /// Body for the engine.
+    pub(crate) body: Bytes,
+}
+
+impl Ask {
+    /// Tokens charged before the request runs, when `done` output tokens are there already.
+    pub(crate) fn cost(&self, done: u64) -> u64 {
+        self.prompt_tokens + self.output_tokens.saturating_sub(done)
+    }
+}
+
+/// Checks a body and rewrites it.
+pub(crate) fn parse(
+    path: &str,
+    body: &[u8],
+    catalog: &Catalog,
+    workspace: &str,
+) -> Result<Ask, Refusal> {
+    let mut fields: Map<String, Value> = serde_json::from_slice(body)
+        .map_err(|e| invalid(format!("the body is not a JSON object: {e}")))?;
+    let name = required_string(&fields, "model")?;
+    let (artifact, model) = resolve(catalog, &name, workspace)?;
+    let stream = optional_bool(&fields, "stream")?;
+    check_single_choice(&fields)?;
+    let prompt = prompt_text(path, &fields)?;
+    let output_tokens = output_limit(&mut fields, model)?;
+    let wants_usage = stream && set_usage(&mut fields)?;
+    let served_name = artifact.served_name();
+    fields.insert("model".to_owned(), json!(served_name));
+    let bytes_per_token = u64::from(model.bytes_per_token.max(1));
+    Ok(Ask {
+        path: path.to_owned(),
+        served_name,
+        stream,
+        wants_usage,
+        prompt_tokens: (prompt.len() as u64).div_ceil(bytes_per_token),
+        output_tokens,
+        body: serde_json::to_vec(&fields)
+            .map_err(|e| invalid(e.to_string()))?
+            .into(),
+    })
+}
+
+/// When a request has to be answered: its deadline, less the time for telling the caller.
+pub(crate) fn deadline(
+    headers: &HeaderMap,
+    limits: &Limits,
+    arrived: Instant,
+) -> Result<Instant, Refusal> {
+    let asked = match headers.get(DEADLINE_HEADER) {
+        None => limits.deadline_ms,
+        Some(value) => value
+            .to_str()
+            .ok()
+            .and_then(|v| v.trim().parse::<u64>().ok())
+            .filter(|ms| *ms > 0)
+            .ok_or_else(|| invalid(format!("{DEADLINE_HEADER} must be a number of ms")))?,
+    };
+    let time = Duration::from_millis(asked.min(limits.max_deadline_ms));
+    Ok(arrived + time.saturating_sub(ANSWER_MARGIN))
+}
+
+fn resolve<'a>(
+    catalog: &'a Catalog,
+    name: &str,
+    workspace: &str,
+) -> Result<(Artifact, &'a Model), Refusal> {
+    if let Some(model) = catalog.models.get(name)
+        && may_use(&model.workspaces, workspace)
+    {
+        return Ok((model_artifact(name, model), model));
+    }
+    if let Some(adapter) = catalog.adapters.get(name)
+        && may_use(&adapter.workspaces, workspace)
+        && let Some(model) = catalog.models.get(&adapter.model)
+    {
+        let base = model_artifact(&adapter.model, model);
+        let artifact = Artifact {
+            name: name.to_owned(),
+            version: adapter.version.clone(),
+            base: Some(base.served_name()),
+        };
+        return Ok((artifact, model));
+    }
+    // A model of other workspaces is not told from one that does not exist.
+    Err(Refusal::not_run(
+        StatusCode::NOT_FOUND,
+        Code::NotFound,
+        format!("no model `{name}`: GET /v1/models lists what this key may use"),
+    ))
+}
+
+fn model_artifact(name: &str, model: &Model) -> Artifact {
+    Artifact {
+        name: name.to_owned(),
+        version: model.version.clone(),
+        base: None,
+    }
+}
+
+fn required_string(fields: &Map<String, Value>, name: &str) -> Result<String, Refusal> {
+    match fields.get(name) {
+        Some(Value::String(text)) => Ok(text.clone()),
+        _ => Err(invalid(format!("`{name}` must be a string"))),
+    }
+}
+
+fn optional_bool(fields: &Map<String, Value>, name: &str) -> Result<bool, Refusal> {
+    match fields.get(name) {
+        None | Some(Value::Null) => Ok(false),
+        Some(Value::Bool(value)) => Ok(*value),
+        Some(_) => Err(invalid(format!("`{name}` must be true or false"))),
+    }
+}
+
+/// Several choices would be charged and resumed as one.
+fn check_single_choice(fields: &Map<String, Value>) -> Result<(), Refusal> {
+    for name in ["n", "best_of"] {
+        match fields.get(name) {
+            None | Some(Value::Null) => {}
+            Some(value) if value.as_u64() == Some(1) => {}
+            Some(_) => return Err(invalid(format!("`{name}` must be 1"))),
+        }
+    }
+    Ok(())
+}
+
+fn prompt_text(path: &str, fields: &Map<String, Value>) -> Result<String, Refusal> {
+    let mut text = String::new();
+    if path.ends_with("/chat/completions") {
+        let messages = fields.get("messages").and_then(Value::as_array);
+        let messages = messages.filter(|m| !m.is_empty()).ok_or_else(|| {
+            invalid("`messages` must be a list with at least one message".to_owned())
+        })?;
+        for message in messages {
+            let content = message.get("content");
+            let content = content.filter(|_| message.is_object()).ok_or_else(|| {
+                invalid("each message must be an object with `role` and `content`".to_owned())
+            })?;
+            append_text(&mut text, content);
+        }
+    } else {
+        let prompt = fields
+            .get("prompt")
+            .filter(|p| p.is_string() || p.is_array())
+            .ok_or_else(|| invalid("`prompt` must be a string".to_owned()))?;
+        append_text(&mut text, prompt);
+    }
+    Ok(text)
+}
+
+/// Appends the text of a prompt. What is not text counts with its JSON, which is longer.
+fn append_text(text: &mut String, content: &Value) {
+    match content {
+        Value::String(part) => text.push_str(part),
+        Value::Array(parts) => parts.iter().for_each(|part| append_text(text, part)),
+        Value::Object(part) if part.get("text").is_some_and(Value::is_string) => {
+            append_text(text, &part["text"]);
+        }
+        Value::Null => {}
+        other => text.push_str(&other.to_string()),
+    }
+}
+
+fn output_limit(fields: &mut Map<String, Value>, model: &Model) -> Result<u64, Refusal> {
+    let most = u64::from(model.max_output_tokens);
+    let mut limit = most;
+    for name in ["max_completion_tokens", "max_tokens"] {
+        match fields.remove(name) {
+            None | Some(Value::Null) => {}
+            Some(value) => {
+                let asked = value.as_u64().filter(|n| *n > 0);
+                let asked = asked.ok_or_else(|| invalid(format!("`{name}` must be above zero")))?;
+                limit = limit.min(asked);
+            }
+        }
+    }
+    fields.insert("max_tokens".to_owned(), json!(limit));
+    Ok(limit)
+}
+
+/// Asks the engine for usage figures, and tells whether the caller did.
+fn set_usage(fields: &mut Map<String, Value>) -> Result<bool, Refusal> {
+    let options = fields.entry("stream_options").or_insert_with(|| json!({}));
+    if options.is_null() {
+        *options = json!({});
+    }
+    let options = options
+        .as_object_mut()
+        .ok_or_else(|| invalid("`stream_options` must be an object".to_owned()))?;
+    let before = options.insert("include_usage".to_owned(), json!(true));
+    Ok(before == Some(Value::Bool(true)))
+}
+
+fn invalid(message: String) -> Refusal {
+    Refusal::not_run(StatusCode::BAD_REQUEST, Code::InvalidRequest, message)
+}
--- /dev/null
+++ b/crates/gate/src/context.rs
@@ -0,0 +1,28 @@
+//! What every request of a gate shares.
+
+use std::rc::Rc;
+
+use comfreyweir_config::settings::GateSettings;
+use comfreyweir_store::Follower;
+
+use crate::{metrics::Metrics, status::Status, stopping::Stopping, upstream::Upstreams};
+
+/// What every request of a gate shares.
+pub struct Cx<A, V> {
+    /// Settings of the process.
+    pub settings: GateSettings,
+    /// Configuration in force.
+    pub follower: Follower,
+    /// Allowances of the workspaces.
+    pub allowances: A,
+    /// What is known of placement.
+    pub view: V,
+    /// Connections to upstreams.
+    pub upstreams: Upstreams,
+    /// Metrics of the process.
+    pub metrics: Metrics,
+    /// Sections of the status page.
+    pub status: Status,
+    /// Requests in flight, and whether the gate stops.
+    pub stopping: Rc<Stopping>,
+}
--- a/crates/gate/src/error.rs
+++ b/crates/gate/src/error.rs
@@ -59,6 +59,15 @@
     IdempotencyConflict,
 }
 
+impl Code {
+    /// The code as callers and metrics see it.
+    pub fn as_str(self) -> String {
+        let json = serde_json::to_value(self).ok();
+        let text = json.as_ref().and_then(serde_json::Value::as_str);
+        text.unwrap_or_default().to_owned()
+    }
+}
+
 /// An honest refusal.
 #[derive(Clone, Debug, Eq, PartialEq)]
 pub struct Refusal {
--- /dev/null
+++ b/crates/gate/src/gate.rs
@@ -0,0 +1,151 @@
+//! A running gate.
+
+use std::{future::ready, io, net::SocketAddr, rc::Rc, time::Duration};
+
+use comfreyweir_config::settings::GateSettings;
+use comfreyweir_store::{Follower, Freshness};
+use serde_json::json;
+use snafu::{ResultExt, Snafu};
+
+use crate::{
+    admin,
+    allowances::Allowances,
+    context::Cx,
+    handler,
+    listener::{self, Listener},
+    metrics::Metrics,
+    placement_view::PlacementView,
+    status::Status,
+    stopping::{Phase, Stopping},
+    upstream::Upstreams,
+};
+
+/// Why a gate cannot be started.
+#[derive(Debug, Snafu)]
+pub enum GateError {
+    /// An address cannot be listened on.
+    #[snafu(display("cannot listen on {addr}: {source}"))]
+    Listen {
+        /// The address.
+        addr: SocketAddr,
+        /// What failed.
+        source: io::Error,
+    },
+}
+
+/// Handle of a running gate. Dropping it cuts what is in flight; [`Gate::stop`] does not.
+pub struct Gate {
+    callers: Listener,
+    admin: Listener,
+    stopping: Rc<Stopping>,
+    notice: Duration,
+    status: Status,
+    metrics: Metrics,
+}
+
+/// Starts a gate with its parts.
+pub async fn spawn_with<A, V>(
+    settings: GateSettings,
+    follower: Follower,
+    allowances: A,
+    view: V,
+) -> Result<Gate, GateError>
+where
+    A: Allowances,
+    V: PlacementView,
+{
+    let notice = Duration::from_millis(settings.timing.stop_notice_ms);
+    let (listen, admin_addr) = (settings.listen, settings.admin);
+    let limits = settings.limits.clone();
+    let cx = Rc::new(Cx {
+        settings,
+        follower,
+        allowances,
+        view,
+        upstreams: Upstreams::default(),
+        metrics: Metrics::new(),
+        status: Status::default(),
+        stopping: Rc::default(),
+    });
+    add_sections(&cx);
+    let serve_cx = Rc::clone(&cx);
+    let callers = listener::bind(listen, &limits, Rc::clone(&cx.stopping), move |req| {
+        handler::serve(Rc::clone(&serve_cx), req)
+    })
+    .await
+    .context(ListenSnafu { addr: listen })?;
+    let admin_cx = Rc::clone(&cx);
+    let admin = listener::bind(admin_addr, &limits, Rc::default(), move |req| {
+        ready(Ok(admin::serve(&admin_cx, &req)))
+    })
+    .await
+    .context(ListenSnafu { addr: admin_addr })?;
+    Ok(Gate {
+        callers,
+        admin,
+        stopping: Rc::clone(&cx.stopping),
+        notice,
+        status: cx.status.clone(),
+        metrics: cx.metrics.clone(),
+    })
+}
+
+impl Gate {
+    /// Address for callers.
+    pub fn addr(&self) -> SocketAddr {
+        self.callers.addr()
+    }
+
+    /// Address for health checks, metrics and operators.
+    pub fn admin_addr(&self) -> SocketAddr {
+        self.admin.addr()
+    }
+
+    /// Sections of the status page.
+    pub fn status(&self) -> &Status {
+        &self.status
+    }
+
+    /// Metrics of the process.
+    pub fn metrics(&self) -> &Metrics {
+        &self.metrics
+    }
+
+    /// Stops without cutting a request: turns unready, goes on accepting until the balancer has
+    /// noticed, and finishes what is in flight.
+    pub async fn stop(self) {
+        self.stopping.set_phase(Phase::Noticing);
+        actix_rt::time::sleep(self.notice).await;
+        self.stopping.set_phase(Phase::Draining);
+        self.callers.close().await;
+        self.stopping.idle().await;
+    }
+}
+
+fn add_sections<A, V>(cx: &Rc<Cx<A, V>>)
+where
+    A: Allowances,
+    V: PlacementView,
+{
+    let follower = cx.follower.clone();
+    cx.status.add("configuration", move || {
+        let freshness = match follower.freshness() {
+            Freshness::Current => "current",
+            Freshness::ServiceDown => "service_down",
+            Freshness::CutOff => "cut_off",
+        };
+        json!({ "revision": follower.current().revision, "freshness": freshness })
+    });
+    let stopping = Rc::clone(&cx.stopping);
+    let metrics = cx.metrics.clone();
+    let instance = cx.settings.instance.clone();
+    cx.status.add("gate", move || {
+        json!({
+            "instance": instance.name,
+            "zone": instance.zone,
+            "stopping": stopping.phase() != Phase::Serving,
+            "in_flight": stopping.in_flight(),
+            "waiting": metrics.waiting.get(),
+        })
+    });
+}
--- /dev/null
+++ b/crates/gate/src/handler.rs
@@ -0,0 +1,99 @@
+//! Routing of callers' requests by path.
+
+use std::{convert::Infallible, rc::Rc};
+
+use actix_http::{Method, Payload, Request, Response, StatusCode, body::BoxBody};
+use comfreyweir_store::Freshness;
+
+use crate::{
+    Code, Refusal, allowances::Allowances, caller::Caller, completion, context::Cx, models,
+    placement_view::PlacementView, request_id, services, stopping::Phase,
+};
+
+/// Answers a caller's request. Dropped when the caller's connection ends.
+pub(crate) async fn serve<A, V>(
+    cx: Rc<Cx<A, V>>,
+    mut req: Request,
+) -> Result<Response<BoxBody>, Infallible>
+where
+    A: Allowances,
+    V: PlacementView,
+{
+    let body = req.take_payload();
+    let caller = req.conn_data::<Caller>().cloned();
+    let guard = cx.stopping.enter();
+    let request_id = request_id::fresh();
+    let answer = route(&cx, &req, body, &request_id);
+    let answered = match caller {
+        // Nobody reads the answer of a caller that has left; it only ends the handler.
+        Some(caller) => tokio::select! {
+            answered = answer => answered,
+            () = caller.left() => Err(left()),
+        },
+        None => answer.await,
+    };
+    let mut res = answered.unwrap_or_else(|refusal| refusal.to_response());
+    if cx.stopping.phase() != Phase::Serving {
+        res.head_mut()
+            .set_connection_type(actix_http::ConnectionType::Close);
+    }
+    Ok(res.map_body(|_, body| crate::body::counted(body, guard)))
+}
+
+async fn route<A, V>(
+    cx: &Rc<Cx<A, V>>,
+    req: &Request,
+    body: Payload,
+    request_id: &str,
+) -> Result<Response<BoxBody>, Refusal>
+where
+    A: Allowances,
+    V: PlacementView,
+{
+    check_fresh(cx)?;
+    match req.path() {
+        "/v1/chat/completions" | "/v1/completions" => {
+            check_method(req, &Method::POST)?;
+            completion::serve(cx, req, body, request_id).await
+        }
+        "/v1/models" => {
+            check_method(req, &Method::GET)?;
+            models::serve(cx, req)
+        }
+        _ => services::serve(cx, req, body).await,
+    }
+}
+
+/// Without contact a key may have been withdrawn unseen, so that nothing can be admitted.
+fn check_fresh<A, V>(cx: &Cx<A, V>) -> Result<(), Refusal> {
+    if cx.follower.freshness() != Freshness::CutOff {
+        return Ok(());
+    }
+    let refusal = Refusal::not_run(
+        StatusCode::SERVICE_UNAVAILABLE,
+        Code::CutOff,
+        "this instance is cut off from its configuration: send the request again, so that \
+         another instance takes it",
+    );
+    Err(refusal.retry_after(std::time::Duration::from_secs(1)))
+}
+
+fn check_method(req: &Request, method: &Method) -> Result<(), Refusal> {
+    if req.method() == method {
+        return Ok(());
+    }
+    Err(Refusal::not_run(
+        StatusCode::METHOD_NOT_ALLOWED,
+        Code::MethodNotAllowed,
+        format!("{} takes {method} only", req.path()),
+    ))
+}
+
+fn left() -> Refusal {
+    Refusal::not_run(
+        StatusCode::REQUEST_TIMEOUT,
+        Code::RequestTimeout,
+        "the caller has left",
+    )
+    .run_unknown()
+}
--- a/crates/gate/src/lib.rs
+++ b/crates/gate/src/lib.rs
@@ -4,8 +4,32 @@
 //! A gate runs on one thread, because capnp objects are not `Send` and entry instances are small;
 //! more throughput comes from more instances.
 
+mod admin;
 pub mod allowances;
+pub mod auth;
+mod body;
+mod caller;
+mod completion;
+mod context;
+mod dispatch;
 mod error;
+pub mod fixed;
+mod gate;
+mod handler;
+mod listener;
+pub mod metrics;
+mod models;
 pub mod placement_view;
+pub mod request_id;
+pub mod services;
+pub mod status;
+pub mod stopping;
+pub mod upstream;
 
-pub use crate::error::{Code, Refusal, Run};
+pub use crate::{
+    caller::Caller,
+    completion::DEADLINE_HEADER,
+    context::Cx,
+    error::{Code, Refusal, Run},
+    gate::{Gate, GateError, spawn_with},
+};
--- /dev/null
+++ b/crates/gate/src/metrics.rs
@@ -0,0 +1,211 @@
+//! Metrics of a gate.
+
+use std::{cell::RefCell, rc::Rc, time::Duration};
+
+use comfreyweir_config::catalog::Catalog;
+use prometheus_client::{
+    encoding::{EncodeLabelSet, text},
+    metrics::{counter::Counter, family::Family, gauge::Gauge, histogram::Histogram},
+    registry::Registry,
+};
+
+use crate::{Code, Refusal};
+
+/// Label of workspaces that are not in the catalog, which bounds the number of series.
+const OTHER: &str = "other";
+
+/// Bounds of waiting and of first tokens, in seconds: from a warm model to a cold one.
+const WAIT_BOUNDS: [f64; 14] = [
+    0.001, 0.0025, 0.005, 0.01, 0.025, 0.05, 0.1, 0.25, 0.5, 1.0, 2.5, 5.0, 15.0, 60.0,
+];
+/// Bounds of the time between tokens, in seconds.
+const TOKEN_BOUNDS: [f64; 10] = [0.001, 0.0025, 0.005, 0.01, 0.025, 0.05, 0.1, 0.25, 1.0, 5.0];
+
+type WaitFamily = Family<WorkspaceLabel, Histogram, fn() -> Histogram>;
+
+/// Labels of a metric of one workspace.
+#[derive(Clone, Debug, Eq, Hash, PartialEq, EncodeLabelSet)]
+pub struct WorkspaceLabel {
+    workspace: String,
+}
+
+/// Labels of refusals.
+#[derive(Clone, Debug, Eq, Hash, PartialEq, EncodeLabelSet)]
+pub struct RefusalLabel {
+    workspace: String,
+    code: String,
+    inside_rate: String,
+}
+
+/// Labels of answers.
+#[derive(Clone, Debug, Eq, Hash, PartialEq, EncodeLabelSet)]
+pub struct AnswerLabel {
+    workspace: String,
+    outcome: String,
+}
+
+/// Metrics of a gate. Clones share the values.
+#[derive(Clone)]
+pub struct Metrics {
+    registry: Rc<RefCell<Registry>>,
+    waiting_seconds: WaitFamily,
+    first_token_seconds: WaitFamily,
+    between_tokens_seconds: WaitFamily,
+    refusals: Family<RefusalLabel, Counter>,
+    answers: Family<AnswerLabel, Counter>,
+    resumed: Counter,
+    /// Requests that wait.
+    pub waiting: Gauge,
+    /// Requests in flight.
+    pub in_flight: Gauge,
+}
+
+impl Default for Metrics {
+    fn default() -> Self {
+        Self::new()
+    }
+}
+
+impl Metrics {
+    /// Creates the metrics and their registry.
+    pub fn new() -> Self {
+        let waits: fn() -> Histogram = || Histogram::new(WAIT_BOUNDS);
+        let tokens: fn() -> Histogram = || Histogram::new(TOKEN_BOUNDS);
+        let metrics = Self {
+            registry: Rc::default(),
+            waiting_seconds: Family::new_with_constructor(waits),
+            first_token_seconds: Family::new_with_constructor(waits),
+            between_tokens_seconds: Family::new_with_constructor(tokens),
+            refusals: Family::default(),
+            answers: Family::default(),
+            resumed: Counter::default(),
+            waiting: Gauge::default(),
+            in_flight: Gauge::default(),
+        };
+        metrics.register();
+        metrics
+    }
+
+    /// Lets another part of the gate add its metrics.
+    pub fn with_registry<F>(&self, add: F)
+    where
+        F: FnOnce(&mut Registry),
+    {
+        add(&mut self.registry.borrow_mut());
+    }
+
+    /// All metrics in the text format of `OpenMetrics`.
+    pub fn encode(&self) -> String {
+        let mut buf = String::new();
+        text::encode(&mut buf, &self.registry.borrow()).expect("a string takes every metric");
+        buf
+    }
+
+    /// Notes how long a request waited for its upstream.
+    pub fn waited(&self, workspace: &str, catalog: &Catalog, time: Duration) {
+        let label = workspace_label(workspace, catalog);
+        let histogram = self.waiting_seconds.get_or_create(&label);
+        histogram.observe(time.as_secs_f64());
+    }
+
+    /// Notes the time from a request's arrival to its first token, or to its whole answer.
+    pub fn first_token(&self, workspace: &str, catalog: &Catalog, time: Duration) {
+        let label = workspace_label(workspace, catalog);
+        let histogram = self.first_token_seconds.get_or_create(&label);
+        histogram.observe(time.as_secs_f64());
+    }
+
+    /// Notes the time between two tokens of a stream.
+    pub fn between_tokens(&self, workspace: &str, catalog: &Catalog, time: Duration) {
+        let label = workspace_label(workspace, catalog);
+        let histogram = self.between_tokens_seconds.get_or_create(&label);
+        histogram.observe(time.as_secs_f64());
+    }
+
+    /// Counts a refusal.
+    pub fn refused(&self, workspace: Option<&str>, catalog: &Catalog, refusal: &Refusal) {
+        let over = matches!(refusal.code, Code::RateLimited | Code::ExceedsBurst);
+        let label = RefusalLabel {
+            workspace: workspace_name(workspace.unwrap_or(OTHER), catalog),
+            code: refusal.code.as_str(),
+            inside_rate: (!over).to_string(),
+        };
+        self.refusals.get_or_create(&label).inc();
+    }
+
+    /// Counts an answer that was begun.
+    pub fn answered(&self, workspace: &str, catalog: &Catalog, outcome: Outcome) {
+        let label = AnswerLabel {
+            workspace: workspace_name(workspace, catalog),
+            outcome: outcome.as_str().to_owned(),
+        };
+        self.answers.get_or_create(&label).inc();
+    }
+
+    /// Counts a stream that was resumed on another replica.
+    pub fn resumed(&self) {
+        self.resumed.inc();
+    }
+
+    fn register(&self) {
+        let mut registry = self.registry.borrow_mut();
+        let registry = registry.sub_registry_with_prefix("comfreyweir_gate");
+        registry.register(
+            "waiting_seconds",
+            "Time from arrival until a request was sent upstream",
+            self.waiting_seconds.clone(),
+        );
+        registry.register(
+            "first_token_seconds",
+            "Time from arrival until the first token, or the whole answer",
+            self.first_token_seconds.clone(),
+        );
+        registry.register(
+            "between_tokens_seconds",
+            "Time between two tokens of a stream",
+            self.between_tokens_seconds.clone(),
+        );
+        registry.register("refusals", "Requests refused", self.refusals.clone());
+        registry.register("answers", "Answers by how they ended", self.answers.clone());
+        registry.register(
+            "streams_resumed",
+            "Streams that were resumed on another replica",
+            self.resumed.clone(),
+        );
+        registry.register("waiting", "Requests that wait", self.waiting.clone());
+        registry.register("in_flight", "Requests in flight", self.in_flight.clone());
+    }
+}
+
+/// How an answer ended.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum Outcome {
+    /// The caller was given all of it.
+    Whole,
+    /// The caller was told that it is incomplete.
+    Incomplete,
+    /// The caller left.
+    Left,
+}
+
+impl Outcome {
+    fn as_str(self) -> &'static str {
+        match self {
+            Self::Whole => "whole",
+            Self::Incomplete => "incomplete",
+            Self::Left => "left",
+        }
+    }
+}
+
+fn workspace_label(workspace: &str, catalog: &Catalog) -> WorkspaceLabel {
+    WorkspaceLabel {
+        workspace: workspace_name(workspace, catalog),
+    }
+}
+
+fn workspace_name(workspace: &str, catalog: &Catalog) -> String {
+    let known = catalog.workspaces.contains_key(workspace);
+    let name = if known { workspace } else { OTHER };
+    name.to_owned()
+}
--- /dev/null
+++ b/crates/gate/src/models.rs
@@ -0,0 +1,70 @@
+//! The list of models that a workspace may use.
+
+use actix_http::{
+    HttpMessage, Request, Response, StatusCode,
+    body::BoxBody,
+    header::{self, HeaderValue},
+};
+use comfreyweir_config::catalog::Catalog;
+use serde::Serialize;
+
+use crate::{Refusal, auth, context::Cx};
+
+#[derive(Serialize)]
+struct List {
+    object: &'static str,
+    data: Vec<Entry>,
+}
+
+#[derive(Serialize)]
+struct Entry {
+    id: String,
+    object: &'static str,
+    created: u64,
+    owned_by: &'static str,
+}
+
+/// Answers `GET /v1/models`.
+pub(crate) fn serve<A, V>(cx: &Cx<A, V>, req: &Request) -> Result<Response<BoxBody>, Refusal> {
+    let snapshot = cx.follower.current();
+    let identity = auth::authenticate(&snapshot, req.headers())?;
+    let list = List {
+        object: "list",
+        data: usable(&snapshot.catalog, &identity.workspace),
+    };
+    let body = serde_json::to_string(&list).expect("a list of names is serializable");
+    let mut res = Response::build(StatusCode::OK);
+    res.insert_header((
+        header::CONTENT_TYPE,
+        HeaderValue::from_static("application/json"),
+    ));
+    Ok(res.body(body).map_into_boxed_body())
+}
+
+fn usable(catalog: &Catalog, workspace: &str) -> Vec<Entry> {
+    let models = catalog
+        .models
+        .iter()
+        .filter(|(_, m)| may_use(&m.workspaces, workspace))
+        .map(|(name, _)| name);
+    let adapters = catalog
+        .adapters
+        .iter()
+        .filter(|(_, a)| may_use(&a.workspaces, workspace))
+        .map(|(name, _)| name);
+    models.chain(adapters).map(|name| entry(name)).collect()
+}
+
+fn entry(name: &str) -> Entry {
+    Entry {
+        id: name.to_owned(),
+        object: "model",
+        created: 0,
+        owned_by: "comfreyweir",
+    }
+}
+
+/// Whether a list of workspaces, where empty means all, has a workspace.
+pub(crate) fn may_use(workspaces: &[String], workspace: &str) -> bool {
+    workspaces.is_empty() || workspaces.iter().any(|w| w == workspace)
+}
--- /dev/null
+++ b/crates/gate/src/upstream/mod.rs
@@ -0,0 +1,167 @@
+//! Calls to upstreams.
+//!
+//! Every call hands its own connection to the HTTP client, so that it can be told from the socket
+//! whether a first byte was written. The client's errors do not tell: it reports a connection
+//! that broke after the request was received in the same words as one that was never opened.
+
+mod answer;
+mod idle;
+mod tracked;
+
+use std::{cell::RefCell, io, net::SocketAddr, rc::Rc, time::Duration};
+
+use actix_http::{
+    Method,
+    body::MessageBody,
+    header::{HeaderMap, HeaderValue},
+};
+use comfreyweir_platform::engine::REQUEST_ID_HEADER;
+use snafu::Snafu;
+use tokio::{net::TcpStream, time::timeout};
+
+pub use self::{
+    answer::{Answer, AnswerBody},
+    tracked::Track,
+};
+use self::{
+    idle::IdleConnections,
+    tracked::{HandOver, Tracked},
+};
+
+/// Longest time for opening a connection to an upstream.
+const CONNECT_TIMEOUT: Duration = Duration::from_secs(1);
+
+/// Which connections a call may use.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum Connection {
+    /// Only a new one. For calls that must run at most once.
+    Fresh,
+    /// An idle one if there is any. For calls that may be sent again.
+    Reusable,
+}
+
+/// Why a call did not bring a whole answer. [`Track::is_written`] tells whether the upstream may
+/// have received any of the request.
+#[derive(Debug, Snafu)]
+#[snafu(visibility(pub(crate)))]
+pub enum CallError {
+    /// No connection could be opened.
+    #[snafu(display("cannot connect to upstream {addr}: {source}"))]
+    Connect {
+        /// Address of the upstream.
+        addr: SocketAddr,
+        /// What failed.
+        source: io::Error,
+    },
+    /// The connection failed before the head of the answer.
+    #[snafu(display("upstream {addr} did not answer: {reason}"))]
+    NoAnswer {
+        /// Address of the upstream.
+        addr: SocketAddr,
+        /// What was seen.
+        reason: String,
+    },
+    /// The answer belongs to another request.
+    #[snafu(display("upstream {addr} answered another request"))]
+    Crossed {
+        /// Address of the upstream.
+        addr: SocketAddr,
+    },
+    /// The answer ended before it was whole.
+    #[snafu(display("answer of upstream {addr} is incomplete: {reason}"))]
+    Incomplete {
+        /// Address of the upstream.
+        addr: SocketAddr,
+        /// What was seen.
+        reason: String,
+    },
+    /// The answer paused for too long.
+    #[snafu(display("answer of upstream {addr} paused for {} ms", after.as_millis()))]
+    Stalled {
+        /// Address of the upstream.
+        addr: SocketAddr,
+        /// The limit that has passed.
+        after: Duration,
+    },
+    /// The answer is larger than the gate takes.
+    #[snafu(display("answer of upstream {addr} is larger than {limit} bytes"))]
+    TooLarge {
+        /// Address of the upstream.
+        addr: SocketAddr,
+        /// The limit in bytes.
+        limit: usize,
+    },
+}
+
+/// A call to an upstream.
+#[derive(Clone, Debug)]
+pub struct Call {
+    /// Address of the upstream.
+    pub addr: SocketAddr,
+    /// Method.
+    pub method: Method,
+    /// Path and query.
+    pub path: String,
+    /// Headers, already freed of what must not be forwarded.
+    pub headers: HeaderMap,
+    /// Fresh identifier, which the answer has to echo.
+    pub request_id: String,
+    /// Which connections it may use.
+    pub connection: Connection,
+}
+
+/// Connections to upstreams.
+#[derive(Clone, Default)]
+pub struct Upstreams {
+    idle: Rc<RefCell<IdleConnections>>,
+}
+
+impl Upstreams {
+    /// Sends a call and waits for the head of its answer.
+    ///
+    /// `track` is the caller's, so that it can be read after this future was dropped. Dropping
+    /// the future or the answer closes the connection.
+    pub async fn send<B>(&self, call: Call, body: B, track: &Rc<Track>) -> Result<Answer, CallError>
+    where
+        B: MessageBody + 'static,
+    {
+        let addr = call.addr;
+        let io = self.connect(&call).await?;
+        let stream = Tracked::new(io, addr, Rc::clone(track), Rc::downgrade(&self.idle));
+        let client = HandOver::client(stream);
+        let url = format!("http://{addr}{}", call.path);
+        let mut req = client.request(call.method, url);
+        for (name, value) in &call.headers {
+            req = req.append_header((name.clone(), value.clone()));
+        }
+        req = req.insert_header((REQUEST_ID_HEADER, call.request_id.clone()));
+        let res = req.send_body(body).await.map_err(|e| CallError::NoAnswer {
+            addr,
+            reason: e.to_string(),
+        })?;
+        if res
+            .headers()
+            .get(REQUEST_ID_HEADER)
+            .map(HeaderValue::as_bytes)
+            != Some(call.request_id.as_bytes())
+        {
+            return CrossedSnafu { addr }.fail();
+        }
+        Ok(Answer::new(addr, res, Rc::clone(track)))
+    }
+
+    async fn connect(&self, call: &Call) -> Result<TcpStream, CallError> {
+        let addr = call.addr;
+        if call.connection == Connection::Reusable
+            && let Some(io) = self.idle.borrow_mut().take(addr)
+        {
+            return Ok(io);
+        }
+        let opened = timeout(CONNECT_TIMEOUT, TcpStream::connect(addr)).await;
+        let io = opened
+            .unwrap_or_else(|_| Err(io::ErrorKind::TimedOut.into()))
+            .map_err(|source| CallError::Connect { addr, source })?;
+        let _ = io.set_nodelay(true);
+        Ok(io)
+    }
+}
--- a/crates/platform/src/engine.rs
+++ b/crates/platform/src/engine.rs
@@ -16,6 +16,8 @@
 pub const WORKSPACE_HEADER: &str = "x-workspace";
 /// Header with the number of output tokens that the caller already has.
 pub const RESUME_HEADER: &str = "x-resume-from";
+/// Header with which an upstream says, by `1`, that it has not run the request.
+pub const NOT_RUN_HEADER: &str = "x-not-run";
 /// Header with the priority of a request; larger goes first.
 pub const PRIORITY_HEADER: &str = "x-priority";
 
--- a/crates/store/src/follow.rs
+++ b/crates/store/src/follow.rs
@@ -26,6 +26,16 @@
 }
 
 impl Follower {
+    /// A configuration that never changes.
+    pub fn fixed(snapshot: Snapshot) -> Self {
+        let (_, changes) = watch::channel(snapshot.revision);
+        Self {
+            current: Rc::new(RefCell::new(Rc::new(snapshot))),
+            changes,
+            freshness: Rc::new(RefCell::new(Freshness::Current)),
+        }
+    }
+
     /// The revision in force.
     pub fn current(&self) -> Rc<Snapshot> {
         Rc::clone(&self.current.borrow())
