Add the common main of the daemons and JSON-lines logs

Both daemons read the same command line, check their settings before anything starts, log JSON lines on standard error and turn SIGTERM and SIGINT into a graceful stop with exit code 0.

--- /dev/null
+++ b/crates/core/src/daemon.rs
@@ -0,0 +1,184 @@
+//! What the mains of the daemons have in common: command line, settings, logs and signals.
+
+use std::{ffi::OsString, fmt::Display, future::Future, path::PathBuf, process::ExitCode};
+
+use lexopt::{Arg, Parser};
+use snafu::{ResultExt, Snafu};
+use tokio::signal::unix::{SignalKind, signal};
+
+use crate::logging;
+
+/// Exit code after an error while running.
+pub const EXIT_FAILED: u8 = 1;
+/// Exit code after a mistake on the command line or in the settings.
+pub const EXIT_USAGE: u8 = 2;
+
+/// Names and texts of a daemon.
+#[derive(Clone, Copy, Debug)]
+pub struct Program {
+    /// Name of the program.
+    pub name: &'static str,
+    /// What it does, for `--help`.
+    pub about: &'static str,
+    /// Sample settings, for `--print-defaults`.
+    pub defaults: &'static str,
+}
+
+/// What the command line asks for.
+#[derive(Clone, Debug, Eq, PartialEq)]
+enum Command {
+    Run(PathBuf),
+    Help,
+    Version,
+    PrintDefaults,
+}
+
+/// Why the command line cannot be used.
+#[derive(Debug, Snafu)]
+enum UsageError {
+    #[snafu(display("{source}; try --help"))]
+    Arguments { source: lexopt::Error },
+    #[snafu(display("no settings: give --config FILE, or see --print-defaults"))]
+    NoConfig,
+}
+
+/// Runs a daemon to its end: reads the command line and the settings, spawns, waits for SIGTERM
+/// or SIGINT, and stops gracefully.
+pub fn run<S, ReadError, Handle, SpawnError>(
+    program: Program,
+    read: impl FnOnce(&std::path::Path) -> Result<S, ReadError>,
+    spawn: impl AsyncFnOnce(S) -> Result<Handle, SpawnError>,
+    stop: impl AsyncFnOnce(Handle),
+) -> ExitCode
+where
+    ReadError: Display,
+    SpawnError: Display,
+{
+    let path = match parse(std::env::args_os().skip(1)) {
+        Ok(Command::Run(path)) => path,
+        Ok(command) => return print(program, &command),
+        Err(e) => return fail(program, &e, EXIT_USAGE),
+    };
+    let settings = match read(&path) {
+        Ok(settings) => settings,
+        Err(e) => return fail(program, &e, EXIT_USAGE),
+    };
+    if let Err(e) = logging::init() {
+        return fail(program, &e, EXIT_FAILED);
+    }
+    actix_rt::System::new().block_on(async {
+        match serve(program, spawn(settings), stop).await {
+            Ok(()) => ExitCode::SUCCESS,
+            Err(e) => fail(program, &e, EXIT_FAILED),
+        }
+    })
+}
+
+async fn serve<Handle, SpawnError>(
+    program: Program,
+    spawning: impl Future<Output = Result<Handle, SpawnError>>,
+    stop: impl AsyncFnOnce(Handle),
+) -> Result<(), String>
+where
+    SpawnError: Display,
+{
+    // Registered first: a signal during start must still end in a graceful stop.
+    let stopping = StopSignals::register().map_err(|e| e.to_string())?;
+    let handle = spawning.await.map_err(|e| e.to_string())?;
+    spdlog::info!("{} runs", program.name);
+    stopping.wait().await;
+    spdlog::info!("{} stops", program.name);
+    stop(handle).await;
+    spdlog::info!("{} has stopped", program.name);
+    Ok(())
+}
+
+/// SIGTERM and SIGINT, from the moment they are registered.
+pub struct StopSignals {
+    terminate: tokio::signal::unix::Signal,
+    interrupt: tokio::signal::unix::Signal,
+}
+
+impl StopSignals {
+    /// Starts to listen for the signals.
+    pub fn register() -> std::io::Result<Self> {
+        Ok(Self {
+            terminate: signal(SignalKind::terminate())?,
+            interrupt: signal(SignalKind::interrupt())?,
+        })
+    }
+
+    /// Completes on the first of the signals.
+    pub async fn wait(mut self) {
+        tokio::select! {
+            _ = self.terminate.recv() => {}
+            _ = self.interrupt.recv() => {}
+        }
+    }
+}
+
+fn parse(args: impl IntoIterator<Item = OsString>) -> Result<Command, UsageError> {
+    let mut parser = Parser::from_args(args);
+    let mut config = None;
+    while let Some(arg) = parser.next().context(ArgumentsSnafu)? {
+        match arg {
+            Arg::Short('h') | Arg::Long("help") => return Ok(Command::Help),
+            Arg::Short('V') | Arg::Long("version") => return Ok(Command::Version),
+            Arg::Long("print-defaults") => return Ok(Command::PrintDefaults),
+            Arg::Short('c') | Arg::Long("config") => {
+                config = Some(PathBuf::from(parser.value().context(ArgumentsSnafu)?));
+            }
+            other => return Err(other.unexpected()).context(ArgumentsSnafu),
+        }
+    }
+    config.map(Command::Run).ok_or(UsageError::NoConfig)
+}
+
+fn print(program: Program, command: &Command) -> ExitCode {
+    match command {
+        Command::PrintDefaults => print!("{}", program.defaults),
+        Command::Version => println!("{} {}", program.name, env!("CARGO_PKG_VERSION")),
+        Command::Help | Command::Run(_) => print!("{}", help(program)),
+    }
+    ExitCode::SUCCESS
+}
+
+fn help(program: Program) -> String {
+    let Program { name, about, .. } = program;
+    format!(
+        "{name} {version}
+{about}
+
+USAGE:
+    {name} --config FILE
+
+OPTIONS:
+    -c, --config FILE
+        Settings of this process, in TOML. They are checked before anything is started.
+    --print-defaults
+        Print sample settings with all defaults, and exit.
+    -V, --version
+        Print the version, and exit.
+    -h, --help
+        Print this help, and exit.
+
+SIGNALS:
+    SIGTERM and SIGINT stop the process gracefully: it takes no new work, finishes what it has
+    and exits with code 0.
+
+EXIT CODES:
+    0   stopped as asked
+    1   failed while running
+    2   the command line or the settings are wrong
+",
+        version = env!("CARGO_PKG_VERSION"),
+    )
+}
+
+fn fail<E>(program: Program, e: &E, code: u8) -> ExitCode
+where
+    E: Display,
+{
+    eprintln!("{}: {e}", program.name);
+    ExitCode::from(code)
+}
--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -1,1 +1,4 @@
 //! The command lines of the programs.
+
+pub mod daemon;
+pub mod logging;
