--- a/crates/platform/src/kv.rs
+++ b/crates/platform/src/kv.rs
@@ -82,6 +82,24 @@
     ) -> impl Future<Output = Result<Option<Versioned>, KvError>>;
 }
 
+/// Identifier of a lease of the key-value service.
+pub type LeaseId = u64;
+
+/// A key-value service whose leases remove the keys that are bound to them.
+pub trait LeasedKv: Kv {
+    /// Grants a lease that lapses after `ttl` unless it is renewed.
+    fn grant(&self, ttl: Duration) -> impl Future<Output = Result<LeaseId, KvError>>;
+
+    /// Writes a key if it stands at `expected`, and binds it to a lease.
+    fn swap_leased(
+        &self,
+        key: &str,
+        expected: Version,
+        value: Bytes,
+        lease: LeaseId,
+    ) -> impl Future<Output = Result<Swap, KvError>>;
+}
+
 /// A body with the identifier of the write that stored it.
 #[derive(Clone, Debug, Eq, PartialEq, Deserialize, Serialize)]
 pub struct Recorded<T> {
@@ -130,38 +148,62 @@
 ) -> Result<Swap, KvError>
 where
     K: Kv,
-    T: Serialize + DeserializeOwned,
+    T: Serialize,
+{
+    let outcome = kv.swap(key, expected, encode(key, record)?).await;
+    settle(kv, key, expected, &record.write_id, outcome).await
+}
+
+/// Does the same as [`swap_recorded`] with a key that is bound to a lease.
+pub async fn swap_recorded_leased<K, T>(
+    kv: &K,
+    key: &str,
+    expected: Version,
+    record: &Recorded<T>,
+    lease: LeaseId,
+) -> Result<Swap, KvError>
+where
+    K: LeasedKv,
+    T: Serialize,
+{
+    let outcome = kv
+        .swap_leased(key, expected, encode(key, record)?, lease)
+        .await;
+    settle(kv, key, expected, &record.write_id, outcome).await
+}
+
+fn encode<T>(key: &str, record: &Recorded<T>) -> Result<Bytes, KvError>
+where
+    T: Serialize,
 {
     let value = serde_json::to_vec(record).map_err(|e| KvError::Malformed {
         key: key.to_owned(),
         reason: e.to_string(),
     })?;
-    let outcome = kv.swap(key, expected, Bytes::from(value)).await;
-    match outcome {
-        Ok(Swap::Written(version)) => Ok(Swap::Written(version)),
-        // An earlier try of the same write may have taken effect, so a conflict is looked into
-        // as well.
-        Ok(Swap::Conflict) | Err(KvError::Unavailable { .. }) => {
-            settle_unknown(kv, key, expected, record, outcome).await
-        }
-        Err(e) => Err(e),
-    }
+    Ok(Bytes::from(value))
 }
 
-async fn settle_unknown<K, T>(
+/// Turns an outcome that may hide a write that took effect into what really happened.
+async fn settle<K>(
     kv: &K,
     key: &str,
     expected: Version,
-    record: &Recorded<T>,
+    write_id: &str,
     outcome: Result<Swap, KvError>,
 ) -> Result<Swap, KvError>
 where
     K: Kv,
-    T: Serialize + DeserializeOwned,
 {
-    let found = get_recorded::<K, serde_json::Value>(kv, key).await?;
+    // An earlier try of the same write may have taken effect, so a conflict is looked into too.
+    if !matches!(
+        outcome,
+        Ok(Swap::Conflict) | Err(KvError::Unavailable { .. })
+    ) {
+        return outcome;
+    }
+    let found = get_recorded::<K, serde::de::IgnoredAny>(kv, key).await?;
     match found {
-        Some((version, stored)) if stored.write_id == record.write_id => Ok(Swap::Written(version)),
+        Some((version, stored)) if stored.write_id == write_id => Ok(Swap::Written(version)),
         Some((version, _)) if version > expected => Ok(Swap::Conflict),
         // The write has not taken effect, but it may still be on its way.
         _ => outcome,
--- a/crates/platform/src/kv_http.rs
+++ b/crates/platform/src/kv_http.rs
@@ -2,14 +2,15 @@
 //!
 //! `GET /v1/kv/KEY` and `PUT /v1/kv/KEY?expect=VERSION` answer with the header `x-version`;
 //! `GET /v1/watch/KEY?after=VERSION&wait_ms=N` answers 204 when nothing changed. Status 409 is a
-//! conflict, 429 over the rate, 503 an outage.
+//! conflict, 429 over the rate, 503 an outage. `POST /v1/lease?ttl_ms=N` answers with the identifier
+//! of a new lease; `PUT` with `&lease=ID` binds the key to it.
 
 use std::{net::SocketAddr, time::Duration};
 
 use awc::http::StatusCode;
 use bytes::Bytes;
 
-use crate::kv::{Kv, KvError, Swap, Version, Versioned};
+use crate::kv::{Kv, KvError, LeaseId, LeasedKv, Swap, Version, Versioned};
 
 /// Header that carries the version of a key.
 pub const VERSION_HEADER: &str = "x-version";
@@ -57,6 +58,19 @@
         Ok(Some(Versioned { version, value }))
     }
 
+    async fn put(&self, key: &str, path: String, value: Bytes) -> Result<Swap, KvError> {
+        let req = self.http.put(self.url(&path)).timeout(self.timeout);
+        let res = req
+            .send_body(value)
+            .await
+            .map_err(|e| unavailable(key, &e))?;
+        match res.status() {
+            StatusCode::OK => Ok(Swap::Written(version_of(key, &res)?)),
+            StatusCode::CONFLICT => Ok(Swap::Conflict),
+            status => Err(status_error(key, status)),
+        }
+    }
+
     fn url(&self, path: &str) -> String {
         format!("http://{}{path}", self.addr)
     }
@@ -68,17 +82,8 @@
     }
 
     async fn swap(&self, key: &str, expected: Version, value: Bytes) -> Result<Swap, KvError> {
-        let url = self.url(&format!("/v1/kv/{key}?expect={expected}"));
-        let req = self.http.put(url).timeout(self.timeout);
-        let res = req
-            .send_body(value)
+        self.put(key, format!("/v1/kv/{key}?expect={expected}"), value)
             .await
-            .map_err(|e| unavailable(key, &e))?;
-        match res.status() {
-            StatusCode::OK => Ok(Swap::Written(version_of(key, &res)?)),
-            StatusCode::CONFLICT => Ok(Swap::Conflict),
-            status => Err(status_error(key, status)),
-        }
     }
 
     async fn watch(
@@ -92,6 +97,41 @@
     }
 }
 
+impl LeasedKv for HttpKv {
+    async fn grant(&self, ttl: Duration) -> Result<LeaseId, KvError> {
+        let key = "lease";
+        let url = self.url(&format!("/v1/lease?ttl_ms={}", ttl.as_millis()));
+        let req = self.http.post(url).timeout(self.timeout);
+        let mut res = req.send().await.map_err(|e| unavailable(key, &e))?;
+        if res.status() != StatusCode::OK {
+            return Err(status_error(key, res.status()));
+        }
+        let body = res.body().await.map_err(|e| unavailable(key, &e))?;
+        str::from_utf8(&body)
+            .ok()
+            .and_then(|id| id.trim().parse().ok())
+            .ok_or_else(|| KvError::Malformed {
+                key: key.to_owned(),
+                reason: "answer without a lease".to_owned(),
+            })
+    }
+
+    async fn swap_leased(
+        &self,
+        key: &str,
+        expected: Version,
+        value: Bytes,
+        lease: LeaseId,
+    ) -> Result<Swap, KvError> {
+        self.put(
+            key,
+            format!("/v1/kv/{key}?expect={expected}&lease={lease}"),
+            value,
+        )
+        .await
+    }
+}
+
 fn version_of<S>(key: &str, res: &awc::ClientResponse<S>) -> Result<Version, KvError> {
     let header = res.headers().get(VERSION_HEADER);
     header
