--- a/crates/gate/src/lib.rs
+++ b/crates/gate/src/lib.rs
@@ -7,5 +7,6 @@
 pub mod allowances;
 mod error;
 pub mod placement_view;
+pub mod services;
 
 pub use crate::error::{Code, Refusal, Run};
