Withdraw a claim by a record that fences its late swap

Before: call_with_idempotency_key_runs_at_most_once fails (a call that did not run stays refused). After: passes, 4 of 4 in the file.

--- a/crates/gate/src/services/claims.rs
+++ b/crates/gate/src/services/claims.rs
@@ -244,7 +244,7 @@
     async fn try_withdraw(&self) -> Result<bool, KvError> {
         let found = get_recorded::<K, Claim>(&self.claims.kv, &self.key).await?;
         let at = match &found {
-            None if self.expected == 0 => return Ok(true),
+            None if self.expected == 0 => 0,
             Some((version, stored)) if stored.write_id == self.record.write_id => *version,
             Some((version, _)) if *version == self.expected => *version,
             // Someone else's record stands there, so the swap cannot take effect any more.
