Publish the configuration and follow it

Followers keep one long poll, ask peers, and judge the age of their evidence at every query. Evidence of contact is first-hand only.

--- a/crates/config/src/lib.rs
+++ b/crates/config/src/lib.rs
@@ -4,4 +4,5 @@
 //! routes. It is the same on every instance. Settings belong to one process on one instance.
 
 pub mod catalog;
+pub mod keys;
 pub mod settings;
--- /dev/null
+++ b/crates/store/src/freshness.rs
@@ -0,0 +1,127 @@
+//! Whether the revision in force can still be trusted: the decision, without input or output.
+//!
+//! A withdrawal counts as accepted once the service holds it, so a process may go on admitting
+//! requests only while it has evidence that no newer revision can have been accepted for long.
+//! Evidence is dated by the start of the call that gave it, and its age is judged at every query:
+//! a process that was frozen finds its evidence too old as soon as it resumes.
+
+use std::{
+    collections::{BTreeSet, HashMap},
+    net::SocketAddr,
+    time::{Duration, Instant},
+};
+
+use crate::peers::Peer;
+
+/// How far a process can trust the configuration it has.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum Freshness {
+    /// In contact with the service, or with a peer that is.
+    Current,
+    /// The service is down for all peers: no change can be accepted, so the last revision stands.
+    ServiceDown,
+    /// Neither the service nor enough peers were reached within the cut-off time.
+    CutOff,
+}
+
+/// What a peer said when it was asked.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum Heard {
+    /// The peer itself reached the service within the contact period.
+    InContact,
+    /// The peer runs and has not reached the service within the contact period.
+    NoContact,
+    /// No process listens at the peer's address any more.
+    NotRunning,
+}
+
+/// Evidence that a process has gathered.
+///
+/// Only first-hand evidence is passed on: [`Contacts::in_contact`] looks at this process's own
+/// calls to the service, so two peers cannot keep each other current by hearsay.
+#[derive(Clone, Debug)]
+pub struct Contacts {
+    cut_off: Duration,
+    service: Option<Instant>,
+    peers: HashMap<SocketAddr, (Instant, Heard)>,
+}
+
+impl Contacts {
+    /// Creates a record without any evidence.
+    pub fn new(cut_off: Duration) -> Self {
+        Self {
+            cut_off,
+            service: None,
+            peers: HashMap::new(),
+        }
+    }
+
+    /// Age up to which evidence that passes through a peer counts, both at the peer and here;
+    /// together they stay within the cut-off time.
+    pub fn contact_period(&self) -> Duration {
+        self.cut_off / 2
+    }
+
+    /// Notes that a call to the service which began at `began` showed the revision in force.
+    pub fn note_service(&mut self, began: Instant) {
+        self.service = self.service.max(Some(began));
+    }
+
+    /// Notes what a peer said in a call that began at `began`. `InContact` may be noted only when
+    /// the peer's revision is not above the one in force here.
+    pub fn note_peer(&mut self, peer: SocketAddr, began: Instant, heard: Heard) {
+        self.peers.insert(peer, (began, heard));
+    }
+
+    /// Whether this process itself reached the service within the contact period.
+    pub fn in_contact(&self, now: Instant) -> bool {
+        self.service
+            .is_some_and(|at| age(at, now) <= self.contact_period())
+    }
+
+    /// How far the revision in force can be trusted at `now`.
+    ///
+    /// That the service is down for all is concluded only when the peers that were heard are most
+    /// of the fleet and come from every availability zone. A zone that has lost the others and
+    /// the service looks alike from within, while the others may still accept a withdrawal.
+    pub fn freshness(&self, listed: &[Peer], now: Instant) -> Freshness {
+        let direct = self.service.is_some_and(|at| age(at, now) <= self.cut_off);
+        if direct {
+            return Freshness::Current;
+        }
+        let heard = |peer: &Peer| self.heard(peer.addr, now);
+        if listed.iter().any(|p| heard(p) == Some(Heard::InContact)) {
+            return Freshness::Current;
+        }
+        let silent = listed.iter().filter(|p| heard(p).is_none()).count();
+        let answered = listed.len() - silent;
+        // This process is one of the fleet and has no contact itself.
+        let most = answered > 0 && answered + 1 > silent;
+        let zones = |known: bool| -> BTreeSet<&str> {
+            listed
+                .iter()
+                .filter(|p| heard(p).is_some() == known)
+                .map(|p| p.zone.as_str())
+                .collect()
+        };
+        if most && zones(false).is_subset(&zones(true)) {
+            return Freshness::ServiceDown;
+        }
+        Freshness::CutOff
+    }
+
+    /// Forgets peers that are no longer asked.
+    pub fn retain(&mut self, asked: &[Peer]) {
+        self.peers
+            .retain(|addr, _| asked.iter().any(|p| p.addr == *addr));
+    }
+
+    fn heard(&self, peer: SocketAddr, now: Instant) -> Option<Heard> {
+        let (at, heard) = self.peers.get(&peer)?;
+        (age(*at, now) <= self.contact_period()).then_some(*heard)
+    }
+}
+
+fn age(at: Instant, now: Instant) -> Duration {
+    now.saturating_duration_since(at)
+}
