--- a/crates/config/src/lib.rs
+++ b/crates/config/src/lib.rs
@@ -5,4 +5,6 @@
 
 pub mod catalog;
 pub mod keys;
+pub mod place;
 pub mod settings;
+pub mod settings_file;
