--- /dev/null
+++ b/crates/allowance/src/ledger.rs
@@ -0,0 +1,408 @@
+//! All buckets of one gate: reservations, charges and loans.
+//!
+//! Every call takes the time, and first applies what has happened up to it: loans that have
+//! expired, the end of the share's lease, and the refill of the bucket concerned.
+
+mod loans;
+
+use std::{collections::BTreeMap, time::Instant};
+
+use slotmap::{SlotMap, new_key_type};
+
+pub use self::loans::{Borrowed, Grant, Return};
+use self::loans::{BorrowedLoans, LentLoans};
+use crate::{
+    bucket::{Bucket, MICRO, Terms, part},
+    shares::Weight,
+};
+
+new_key_type! {
+    /// A workspace in a ledger.
+    pub struct WorkspaceKey;
+    /// A reservation in a ledger.
+    pub struct HoldKey;
+    /// A charge in a ledger.
+    pub struct ChargeKey;
+}
+
+/// Why tokens cannot be reserved or charged.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum Lack {
+    /// So many tokens are missing.
+    Tokens(u64),
+    /// The request costs more than the burst of the workspace.
+    ExceedsBurst,
+    /// The workspace is not configured, or not any more.
+    UnknownWorkspace,
+}
+
+/// Levels of one workspace at this gate, in whole tokens.
+#[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
+pub struct Levels {
+    /// Tokens that may be held at once.
+    pub cap: i64,
+    /// Free tokens.
+    pub level: i64,
+    /// Tokens of waiting and running requests.
+    pub committed: i64,
+    /// Tokens lent to other gates.
+    pub lent: i64,
+    /// Tokens borrowed from other gates.
+    pub borrowed: i64,
+}
+
+struct Account {
+    bucket: Bucket,
+    configured: bool,
+}
+
+struct Hold {
+    workspace: WorkspaceKey,
+    amount: i64,
+}
+
+struct Charged {
+    workspace: WorkspaceKey,
+    remaining: i64,
+    used: u64,
+}
+
+/// The buckets of all workspaces at one gate.
+pub struct Ledger {
+    names: BTreeMap<String, WorkspaceKey>,
+    accounts: SlotMap<WorkspaceKey, Account>,
+    holds: SlotMap<HoldKey, Hold>,
+    charges: SlotMap<ChargeKey, Charged>,
+    lent: LentLoans,
+    borrowed: BorrowedLoans,
+    weight: Weight,
+    /// Part of the weight whose tokens no gate has ever used.
+    untouched: Weight,
+    valid_until: Option<Instant>,
+}
+
+impl Ledger {
+    /// An empty ledger without a share. `first_loan` numbers the loans that it grants; it must
+    /// differ from process to process, so that a loan of an earlier one is not mistaken.
+    pub fn new(first_loan: u64) -> Self {
+        Self {
+            names: BTreeMap::new(),
+            accounts: SlotMap::with_key(),
+            holds: SlotMap::with_key(),
+            charges: SlotMap::with_key(),
+            lent: LentLoans::new(first_loan),
+            borrowed: BorrowedLoans::default(),
+            weight: 0,
+            untouched: 0,
+            valid_until: None,
+        }
+    }
+
+    /// Weight in use.
+    pub fn weight(&self) -> Weight {
+        self.weight
+    }
+
+    /// When the share may no longer be used; `None` when it may not be used.
+    pub fn valid_until(&self) -> Option<Instant> {
+        self.valid_until
+    }
+
+    /// A workspace that is configured.
+    pub fn workspace(&self, name: &str) -> Option<WorkspaceKey> {
+        let key = *self.names.get(name)?;
+        self.accounts[key].configured.then_some(key)
+    }
+
+    /// Allowance of a workspace over all gates.
+    pub fn terms(&self, workspace: WorkspaceKey) -> Terms {
+        self.accounts[workspace].bucket.terms()
+    }
+
+    /// Levels of the configured workspaces.
+    pub fn levels(&self) -> impl Iterator<Item = (&str, Levels)> {
+        self.names
+            .iter()
+            .filter(|(_, key)| self.accounts[**key].configured)
+            .map(|(name, key)| (name.as_str(), self.levels_of(*key)))
+    }
+
+    /// Levels of one workspace.
+    pub fn levels_of(&self, workspace: WorkspaceKey) -> Levels {
+        let bucket = &self.accounts[workspace].bucket;
+        Levels {
+            cap: bucket.cap() / MICRO,
+            level: bucket.level() / MICRO,
+            committed: bucket.committed() / MICRO,
+            lent: bucket.lent() / MICRO,
+            borrowed: bucket.borrowed() / MICRO,
+        }
+    }
+
+    /// Whole free tokens of a workspace.
+    pub fn available(&self, workspace: WorkspaceKey) -> u64 {
+        whole(self.accounts[workspace].bucket.level())
+    }
+
+    /// Smallest weight at which everything that is committed and lent still fits.
+    pub fn least_weight(&self) -> Weight {
+        let accounts = self.accounts.values();
+        accounts
+            .map(|account| account.bucket.least_weight())
+            .max()
+            .unwrap_or(0)
+    }
+
+    /// Takes the configured workspaces. A workspace that this process has not seen before starts
+    /// empty, except for the part of it that no gate can have used. One that was removed keeps
+    /// its bucket, so that removing and adding it again makes no tokens.
+    pub fn configure<'a, I>(&mut self, workspaces: I, now: Instant)
+    where
+        I: IntoIterator<Item = (&'a str, Terms)>,
+    {
+        self.advance(now);
+        for account in self.accounts.values_mut() {
+            account.configured = false;
+        }
+        for (name, terms) in workspaces {
+            let key = self.open_account(name, terms, now);
+            let account = &mut self.accounts[key];
+            account.bucket.set_terms(terms, now);
+            account.configured = true;
+        }
+    }
+
+    /// Brings all buckets up to `now`, so that their levels can be read.
+    pub fn refresh(&mut self, now: Instant) {
+        self.advance(now);
+        for account in self.accounts.values_mut() {
+            account.bucket.advance(now);
+        }
+    }
+
+    /// Uses `weight` from now on, as long as the lease lasts.
+    pub fn set_weight(&mut self, weight: Weight, now: Instant) {
+        self.advance(now);
+        self.apply_weight(weight, now);
+    }
+
+    /// Uses a weight of which no gate has ever used the part `untouched`.
+    pub fn set_first_weight(&mut self, weight: Weight, untouched: Weight, now: Instant) {
+        self.set_weight(weight, now);
+        self.untouched = untouched.min(weight);
+        for account in self.accounts.values_mut() {
+            account.bucket.fill_unused(self.untouched);
+        }
+    }
+
+    /// Sets when the share may no longer be used. A share that has lapsed must be set anew by
+    /// [`Ledger::set_weight`].
+    pub fn set_valid_until(&mut self, until: Option<Instant>, now: Instant) {
+        self.advance(now);
+        self.valid_until = until;
+        self.advance(now);
+    }
+
+    /// Counts the whole share as lent until `until`, because an earlier process on this address
+    /// may have lent it.
+    pub fn quarantine(&mut self, until: Instant, now: Instant) {
+        self.advance(now);
+        for (key, account) in &mut self.accounts {
+            account.bucket.advance(now);
+            let amount = part(self.weight, account.bucket.terms().burst);
+            account.bucket.lend_room(amount);
+            self.lent.add(key, amount, until);
+        }
+    }
+
+    /// Reserves tokens for a request that waits.
+    pub fn reserve(
+        &mut self,
+        workspace: WorkspaceKey,
+        cost: u64,
+        now: Instant,
+    ) -> Result<HoldKey, Lack> {
+        self.advance(now);
+        self.check(workspace, cost)?;
+        self.bucket(workspace, now);
+        let missing = self.missing(workspace, micro(cost));
+        if missing > 0 {
+            return Err(Lack::Tokens(missing));
+        }
+        Ok(self.hold(workspace, micro(cost)))
+    }
+
+    /// Reserves what there is of `cost`, to be extended by [`Ledger::extend`].
+    pub fn reserve_part(
+        &mut self,
+        workspace: WorkspaceKey,
+        cost: u64,
+        now: Instant,
+    ) -> Result<HoldKey, Lack> {
+        self.advance(now);
+        self.check(workspace, cost)?;
+        self.bucket(workspace, now);
+        let level = self.accounts[workspace].bucket.level();
+        let amount = level.clamp(0, micro(cost));
+        Ok(self.hold(workspace, amount))
+    }
+
+    /// Extends a reservation up to `cost`, and tells how many tokens are still missing.
+    pub fn extend(&mut self, hold: HoldKey, cost: u64, now: Instant) -> u64 {
+        self.advance(now);
+        let Some(reservation) = self.holds.get_mut(hold) else {
+            return cost;
+        };
+        let bucket = &mut self.accounts[reservation.workspace].bucket;
+        bucket.advance(now);
+        let wanted = (micro(cost) - reservation.amount).max(0);
+        let amount = wanted.min(bucket.level().max(0));
+        bucket.hold(amount);
+        reservation.amount += amount;
+        whole_up(wanted - amount)
+    }
+
+    /// Gives a reservation up.
+    pub fn release(&mut self, hold: HoldKey, now: Instant) {
+        self.advance(now);
+        if let Some(reservation) = self.holds.remove(hold) {
+            let bucket = self.bucket(reservation.workspace, now);
+            bucket.release(reservation.amount);
+        }
+    }
+
+    /// Charges a reservation, right before the request is sent. Fails, and gives the reservation
+    /// up, when it is no longer covered: the share has lapsed, a loan has expired, or the
+    /// allowance was lowered.
+    pub fn charge(&mut self, hold: HoldKey, now: Instant) -> Result<ChargeKey, Lack> {
+        self.advance(now);
+        let reservation = self.holds.remove(hold).ok_or(Lack::UnknownWorkspace)?;
+        let Hold { workspace, amount } = reservation;
+        let configured = self.accounts[workspace].configured;
+        let bucket = self.bucket(workspace, now);
+        if !configured {
+            bucket.release(amount);
+            return Err(Lack::UnknownWorkspace);
+        }
+        if !bucket.covers_committed() {
+            bucket.release(amount);
+            return Err(Lack::Tokens(whole_up(amount)));
+        }
+        bucket.charge(amount);
+        Ok(self.charges.insert(Charged {
+            workspace,
+            remaining: amount,
+            used: 0,
+        }))
+    }
+
+    /// Notes how many tokens of a charge are used so far. A lower number than before is ignored.
+    pub fn progress(&mut self, charge: ChargeKey, used: u64) {
+        let Some(charged) = self.charges.get_mut(charge) else {
+            return;
+        };
+        let more = micro(used.saturating_sub(charged.used));
+        let covered = more.min(charged.remaining);
+        charged.remaining -= covered;
+        charged.used = charged.used.max(used);
+        let bucket = &mut self.accounts[charged.workspace].bucket;
+        bucket.consume(covered);
+        bucket.overuse(more - covered);
+    }
+
+    /// Ends a charge with the tokens that were used; the rest returns.
+    pub fn settle(&mut self, charge: ChargeKey, used: u64, now: Instant) {
+        self.advance(now);
+        self.progress(charge, used);
+        if let Some(charged) = self.charges.remove(charge) {
+            let bucket = self.bucket(charged.workspace, now);
+            bucket.refund(charged.remaining);
+        }
+    }
+
+    /// Ends a charge as wholly used.
+    pub fn forfeit(&mut self, charge: ChargeKey, now: Instant) {
+        self.advance(now);
+        if let Some(charged) = self.charges.remove(charge) {
+            let bucket = self.bucket(charged.workspace, now);
+            bucket.consume(charged.remaining);
+        }
+    }
+
+    fn open_account(&mut self, name: &str, terms: Terms, now: Instant) -> WorkspaceKey {
+        if let Some(key) = self.names.get(name) {
+            return *key;
+        }
+        let mut bucket = Bucket::empty(terms, now);
+        bucket.set_weight(self.weight, now);
+        bucket.fill_unused(self.untouched);
+        let key = self.accounts.insert(Account {
+            bucket,
+            configured: false,
+        });
+        self.names.insert(name.to_owned(), key);
+        key
+    }
+
+    fn check(&self, workspace: WorkspaceKey, cost: u64) -> Result<(), Lack> {
+        let account = self.accounts.get(workspace);
+        let account = account.filter(|account| account.configured);
+        let account = account.ok_or(Lack::UnknownWorkspace)?;
+        if cost > account.bucket.terms().burst {
+            return Err(Lack::ExceedsBurst);
+        }
+        Ok(())
+    }
+
+    fn missing(&self, workspace: WorkspaceKey, amount: i64) -> u64 {
+        whole_up((amount - self.accounts[workspace].bucket.level()).min(amount))
+    }
+
+    fn hold(&mut self, workspace: WorkspaceKey, amount: i64) -> HoldKey {
+        self.accounts[workspace].bucket.hold(amount);
+        self.holds.insert(Hold { workspace, amount })
+    }
+
+    fn apply_weight(&mut self, weight: Weight, now: Instant) {
+        self.weight = weight;
+        self.untouched = self.untouched.min(weight);
+        for account in self.accounts.values_mut() {
+            account.bucket.set_weight(weight, now);
+        }
+    }
+
+    /// The bucket of a workspace, brought up to `now`.
+    fn bucket(&mut self, workspace: WorkspaceKey, now: Instant) -> &mut Bucket {
+        let bucket = &mut self.accounts[workspace].bucket;
+        bucket.advance(now);
+        bucket
+    }
+
+    /// Ends loans and the share's lease as of `now`.
+    fn advance(&mut self, now: Instant) {
+        self.expire_borrowed(now);
+        self.expire_lent(now);
+        match self.valid_until {
+            Some(until) if now < until => {}
+            Some(until) if self.weight > 0 => self.apply_weight(0, until),
+            None if self.weight > 0 => self.apply_weight(0, now),
+            _ => {}
+        }
+    }
+}
+
+fn micro(tokens: u64) -> i64 {
+    i64::try_from(tokens)
+        .unwrap_or(i64::MAX)
+        .saturating_mul(MICRO)
+}
+
+fn whole(amount: i64) -> u64 {
+    u64::try_from(amount / MICRO).unwrap_or(0)
+}
+
+fn whole_up(amount: i64) -> u64 {
+    u64::try_from(amount)
+        .unwrap_or(0)
+        .div_ceil(MICRO.unsigned_abs())
+}
