--- a/crates/gate/src/admin.rs
+++ b/crates/gate/src/admin.rs
@@ -1,5 +1,7 @@
 //! The port for health checks, metrics and operators.
 
+use std::time::Instant;
+
 use actix_http::{
     Method, Request, Response, StatusCode,
     body::BoxBody,
@@ -44,7 +46,7 @@
     if cx.follower.current().revision == 0 {
         return Some("no configuration yet\n");
     }
-    if cx.follower.freshness() == Freshness::CutOff {
+    if cx.follower.freshness(Instant::now()) == Freshness::CutOff {
         return Some("cut off from the key-value service and from all peers\n");
     }
     None
--- a/crates/gate/src/gate.rs
+++ b/crates/gate/src/gate.rs
@@ -1,6 +1,12 @@
 //! A running gate.
 
-use std::{future::ready, io, net::SocketAddr, rc::Rc, time::Duration};
+use std::{
+    future::ready,
+    io,
+    net::SocketAddr,
+    rc::Rc,
+    time::{Duration, Instant},
+};
 
 use comfreyweir_config::settings::GateSettings;
 use comfreyweir_store::{Follower, Freshness};
@@ -129,7 +135,7 @@
 {
     let follower = cx.follower.clone();
     cx.status.add("configuration", move || {
-        let freshness = match follower.freshness() {
+        let freshness = match follower.freshness(Instant::now()) {
             Freshness::Current => "current",
             Freshness::ServiceDown => "service_down",
             Freshness::CutOff => "cut_off",
--- a/crates/gate/src/handler.rs
+++ b/crates/gate/src/handler.rs
@@ -1,6 +1,10 @@
 //! Routing of callers' requests by path.
 
-use std::{convert::Infallible, rc::Rc};
+use std::{
+    convert::Infallible,
+    rc::Rc,
+    time::{Duration, Instant},
+};
 
 use actix_http::{Method, Payload, Request, Response, StatusCode, body::BoxBody};
 use comfreyweir_store::Freshness;
@@ -66,7 +70,7 @@
 
 /// Without contact a key may have been withdrawn unseen, so that nothing can be admitted.
 fn check_fresh<A, V>(cx: &Cx<A, V>) -> Result<(), Refusal> {
-    if cx.follower.freshness() != Freshness::CutOff {
+    if cx.follower.freshness(Instant::now()) != Freshness::CutOff {
         return Ok(());
     }
     let refusal = Refusal::not_run(
@@ -75,7 +79,7 @@
         "this instance is cut off from its configuration: send the request again, so that \
          another instance takes it",
     );
-    Err(refusal.retry_after(std::time::Duration::from_secs(1)))
+    Err(refusal.retry_after(Duration::from_secs(1)))
 }
 
 fn check_method(req: &Request, method: &Method) -> Result<(), Refusal> {
--- a/crates/gate/src/services/mod.rs
+++ b/crates/gate/src/services/mod.rs
@@ -1,4 +1,8 @@
-//! Routes to plain services.
+//! Plain services: routes by path prefix, calls that run at most once, idempotency keys.
+
+pub mod claim;
+pub mod claims;
+pub mod routes;
 
 use std::rc::Rc;
 
--- a/crates/gate/tests/answers.rs
+++ b/crates/gate/tests/answers.rs
@@ -1,9 +1,9 @@
 //! Callers receive the whole answer to their own request, or are told.
 
-mod support;
+mod scene;
 
 use comfreyweir_config::settings::Limits;
-use support::{Engine, KEY, Play, ask, bench, call};
+use scene::{Engine, KEY, Play, ask, bench, call};
 
 #[actix_rt::test]
 async fn whole_answer() {
