--- a/crates/routing/src/fair/classes.rs
+++ b/crates/routing/src/fair/classes.rs
@@ -15,6 +15,14 @@
     pub(super) unserved: u64,
 }
 
+/// A class whose last request has gone.
+#[derive(Clone, Copy, Debug)]
+pub(super) struct Gone {
+    pub(super) id: ClassId,
+    /// Service that was left to it in the outer round, in tokens.
+    pub(super) unserved: u64,
+}
+
 /// Waiting requests of all classes. A class is there only while it has requests.
 #[derive(Clone, Debug)]
 pub(super) struct Classes<K> {
@@ -63,9 +71,8 @@
         is_new
     }
 
-    /// Takes the first request of a class, paying with its deficit; the second member is true
-    /// when the class is gone with it.
-    pub(super) fn serve(&mut self, id: ClassId) -> Option<(Item<K>, bool)> {
+    /// Takes the first request of a class, paying with its deficit.
+    pub(super) fn serve(&mut self, id: ClassId) -> Option<(Item<K>, Option<Gone>)> {
         let class = self.by_id.get_mut(&id)?;
         let item = class.items.pop_front()?;
         class.deficit = class.deficit.saturating_sub(item.cost);
@@ -73,8 +80,8 @@
         Some((item, self.forget_empty(id)))
     }
 
-    /// Removes a request; the second member is true when its class is gone with it.
-    pub(super) fn remove(&mut self, key: K) -> Option<(Item<K>, bool)> {
+    /// Removes a request.
+    pub(super) fn remove(&mut self, key: K) -> Option<(Item<K>, Option<Gone>)> {
         for (id, class) in &mut self.by_id {
             let Some(at) = class.items.iter().position(|item| item.key == key) else {
                 continue;
@@ -115,14 +122,17 @@
         own + others.sum::<usize>()
     }
 
-    fn forget_empty(&mut self, id: ClassId) -> bool {
-        let is_empty = self.by_id.get(&id).is_some_and(|c| c.items.is_empty());
-        if is_empty {
-            self.by_id.remove(&id);
-        }
+    fn forget_empty(&mut self, id: ClassId) -> Option<Gone> {
         if self.len == 0 {
             self.unit = 1;
         }
-        is_empty
+        if !self.by_id.get(&id)?.items.is_empty() {
+            return None;
+        }
+        let class = self.by_id.remove(&id)?;
+        Some(Gone {
+            id,
+            unserved: class.unserved,
+        })
     }
 }
--- a/crates/routing/src/fair/drr.rs
+++ b/crates/routing/src/fair/drr.rs
@@ -65,18 +65,18 @@
                 self.end_turn();
                 continue;
             }
-            let (item, is_gone) = self.classes.serve(id)?;
-            if is_gone {
-                self.drop_class(id);
+            let (item, gone) = self.classes.serve(id)?;
+            if let Some(gone) = gone {
+                self.drop_class(gone.id);
             }
             return Some(item);
         }
     }
 
     fn remove(&mut self, key: K) -> Option<Item<K>> {
-        let (item, is_gone) = self.classes.remove(key)?;
-        if is_gone {
-            self.drop_class(item.class);
+        let (item, gone) = self.classes.remove(key)?;
+        if let Some(gone) = gone {
+            self.drop_class(gone.id);
         }
         Some(item)
     }
--- a/crates/routing/src/fair/nested.rs
+++ b/crates/routing/src/fair/nested.rs
@@ -1,9 +1,12 @@
 //! Nested deficit round robin, after Salil S. Kanhere and Harish Sethu, "Fair, Efficient and
 //! Low-Latency Packet Scheduling Using Nested Deficit Round Robin".
 
-use std::collections::VecDeque;
+use std::collections::{BTreeMap, VecDeque};
 
-use super::{ClassId, FairQueue, Item, classes::Classes};
+use super::{
+    ClassId, FairQueue, Item,
+    classes::{Classes, Gone},
+};
 
 /// Splits each round of deficit round robin into inner rounds, in which every class gets the
 /// service of weight one, so that the whole turn of a heavy class does not delay light ones.
@@ -14,6 +17,9 @@
     eligible: VecDeque<ClassId>,
     /// Classes that wait for the next outer round.
     finished: VecDeque<ClassId>,
+    /// What is left in this outer round to classes whose requests have gone. Without it classes
+    /// that come back at once would be given a new round each time, and the finished ones none.
+    left: BTreeMap<ClassId, u64>,
     /// Whether the class at the front has been given the service of its turn.
     topped: bool,
 }
@@ -24,6 +30,7 @@
             classes: Classes::default(),
             eligible: VecDeque::new(),
             finished: VecDeque::new(),
+            left: BTreeMap::new(),
             topped: false,
         }
     }
@@ -36,6 +43,7 @@
     fn front(&mut self) -> Option<ClassId> {
         if self.eligible.is_empty() {
             std::mem::swap(&mut self.eligible, &mut self.finished);
+            self.left.clear();
         }
         self.eligible.front().copied()
     }
@@ -55,12 +63,29 @@
         }
     }
 
-    fn drop_class(&mut self, class: ClassId) {
-        if self.eligible.front() == Some(&class) {
+    fn drop_class(&mut self, gone: Gone) {
+        let is_finished = self.finished.contains(&gone.id);
+        if self.eligible.front() == Some(&gone.id) {
             self.topped = false;
         }
-        self.eligible.retain(|c| *c != class);
-        self.finished.retain(|c| *c != class);
+        self.eligible.retain(|c| *c != gone.id);
+        self.finished.retain(|c| *c != gone.id);
+        let unserved = if is_finished { 0 } else { gone.unserved };
+        self.left.insert(gone.id, unserved);
+    }
+
+    /// Adds a class that has come back, with what is left to it in this outer round.
+    fn add_class(&mut self, id: ClassId) {
+        match self.left.remove(&id) {
+            Some(0) => self.finished.push_back(id),
+            Some(unserved) => {
+                if let Some(class) = self.classes.get_mut(id) {
+                    class.unserved = unserved;
+                }
+                self.eligible.push_back(id);
+            }
+            None => self.eligible.push_back(id),
+        }
     }
 }
 
@@ -70,7 +95,7 @@
 {
     fn push(&mut self, item: Item<K>) {
         if self.classes.push(item) {
-            self.eligible.push_back(item.class);
+            self.add_class(item.class);
         }
     }
 
@@ -90,18 +115,18 @@
                 self.end_turn(id);
                 continue;
             }
-            let (item, is_gone) = self.classes.serve(id)?;
-            if is_gone {
-                self.drop_class(id);
+            let (item, gone) = self.classes.serve(id)?;
+            if let Some(gone) = gone {
+                self.drop_class(gone);
             }
             return Some(item);
         }
     }
 
     fn remove(&mut self, key: K) -> Option<Item<K>> {
-        let (item, is_gone) = self.classes.remove(key)?;
-        if is_gone {
-            self.drop_class(item.class);
+        let (item, gone) = self.classes.remove(key)?;
+        if let Some(gone) = gone {
+            self.drop_class(gone);
         }
         Some(item)
     }
--- /dev/null
+++ b/crates/routing/tests/fair.rs
@@ -0,0 +1,202 @@
+//! Properties of the queues over random histories.
+
+use std::collections::BTreeMap;
+
+use comfreyweir_routing::fair::{
+    ClassId, DeficitRoundRobin, FairQueue, FirstCome, Item, NestedDeficitRoundRobin,
+};
+use proptest::prelude::*;
+
+#[derive(Clone, Copy, Debug)]
+enum Step {
+    Push { class: u32, cost: u64 },
+    Pop,
+    Remove { nth: usize },
+}
+
+fn steps() -> impl Strategy<Value = Vec<Step>> {
+    let step = prop_oneof![
+        3 => (0..4_u32, 1..500_u64).prop_map(|(class, cost)| Step::Push { class, cost }),
+        2 => Just(Step::Pop),
+        1 => (0..20_usize).prop_map(|nth| Step::Remove { nth }),
+    ];
+    prop::collection::vec(step, 1..200)
+}
+
+fn item(key: u64, class: u32, cost: u64) -> Item<u64> {
+    Item {
+        key,
+        class: ClassId(class),
+        weight: class + 1,
+        cost,
+    }
+}
+
+/// Whatever is pushed comes out once, in order within its class, whenever something waits.
+fn check_conserving<Q>(steps: &[Step]) -> Result<(), TestCaseError>
+where
+    Q: FairQueue<u64>,
+{
+    let mut queue = Q::default();
+    let mut model: Vec<Item<u64>> = Vec::new();
+    for (key, step) in (0..).zip(steps) {
+        match *step {
+            Step::Push { class, cost } => {
+                queue.push(item(key, class, cost));
+                model.push(item(key, class, cost));
+            }
+            Step::Pop => {
+                let popped = queue.pop();
+                prop_assert_eq!(popped.is_some(), !model.is_empty());
+                if let Some(popped) = popped {
+                    let first = model.iter().position(|i| i.class == popped.class);
+                    let first = model.remove(first.unwrap());
+                    prop_assert_eq!(first.key, popped.key);
+                }
+            }
+            Step::Remove { nth } => {
+                let at = nth % model.len().max(1);
+                let expected = (at < model.len()).then(|| model.remove(at));
+                let removed = expected.and_then(|i| queue.remove(i.key));
+                prop_assert_eq!(removed.map(|i| i.key), expected.map(|i| i.key));
+            }
+        }
+        prop_assert_eq!(queue.len(), model.len());
+    }
+    Ok(())
+}
+
+/// Service of each class in a long backlog differs from its share by at most two turns.
+fn check_shares<Q>(costs: &[u64]) -> Result<(), TestCaseError>
+where
+    Q: FairQueue<u64>,
+{
+    let mut queue = Q::default();
+    let mut key = 0;
+    let mut refill = |queue: &mut Q, class: u32| {
+        key += 1;
+        let cost = costs[usize::try_from(key).unwrap() % costs.len()];
+        queue.push(item(key, class, cost));
+    };
+    for class in 0..4 {
+        for _ in 0..2 {
+            refill(&mut queue, class);
+        }
+    }
+    let mut served: BTreeMap<u32, u64> = BTreeMap::new();
+    for _ in 0..2_000 {
+        let popped = queue.pop().unwrap();
+        *served.entry(popped.class.0).or_default() += popped.cost;
+        refill(&mut queue, popped.class.0);
+    }
+    let unit = *costs.iter().max().unwrap();
+    let normal =
+        |class: u32| served.get(&class).copied().unwrap_or_default() / u64::from(class + 1);
+    for class in 1..4 {
+        let apart = normal(0).abs_diff(normal(class));
+        prop_assert!(
+            apart <= 2 * unit,
+            "class {} is {} apart: {:?}",
+            class,
+            apart,
+            served
+        );
+    }
+    Ok(())
+}
+
+/// A request is served after a bounded number of others, however many wait in other classes.
+fn check_no_starvation<Q>(heavy: usize) -> Result<(), TestCaseError>
+where
+    Q: FairQueue<u64>,
+{
+    let mut queue = Q::default();
+    for key in 0..heavy as u64 {
+        queue.push(item(key, 3, 100));
+    }
+    queue.pop();
+    queue.push(item(u64::MAX, 0, 100));
+    let position = (1..=heavy + 1).find(|_| queue.pop().unwrap().key == u64::MAX);
+    // The class of weight four has one turn of four requests at most.
+    prop_assert!(position.unwrap() <= 5, "served at position {:?}", position);
+    Ok(())
+}
+
+/// Classes that send their next request when the last one was served do not keep a class with a
+/// backlog from its share.
+fn check_closed_loops<Q>(light: u32) -> Result<(), TestCaseError>
+where
+    Q: FairQueue<u64>,
+{
+    const ROUNDS: u64 = 400;
+    let even = |key, class| Item {
+        weight: 1,
+        ..item(key, class, 100)
+    };
+    let mut queue = Q::default();
+    for key in 0..ROUNDS {
+        queue.push(even(key, 0));
+    }
+    for class in 1..=light {
+        queue.push(even(ROUNDS + u64::from(class), class));
+    }
+    let mut served = 0;
+    for key in 0..ROUNDS {
+        let popped = queue.pop().unwrap();
+        if popped.class.0 == 0 {
+            served += 1;
+        } else {
+            queue.push(even(2 * ROUNDS + key, popped.class.0));
+        }
+    }
+    let share = ROUNDS / u64::from(light + 1);
+    prop_assert!(served + 2 >= share, "served {} of {}", served, share);
+    Ok(())
+}
+
+proptest! {
+    #[test]
+    fn deficit_round_robin_shares_with_closed_loops(light in 1..6_u32) {
+        check_closed_loops::<DeficitRoundRobin<u64>>(light)?;
+    }
+
+    #[test]
+    fn nested_round_robin_shares_with_closed_loops(light in 1..6_u32) {
+        check_closed_loops::<NestedDeficitRoundRobin<u64>>(light)?;
+    }
+
+    #[test]
+    fn first_come_conserves_work(steps in steps()) {
+        check_conserving::<FirstCome<u64>>(&steps)?;
+    }
+
+    #[test]
+    fn deficit_round_robin_conserves_work(steps in steps()) {
+        check_conserving::<DeficitRoundRobin<u64>>(&steps)?;
+    }
+
+    #[test]
+    fn nested_round_robin_conserves_work(steps in steps()) {
+        check_conserving::<NestedDeficitRoundRobin<u64>>(&steps)?;
+    }
+
+    #[test]
+    fn deficit_round_robin_shares_by_weight(costs in prop::collection::vec(1..500_u64, 1..20)) {
+        check_shares::<DeficitRoundRobin<u64>>(&costs)?;
+    }
+
+    #[test]
+    fn nested_round_robin_shares_by_weight(costs in prop::collection::vec(1..500_u64, 1..20)) {
+        check_shares::<NestedDeficitRoundRobin<u64>>(&costs)?;
+    }
+
+    #[test]
+    fn deficit_round_robin_starves_nobody(heavy in 1..500_usize) {
+        check_no_starvation::<DeficitRoundRobin<u64>>(heavy)?;
+    }
+
+    #[test]
+    fn nested_round_robin_starves_nobody(heavy in 1..500_usize) {
+        check_no_starvation::<NestedDeficitRoundRobin<u64>>(heavy)?;
+    }
+}
