Queue requests by artifact with fairness, deadlines and choice of replica

Cause: requests went to the first ready replica and waited without order. Change: one Nested-DRR queue an artifact, bounded; refusal at once when the estimate leaves no time; a look at all waiting requests on every change of placement or configuration, which refuses withdrawn keys and what cannot be loaded in time; corrected loads, pauses of full and failed engines, demand only for requests that really wait.

--- a/crates/gate/src/admin.rs
+++ b/crates/gate/src/admin.rs
@@ -55,6 +55,8 @@
 fn metrics<A, V>(cx: &Cx<A, V>) -> Response<BoxBody> {
     let in_flight = i64::try_from(cx.stopping.in_flight()).unwrap_or(i64::MAX);
     cx.metrics.in_flight.set(in_flight);
+    let waiting = i64::try_from(cx.queues.waiting()).unwrap_or(i64::MAX);
+    cx.metrics.waiting.set(waiting);
     let mut res = text(StatusCode::OK, cx.metrics.encode());
     res.headers_mut().insert(
         header::CONTENT_TYPE,
--- a/crates/gate/src/completion/attempt.rs
+++ b/crates/gate/src/completion/attempt.rs
@@ -38,10 +38,11 @@
     pub(crate) answer: Answer,
 }
 
-/// Engines that have failed a request.
+/// What engines did with a request so far.
 #[derive(Clone, Debug, Default)]
 pub(crate) struct Tries {
-    failed: Vec<String>,
+    failed: usize,
+    called: bool,
     may_have_run: bool,
 }
 
@@ -58,11 +59,6 @@
 }
 
 impl Tries {
-    /// Engines to avoid.
-    pub(crate) fn failed(&self) -> &[String] {
-        &self.failed
-    }
-
     /// Notes a failure that may be followed by another try, or gives the refusal.
     pub(crate) fn note(
         &mut self,
@@ -70,18 +66,18 @@
         upstream: &str,
         failure: Failure,
     ) -> Result<(), Refusal> {
+        self.called = true;
         let request_id = job.request_id.as_str();
         match failure {
             Failure::NotRun(reason) => {
                 warn!("engine did not run a request", kv: { request_id, upstream, reason });
-                self.failed.push(upstream.to_owned());
                 Ok(())
             }
             Failure::MayHaveRun(reason) => {
                 warn!("engine failed a request", kv: { request_id, upstream, reason });
                 self.may_have_run = true;
-                self.failed.push(upstream.to_owned());
-                if self.failed.len() < MAX_TRIES {
+                self.failed += 1;
+                if self.failed < MAX_TRIES {
                     return Ok(());
                 }
                 Err(self.judge(upstream_failed(&reason)))
@@ -112,7 +108,7 @@
     V: PlacementView,
 {
     loop {
-        let acquired = dispatch::acquire(cx, job, done, tries.failed()).await;
+        let acquired = dispatch::acquire(cx, job, done, tries.called).await;
         let run = acquired.map_err(|refusal| tries.judge(refusal))?;
         let upstream = run.upstream.clone();
         match attempt(cx, job, run, done).await {
@@ -138,6 +134,7 @@
     let sent = timeout_at(Instant::from_std(job.deadline), sent).await;
     let Ok(sent) = sent else {
         let late = late();
+        run.slot.note_answer(job.ask.stream);
         if track.is_written() {
             return Err(Failure::Late(late.run_unknown()));
         }
@@ -147,8 +144,12 @@
     match sent {
         Ok(answer) if answer.status == StatusCode::OK => Ok(Opened { run, answer }),
         Ok(answer) => Err(refused(cx, answer, run).await),
-        Err(e) if track.is_written() => Err(Failure::MayHaveRun(e.to_string())),
+        Err(e) if track.is_written() => {
+            run.slot.note_failed();
+            Err(Failure::MayHaveRun(e.to_string()))
+        }
         Err(e) => {
+            run.slot.note_failed();
             run.settle(0);
             Err(Failure::NotRun(e.to_string()))
         }
@@ -195,6 +196,7 @@
     let body = answer.body.read_all(MAX_ERROR_BYTES, stall).await;
     let reason = body.map_or_else(|e| e.to_string(), |b| error_message(&b));
     if not_run {
+        run.slot.note_full();
         run.settle(0);
         return Failure::NotRun(reason);
     }
@@ -203,7 +205,10 @@
             let refusal = Refusal::not_run(status, Code::InvalidRequest, reason);
             Failure::Rejected(refusal.run_unknown())
         }
-        _ => Failure::MayHaveRun(format!("{status}: {reason}")),
+        _ => {
+            run.slot.note_failed();
+            Failure::MayHaveRun(format!("{status}: {reason}"))
+        }
     }
 }
 
--- a/crates/gate/src/completion/mod.rs
+++ b/crates/gate/src/completion/mod.rs
@@ -14,7 +14,6 @@
 
 use actix_http::{HttpMessage, Payload, Request, Response, body::BoxBody};
 
-pub(crate) use self::attempt::late;
 use self::request::Ask;
 pub use self::request::DEADLINE_HEADER;
 use crate::{
--- a/crates/gate/src/completion/request.rs
+++ b/crates/gate/src/completion/request.rs
@@ -9,6 +9,7 @@
     settings::Limits,
 };
 use comfreyweir_platform::engine::Artifact;
+use comfreyweir_routing::affinity::Prefixes;
 use serde_json::{Map, Value, json};
 
 use crate::{Code, Refusal, models::may_use};
@@ -34,6 +35,8 @@
     pub(crate) prompt_tokens: u64,
     /// Limit of output tokens.
     pub(crate) output_tokens: u64,
+    /// Prefixes of the prompt, for affinity to an engine's cache.
+    pub(crate) prefixes: Prefixes,
     /// Body for the engine.
     pub(crate) body: Bytes,
 }
@@ -66,9 +69,10 @@
     let bytes_per_token = u64::from(model.bytes_per_token.max(1));
     Ok(Ask {
         path: path.to_owned(),
-        served_name,
         stream,
         wants_usage,
+        prefixes: Prefixes::of(&served_name, &prompt),
+        served_name,
         prompt_tokens: (prompt.len() as u64).div_ceil(bytes_per_token),
         output_tokens,
         body: serde_json::to_vec(&fields)
--- a/crates/gate/src/completion/stream.rs
+++ b/crates/gate/src/completion/stream.rs
@@ -188,6 +188,10 @@
         let chunk = self.progress.take(chunk).map_err(Failure::MayHaveRun)?;
         if self.progress.tokens() > before {
             self.note_token();
+            let used = self.job.ask.prompt_tokens + self.progress.source_tokens();
+            if let Some(source) = &mut self.source {
+                source.run.progress(used);
+            }
         }
         Ok(chunk.map(|chunk| events::encode(&chunk)))
     }
@@ -202,7 +206,10 @@
     }
 
     fn fail(&mut self, failure: Failure) -> Result<(), Refusal> {
-        let upstream = self.source.as_ref().map(|s| s.run.upstream.clone());
+        let upstream = self.source.as_ref().map(|source| {
+            source.run.slot.note_failed();
+            source.run.upstream.clone()
+        });
         self.settle_part();
         let upstream = upstream.unwrap_or_default();
         self.tries.note(&self.job, &upstream, failure)
@@ -237,6 +244,9 @@
 
     fn note_first(&mut self) {
         self.last_token = Instant::now();
+        if let Some(source) = &self.source {
+            source.run.slot.note_answer(true);
+        }
         let catalog = &self.cx.follower.current().catalog;
         let workspace = &self.job.identity.workspace;
         let time = self.job.arrived.elapsed();
--- a/crates/gate/src/completion/whole.rs
+++ b/crates/gate/src/completion/whole.rs
@@ -54,12 +54,21 @@
     let stall = Duration::from_millis(cx.settings.limits.stall_ms);
     let body = answer.body.read_all(MAX_ANSWER_BYTES, stall);
     let Ok(body) = timeout_at(Instant::from_std(job.deadline), body).await else {
+        run.slot.note_answer(false);
         return Err(Failure::Late(attempt::late().run_unknown()));
     };
-    let body = body.map_err(|e| attempt::body_failure(&e))?;
+    let body = match body {
+        Ok(body) => body,
+        Err(e) => {
+            run.slot.note_failed();
+            return Err(attempt::body_failure(&e));
+        }
+    };
     let Ok(json) = serde_json::from_slice::<Value>(&body) else {
+        run.slot.note_failed();
         return Err(Failure::MayHaveRun("its answer is not JSON".to_owned()));
     };
+    run.slot.note_answer(false);
     run.finish(attempt::used_tokens(&json["usage"]));
     Ok(body)
 }
--- a/crates/gate/src/context.rs
+++ b/crates/gate/src/context.rs
@@ -5,7 +5,9 @@
 use comfreyweir_config::settings::GateSettings;
 use comfreyweir_store::Follower;
 
-use crate::{metrics::Metrics, status::Status, stopping::Stopping, upstream::Upstreams};
+use crate::{
+    metrics::Metrics, queue::Queues, status::Status, stopping::Stopping, upstream::Upstreams,
+};
 
 /// What every request of a gate shares.
 pub struct Cx<A, V> {
@@ -19,6 +21,8 @@
     pub view: V,
     /// Connections to upstreams.
     pub upstreams: Upstreams,
+    /// Requests that wait for a replica.
+    pub(crate) queues: Queues,
     /// Metrics of the process.
     pub metrics: Metrics,
     /// Sections of the status page.
--- a/crates/gate/src/dispatch.rs
+++ b/crates/gate/src/dispatch.rs
@@ -1,6 +1,6 @@
 //! From a checked request to an engine that may be called: tokens, queue, replica and charge.
 
-use std::{net::SocketAddr, rc::Rc};
+use std::{net::SocketAddr, rc::Rc, time::Instant};
 
 use actix_http::StatusCode;
 
@@ -10,13 +10,15 @@
     auth,
     completion::Job,
     context::Cx,
+    handler,
     placement_view::PlacementView,
+    queue::{Grant, Slot, Wanted},
 };
 
 /// The charge type of an allowance implementation.
 type ChargeOf<A> = <<A as Allowances>::Reservation as Reservation>::Charge;
 
-/// Leave to call an engine once.
+/// Leave to call an engine once, with the tokens charged.
 pub(crate) struct Run<A>
 where
     A: Allowances,
@@ -25,6 +27,8 @@
     pub(crate) upstream: String,
     /// Address of the engine.
     pub(crate) addr: SocketAddr,
+    /// Place of the call in the gate's own counts.
+    pub(crate) slot: Slot,
     charge: ChargeOf<A>,
 }
 
@@ -32,6 +36,11 @@
 where
     A: Allowances,
 {
+    /// Notes how many tokens were used so far.
+    pub(crate) fn progress(&mut self, used: u64) {
+        self.charge.progress(used);
+    }
+
     /// Ends the run with the tokens that were used.
     pub(crate) fn settle(self, used: u64) {
         self.charge.settle(used);
@@ -45,12 +54,13 @@
     }
 }
 
-/// Waits for tokens and a replica, and charges the tokens.
+/// Waits for tokens and a replica, and charges the tokens. `done` output tokens are with the
+/// caller already.
 pub(crate) async fn acquire<A, V>(
     cx: &Rc<Cx<A, V>>,
     job: &Job,
     done: u64,
-    avoid: &[String],
+    is_retry: bool,
 ) -> Result<Run<A>, Refusal>
 where
     A: Allowances,
@@ -60,47 +70,63 @@
     let cost = job.ask.cost(done);
     let reserved = cx.allowances.reserve(workspace, cost, job.deadline).await;
     let reservation = reserved.map_err(shortage)?;
-    let _waiting = cx
-        .view
-        .wait_for(&job.ask.served_name, workspace, job.deadline);
-    let deadline = tokio::time::Instant::from_std(job.deadline);
-    loop {
-        if let Some((upstream, addr)) = ready_replica(cx, &job.ask.served_name, avoid) {
-            auth::recheck(&cx.follower.current(), &job.identity)?;
-            let charge = reservation.charge().map_err(shortage)?;
-            return Ok(Run {
-                upstream,
-                addr,
-                charge,
-            });
-        }
-        if tokio::time::timeout_at(deadline, cx.view.changed())
-            .await
-            .is_err()
-        {
-            return Err(crate::completion::late());
-        }
-    }
+    let since = Instant::now();
+    let grant = wait(cx, job, cost, is_retry).await?;
+    let snapshot = cx.follower.current();
+    cx.metrics
+        .waited(workspace, &snapshot.catalog, since.elapsed());
+    // The key may have been withdrawn while the request waited.
+    handler::check_fresh(cx)?;
+    auth::recheck(&snapshot, &job.identity)?;
+    let charge = reservation.charge().map_err(shortage)?;
+    Ok(Run {
+        upstream: grant.upstream,
+        addr: grant.addr,
+        slot: grant.slot,
+        charge,
+    })
 }
 
-fn ready_replica<A, V>(
-    cx: &Cx<A, V>,
-    served_name: &str,
-    avoid: &[String],
-) -> Option<(String, SocketAddr)>
+async fn wait<A, V>(
+    cx: &Rc<Cx<A, V>>,
+    job: &Job,
+    cost: u64,
+    is_retry: bool,
+) -> Result<Grant, Refusal>
 where
     V: PlacementView,
 {
+    let wanted = wanted(cx, job, cost, is_retry);
+    let mut place = cx.queues.enter(wanted, Instant::now())?;
+    cx.queues.dispatch(cx);
+    if let Some(decision) = place.try_granted() {
+        return decision;
+    }
+    // Only a request that really waits is demand for the planner.
+    let workspace = &job.identity.workspace;
+    let _waiting = cx
+        .view
+        .wait_for(&job.ask.served_name, workspace, job.deadline);
+    place.granted(job.deadline).await
+}
+
+fn wanted<A, V>(cx: &Cx<A, V>, job: &Job, cost: u64, is_retry: bool) -> Wanted {
     let snapshot = cx.follower.current();
-    let replicas = cx.view.replicas(served_name);
-    let usable = replicas
-        .into_iter()
-        .find(|r| r.ready && !avoid.contains(&r.upstream) && !cx.view.is_leaving(&r.upstream))?;
-    let addr = snapshot.catalog.upstreams.get(&usable.upstream)?.address;
-    Some((usable.upstream, addr))
+    let workspace = snapshot.catalog.workspaces.get(&job.identity.workspace);
+    Wanted {
+        served_name: job.ask.served_name.clone(),
+        identity: job.identity.clone(),
+        weight: workspace.map_or(1, |w| w.weight),
+        cost,
+        is_stream: job.ask.stream,
+        is_retry,
+        deadline: job.deadline,
+        prefixes: job.ask.prefixes.clone(),
+    }
 }
 
-fn shortage(shortage: Shortage) -> Refusal {
+/// Refusal for a want of tokens.
+pub(crate) fn shortage(shortage: Shortage) -> Refusal {
     match shortage {
         Shortage::RetryAfter(after) => Refusal::not_run(
             StatusCode::TOO_MANY_REQUESTS,
--- a/crates/gate/src/gate.rs
+++ b/crates/gate/src/gate.rs
@@ -1,6 +1,7 @@
 //! A running gate.
 
 use std::{
+    collections::BTreeMap,
     future::ready,
     io,
     net::SocketAddr,
@@ -8,6 +9,7 @@
     time::{Duration, Instant},
 };
 
+use actix_rt::task::JoinHandle;
 use comfreyweir_config::settings::GateSettings;
 use comfreyweir_store::{Follower, Freshness};
 use serde_json::json;
@@ -21,6 +23,7 @@
     listener::{self, Listener},
     metrics::Metrics,
     placement_view::PlacementView,
+    queue::{self, Queues},
     status::Status,
     stopping::{Phase, Stopping},
     upstream::Upstreams,
@@ -47,6 +50,7 @@
     notice: Duration,
     status: Status,
     metrics: Metrics,
+    pump: JoinHandle<()>,
 }
 
 /// Starts a gate with its parts.
@@ -63,17 +67,20 @@
     let notice = Duration::from_millis(settings.timing.stop_notice_ms);
     let (listen, admin_addr) = (settings.listen, settings.admin);
     let limits = settings.limits.clone();
+    let queues = Queues::new(limits.waiting);
     let cx = Rc::new(Cx {
         settings,
         follower,
         allowances,
         view,
         upstreams: Upstreams::default(),
+        queues,
         metrics: Metrics::new(),
         status: Status::default(),
         stopping: Rc::default(),
     });
     add_sections(&cx);
+    let pump = actix_rt::spawn(queue::run(Rc::clone(&cx)));
     let serve_cx = Rc::clone(&cx);
     let callers = listener::bind(listen, &limits, Rc::clone(&cx.stopping), move |req| {
         handler::serve(Rc::clone(&serve_cx), req)
@@ -93,6 +100,7 @@
         notice,
         status: cx.status.clone(),
         metrics: cx.metrics.clone(),
+        pump,
     })
 }
 
@@ -119,12 +127,18 @@
 
     /// Stops without cutting a request: turns unready, goes on accepting until the balancer has
     /// noticed, and finishes what is in flight.
-    pub async fn stop(self) {
+    pub async fn stop(mut self) {
         self.stopping.set_phase(Phase::Noticing);
         actix_rt::time::sleep(self.notice).await;
         self.stopping.set_phase(Phase::Draining);
-        self.callers.close().await;
         self.stopping.idle().await;
+        self.callers.close().await;
+    }
+}
+
+impl Drop for Gate {
+    fn drop(&mut self) {
+        self.pump.abort();
     }
 }
 
@@ -143,7 +157,7 @@
         json!({ "revision": follower.current().revision, "freshness": freshness })
     });
     let stopping = Rc::clone(&cx.stopping);
-    let metrics = cx.metrics.clone();
+    let queues = cx.queues.clone();
     let instance = cx.settings.instance.clone();
     cx.status.add("gate", move || {
         json!({
@@ -151,7 +165,8 @@
             "zone": instance.zone,
             "stopping": stopping.phase() != Phase::Serving,
             "in_flight": stopping.in_flight(),
-            "waiting": metrics.waiting.get(),
+            "waiting": queues.waiting(),
+            "running": queues.running().into_iter().collect::<BTreeMap<_, _>>(),
         })
     });
 }
--- a/crates/gate/src/handler.rs
+++ b/crates/gate/src/handler.rs
@@ -69,7 +69,7 @@
 }
 
 /// Without contact a key may have been withdrawn unseen, so that nothing can be admitted.
-fn check_fresh<A, V>(cx: &Cx<A, V>) -> Result<(), Refusal> {
+pub(crate) fn check_fresh<A, V>(cx: &Cx<A, V>) -> Result<(), Refusal> {
     if cx.follower.freshness(Instant::now()) != Freshness::CutOff {
         return Ok(());
     }
--- a/crates/gate/src/lib.rs
+++ b/crates/gate/src/lib.rs
@@ -20,6 +20,7 @@
 pub mod metrics;
 mod models;
 pub mod placement_view;
+mod queue;
 pub mod request_id;
 pub mod services;
 pub mod status;
--- a/crates/gate/src/listener.rs
+++ b/crates/gate/src/listener.rs
@@ -34,7 +34,7 @@
 
     /// Waits until the port is closed and all its connections have ended; the phase of the gate
     /// must be draining.
-    pub(crate) async fn close(mut self) {
+    pub(crate) async fn close(&mut self) {
         if let Some(accept) = self.accept.take() {
             let _ = accept.await;
         }
