--- a/crates/gate/tests/claims.rs
+++ b/crates/gate/tests/claims.rs
@@ -9,9 +9,9 @@
 };
 use proptest::{prelude::*, test_runner::RngSeed};
 
-mod support;
+mod memory_kv;
 
-use support::{Fault, MemoryKv};
+use memory_kv::{Fault, MemoryKv};
 
 const KEY: &str = "idem/test";
 const CALL: &str = "digest";
