--- a/crates/config/src/catalog.rs
+++ b/crates/config/src/catalog.rs
@@ -144,26 +144,26 @@
     pub cost: u64,
 }
 
-fn default_replicas() -> u32 {
+pub(crate) fn default_replicas() -> u32 {
     1
 }
 
-fn default_output_tokens() -> u32 {
+pub(crate) fn default_output_tokens() -> u32 {
     256
 }
 
-fn default_bytes_per_token() -> u32 {
+pub(crate) fn default_bytes_per_token() -> u32 {
     4
 }
 
-fn default_weight() -> u32 {
+pub(crate) fn default_weight() -> u32 {
     1
 }
 
-fn default_cell() -> String {
+pub(crate) fn default_cell() -> String {
     "main".to_owned()
 }
 
-fn default_slots() -> u32 {
+pub(crate) fn default_slots() -> u32 {
     8
 }
--- a/crates/config/src/keys.rs
+++ b/crates/config/src/keys.rs
@@ -34,6 +34,11 @@
     })
 }
 
+/// Whether a text looks like a key rather than its hash.
+pub(crate) fn looks_like_key(text: &str) -> bool {
+    text.starts_with(KEY_PREFIX)
+}
+
 /// Reads a hash in lower-case hexadecimal. `None` when it is not one.
 pub fn parse_hash(text: &str) -> Option<KeyHash> {
     let mut hash = KeyHash::default();
