Decide placement as a state machine without input or output

The cell record covers holder, term and plan in one value; a decision enters the plan, is written, and only then ordered. Memory and replica count return when the engine reports the artifact gone and no load order of unknown outcome may still arrive.

--- /dev/null
+++ b/crates/placement/src/orders.rs
@@ -0,0 +1,175 @@
+//! Orders to the engines, and their outcomes.
+
+use std::time::Instant;
+
+use comfreyweir_platform::engine::{Action, LoadState, Order};
+
+use crate::{
+    holder::{Holder, Place, Progress},
+    idle::IdlePolicy,
+    order::LoadOrder,
+    record::{Reservation, Stage},
+    server::Server,
+};
+
+/// What became of an order.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum OrderOutcome {
+    /// The engine has taken it.
+    Taken,
+    /// The engine has seen a higher term.
+    Fenced,
+    /// The engine has refused it and changed nothing.
+    Refused,
+    /// Not known; the order may still arrive.
+    Unknown,
+    /// It was not sent.
+    NotSent,
+}
+
+impl<O, I> Holder<O, I>
+where
+    O: LoadOrder,
+    I: IdlePolicy,
+{
+    /// Whether orders may be sent to an upstream now. To be asked again after every wait.
+    ///
+    /// An upstream that checks fencing refuses a deposed holder by itself, so what is recorded
+    /// may be carried out there even while the lease cannot be renewed.
+    pub fn may_order(&self, upstream: &str, now: Instant) -> bool {
+        let Some(server) = self.servers.get(upstream) else {
+            return false;
+        };
+        let in_lease = self.order_until().is_some_and(|until| now < until);
+        self.is_active() && (server.config.checks_fencing || in_lease)
+    }
+
+    /// The order that is due at an engine. The caller sends one order at a time to each engine
+    /// and reports its outcome before it asks again.
+    pub fn next_order(&mut self, upstream: &str, now: Instant) -> Option<Order> {
+        if !self.may_order(upstream, now) {
+            return None;
+        }
+        let server = self.servers.get(upstream).filter(|s| s.is_engine())?;
+        let action = if server.config.checks_fencing && server.fenced_term < self.record.term {
+            Action::Fence
+        } else {
+            // Without a report of its own a holder knows too little to order anything.
+            server.report.as_ref()?;
+            self.due_unload(upstream, server, now)
+                .or_else(|| self.due_load(upstream, server))?
+        };
+        Some(Order {
+            term: self.record.term,
+            action,
+        })
+    }
+
+    /// Takes the outcome of an order.
+    pub fn order_settled(
+        &mut self,
+        upstream: &str,
+        order: &Order,
+        outcome: OrderOutcome,
+        now: Instant,
+    ) {
+        if outcome == OrderOutcome::Fenced {
+            self.deposed = true;
+            return;
+        }
+        match &order.action {
+            Action::Fence => self.fence_settled(upstream, order.term, outcome),
+            Action::Load { artifact, .. } => {
+                let place = (upstream.to_owned(), artifact.served_name());
+                self.load_settled(place, order.term, outcome, now);
+            }
+            Action::Unload { artifact } => {
+                let place = (upstream.to_owned(), artifact.served_name());
+                if outcome == OrderOutcome::Taken
+                    && let Some(retiring) = self.retiring.get_mut(&place)
+                {
+                    retiring.ordered = true;
+                }
+            }
+        }
+    }
+
+    fn fence_settled(&mut self, upstream: &str, term: u64, outcome: OrderOutcome) {
+        if outcome == OrderOutcome::Taken
+            && let Some(server) = self.servers.get_mut(upstream)
+        {
+            server.fenced_term = server.fenced_term.max(term);
+        }
+    }
+
+    fn load_settled(&mut self, place: Place, term: u64, outcome: OrderOutcome, now: Instant) {
+        let pause = self.settings.refused_pause;
+        let Some(r) = self.record.plan.find_mut(&place.0, &place.1) else {
+            return;
+        };
+        match outcome {
+            OrderOutcome::Taken => {
+                r.stage = Stage::Placed;
+                let tier = self.servers[&place.0].tier(&place.1);
+                self.progress.insert(place, Progress { since: now, tier });
+            }
+            OrderOutcome::Unknown => r.stray = r.stray.max(Some(term)),
+            OrderOutcome::Refused => {
+                // The next report settles whether the reservation stays.
+                r.stage = Stage::Held;
+                if let Some(server) = self.servers.get_mut(&place.0) {
+                    server.retry_at = Some(now + pause);
+                }
+            }
+            OrderOutcome::Fenced | OrderOutcome::NotSent => {}
+        }
+    }
+
+    fn is_confirmed(&self, r: &Reservation) -> bool {
+        r.decision <= self.confirmed
+    }
+
+    fn due_unload(&self, upstream: &str, server: &Server, now: Instant) -> Option<Action> {
+        let mut retired = self.record.plan.on(upstream);
+        let due = retired.find(|r| {
+            r.stage == Stage::Retire
+                && self.is_confirmed(r)
+                && self.is_grace_over(r, now)
+                && !self.has_adapters(upstream, r)
+                && matches!(
+                    server.state(&r.artifact.served_name()),
+                    Some(LoadState::Ready | LoadState::Loading)
+                )
+        })?;
+        Some(Action::Unload {
+            artifact: due.artifact.clone(),
+        })
+    }
+
+    fn is_grace_over(&self, r: &Reservation, now: Instant) -> bool {
+        let place = (r.upstream.clone(), r.artifact.served_name());
+        let retiring = self.retiring.get(&place);
+        retiring.is_none_or(|retiring| now >= retiring.since + self.settings.retire_grace)
+    }
+
+    fn has_adapters(&self, upstream: &str, base: &Reservation) -> bool {
+        let name = base.artifact.served_name();
+        let mut others = self.record.plan.on(upstream);
+        others.any(|r| r.artifact.base.as_ref() == Some(&name) && r.stage != Stage::Held)
+    }
+
+    fn due_load(&self, upstream: &str, server: &Server) -> Option<Action> {
+        let mut decided = self.record.plan.on(upstream);
+        let due = decided.find(|r| {
+            let base = r.artifact.base.as_ref();
+            r.stage == Stage::Load
+                && self.is_confirmed(r)
+                && server.state(&r.artifact.served_name()).is_none()
+                && base.is_none_or(|base| server.has_ready(base))
+        })?;
+        Some(Action::Load {
+            artifact: due.artifact.clone(),
+            memory_mb: due.memory_mb,
+        })
+    }
+}
