Run a planner, and follow its placement from the gate

The planner takes the cell record by compare-and-swap, writes each decision before it orders it, reads the engines' reports and answers the gates' exchanges; the gate keeps one exchange with the holder of each cell and breaks into it with the first request that waits for an artifact.

--- a/crates/gate/src/placement_view.rs
+++ b/crates/gate/src/placement_view.rs
@@ -2,6 +2,16 @@
 
 use std::time::{Duration, Instant};
 
+mod cell;
+mod exchange;
+mod holder;
+mod leaving;
+mod peer_view;
+mod usage;
+mod waiting;
+
+pub use self::peer_view::{PeerView, PlacementPeers, WaitingRequest};
+
 /// A replica that can serve requests, or will.
 #[derive(Clone, Debug, Eq, PartialEq)]
 pub struct ReplicaView {
@@ -36,6 +46,13 @@
     /// A request that waits.
     type Waiting: 'static;
 
+    /// Notes that a request for an artifact was sent to an engine, so that the artifact does not
+    /// count as idle.
+    fn started(&self, _served_name: &str) {}
+
+    /// Notes that a request noted by [`PlacementView::started`] has ended.
+    fn ended(&self, _served_name: &str) {}
+
     /// Completes when the view has changed since the last call.
     async fn changed(&self);
 }
--- /dev/null
+++ b/crates/gate/src/placement_view/leaving.rs
@@ -0,0 +1,27 @@
+//! Upstreams that the platform has marked as leaving, read by the gate itself.
+//!
+//! The holder of the cell says so too, but a gate must also know while no holder is active.
+
+use std::{collections::BTreeSet, net::SocketAddr};
+
+use comfreyweir_platform::instances::{InstanceList, Role, State};
+
+/// What a gate takes from the list of instances.
+#[derive(Clone, Debug, Default, Eq, PartialEq)]
+pub(super) struct Listed {
+    /// Names of leaving upstreams.
+    pub(super) leaving: BTreeSet<String>,
+    /// Peer addresses of all planners.
+    pub(super) planners: Vec<SocketAddr>,
+}
+
+impl Listed {
+    pub(super) fn from_list(list: &InstanceList) -> Self {
+        let upstreams = list.instances.iter().filter(|i| i.role == Role::Upstream);
+        let leaving = upstreams.filter(|i| i.state == State::Leaving);
+        Self {
+            leaving: leaving.map(|i| i.name.clone()).collect(),
+            planners: list.instances.iter().filter_map(|i| i.planner).collect(),
+        }
+    }
+}
--- /dev/null
+++ b/crates/gate/src/placement_view/peer_view.rs
@@ -0,0 +1,298 @@
+//! The placement as the holders of the cells describe it.
+//!
+//! One task for each cell keeps an exchange with the cell's holder open. The first request that
+//! waits for an artifact breaks into the exchange so that the holder hears of it at once; later
+//! ones go along with the next exchange.
+
+use std::{
+    cell::RefCell,
+    collections::{BTreeMap, BTreeSet},
+    net::SocketAddr,
+    rc::{Rc, Weak},
+    time::{Duration, Instant},
+};
+
+use actix_rt::task::JoinHandle;
+use comfreyweir_peer::{Link, LinkError, Secret, peer_capnp::planner};
+use comfreyweir_platform::instances::Instances;
+use comfreyweir_store::Follower;
+use tokio::sync::watch;
+
+use super::{
+    PlacementView, ReplicaView,
+    cell::CellView,
+    exchange::{self, Told},
+    holder,
+    leaving::Listed,
+    usage::UsageTable,
+    waiting::{WaitKey, Waiters},
+};
+
+/// Period of reading the list of instances.
+const LIST_EVERY: Duration = Duration::from_millis(250);
+/// Pause before the holder of a cell is looked for again.
+const FIND_PAUSE: Duration = Duration::from_millis(100);
+
+/// What a gate needs to know to follow the placement.
+#[derive(Clone)]
+pub struct PlacementPeers {
+    /// Name of the gate, unique in the fleet.
+    pub gate: String,
+    /// Planner of the same instance.
+    pub planner: SocketAddr,
+    /// Secret shared with the planners.
+    pub secret: Secret,
+    /// The platform's list of instances.
+    pub instances: Instances,
+    /// Configuration in force, for the names of the cells.
+    pub follower: Follower,
+    /// Longest time between two exchanges.
+    pub contact: Duration,
+}
+
+/// The placement as the holders of the cells describe it. Clones share it; the last one that is
+/// dropped ends its tasks.
+#[derive(Clone)]
+pub struct PeerView {
+    state: Rc<State>,
+    _tasks: Rc<Tasks>,
+}
+
+struct Tasks(RefCell<Vec<JoinHandle<()>>>);
+
+impl Drop for Tasks {
+    fn drop(&mut self) {
+        for task in self.0.borrow().iter() {
+            task.abort();
+        }
+    }
+}
+
+struct State {
+    peers: PlacementPeers,
+    cells: RefCell<BTreeMap<String, CellView>>,
+    waiters: RefCell<Waiters>,
+    usage: RefCell<UsageTable>,
+    listed: RefCell<Listed>,
+    /// Counts the changes of the view.
+    version: watch::Sender<u64>,
+    /// Counts the artifacts that were waited for anew.
+    woken: watch::Sender<u64>,
+}
+
+/// A request that waits for an artifact. Dropping it withdraws its demand.
+pub struct WaitingRequest {
+    state: Rc<State>,
+    key: WaitKey,
+}
+
+impl Drop for WaitingRequest {
+    fn drop(&mut self) {
+        self.state.waiters.borrow_mut().remove(self.key);
+    }
+}
+
+impl PeerView {
+    /// Starts to follow the placement of all cells.
+    pub fn spawn(peers: PlacementPeers) -> Self {
+        let state = Rc::new(State {
+            peers,
+            cells: RefCell::default(),
+            waiters: RefCell::default(),
+            usage: RefCell::default(),
+            listed: RefCell::default(),
+            version: watch::Sender::new(0),
+            woken: watch::Sender::new(0),
+        });
+        let tasks = Rc::new(Tasks(RefCell::default()));
+        let cells = follow_cells(Rc::clone(&state), Rc::downgrade(&tasks));
+        let list = follow_list(Rc::clone(&state));
+        let started = [actix_rt::spawn(cells), actix_rt::spawn(list)];
+        tasks.0.borrow_mut().extend(started);
+        Self {
+            state,
+            _tasks: tasks,
+        }
+    }
+}
+
+impl PlacementView for PeerView {
+    type Waiting = WaitingRequest;
+
+    fn replicas(&self, served_name: &str) -> Vec<ReplicaView> {
+        let now = Instant::now();
+        let mut replicas = Vec::new();
+        for cell in self.state.cells.borrow().values() {
+            let known = cell.replicas.iter().filter(|r| r.artifact == served_name);
+            for replica in known.filter(|r| !self.is_leaving(&r.upstream)) {
+                let load = cell.loads.get(&replica.upstream);
+                replicas.push(ReplicaView {
+                    upstream: replica.upstream.clone(),
+                    ready: replica.ready,
+                    ready_in: cell.left(replica.ready_in, now),
+                    running: load.map_or(0, |l| l.running),
+                    waiting: load.map_or(0, |l| l.waiting),
+                    load_at: load.map_or(now, |l| l.at),
+                });
+            }
+        }
+        replicas
+    }
+
+    fn ready_in(&self, served_name: &str) -> Option<Duration> {
+        let now = Instant::now();
+        let replicas = self.replicas(served_name);
+        if replicas.iter().any(|r| r.ready) {
+            return Some(Duration::ZERO);
+        }
+        let cells = self.state.cells.borrow();
+        let mut refusals = cells
+            .values()
+            .filter_map(|cell| Some(cell.left(*cell.refusals.get(served_name)?, now)));
+        let refused = refusals.next();
+        let estimates = replicas.iter().map(|r| r.ready_in);
+        let loading = estimates.filter(|estimate| !estimate.is_zero()).min();
+        refused.or(loading)
+    }
+
+    fn is_leaving(&self, upstream: &str) -> bool {
+        let is_listed = self.state.listed.borrow().leaving.contains(upstream);
+        let cells = self.state.cells.borrow();
+        let mut loads = cells.values().filter_map(|cell| cell.loads.get(upstream));
+        is_listed || loads.any(|load| load.leaving) || self.state.is_draining(upstream)
+    }
+
+    fn wait_for(&self, served_name: &str, workspace: &str, deadline: Instant) -> WaitingRequest {
+        let mut waiters = self.state.waiters.borrow_mut();
+        let (key, is_first) = waiters.add(served_name, workspace, deadline);
+        if is_first {
+            self.state.woken.send_modify(|count| *count += 1);
+        }
+        WaitingRequest {
+            state: Rc::clone(&self.state),
+            key,
+        }
+    }
+
+    fn started(&self, served_name: &str) {
+        self.state.usage.borrow_mut().started(served_name);
+    }
+
+    fn ended(&self, served_name: &str) {
+        self.state.usage.borrow_mut().ended(served_name);
+    }
+
+    async fn changed(&self) {
+        let mut versions = self.state.version.subscribe();
+        let _ = versions.changed().await;
+    }
+}
+
+impl State {
+    fn is_draining(&self, upstream: &str) -> bool {
+        let snapshot = self.peers.follower.current();
+        let upstream = snapshot.catalog.upstreams.get(upstream);
+        upstream.is_some_and(|u| u.draining)
+    }
+
+    fn note_change(&self) {
+        self.version.send_modify(|version| *version += 1);
+    }
+
+    /// Planners to ask for a holder; the one of the same instance comes first.
+    fn planners(&self) -> Vec<SocketAddr> {
+        let own = self.peers.planner;
+        let mut planners = vec![own];
+        let listed = self.listed.borrow();
+        planners.extend(listed.planners.iter().filter(|addr| **addr != own));
+        planners
+    }
+}
+
+/// Runs a task for each cell of the configuration.
+async fn follow_cells(state: Rc<State>, tasks: Weak<Tasks>) {
+    let mut changes = state.peers.follower.changes();
+    let mut followed = BTreeSet::new();
+    loop {
+        let snapshot = state.peers.follower.current();
+        for upstream in snapshot.catalog.upstreams.values() {
+            if followed.insert(upstream.cell.clone()) {
+                let Some(tasks) = tasks.upgrade() else {
+                    return;
+                };
+                let task = follow_cell(Rc::clone(&state), upstream.cell.clone());
+                tasks.0.borrow_mut().push(actix_rt::spawn(task));
+            }
+        }
+        // Draining upstreams are part of the view.
+        state.note_change();
+        if changes.changed().await.is_err() {
+            return;
+        }
+    }
+}
+
+async fn follow_list(state: Rc<State>) {
+    loop {
+        if let Ok(list) = state.peers.instances.read().await {
+            let listed = Listed::from_list(&list);
+            if listed != *state.listed.borrow() {
+                *state.listed.borrow_mut() = listed;
+                state.note_change();
+            }
+        }
+        actix_rt::time::sleep(LIST_EVERY).await;
+    }
+}
+
+async fn follow_cell(state: Rc<State>, cell: String) {
+    loop {
+        let planners = state.planners();
+        let secret = &state.peers.secret;
+        if let Some(addr) = holder::find(&planners, secret, &cell).await
+            && let Ok(link) = comfreyweir_peer::open(addr, secret).await
+        {
+            // How the link failed does not matter: the holder is looked for again.
+            let _ = exchange_all(&state, &cell, &link).await;
+        }
+        actix_rt::time::sleep(FIND_PAUSE).await;
+    }
+}
+
+/// Exchanges with a holder until it is no longer reached or no longer holds the cell.
+async fn exchange_all(
+    state: &State,
+    cell: &str,
+    link: &Link<planner::Client>,
+) -> Result<(), LinkError> {
+    let mut woken = state.woken.subscribe();
+    let mut usage = BTreeMap::new();
+    loop {
+        woken.mark_unchanged();
+        let known = state.cells.borrow().get(cell).cloned().unwrap_or_default();
+        let demand = state.waiters.borrow().demand(Instant::now());
+        // An exchange that is broken off may not have told its figures.
+        usage.extend(state.usage.borrow_mut().report());
+        let told = Told {
+            cell,
+            gate: &state.peers.gate,
+            known_term: known.term,
+            known_version: known.version,
+            wait: state.peers.contact,
+            demand: &demand,
+            usage: &usage,
+        };
+        tokio::select! {
+            answer = exchange::exchange(link, told) => {
+                let answer = answer?;
+                usage.clear();
+                let mut cells = state.cells.borrow_mut();
+                let view = cells.entry(cell.to_owned()).or_default();
+                view.update(answer.view, answer.replicas);
+                drop(cells);
+                state.note_change();
+            }
+            _ = woken.changed() => {}
+        }
+    }
+}
--- a/crates/placement/src/decide.rs
+++ b/crates/placement/src/decide.rs
@@ -233,7 +233,7 @@
             let set_aside = promised.get(upstream).copied().unwrap_or(0);
             option.free_mb = option.free_mb.saturating_sub(set_aside);
             let fits = option.is_held || (may_charge && option.free_mb >= need);
-            let store_free = has_slot || self.is_local(&candidate.spec, option.tier);
+            let store_free = has_slot || is_local(&candidate.spec, option.tier);
             if fits && store_free {
                 options.push(option);
             }
@@ -241,10 +241,6 @@
         options
     }
 
-    fn is_local(&self, spec: &Spec, tier: CheckpointTier) -> bool {
-        !spec.is_adapter() && tier != CheckpointTier::Remote
-    }
-
     /// A server as an option for an artifact, whatever its memory.
     pub(crate) fn option(
         &self,
@@ -345,3 +341,8 @@
     entry.since = entry.since.min(wanted.since);
     merge(&mut entry.workspaces, &wanted.workspaces);
 }
+
+/// Whether a load leaves the weight store alone.
+fn is_local(spec: &Spec, tier: CheckpointTier) -> bool {
+    !spec.is_adapter() && tier != CheckpointTier::Remote
+}
--- a/crates/placement/src/orders.rs
+++ b/crates/placement/src/orders.rs
@@ -1,6 +1,6 @@
 //! Orders to the engines, and their outcomes.
 
-use std::time::Instant;
+use std::time::{Duration, Instant};
 
 use comfreyweir_platform::engine::{Action, LoadState, Order};
 
@@ -12,6 +12,13 @@
     server::Server,
 };
 
+/// Shortest pause between two reports of one engine.
+const SHORTEST_PAUSE: Duration = Duration::from_millis(5);
+/// Pause between two reports while an unload, or a load of unknown length, is under way.
+const UNLOAD_PAUSE: Duration = Duration::from_millis(50);
+/// Reports that are read over the rest of a load, at most.
+const REPORTS_WHILE_LOADING: u32 = 8;
+
 /// What became of an order.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub enum OrderOutcome {
@@ -94,6 +101,28 @@
         }
     }
 
+    /// Time until the engine's report is worth reading again: soon while a load or an unload is
+    /// about to end, and `usual` otherwise.
+    pub fn report_pause(&self, upstream: &str, usual: Duration, now: Instant) -> Duration {
+        let unsettled = self.record.plan.on(upstream);
+        let pauses = unsettled.filter_map(|r| match r.stage {
+            Stage::Retire => Some(UNLOAD_PAUSE),
+            Stage::Load | Stage::Placed if !self.is_ready(r) => Some(self.load_pause(r, now)),
+            _ => None,
+        });
+        pauses.min().unwrap_or(usual).min(usual)
+    }
+
+    fn load_pause(&self, r: &Reservation, now: Instant) -> Duration {
+        if r.artifact.base.is_some() {
+            return SHORTEST_PAUSE;
+        }
+        match self.remaining(r, now) {
+            Some(remaining) => (remaining / REPORTS_WHILE_LOADING).max(SHORTEST_PAUSE),
+            None => UNLOAD_PAUSE,
+        }
+    }
+
     fn fence_settled(&mut self, upstream: &str, term: u64, outcome: OrderOutcome) {
         if outcome == OrderOutcome::Taken
             && let Some(server) = self.servers.get_mut(upstream)
--- a/crates/placement/src/outlook.rs
+++ b/crates/placement/src/outlook.rs
@@ -34,6 +34,23 @@
         }
     }
 
+    /// Ready replicas of models without running requests, each counted by its share of the
+    /// server's memory.
+    pub fn idle_accelerators(&self) -> f64 {
+        let ready = self.record.plan.reservations.iter();
+        let idle = ready.filter(|r| self.is_ready(r) && !self.is_running(r));
+        idle.filter_map(|r| {
+            let server = self.servers.get(&r.upstream)?;
+            Some(share(r.memory_mb, server.memory_mb()))
+        })
+        .sum()
+    }
+
+    fn is_running(&self, r: &Reservation) -> bool {
+        let activity = self.activity.get(&r.artifact.served_name());
+        activity.is_some_and(|a| a.running() > 0)
+    }
+
     fn replicas(&self, now: Instant) -> Vec<Replica> {
         let mut replicas = Vec::new();
         for r in &self.record.plan.reservations {
@@ -79,7 +96,7 @@
     }
 
     /// Expected time until a load ends; `None` while loads of its class have not been seen.
-    fn remaining(&self, r: &Reservation, now: Instant) -> Option<Duration> {
+    pub(crate) fn remaining(&self, r: &Reservation, now: Instant) -> Option<Duration> {
         let name = r.artifact.served_name();
         let spec = self.specs.get(&name)?;
         let place = (r.upstream.clone(), name.clone());
@@ -197,3 +214,9 @@
         reason: reason.to_owned(),
     }
 }
+
+// Memory sizes are far below 2^52 MB.
+#[allow(clippy::cast_precision_loss)]
+fn share(part_mb: u64, whole_mb: u64) -> f64 {
+    part_mb as f64 / whole_mb.max(1) as f64
+}
--- /dev/null
+++ b/crates/planner/src/metrics.rs
@@ -0,0 +1,223 @@
+//! Metrics of the planner.
+
+use std::{
+    sync::{Arc, atomic::AtomicU64},
+    time::Duration,
+};
+
+use comfreyweir_placement::orders::OrderOutcome;
+use comfreyweir_platform::engine::{Action, CheckpointTier};
+use prometheus_client::{
+    encoding::{EncodeLabelSet, EncodeLabelValue, text::encode},
+    metrics::{
+        counter::Counter,
+        family::Family,
+        gauge::Gauge,
+        histogram::{Histogram, exponential_buckets},
+    },
+    registry::Registry,
+};
+
+/// Smallest bucket of load times, in seconds.
+const LOAD_BUCKET_START: f64 = 0.005;
+/// Buckets of load times; each is twice the one before.
+const LOAD_BUCKETS: u16 = 16;
+
+/// Call to the key-value service.
+#[derive(Clone, Copy, Debug, Eq, Hash, PartialEq, EncodeLabelValue)]
+pub(crate) enum KvCall {
+    /// A read.
+    Get,
+    /// A compare-and-swap.
+    Swap,
+    /// A watch.
+    Watch,
+}
+
+/// Outcome of a call to the key-value service.
+#[derive(Clone, Copy, Debug, Eq, Hash, PartialEq, EncodeLabelValue)]
+pub(crate) enum KvOutcome {
+    /// It was answered.
+    Answered,
+    /// It was refused for being over the rate.
+    RateLimited,
+    /// It failed, or its answer was lost.
+    Failed,
+}
+
+#[derive(Clone, Debug, Eq, Hash, PartialEq, EncodeLabelSet)]
+struct KvLabels {
+    call: KvCall,
+    outcome: KvOutcome,
+}
+
+#[derive(Clone, Copy, Debug, Eq, Hash, PartialEq, EncodeLabelValue)]
+enum Source {
+    Memory,
+    Disk,
+    Remote,
+}
+
+#[derive(Clone, Debug, Eq, Hash, PartialEq, EncodeLabelSet)]
+struct SourceLabels {
+    source: Source,
+}
+
+#[derive(Clone, Debug, Eq, Hash, PartialEq, EncodeLabelSet)]
+struct OrderLabels {
+    action: &'static str,
+    outcome: &'static str,
+}
+
+#[derive(Clone, Debug, Eq, Hash, PartialEq, EncodeLabelSet)]
+struct CellLabels {
+    cell: String,
+}
+
+/// Metrics of the planner. Clones share the figures.
+#[derive(Clone)]
+pub(crate) struct Metrics {
+    registry: Arc<Registry>,
+    cold_starts: Family<SourceLabels, Counter>,
+    load_seconds: Family<SourceLabels, Histogram>,
+    orders: Family<OrderLabels, Counter>,
+    terms: Family<CellLabels, Gauge>,
+    held: Family<CellLabels, Gauge>,
+    kv_calls: Family<KvLabels, Counter>,
+    idle_seconds: Counter<f64, AtomicU64>,
+    refusals: Gauge,
+}
+
+impl Metrics {
+    /// Registers all metrics.
+    pub(crate) fn new() -> Self {
+        let load_seconds = Family::<SourceLabels, Histogram>::new_with_constructor(|| {
+            Histogram::new(exponential_buckets(LOAD_BUCKET_START, 2.0, LOAD_BUCKETS))
+        });
+        let mut metrics = Self {
+            registry: Arc::default(),
+            cold_starts: Family::default(),
+            load_seconds,
+            orders: Family::default(),
+            terms: Family::default(),
+            held: Family::default(),
+            kv_calls: Family::default(),
+            idle_seconds: Counter::default(),
+            refusals: Gauge::default(),
+        };
+        metrics.registry = Arc::new(metrics.registered());
+        metrics
+    }
+
+    fn registered(&self) -> Registry {
+        let mut registry = Registry::with_prefix("comfreyweir_planner");
+        registry.register(
+            "cold_starts",
+            "Loads that have ended, by place of the checkpoint",
+            self.cold_starts.clone(),
+        );
+        registry.register(
+            "load_seconds",
+            "Time from the order of a load until it was ready, by place of the checkpoint",
+            self.load_seconds.clone(),
+        );
+        registry.register(
+            "orders",
+            "Orders to engines by action and outcome",
+            self.orders.clone(),
+        );
+        registry.register(
+            "term",
+            "Fencing number of the cell, as last seen",
+            self.terms.clone(),
+        );
+        registry.register(
+            "holds_cell",
+            "Whether this planner holds the cell",
+            self.held.clone(),
+        );
+        registry.register(
+            "kv_calls",
+            "Calls to the key-value service by outcome",
+            self.kv_calls.clone(),
+        );
+        registry.register(
+            "idle_accelerator_seconds",
+            "Time that ready replicas were unused, weighted by their share of the memory",
+            self.idle_seconds.clone(),
+        );
+        registry.register(
+            "artifacts_refused",
+            "Artifacts that are wanted and cannot be served in time",
+            self.refusals.clone(),
+        );
+        registry
+    }
+
+    /// All metrics as text.
+    pub(crate) fn encode(&self) -> String {
+        let mut text = String::new();
+        // Writing to a string cannot fail.
+        let _ = encode(&mut text, &self.registry);
+        text
+    }
+
+    pub(crate) fn count_kv_call(&self, call: KvCall, outcome: KvOutcome) {
+        let labels = KvLabels { call, outcome };
+        self.kv_calls.get_or_create(&labels).inc();
+    }
+
+    pub(crate) fn count_load(&self, tier: CheckpointTier, took: Duration) {
+        let source = match tier {
+            CheckpointTier::Memory => Source::Memory,
+            CheckpointTier::Disk => Source::Disk,
+            CheckpointTier::Remote => Source::Remote,
+        };
+        let labels = SourceLabels { source };
+        self.cold_starts.get_or_create(&labels).inc();
+        self.load_seconds
+            .get_or_create(&labels)
+            .observe(took.as_secs_f64());
+    }
+
+    pub(crate) fn count_order(&self, action: &Action, outcome: OrderOutcome) {
+        let action = match action {
+            Action::Load { .. } => "load",
+            Action::Unload { .. } => "unload",
+            Action::Fence => "fence",
+        };
+        let outcome = match outcome {
+            OrderOutcome::Taken => "taken",
+            OrderOutcome::Fenced => "fenced",
+            OrderOutcome::Refused => "refused",
+            OrderOutcome::Unknown => "unknown",
+            OrderOutcome::NotSent => "not_sent",
+        };
+        let labels = OrderLabels { action, outcome };
+        self.orders.get_or_create(&labels).inc();
+    }
+
+    pub(crate) fn set_term(&self, cell: &str, term: u64) {
+        let labels = CellLabels {
+            cell: cell.to_owned(),
+        };
+        let term = i64::try_from(term).unwrap_or(i64::MAX);
+        self.terms.get_or_create(&labels).set(term);
+    }
+
+    pub(crate) fn set_held(&self, cell: &str, held: bool) {
+        let labels = CellLabels {
+            cell: cell.to_owned(),
+        };
+        self.held.get_or_create(&labels).set(i64::from(held));
+    }
+
+    pub(crate) fn add_idle(&self, idle: Duration) {
+        self.idle_seconds.inc_by(idle.as_secs_f64());
+    }
+
+    pub(crate) fn set_refusals(&self, artifacts: usize) {
+        self.refusals
+            .set(i64::try_from(artifacts).unwrap_or(i64::MAX));
+    }
+}
--- /dev/null
+++ b/crates/planner/src/status.rs
@@ -0,0 +1,70 @@
+//! State of the planner for operators.
+
+use comfreyweir_clock::Clock;
+use serde_json::{Value, json};
+
+use crate::{cell::CellState, context::Cx};
+
+/// What is decided and loaded in each cell.
+pub(crate) fn page(cx: &Cx) -> Value {
+    let cells = cx.cells.borrow();
+    let cells: Vec<Value> = cells.values().map(|cell| cell_page(cx, cell)).collect();
+    json!({
+        "instance": cx.identity.name,
+        "revision": cx.follower.current().revision,
+        "cells": cells,
+    })
+}
+
+fn cell_page(cx: &Cx, cell: &CellState) -> Value {
+    let known = *cell.known.borrow();
+    let mut page = json!({
+        "cell": cell.name,
+        "holder": known.address,
+        "term": known.term,
+        "held_here": false,
+    });
+    let Some(hold) = cell.active_hold() else {
+        return page;
+    };
+    let now = cx.clock.now();
+    let holder = hold.holder.borrow();
+    let (version, view) = hold.board.latest();
+    let remaining = holder
+        .order_until()
+        .map(|until| until.saturating_duration_since(now).as_millis());
+    let engines: Vec<Value> = holder
+        .servers()
+        .iter()
+        .map(|(name, server)| {
+            json!({
+                "upstream": name,
+                "zone": server.config.zone,
+                "reachable": server.is_reachable(now),
+                "leaving": server.is_leaving(),
+                "checks_fencing": server.config.checks_fencing,
+                "fenced_term": server.fenced_term,
+                "memory_mb": server.memory_mb(),
+                "charged_mb": holder.plan().charged_mb(name),
+            })
+        })
+        .collect();
+    let refusals: Vec<Value> = view
+        .refusals
+        .iter()
+        .map(|r| {
+            json!({
+                "artifact": r.artifact,
+                "ready_in_ms": r.ready_in.as_millis(),
+                "reason": r.reason,
+            })
+        })
+        .collect();
+    page["held_here"] = json!(true);
+    page["lease_left_ms"] = json!(remaining);
+    page["view_version"] = json!(version);
+    page["plan"] = json!(holder.plan().reservations);
+    page["engines"] = json!(engines);
+    page["refusals"] = json!(refusals);
+    page
+}
