Add the stand-ins and their program

Key-value service with versions, leases, watches, call counts, limits and faults; lagging list of instances; model engines with memory, load times, a shared weight store, batching, prefix cache, fencing and a record by which tests judge; plain services that record each call and fail at every stage; fault-injecting TCP proxy.

--- /dev/null
+++ b/crates/standins/src/instances.rs
@@ -0,0 +1,170 @@
+//! The platform's list of instances, which lags behind what was set.
+
+use std::{cell::RefCell, collections::VecDeque, net::SocketAddr, rc::Rc, time::Duration};
+
+use actix_http::{Method, Request, Response, StatusCode, body::BoxBody};
+use comfreyweir_platform::instances::{InstanceInfo, InstanceList};
+use serde::{Deserialize, Serialize};
+use tokio::time::Instant;
+
+use crate::{
+    StandinError,
+    http::{self, Options, Server},
+};
+
+/// Settings of a list.
+#[derive(Clone, Debug, Deserialize, Serialize)]
+#[serde(deny_unknown_fields)]
+pub struct Settings {
+    /// Address of the list.
+    pub listen: SocketAddr,
+    /// Control address.
+    #[serde(default)]
+    pub control: Option<SocketAddr>,
+    /// Time until a change shows, in ms.
+    #[serde(default)]
+    pub lag_ms: u64,
+    /// Entries at the start.
+    #[serde(default)]
+    pub instances: Vec<InstanceInfo>,
+}
+
+/// A running list.
+pub struct Instances {
+    server: Server,
+    control: Option<Server>,
+    state: Rc<RefCell<State>>,
+}
+
+struct State {
+    shown: InstanceList,
+    newest: InstanceList,
+    coming: VecDeque<(Instant, InstanceList)>,
+    lag: Duration,
+    outage: bool,
+    reads: u64,
+}
+
+/// Faults and lag of a list.
+#[derive(Clone, Copy, Debug, Default, Deserialize, Serialize)]
+#[serde(default, deny_unknown_fields)]
+pub struct Faults {
+    /// Whether the list answers 503.
+    pub outage: bool,
+    /// Time until a change shows, in ms.
+    pub lag_ms: u64,
+}
+
+impl State {
+    fn set(&mut self, list: InstanceList) {
+        self.newest = list.clone();
+        self.coming.push_back((Instant::now() + self.lag, list));
+    }
+
+    fn show(&mut self) -> &InstanceList {
+        let now = Instant::now();
+        while self.coming.front().is_some_and(|(at, _)| *at <= now) {
+            if let Some((_, list)) = self.coming.pop_front() {
+                self.shown = list;
+            }
+        }
+        &self.shown
+    }
+}
+
+/// Runs a list.
+pub fn spawn(settings: Settings) -> Result<Instances, StandinError> {
+    let list = InstanceList {
+        instances: settings.instances,
+    };
+    let state = Rc::new(RefCell::new(State {
+        shown: list.clone(),
+        newest: list,
+        coming: VecDeque::new(),
+        lag: Duration::from_millis(settings.lag_ms),
+        outage: false,
+        reads: 0,
+    }));
+    let shared = Rc::clone(&state);
+    let server = http::bind(settings.listen, Options::default(), move |req| {
+        let state = Rc::clone(&shared);
+        async move { serve(&state, &req) }
+    })?;
+    let control = match settings.control {
+        Some(addr) => Some(bind_control(addr, Rc::clone(&state))?),
+        None => None,
+    };
+    Ok(Instances {
+        server,
+        control,
+        state,
+    })
+}
+
+impl Instances {
+    /// Address of the list.
+    pub fn addr(&self) -> SocketAddr {
+        self.server.addr()
+    }
+
+    /// Control address.
+    pub fn control_addr(&self) -> Option<SocketAddr> {
+        self.control.as_ref().map(Server::addr)
+    }
+
+    /// The list as it was last set, whether it shows already or not.
+    pub fn newest(&self) -> InstanceList {
+        self.state.borrow().newest.clone()
+    }
+
+    /// Sets the list; it shows after the lag.
+    pub fn set(&self, list: InstanceList) {
+        self.state.borrow_mut().set(list);
+    }
+}
+
+fn serve(state: &RefCell<State>, req: &Request) -> Response<BoxBody> {
+    let mut state = state.borrow_mut();
+    state.reads += 1;
+    if state.outage {
+        return http::empty(StatusCode::SERVICE_UNAVAILABLE);
+    }
+    if req.path() != "/v1/instances" {
+        return http::empty(StatusCode::NOT_FOUND);
+    }
+    http::json(StatusCode::OK, state.show())
+}
+
+fn bind_control(addr: SocketAddr, state: Rc<RefCell<State>>) -> Result<Server, StandinError> {
+    http::bind(addr, Options::default(), move |req| {
+        let state = Rc::clone(&state);
+        async move { control(&state, req).await }
+    })
+}
+
+async fn control(state: &RefCell<State>, mut req: Request) -> Response<BoxBody> {
+    match (req.method().clone(), req.path()) {
+        (Method::GET, "/test/instances") => http::json(StatusCode::OK, &state.borrow().newest),
+        (Method::GET, "/test/counts") => {
+            let reads = state.borrow().reads;
+            http::json(StatusCode::OK, &serde_json::json!({ "reads": reads }))
+        }
+        (Method::POST, "/test/instances") => match http::read_json(&mut req).await {
+            Ok(list) => {
+                state.borrow_mut().set(list);
+                http::empty(StatusCode::OK)
+            }
+            Err(answer) => answer,
+        },
+        (Method::POST, "/test/faults") => match http::read_json::<Faults>(&mut req).await {
+            Ok(faults) => {
+                let mut state = state.borrow_mut();
+                state.outage = faults.outage;
+                state.lag = Duration::from_millis(faults.lag_ms);
+                http::empty(StatusCode::OK)
+            }
+            Err(answer) => answer,
+        },
+        _ => http::empty(StatusCode::NOT_FOUND),
+    }
+}
--- /dev/null
+++ b/crates/standins/tests/standins.rs
@@ -0,0 +1,397 @@
+//! The stand-ins behave as the platform's clients expect, and inject the faults they promise.
+
+use std::{
+    net::{Ipv4Addr, SocketAddr},
+    time::Duration,
+};
+
+use awc::{Client, http::StatusCode};
+use bytes::Bytes;
+use comfreyweir_platform::{
+    engine::{Action, Artifact, EngineControl, EngineError, LoadState, Order},
+    kv::{Kv, KvError, Recorded, Swap, swap_recorded},
+    kv_http::HttpKv,
+};
+use comfreyweir_standins::{
+    engine::{self, BreakKind, Change, Engine, Outcome},
+    kv, proxy,
+    service::{self, Reached, Stage},
+    weights::{self, Kind, WeightStore},
+};
+use futures_util::StreamExt;
+use tokio::time::{Instant, sleep, timeout};
+
+const ANY: SocketAddr = SocketAddr::new(std::net::IpAddr::V4(Ipv4Addr::LOCALHOST), 0);
+const LIMIT: Duration = Duration::from_secs(5);
+
+fn run_kv() -> (kv::KvService, HttpKv) {
+    let settings = kv::Settings {
+        listen: ANY,
+        control: None,
+        faults: kv::Faults::default(),
+    };
+    let service = kv::spawn(settings).unwrap();
+    let client = HttpKv::new(Client::default(), service.addr(), Duration::from_secs(1));
+    (service, client)
+}
+
+fn run_engine(change: impl FnOnce(&mut engine::Settings)) -> Engine {
+    let text = format!("name = \"e1\"\nlisten = \"{ANY}\"\nmemory_mb = 100\n");
+    let mut settings = toml::from_str(&text).unwrap();
+    change(&mut settings);
+    engine::spawn(settings, WeightStore::open(weights::Settings::default())).unwrap()
+}
+
+fn run_service() -> service::PlainService {
+    let settings = format!("name = \"orders\"\nlisten = \"{ANY}\"\n");
+    service::spawn(toml::from_str(&settings).unwrap()).unwrap()
+}
+
+fn artifact(name: &str) -> Artifact {
+    Artifact {
+        name: name.to_owned(),
+        version: "1".to_owned(),
+        base: None,
+    }
+}
+
+fn load(name: &str, memory_mb: u64, term: u64) -> Order {
+    Order {
+        term,
+        action: Action::Load {
+            artifact: artifact(name),
+            memory_mb,
+        },
+    }
+}
+
+fn control(engine: &Engine) -> EngineControl {
+    EngineControl::new(Client::default(), engine.addr(), Duration::from_secs(1))
+}
+
+async fn until<F>(mut condition: F)
+where
+    F: FnMut() -> bool,
+{
+    let deadline = Instant::now() + LIMIT;
+    while !condition() {
+        assert!(Instant::now() < deadline, "condition not met in time");
+        sleep(Duration::from_millis(2)).await;
+    }
+}
+
+async fn load_ready(engine: &Engine, name: &str) {
+    control(engine).order(&load(name, 60, 1)).await.unwrap();
+    until(|| {
+        let changes = engine.record().changes;
+        changes.iter().any(|c| c.change == Change::Ready)
+    })
+    .await;
+}
+
+#[actix_rt::test]
+async fn versions_rise_across_deletes() {
+    let (service, client) = run_kv();
+    let first = client.swap("a/b", 0, Bytes::from_static(b"1")).await;
+    assert_eq!(first.unwrap(), Swap::Written(1));
+    let url = format!("http://{}/v1/kv/a/b?expect=1", service.addr());
+    let deleted = Client::default().delete(url).send().await.unwrap();
+    assert_eq!(deleted.status(), StatusCode::OK);
+    assert_eq!(client.get("a/b").await.unwrap(), None);
+    let again = client.swap("a/b", 0, Bytes::from_static(b"2")).await;
+    assert_eq!(again.unwrap(), Swap::Written(3));
+    let stale = client.swap("a/b", 1, Bytes::from_static(b"3")).await;
+    assert_eq!(stale.unwrap(), Swap::Conflict);
+}
+
+#[actix_rt::test]
+async fn a_lost_answer_hides_a_write_that_took_effect() {
+    let (service, client) = run_kv();
+    service.set_faults(kv::Faults {
+        lose_answers: 1,
+        ..kv::Faults::default()
+    });
+    let lost = client.swap("k", 0, Bytes::from_static(b"1")).await;
+    assert!(matches!(lost, Err(KvError::Unavailable { .. })));
+    assert_eq!(client.get("k").await.unwrap().unwrap().version, 1);
+    service.set_faults(kv::Faults {
+        lose_answers: 1,
+        ..kv::Faults::default()
+    });
+    let record = Recorded {
+        write_id: "w".to_owned(),
+        body: 2,
+    };
+    let settled = swap_recorded(&client, "k", 1, &record).await.unwrap();
+    assert_eq!(settled, Swap::Written(2));
+}
+
+#[actix_rt::test]
+async fn watches_are_woken_and_counted_once() {
+    let (service, client) = run_kv();
+    let watcher = client.clone();
+    let watch = actix_rt::spawn(async move { watcher.watch("k", 0, LIMIT).await });
+    until(|| service.counts().waiting == 1).await;
+    client.swap("k", 0, Bytes::from_static(b"1")).await.unwrap();
+    let seen = timeout(LIMIT, watch).await.unwrap().unwrap().unwrap();
+    assert_eq!(seen.unwrap().version, 1);
+    assert_eq!(service.counts().watches, 1);
+    let none = client.watch("k", 1, Duration::from_millis(20)).await;
+    assert_eq!(none.unwrap(), None);
+}
+
+#[actix_rt::test]
+async fn outage_limits_and_stale_reads() {
+    let (service, client) = run_kv();
+    for version in 0..3 {
+        let value = Bytes::from(version.to_string());
+        client.swap("k", version, value).await.unwrap();
+    }
+    let set = |text: &str| service.set_faults(toml::from_str(text).unwrap());
+    set("stale = { prefix = \"k\", versions = 2 }");
+    assert_eq!(client.get("k").await.unwrap().unwrap().version, 1);
+    set("outage = \"unavailable\"");
+    let down = client.get("k").await;
+    assert!(matches!(down, Err(KvError::Unavailable { .. })));
+    set("reads_per_second = 1.0");
+    client.get("k").await.unwrap();
+    let limited = client.get("k").await;
+    assert!(matches!(limited, Err(KvError::RateLimited { .. })));
+}
+
+#[actix_rt::test]
+async fn keys_vanish_with_their_lease() {
+    let (service, client) = run_kv();
+    let http = Client::default();
+    let base = format!("http://{}/v1", service.addr());
+    let mut granted = http
+        .post(format!("{base}/lease?ttl_ms=100"))
+        .send()
+        .await
+        .unwrap();
+    let granted: serde_json::Value = granted.json().await.unwrap();
+    let id = granted["id"].as_u64().unwrap();
+    let bound = http.put(format!("{base}/kv/k?expect=0&lease={id}"));
+    assert_eq!(bound.send_body("1").await.unwrap().status(), StatusCode::OK);
+    let renewed = http.post(format!("{base}/lease/{id}/renew")).send().await;
+    assert_eq!(renewed.unwrap().status(), StatusCode::OK);
+    let deadline = Instant::now() + LIMIT;
+    while client.get("k").await.unwrap().is_some() {
+        assert!(Instant::now() < deadline, "the lease did not lapse");
+        sleep(Duration::from_millis(10)).await;
+    }
+    let renewed = http.post(format!("{base}/lease/{id}/renew")).send().await;
+    assert_eq!(renewed.unwrap().status(), StatusCode::NOT_FOUND);
+}
+
+#[actix_rt::test]
+async fn memory_and_fencing_are_kept_and_attempts_recorded() {
+    let engine = run_engine(|_| {});
+    let control = control(&engine);
+    control.order(&load("a", 60, 2)).await.unwrap();
+    let over = control.order(&load("b", 60, 2)).await;
+    assert!(matches!(over, Err(EngineError::Refused { .. })));
+    let old = control.order(&load("c", 1, 1)).await;
+    assert!(matches!(old, Err(EngineError::Fenced { term: 2, .. })));
+    let report = control.report().await.unwrap();
+    assert_eq!(report.loaded.len(), 1);
+    assert_eq!(report.loaded[0].state, LoadState::Loading);
+    let record = engine.record();
+    assert_eq!(record.most_used_mb, 60);
+    assert_eq!(record.breaks.len(), 1);
+    assert_eq!(record.breaks[0].kind, BreakKind::MemoryOverLimit);
+}
+
+#[actix_rt::test]
+async fn an_engine_may_ignore_fencing_and_says_so() {
+    let engine = run_engine(|settings| settings.checks_fencing = false);
+    let control = control(&engine);
+    control.order(&load("a", 60, 2)).await.unwrap();
+    control.order(&load("b", 10, 1)).await.unwrap();
+    assert_eq!(engine.record().breaks[0].kind, BreakKind::OldTermObeyed);
+}
+
+async fn complete(engine: &Engine, body: &str, headers: &[(&str, &str)]) -> (StatusCode, String) {
+    let url = format!("http://{}/v1/completions", engine.addr());
+    let mut req = Client::default().post(url).timeout(LIMIT);
+    for header in headers {
+        req = req.insert_header(*header);
+    }
+    let mut res = req.send_body(body.to_owned()).await.unwrap();
+    let text = res.body().await.unwrap();
+    (res.status(), String::from_utf8(text.to_vec()).unwrap())
+}
+
+fn streamed_text(stream: &str) -> String {
+    let data = stream
+        .lines()
+        .filter_map(|line| line.strip_prefix("data: "));
+    let chunks = data.filter_map(|data| serde_json::from_str::<serde_json::Value>(data).ok());
+    chunks
+        .filter_map(|chunk| Some(chunk["choices"][0]["text"].as_str()?.to_owned()))
+        .collect()
+}
+
+#[actix_rt::test]
+async fn streams_resume_where_they_stopped() {
+    let engine = run_engine(|_| {});
+    let body = r#"{"model":"a@1","prompt":"hello","stream":true,"max_tokens":8}"#;
+    let (cold, _) = complete(&engine, body, &[]).await;
+    assert_eq!(cold, StatusCode::SERVICE_UNAVAILABLE);
+    load_ready(&engine, "a").await;
+    let (status, whole) = complete(&engine, body, &[("x-workspace", "w")]).await;
+    assert_eq!(status, StatusCode::OK);
+    assert!(whole.ends_with("data: [DONE]\n\n"));
+    let (_, rest) = complete(&engine, body, &[("x-resume-from", "5")]).await;
+    let (whole, rest) = (streamed_text(&whole), streamed_text(&rest));
+    assert_eq!(whole.split_whitespace().count(), 8);
+    assert_eq!(rest.split_whitespace().count(), 3);
+    assert!(whole.ends_with(&rest));
+    // Five bytes of prompt are two tokens.
+    assert_eq!(engine.record().tokens["w"], 10);
+}
+
+#[actix_rt::test]
+async fn a_caller_that_leaves_cancels_its_run() {
+    let engine = run_engine(|settings| {
+        settings.output_tokens = 10_000;
+        settings.times.token_us = 5_000;
+    });
+    load_ready(&engine, "a").await;
+    let url = format!("http://{}/v1/completions", engine.addr());
+    for stream in [true, false] {
+        let body = format!(r#"{{"model":"a@1","prompt":"p","stream":{stream}}}"#);
+        let req = Client::default().post(url.clone()).send_body(body);
+        let mut call = Box::pin(req);
+        if stream {
+            let mut res = timeout(LIMIT, call).await.unwrap().unwrap();
+            res.next().await.unwrap().unwrap();
+            drop(res);
+        } else {
+            let _ = timeout(Duration::from_millis(50), &mut call).await;
+            drop(call);
+        }
+        until(|| engine.record().requests.last().unwrap().outcome == Outcome::Cancelled).await;
+    }
+}
+
+#[actix_rt::test]
+async fn the_queue_is_bounded_and_says_not_run() {
+    let engine = run_engine(|settings| {
+        settings.slots = 1;
+        settings.queue = 0;
+        settings.output_tokens = 1_000;
+    });
+    load_ready(&engine, "a").await;
+    let url = format!("http://{}/v1/completions", engine.addr());
+    let body = r#"{"model":"a@1","prompt":"p","stream":true}"#;
+    let first = Client::default().post(url.clone()).send_body(body).await;
+    let _first = first.unwrap();
+    let second = Client::default().post(url).send_body(body).await.unwrap();
+    assert_eq!(second.status(), StatusCode::SERVICE_UNAVAILABLE);
+    assert_eq!(second.headers().get(engine::NOT_RUN_HEADER).unwrap(), "1");
+}
+
+#[actix_rt::test]
+async fn a_crash_loses_what_was_loaded() {
+    let engine = run_engine(|_| {});
+    load_ready(&engine, "a").await;
+    let before = control(&engine).report().await.unwrap();
+    engine.crash();
+    assert!(control(&engine).report().await.is_err());
+    let deadline = Instant::now() + LIMIT;
+    while engine.start().is_err() {
+        assert!(Instant::now() < deadline, "the engine did not start");
+        sleep(Duration::from_millis(5)).await;
+    }
+    let after = control(&engine).report().await.unwrap();
+    assert!(after.loaded.is_empty());
+    assert_ne!(after.incarnation, before.incarnation);
+    assert_eq!(
+        engine.record().changes.last().unwrap().change,
+        Change::Crashed
+    );
+}
+
+#[actix_rt::test]
+async fn the_weight_store_slows_transfers_beyond_its_number() {
+    let store = WeightStore::open(weights::Settings {
+        loads_per_second: 1_000.0,
+        full_speed_models: 2,
+        ..weights::Settings::default()
+    });
+    let bare = Duration::from_millis(100);
+    let start = Instant::now();
+    let loads = (0..4).map(|_| store.transfer(Kind::Model, bare));
+    futures_util::future::join_all(loads).await;
+    assert!(start.elapsed() >= Duration::from_millis(190));
+    assert_eq!(store.most_models(), 4);
+}
+
+#[actix_rt::test]
+async fn a_plain_service_fails_at_every_stage() {
+    let service = run_service();
+    let url = format!("http://{}/orders", service.addr());
+    let stages = [
+        ("after_head", Some(Reached::Head)),
+        ("before_answer", Some(Reached::Run)),
+        ("mid_answer", Some(Reached::Run)),
+        ("mid_body", Some(Reached::PartOfBody)),
+    ];
+    for (stage, reached) in stages {
+        let req = Client::default().post(url.clone());
+        let req = req.insert_header((service::FAULT_HEADER, stage));
+        let failed = match req.send_body("part").await {
+            Ok(mut res) => res.body().await.is_err(),
+            Err(_) => true,
+        };
+        assert!(failed, "{stage}");
+        let last = service.record().calls.last().map(|call| call.reached);
+        assert_eq!(last, reached, "{stage}");
+    }
+    let calls = service.record().calls.len();
+    service.set_faults(service::Faults {
+        stage: Some(Stage::BeforeRead),
+        calls: 1,
+        ..service::Faults::default()
+    });
+    assert!(Client::default().post(url.clone()).send().await.is_err());
+    assert_eq!(service.record().calls.len(), calls);
+    assert!(Client::default().post(url).send().await.is_ok());
+}
+
+#[actix_rt::test]
+async fn a_proxy_injects_its_faults() {
+    let service = run_service();
+    let settings = proxy::Settings {
+        listen: ANY,
+        upstream: service.addr(),
+        control: None,
+        faults: proxy::Faults::default(),
+    };
+    let proxy = proxy::spawn(&settings).unwrap();
+    let url = format!("http://{}/a", proxy.addr());
+    let get = || {
+        Client::default()
+            .get(url.clone())
+            .timeout(Duration::from_millis(200))
+    };
+    let set = |text: &str| proxy.set_faults(toml::from_str(text).unwrap());
+    assert!(get().send().await.is_ok());
+    for fault in ["cut", "freeze", "drop_to_upstream"] {
+        let calls = service.record().calls.len();
+        set(&format!("mode = \"{fault}\""));
+        assert!(get().send().await.is_err(), "{fault}");
+        assert_eq!(service.record().calls.len(), calls, "{fault}");
+    }
+    let calls = service.record().calls.len();
+    set("mode = \"drop_to_caller\"");
+    assert!(get().send().await.is_err());
+    until(|| service.record().calls.len() > calls).await;
+    set("cut_to_caller_after = 20");
+    assert!(get().send().await.is_err());
+    set("delay_ms = 50");
+    let start = Instant::now();
+    assert!(get().send().await.is_ok());
+    assert!(start.elapsed() >= Duration::from_millis(100));
+}
