Share allowances between gates

Each gate owns a part of every allowance by one record in the key-value service, spends it through its own buckets, and borrows from other gates over peer links when a request costs more than is free here.

What shrinks is used less before it is written, what grows is written before it is used, and a lease that is revoked by compare-and-swap on the version that was seen lets no renewal slip between.

--- a/crates/allowance/src/ledger.rs
+++ b/crates/allowance/src/ledger.rs
@@ -52,6 +52,7 @@
 }
 
 struct Account {
+    name: String,
     bucket: Bucket,
     configured: bool,
 }
@@ -78,9 +79,17 @@
     weight: Weight,
     /// Part of the weight whose tokens no gate has ever used.
     untouched: Weight,
+    quarantine: Option<Quarantine>,
     valid_until: Option<Instant>,
 }
 
+/// Part of the share that an earlier process may have lent.
+#[derive(Clone, Copy)]
+struct Quarantine {
+    weight: Weight,
+    until: Instant,
+}
+
 impl Ledger {
     /// An empty ledger without a share. `first_loan` numbers the loans that it grants; it must
     /// differ from process to process, so that a loan of an earlier one is not mistaken.
@@ -94,6 +103,7 @@
             borrowed: BorrowedLoans::default(),
             weight: 0,
             untouched: 0,
+            quarantine: None,
             valid_until: None,
         }
     }
@@ -114,6 +124,11 @@
         self.accounts[key].configured.then_some(key)
     }
 
+    /// Name of a workspace.
+    pub fn name(&self, workspace: WorkspaceKey) -> &str {
+        &self.accounts[workspace].name
+    }
+
     /// Allowance of a workspace over all gates.
     pub fn terms(&self, workspace: WorkspaceKey) -> Terms {
         self.accounts[workspace].bucket.terms()
@@ -207,11 +222,13 @@
     /// may have lent it.
     pub fn quarantine(&mut self, until: Instant, now: Instant) {
         self.advance(now);
-        for (key, account) in &mut self.accounts {
-            account.bucket.advance(now);
-            let amount = part(self.weight, account.bucket.terms().burst);
-            account.bucket.lend_room(amount);
-            self.lent.add(key, amount, until);
+        let quarantine = Quarantine {
+            weight: self.weight,
+            until,
+        };
+        self.quarantine = Some(quarantine);
+        for key in self.accounts.keys().collect::<Vec<_>>() {
+            self.quarantine_account(key, quarantine, now);
         }
     }
 
@@ -337,13 +354,24 @@
         bucket.set_weight(self.weight, now);
         bucket.fill_unused(self.untouched);
         let key = self.accounts.insert(Account {
+            name: name.to_owned(),
             bucket,
             configured: false,
         });
         self.names.insert(name.to_owned(), key);
+        if let Some(quarantine) = self.quarantine.filter(|quarantine| now < quarantine.until) {
+            self.quarantine_account(key, quarantine, now);
+        }
         key
     }
 
+    fn quarantine_account(&mut self, key: WorkspaceKey, quarantine: Quarantine, now: Instant) {
+        let bucket = self.bucket(key, now);
+        let amount = part(quarantine.weight, bucket.terms().burst);
+        bucket.lend_room(amount);
+        self.lent.add(key, amount, quarantine.until);
+    }
+
     fn check(&self, workspace: WorkspaceKey, cost: u64) -> Result<(), Lack> {
         let account = self.accounts.get(workspace);
         let account = account.filter(|account| account.configured);
--- a/crates/config/src/settings.rs
+++ b/crates/config/src/settings.rs
@@ -101,6 +101,11 @@
     pub cut_off_ms: u64,
     /// Time after which a share of an unreachable gate may be given to others, in ms.
     pub share_lapse_ms: u64,
+    /// Longest time that a gate holds tokens borrowed from another, in ms. A request that takes
+    /// more tokens than one gate owns should end within it.
+    pub loan_hold_ms: u64,
+    /// Longest time that a request waits for tokens that will be there, in ms.
+    pub token_wait_ms: u64,
     /// Time between turning unready and closing idle connections at a stop, in ms.
     pub stop_notice_ms: u64,
 }
@@ -111,6 +116,8 @@
             contact_ms: 500,
             cut_off_ms: 4_000,
             share_lapse_ms: 600_000,
+            loan_hold_ms: 60_000,
+            token_wait_ms: 1_000,
             stop_notice_ms: 1_000,
         }
     }
--- a/crates/gate/src/allowances.rs
+++ b/crates/gate/src/allowances.rs
@@ -3,8 +3,23 @@
 //! A reservation holds tokens while a request waits. It becomes a charge when the request is
 //! sent upstream, and the charge is settled with what the engine says was used.
 
+mod evict;
+mod gather;
+mod metrics;
+mod record;
+mod renewal;
+mod shared;
+mod shares;
+mod status;
+
 use std::time::{Duration, Instant};
 
+pub use self::{
+    gather::{Ask, Lenders},
+    shared::{AllowanceTiming, SharedAllowances, SharedCharge, SharedReservation},
+    shares::ShareKeeper,
+};
+
 /// Why tokens cannot be reserved.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub enum Shortage {
--- /dev/null
+++ b/crates/gate/src/allowances/gather.rs
@@ -0,0 +1,355 @@
+//! Gathering tokens from other gates for a request that costs more than is free here.
+
+use std::{
+    cell::RefCell,
+    collections::HashMap,
+    net::SocketAddr,
+    rc::Rc,
+    time::{Duration, Instant},
+};
+
+use comfreyweir_allowance::{
+    estimate::{Answer, Lender},
+    ledger::{Borrowed, Grant, HoldKey, Return, WorkspaceKey},
+};
+use comfreyweir_clock::Clock;
+use futures_util::{StreamExt, stream::FuturesUnordered};
+use tokio::{
+    sync::{Mutex, oneshot},
+    time::timeout,
+};
+
+use super::{metrics::Cause, shared::State};
+
+/// How long a request waits for the answer of another gate.
+const ASK_TIMEOUT: Duration = Duration::from_millis(200);
+/// Pause between two rounds of asking while the others are believed to be empty.
+const PROBE_PAUSE: Duration = Duration::from_millis(100);
+
+/// What another gate is asked for.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub struct Ask {
+    /// Workspace.
+    pub workspace: String,
+    /// Tokens wanted.
+    pub wanted: u64,
+    /// Longest time that they are held.
+    pub hold: Duration,
+}
+
+/// The other gates, as far as tokens are concerned.
+pub trait Lenders: Clone + 'static {
+    /// Asks another gate for tokens. Bounded in time; `None` when there was no answer.
+    async fn borrow(&self, lender: SocketAddr, ask: Ask) -> Option<Grant>;
+
+    /// Tells another gate that a loan has ended, without waiting.
+    fn end_loan(&self, end: Return);
+
+    /// Number of gates that the platform lists, with this one; `None` before the first look.
+    fn listed(&self) -> Option<usize>;
+}
+
+/// Tokens that could not be had.
+#[derive(Clone, Copy, Debug)]
+pub(super) struct Missing {
+    pub(super) tokens: u64,
+    pub(super) cause: Cause,
+}
+
+#[derive(Default)]
+struct Turn {
+    lock: Mutex<()>,
+    /// When a round of asking last found nothing.
+    found_nothing: RefCell<Option<Instant>>,
+}
+
+#[derive(Clone)]
+pub(super) struct Gatherer<C, L> {
+    state: Rc<State<C>>,
+    lenders: L,
+    /// One request of a workspace gathers at a time, so that two large ones do not each hold
+    /// half of what one of them needs.
+    turns: Rc<RefCell<HashMap<WorkspaceKey, Rc<Turn>>>>,
+}
+
+impl<C, L> Gatherer<C, L>
+where
+    C: Clock,
+    L: Lenders,
+{
+    pub(super) fn new(state: Rc<State<C>>, lenders: L) -> Self {
+        Self {
+            state,
+            lenders,
+            turns: Rc::default(),
+        }
+    }
+
+    /// Reserves `cost` with the help of other gates.
+    pub(super) async fn gather(
+        &self,
+        key: WorkspaceKey,
+        cost: u64,
+        deadline: Instant,
+    ) -> Result<HoldKey, Missing> {
+        let turn = Rc::clone(self.turns.borrow_mut().entry(key).or_default());
+        let left = deadline.saturating_duration_since(self.state.now());
+        let Ok(_guard) = timeout(left, turn.lock.lock()).await else {
+            return Err(self.missing(cost, Cause::PeerSilent));
+        };
+        let outcome = self.gather_in_turn(key, cost, left, &turn).await;
+        self.end_loans();
+        outcome
+    }
+
+    /// Number of gates that the platform lists.
+    pub(super) fn listed(&self) -> Option<usize> {
+        self.lenders.listed()
+    }
+
+    /// Ends the loans that can end, and tells the lenders.
+    pub(super) fn end_loans(&self) {
+        let now = self.state.now();
+        let ended = self.state.ledger.borrow_mut().end_loans(now);
+        for end in ended {
+            self.lenders.end_loan(end);
+        }
+    }
+
+    async fn gather_in_turn(
+        &self,
+        key: WorkspaceKey,
+        cost: u64,
+        hold: Duration,
+        turn: &Turn,
+    ) -> Result<HoldKey, Missing> {
+        let now = self.state.now();
+        let reserved = self.state.ledger.borrow_mut().reserve_part(key, cost, now);
+        let Ok(reserved) = reserved else {
+            return Err(self.missing(cost, Cause::OverRate));
+        };
+        let part = PartHold {
+            state: &self.state,
+            hold: Some(reserved),
+        };
+        let missing = part.extend(cost);
+        if missing == 0 {
+            return Ok(part.keep());
+        }
+        if self.is_hopeless(key, missing, turn) {
+            return Err(self.missing(missing, Cause::OverRate));
+        }
+        let silent = self.ask_all(key, &part, cost, hold).await;
+        let missing = part.extend(cost);
+        if missing == 0 {
+            return Ok(part.keep());
+        }
+        *turn.found_nothing.borrow_mut() = Some(self.state.now());
+        let cause = if silent {
+            Cause::PeerSilent
+        } else {
+            Cause::OverRate
+        };
+        Err(self.missing(missing, cause))
+    }
+
+    /// Asks the most promising gate first, then all others at once.
+    async fn ask_all(
+        &self,
+        key: WorkspaceKey,
+        part: &PartHold<'_, C>,
+        cost: u64,
+        hold: Duration,
+    ) -> bool {
+        let lenders = self.by_promise(key);
+        let Some((first, others)) = lenders.split_first() else {
+            return false;
+        };
+        let mut silent = !self.ask_some(&[*first], key, part, cost, hold).await;
+        if part.extend(cost) > 0 {
+            silent |= !self.ask_some(others, key, part, cost, hold).await;
+        }
+        silent
+    }
+
+    /// Asks several gates at once, until enough was granted. Tells whether all answered.
+    async fn ask_some(
+        &self,
+        lenders: &[Lender],
+        key: WorkspaceKey,
+        part: &PartHold<'_, C>,
+        cost: u64,
+        hold: Duration,
+    ) -> bool {
+        let missing = part.extend(cost);
+        let asks = lenders.iter().map(|lender| {
+            let answer = self.ask(*lender, key, missing, hold);
+            async move { (*lender, timeout(ASK_TIMEOUT, answer).await) }
+        });
+        let mut answers: FuturesUnordered<_> = asks.collect();
+        let mut all = true;
+        while let Some((_, answer)) = answers.next().await {
+            match answer {
+                Ok(Ok(loan)) => {
+                    let now = self.state.now();
+                    self.state.ledger.borrow_mut().borrow(key, loan, now);
+                }
+                Ok(Err(_)) | Err(_) => all = false,
+            }
+            if part.extend(cost) == 0 {
+                return true;
+            }
+        }
+        all
+    }
+
+    /// Asks one gate. An answer that nobody waits for any more is given back.
+    fn ask(
+        &self,
+        lender: Lender,
+        key: WorkspaceKey,
+        wanted: u64,
+        hold: Duration,
+    ) -> oneshot::Receiver<Borrowed> {
+        let (tx, rx) = oneshot::channel();
+        let this = self.clone();
+        actix_rt::spawn(async move {
+            let Some(loan) = this.ask_once(lender, key, wanted, hold).await else {
+                return;
+            };
+            if let Err(loan) = tx.send(loan) {
+                this.lenders.end_loan(Return {
+                    lender: loan.lender,
+                    loan: loan.loan,
+                    unused: loan.granted,
+                });
+            }
+        });
+        rx
+    }
+
+    async fn ask_once(
+        &self,
+        lender: Lender,
+        key: WorkspaceKey,
+        wanted: u64,
+        hold: Duration,
+    ) -> Option<Borrowed> {
+        let hold = whole_millis(hold.min(self.state.timing.loan_hold));
+        let (workspace, terms) = {
+            let ledger = self.state.ledger.borrow();
+            (ledger.name(key).to_owned(), ledger.terms(key))
+        };
+        let ask = Ask {
+            workspace,
+            wanted,
+            hold,
+        };
+        let asked = self.state.now();
+        let grant = self.lenders.borrow(lender.addr, ask).await?;
+        let answer = Answer {
+            wanted,
+            granted: grant.granted,
+        };
+        let now = self.state.now();
+        let mut estimates = self.state.estimates.borrow_mut();
+        estimates.note(lender, key, terms, answer, now);
+        Some(Borrowed {
+            lender: lender.addr,
+            loan: grant.loan,
+            granted: grant.granted,
+            expires: asked + hold,
+        })
+    }
+
+    /// Other gates, the one with the most tokens first.
+    fn by_promise(&self, key: WorkspaceKey) -> Vec<Lender> {
+        let terms = self.state.ledger.borrow().terms(key);
+        let estimates = self.state.estimates.borrow();
+        let now = self.state.now();
+        let mut lenders = self.state.lenders.borrow().clone();
+        lenders.retain(|lender| lender.weight > 0);
+        lenders.sort_by_cached_key(|lender| {
+            std::cmp::Reverse(estimates.tokens(*lender, key, terms, now))
+        });
+        lenders
+    }
+
+    /// Whether the others are believed to lack what is missing, and were asked just now.
+    fn is_hopeless(&self, key: WorkspaceKey, missing: u64, turn: &Turn) -> bool {
+        let now = self.state.now();
+        let asked = *turn.found_nothing.borrow();
+        if asked.is_none_or(|at| now.saturating_duration_since(at) >= PROBE_PAUSE) {
+            return false;
+        }
+        let terms = self.state.ledger.borrow().terms(key);
+        let estimates = self.state.estimates.borrow();
+        let lenders = self.state.lenders.borrow();
+        let believed: u64 = lenders
+            .iter()
+            .map(|lender| estimates.tokens(*lender, key, terms, now))
+            .sum();
+        believed < missing
+    }
+
+    /// Refines the cause: a gate without a share, or a record with free parts, lacks tokens that
+    /// the workspace is due.
+    fn missing(&self, tokens: u64, cause: Cause) -> Missing {
+        let own = self.state.ledger.borrow().weight();
+        let others = self.state.lenders.borrow();
+        let others: u32 = others.iter().map(|lender| lender.weight).sum();
+        let assigned = own + others;
+        let cause = match cause {
+            Cause::OverRate if own == 0 => Cause::ShareLapsed,
+            Cause::OverRate if assigned < WHOLE_ENOUGH => Cause::ShareUnassigned,
+            cause => cause,
+        };
+        Missing { tokens, cause }
+    }
+}
+
+/// Both sides count the same time, and it travels in whole milliseconds.
+fn whole_millis(time: Duration) -> Duration {
+    Duration::from_millis(u64::try_from(time.as_millis()).unwrap_or(u64::MAX))
+}
+
+/// Assigned weight from which rounding alone explains the rest, in parts per million.
+const WHOLE_ENOUGH: u32 = 999_000;
+
+/// A reservation of a part of the cost, released when it is dropped.
+struct PartHold<'a, C>
+where
+    C: Clock,
+{
+    state: &'a State<C>,
+    hold: Option<HoldKey>,
+}
+
+impl<C> PartHold<'_, C>
+where
+    C: Clock,
+{
+    /// Takes what is free by now, and tells how much is still missing.
+    fn extend(&self, cost: u64) -> u64 {
+        let now = self.state.now();
+        let mut ledger = self.state.ledger.borrow_mut();
+        self.hold
+            .map_or(cost, |hold| ledger.extend(hold, cost, now))
+    }
+
+    fn keep(mut self) -> HoldKey {
+        self.hold.take().expect("a part is kept once")
+    }
+}
+
+impl<C> Drop for PartHold<'_, C>
+where
+    C: Clock,
+{
+    fn drop(&mut self) {
+        if let Some(hold) = self.hold.take() {
+            let now = self.state.now();
+            self.state.ledger.borrow_mut().release(hold, now);
+        }
+    }
+}
--- /dev/null
+++ b/crates/gate/src/allowances/shared.rs
@@ -0,0 +1,330 @@
+//! Allowances of all workspaces, shared with the other gates.
+
+use std::{
+    cell::RefCell,
+    collections::HashMap,
+    rc::Rc,
+    time::{Duration, Instant},
+};
+
+use comfreyweir_allowance::{
+    Terms,
+    estimate::{Estimates, Lender},
+    ledger::{ChargeKey, Grant, HoldKey, Lack, Ledger, WorkspaceKey},
+};
+use comfreyweir_clock::Clock;
+use comfreyweir_config::{catalog::Catalog, settings::GateTiming};
+
+use super::{
+    Allowances, Charge, Reservation, Shortage,
+    gather::{Gatherer, Lenders},
+    metrics::AllowanceMetrics,
+};
+
+/// Shortest pause before a waiting request looks for tokens again.
+const MIN_WAIT: Duration = Duration::from_millis(5);
+/// When to come back if nothing is known about when tokens will be there.
+const UNKNOWN_RETRY: Duration = Duration::from_secs(5);
+
+/// Periods and lapses of allowances.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub struct AllowanceTiming {
+    /// Period of contact.
+    pub contact: Duration,
+    /// Time that a share may be used after its last renewal.
+    pub lapse: Duration,
+    /// Longest time that borrowed tokens are held.
+    pub loan_hold: Duration,
+    /// Longest time that a request waits for tokens.
+    pub token_wait: Duration,
+}
+
+impl From<&GateTiming> for AllowanceTiming {
+    fn from(timing: &GateTiming) -> Self {
+        Self {
+            contact: Duration::from_millis(timing.contact_ms),
+            lapse: Duration::from_millis(timing.share_lapse_ms),
+            loan_hold: Duration::from_millis(timing.loan_hold_ms),
+            token_wait: Duration::from_millis(timing.token_wait_ms),
+        }
+    }
+}
+
+/// Allowances of all workspaces, shared with the other gates. Clones share the state.
+#[derive(Clone)]
+pub struct SharedAllowances<C, L> {
+    pub(super) state: Rc<State<C>>,
+    pub(super) gatherer: Gatherer<C, L>,
+}
+
+pub(super) struct State<C> {
+    pub(super) clock: C,
+    pub(super) timing: AllowanceTiming,
+    pub(super) ledger: RefCell<Ledger>,
+    pub(super) estimates: RefCell<Estimates>,
+    /// Other gates and their weights, by the record as last read.
+    pub(super) lenders: RefCell<Vec<Lender>>,
+    pub(super) metrics: AllowanceMetrics,
+    /// Tokens that requests of a workspace wait for.
+    waiting: RefCell<HashMap<WorkspaceKey, u64>>,
+}
+
+impl<C> State<C>
+where
+    C: Clock,
+{
+    pub(super) fn now(&self) -> Instant {
+        self.clock.now()
+    }
+}
+
+impl<C, L> SharedAllowances<C, L>
+where
+    C: Clock,
+    L: Lenders,
+{
+    /// Allowances without a share: until one is kept, only borrowed tokens can be used.
+    pub fn new(clock: C, lenders: L, timing: AllowanceTiming) -> Self {
+        let state = Rc::new(State {
+            clock,
+            timing,
+            ledger: RefCell::new(Ledger::new(rand::random())),
+            estimates: RefCell::default(),
+            lenders: RefCell::default(),
+            metrics: AllowanceMetrics::default(),
+            waiting: RefCell::default(),
+        });
+        let gatherer = Gatherer::new(Rc::clone(&state), lenders);
+        Self { state, gatherer }
+    }
+
+    /// Puts the workspaces of a configuration into force.
+    pub fn configure(&self, catalog: &Catalog) {
+        let now = self.state.now();
+        let workspaces = catalog.workspaces.iter().map(|(name, workspace)| {
+            let terms = Terms {
+                rate: workspace.rate,
+                burst: workspace.burst,
+            };
+            (name.as_str(), terms)
+        });
+        self.state.ledger.borrow_mut().configure(workspaces, now);
+    }
+
+    /// Lends tokens to another gate. Nothing is lent for longer than the own hold time, which a
+    /// later process on this address waits out.
+    pub fn lend(&self, workspace: &str, wanted: u64, hold: Duration) -> Grant {
+        let now = self.state.now();
+        let mut ledger = self.state.ledger.borrow_mut();
+        let bounded = hold <= self.state.timing.loan_hold;
+        match ledger.workspace(workspace) {
+            Some(key) if bounded => ledger.lend(key, wanted, hold, now),
+            _ => Grant {
+                loan: 0,
+                granted: 0,
+            },
+        }
+    }
+
+    /// Ends a loan that this gate has granted.
+    pub fn take_back(&self, loan: u64, unused: u64) {
+        let now = self.state.now();
+        self.state.ledger.borrow_mut().take_back(loan, unused, now);
+    }
+
+    /// Ends loans that are not needed any more.
+    pub fn end_loans(&self) {
+        self.gatherer.end_loans();
+    }
+
+    fn known(&self, workspace: &str) -> Result<WorkspaceKey, Shortage> {
+        let ledger = self.state.ledger.borrow();
+        let key = ledger.workspace(workspace);
+        key.ok_or(Shortage::UnknownWorkspace)
+    }
+
+    fn reservation(&self, hold: HoldKey) -> SharedReservation<C> {
+        SharedReservation {
+            state: Rc::clone(&self.state),
+            hold: Some(hold),
+        }
+    }
+}
+
+impl<C, L> Allowances for SharedAllowances<C, L>
+where
+    C: Clock,
+    L: Lenders,
+{
+    type Reservation = SharedReservation<C>;
+
+    async fn reserve(
+        &self,
+        workspace: &str,
+        cost: u64,
+        deadline: Instant,
+    ) -> Result<SharedReservation<C>, Shortage> {
+        let state = &self.state;
+        let key = self.known(workspace)?;
+        let give_up = deadline.min(state.now() + state.timing.token_wait);
+        let waiting = Waiting::new(state, key, cost);
+        loop {
+            let reserved = state.ledger.borrow_mut().reserve(key, cost, state.now());
+            let lack = match reserved {
+                Ok(hold) => return Ok(self.reservation(hold)),
+                Err(lack) => lack,
+            };
+            refuse_at_once(lack)?;
+            let missing = match self.gatherer.gather(key, cost, deadline).await {
+                Ok(hold) => return Ok(self.reservation(hold)),
+                Err(missing) => missing,
+            };
+            let after = self.tokens_after(key, missing.tokens + waiting.ahead());
+            if state.now() + after > give_up {
+                state.metrics.refused(workspace, missing.cause);
+                return Err(Shortage::RetryAfter(after));
+            }
+            actix_rt::time::sleep(after.max(MIN_WAIT)).await;
+        }
+    }
+}
+
+impl<C, L> SharedAllowances<C, L>
+where
+    C: Clock,
+    L: Lenders,
+{
+    /// Time in which the known shares together bring so many tokens.
+    fn tokens_after(&self, key: WorkspaceKey, tokens: u64) -> Duration {
+        let ledger = self.state.ledger.borrow();
+        let lenders = self.state.lenders.borrow();
+        let others: u32 = lenders.iter().map(|lender| lender.weight).sum();
+        let weight = ledger.weight() + others;
+        let after =
+            comfreyweir_allowance::estimate::time_to_refill(tokens, weight, ledger.terms(key));
+        after.unwrap_or(UNKNOWN_RETRY)
+    }
+}
+
+fn refuse_at_once(lack: Lack) -> Result<(), Shortage> {
+    match lack {
+        Lack::Tokens(_) => Ok(()),
+        Lack::ExceedsBurst => Err(Shortage::ExceedsBurst),
+        Lack::UnknownWorkspace => Err(Shortage::UnknownWorkspace),
+    }
+}
+
+/// A request that waits for tokens, counted until it is dropped.
+struct Waiting<'a, C> {
+    state: &'a State<C>,
+    key: WorkspaceKey,
+    cost: u64,
+}
+
+impl<'a, C> Waiting<'a, C> {
+    fn new(state: &'a State<C>, key: WorkspaceKey, cost: u64) -> Self {
+        *state.waiting.borrow_mut().entry(key).or_default() += cost;
+        Self { state, key, cost }
+    }
+
+    /// Tokens that other requests of the workspace wait for.
+    fn ahead(&self) -> u64 {
+        let waiting = self.state.waiting.borrow();
+        let all = waiting.get(&self.key).copied().unwrap_or_default();
+        all.saturating_sub(self.cost)
+    }
+}
+
+impl<C> Drop for Waiting<'_, C> {
+    fn drop(&mut self) {
+        let mut waiting = self.state.waiting.borrow_mut();
+        if let Some(tokens) = waiting.get_mut(&self.key) {
+            *tokens = tokens.saturating_sub(self.cost);
+        }
+    }
+}
+
+/// Tokens held for a request that waits. Dropping it gives them back.
+pub struct SharedReservation<C>
+where
+    C: Clock,
+{
+    state: Rc<State<C>>,
+    hold: Option<HoldKey>,
+}
+
+impl<C> Reservation for SharedReservation<C>
+where
+    C: Clock,
+{
+    type Charge = SharedCharge<C>;
+
+    fn charge(mut self) -> Result<SharedCharge<C>, Shortage> {
+        let hold = self.hold.take().ok_or(Shortage::UnknownWorkspace)?;
+        let state = Rc::clone(&self.state);
+        let charged = state.ledger.borrow_mut().charge(hold, state.now());
+        match charged {
+            Ok(charge) => Ok(SharedCharge {
+                state,
+                charge: Some(charge),
+            }),
+            Err(Lack::UnknownWorkspace) => Err(Shortage::UnknownWorkspace),
+            Err(Lack::ExceedsBurst) => Err(Shortage::ExceedsBurst),
+            Err(Lack::Tokens(_)) => {
+                state.metrics.lost();
+                Err(Shortage::RetryAfter(UNKNOWN_RETRY))
+            }
+        }
+    }
+}
+
+impl<C> Drop for SharedReservation<C>
+where
+    C: Clock,
+{
+    fn drop(&mut self) {
+        if let Some(hold) = self.hold.take() {
+            let now = self.state.now();
+            self.state.ledger.borrow_mut().release(hold, now);
+        }
+    }
+}
+
+/// Tokens charged for a request that was sent.
+pub struct SharedCharge<C>
+where
+    C: Clock,
+{
+    state: Rc<State<C>>,
+    charge: Option<ChargeKey>,
+}
+
+impl<C> Charge for SharedCharge<C>
+where
+    C: Clock,
+{
+    fn progress(&mut self, used: u64) {
+        if let Some(charge) = self.charge {
+            self.state.ledger.borrow_mut().progress(charge, used);
+        }
+    }
+
+    fn settle(mut self, used: u64) {
+        if let Some(charge) = self.charge.take() {
+            let now = self.state.now();
+            self.state.ledger.borrow_mut().settle(charge, used, now);
+        }
+    }
+}
+
+impl<C> Drop for SharedCharge<C>
+where
+    C: Clock,
+{
+    fn drop(&mut self) {
+        if let Some(charge) = self.charge.take() {
+            let now = self.state.now();
+            self.state.ledger.borrow_mut().forfeit(charge, now);
+        }
+    }
+}
--- a/crates/gate/src/lib.rs
+++ b/crates/gate/src/lib.rs
@@ -6,6 +6,7 @@
 
 pub mod allowances;
 mod error;
+pub mod peers;
 pub mod placement_view;
 
 pub use crate::error::{Code, Refusal, Run};
--- /dev/null
+++ b/crates/gate/src/peers/links.rs
@@ -0,0 +1,369 @@
+//! Links to the other gates, which the platform's list of instances names.
+
+use std::{
+    cell::{Cell, RefCell},
+    collections::BTreeMap,
+    future::Future,
+    io,
+    net::SocketAddr,
+    rc::Rc,
+    time::Duration,
+};
+
+use actix_rt::{task::JoinHandle, time::sleep};
+use bytes::Bytes;
+use comfreyweir_allowance::ledger::{Grant, Return};
+use comfreyweir_peer::{Link, LinkError, Secret, open, peer_capnp::gate};
+use comfreyweir_platform::instances::{InstanceList, Instances, Role};
+use snafu::{OptionExt, ResultExt, Snafu};
+use spdlog::debug;
+use tokio::{sync::Mutex, time::timeout};
+
+use super::served::RevisionAnswer;
+use crate::allowances::{Ask, Lenders};
+
+/// Longest time of a call to another gate.
+const CALL_LIMIT: Duration = Duration::from_secs(1);
+/// Time after which a call counts as stalled, and no tokens are asked for on its link.
+const STALL_LIMIT: Duration = Duration::from_millis(200);
+/// Tries to tell a lender that a loan has ended. After that the loan expires by itself.
+const END_LOAN_TRIES: u32 = 2;
+
+/// Why a gate did not answer.
+#[derive(Debug, Snafu)]
+pub enum PeerError {
+    /// The platform does not list the gate.
+    #[snafu(display("no gate at {addr} is listed"))]
+    NotListed {
+        /// Peer address of the gate.
+        addr: SocketAddr,
+    },
+    /// There is no link at the moment.
+    #[snafu(display("no link to gate {addr} at the moment"))]
+    NoLink {
+        /// Peer address of the gate.
+        addr: SocketAddr,
+    },
+    /// The link failed.
+    #[snafu(display("{source}"))]
+    Link {
+        /// What failed.
+        source: LinkError,
+    },
+}
+
+impl PeerError {
+    /// Whether the instance answered that nothing listens at the address.
+    pub fn is_not_running(&self) -> bool {
+        matches!(
+            self,
+            Self::Link { source: LinkError::Connect { source, .. } }
+                if source.kind() == io::ErrorKind::ConnectionRefused
+        )
+    }
+}
+
+type GateLink = Rc<Link<gate::Client>>;
+
+struct Peer {
+    addr: SocketAddr,
+    zone: RefCell<String>,
+    link: RefCell<Option<GateLink>>,
+    /// Calls that have taken longer than [`STALL_LIMIT`] and are not answered yet.
+    stalled: Cell<u32>,
+    opening: Mutex<()>,
+}
+
+struct Shared {
+    own: SocketAddr,
+    secret: Secret,
+    instances: Instances,
+    period: Duration,
+    list: RefCell<Option<Rc<InstanceList>>>,
+    peers: RefCell<BTreeMap<SocketAddr, Rc<Peer>>>,
+}
+
+/// Links to the other gates. Clones share them; the last one that is dropped closes them.
+#[derive(Clone)]
+pub struct Links {
+    shared: Rc<Shared>,
+    _task: Rc<Task>,
+}
+
+struct Task(JoinHandle<()>);
+
+impl Drop for Task {
+    fn drop(&mut self) {
+        self.0.abort();
+    }
+}
+
+impl Links {
+    /// Starts to follow the list of instances and to keep a link to every other gate. `own` is
+    /// the peer address of this gate, `period` the time between two looks at the list.
+    pub fn spawn(own: SocketAddr, secret: Secret, instances: Instances, period: Duration) -> Self {
+        let shared = Rc::new(Shared {
+            own,
+            secret,
+            instances,
+            period,
+            list: RefCell::default(),
+            peers: RefCell::default(),
+        });
+        let task = actix_rt::spawn(follow(Rc::clone(&shared)));
+        Self {
+            shared,
+            _task: Rc::new(Task(task)),
+        }
+    }
+
+    /// The platform's list of instances, as last read.
+    pub fn instances(&self) -> Option<Rc<InstanceList>> {
+        self.shared.list.borrow().clone()
+    }
+
+    /// Peer addresses and availability zones of the other gates.
+    pub fn gates(&self) -> Vec<(SocketAddr, String)> {
+        let peers = self.shared.peers.borrow();
+        peers
+            .values()
+            .map(|peer| (peer.addr, peer.zone.borrow().clone()))
+            .collect()
+    }
+
+    /// Asks a gate for its revision of the configuration; `known` is the revision in force here.
+    /// Opens a link when there is none.
+    pub async fn revision(
+        &self,
+        addr: SocketAddr,
+        known: u64,
+    ) -> Result<RevisionAnswer, PeerError> {
+        let peer = self.peer(addr)?;
+        let link = peer.opened(&self.shared.secret).await?;
+        let mut req = link.client().revision_request();
+        req.get().set_known(known);
+        let answer = async {
+            let res = req.send().promise.await?;
+            let revision = res.get()?.get_revision()?;
+            Ok(RevisionAnswer {
+                number: revision.get_number(),
+                in_contact: revision.get_in_contact(),
+                root: Bytes::copy_from_slice(revision.get_root()?),
+            })
+        };
+        peer.call(&link, answer).await
+    }
+
+    /// Asks a gate for a part of the configuration.
+    pub async fn chunk(&self, addr: SocketAddr, hash: &str) -> Result<Option<Bytes>, PeerError> {
+        let peer = self.peer(addr)?;
+        let link = peer.opened(&self.shared.secret).await?;
+        let mut req = link.client().chunk_request();
+        req.get().set_hash(hash);
+        let answer = async {
+            let res = req.send().promise.await?;
+            let content = res.get()?.get_content()?;
+            Ok((!content.is_empty()).then(|| Bytes::copy_from_slice(content)))
+        };
+        peer.call(&link, answer).await
+    }
+
+    fn peer(&self, addr: SocketAddr) -> Result<Rc<Peer>, PeerError> {
+        let peers = self.shared.peers.borrow();
+        let peer = peers.get(&addr).context(NotListedSnafu { addr })?;
+        Ok(Rc::clone(peer))
+    }
+
+    async fn ask(&self, lender: SocketAddr, ask: &Ask) -> Result<Grant, PeerError> {
+        let peer = self.peer(lender)?;
+        let link = peer.ready().context(NoLinkSnafu { addr: lender })?;
+        let mut req = link.client().borrow_request();
+        let mut params = req.get();
+        params.set_workspace(ask.workspace.as_str());
+        params.set_wanted(ask.wanted);
+        params.set_hold_ms(millis(ask.hold));
+        let answer = async {
+            let res = req.send().promise.await?;
+            let res = res.get()?;
+            Ok(Grant {
+                loan: res.get_loan(),
+                granted: res.get_granted(),
+            })
+        };
+        peer.call(&link, answer).await
+    }
+
+    async fn give_back(&self, end: Return) -> Result<(), PeerError> {
+        let peer = self.peer(end.lender)?;
+        let link = peer.opened(&self.shared.secret).await?;
+        let mut req = link.client().give_back_request();
+        let mut params = req.get();
+        params.set_loan(end.loan);
+        params.set_unused(end.unused);
+        let answer = async { req.send().promise.await.map(|_| ()) };
+        peer.call(&link, answer).await
+    }
+}
+
+impl Lenders for Links {
+    async fn borrow(&self, lender: SocketAddr, ask: Ask) -> Option<Grant> {
+        match self.ask(lender, &ask).await {
+            Ok(grant) => Some(grant),
+            Err(e) => {
+                debug!("tokens cannot be borrowed: {}", e);
+                None
+            }
+        }
+    }
+
+    fn end_loan(&self, end: Return) {
+        let links = self.clone();
+        actix_rt::spawn(async move {
+            for _ in 0..END_LOAN_TRIES {
+                match links.give_back(end).await {
+                    Ok(()) => return,
+                    Err(e) => debug!("loan cannot be given back: {}", e),
+                }
+            }
+        });
+    }
+
+    fn listed(&self) -> Option<usize> {
+        let list = self.instances()?;
+        let gates = list
+            .instances
+            .iter()
+            .filter(|instance| instance.role == Role::Entry && instance.gate.is_some());
+        Some(gates.count())
+    }
+}
+
+impl Peer {
+    fn new(addr: SocketAddr) -> Self {
+        Self {
+            addr,
+            zone: RefCell::default(),
+            link: RefCell::default(),
+            stalled: Cell::new(0),
+            opening: Mutex::new(()),
+        }
+    }
+
+    fn current(&self) -> Option<GateLink> {
+        let link = self.link.borrow();
+        link.as_ref().filter(|link| !link.is_closed()).cloned()
+    }
+
+    /// A link on which no call is stalled.
+    fn ready(&self) -> Option<GateLink> {
+        self.current().filter(|_| self.stalled.get() == 0)
+    }
+
+    /// The link, opened now if there is none.
+    async fn opened(&self, secret: &Secret) -> Result<GateLink, PeerError> {
+        let _opening = self.opening.lock().await;
+        if let Some(link) = self.current() {
+            return Ok(link);
+        }
+        let link = open(self.addr, secret).await.context(LinkSnafu)?;
+        let link = Rc::new(link);
+        *self.link.borrow_mut() = Some(Rc::clone(&link));
+        Ok(link)
+    }
+
+    /// Bounds a call. A link on which a call was not answered is closed.
+    async fn call<F, T>(&self, link: &GateLink, call: F) -> Result<T, PeerError>
+    where
+        F: Future<Output = Result<T, capnp::Error>>,
+    {
+        let call = link.call(CALL_LIMIT, call);
+        tokio::pin!(call);
+        let answer = if let Ok(answer) = timeout(STALL_LIMIT, &mut call).await {
+            answer
+        } else {
+            let _stalled = Stalled::new(&self.stalled);
+            call.await
+        };
+        if answer.is_err() {
+            self.close(link);
+        }
+        answer.context(LinkSnafu)
+    }
+
+    fn close(&self, failed: &GateLink) {
+        let mut link = self.link.borrow_mut();
+        if link.as_ref().is_some_and(|link| Rc::ptr_eq(link, failed)) {
+            *link = None;
+        }
+    }
+}
+
+/// Counts a stalled call until it is dropped.
+struct Stalled<'a>(&'a Cell<u32>);
+
+impl<'a> Stalled<'a> {
+    fn new(calls: &'a Cell<u32>) -> Self {
+        calls.set(calls.get() + 1);
+        Self(calls)
+    }
+}
+
+impl Drop for Stalled<'_> {
+    fn drop(&mut self) {
+        self.0.set(self.0.get() - 1);
+    }
+}
+
+async fn follow(shared: Rc<Shared>) {
+    loop {
+        match shared.instances.read().await {
+            Ok(list) => shared.take(list),
+            Err(e) => debug!("{}", e),
+        }
+        shared.open_missing();
+        sleep(shared.period).await;
+    }
+}
+
+impl Shared {
+    fn take(&self, list: InstanceList) {
+        let gates: BTreeMap<SocketAddr, &str> = list
+            .instances
+            .iter()
+            .filter(|instance| instance.role == Role::Entry)
+            .filter_map(|instance| Some((instance.gate?, instance.zone.as_str())))
+            .filter(|(addr, _)| *addr != self.own)
+            .collect();
+        let mut peers = self.peers.borrow_mut();
+        peers.retain(|addr, _| gates.contains_key(addr));
+        for (addr, zone) in gates {
+            let peer = peers
+                .entry(addr)
+                .or_insert_with(|| Rc::new(Peer::new(addr)));
+            zone.clone_into(&mut peer.zone.borrow_mut());
+        }
+        drop(peers);
+        *self.list.borrow_mut() = Some(Rc::new(list));
+    }
+
+    /// Opens the links that are missing, each in a task of its own, so that a silent gate does
+    /// not hold up the others.
+    fn open_missing(&self) {
+        for peer in self.peers.borrow().values() {
+            if peer.current().is_some() || peer.opening.try_lock().is_err() {
+                continue;
+            }
+            let peer = Rc::clone(peer);
+            let secret = self.secret.clone();
+            actix_rt::spawn(async move {
+                if let Err(e) = peer.opened(&secret).await {
+                    debug!("{}", e);
+                }
+            });
+        }
+    }
+}
+
+fn millis(time: Duration) -> u32 {
+    u32::try_from(time.as_millis()).unwrap_or(u32::MAX)
+}
--- /dev/null
+++ b/crates/gate/src/peers/served.rs
@@ -0,0 +1,143 @@
+//! What this gate answers to other gates.
+
+use std::{net::SocketAddr, rc::Rc, time::Duration};
+
+use bytes::Bytes;
+use comfreyweir_allowance::ledger::Grant;
+use comfreyweir_clock::Clock;
+use comfreyweir_peer::{LinkError, PeerServer, Secret, bind, peer_capnp::gate};
+
+use crate::allowances::{Lenders, SharedAllowances};
+
+/// Tokens that can be lent.
+pub trait TokenLender: 'static {
+    /// Lends up to `wanted` tokens of a workspace for `hold`.
+    fn lend(&self, workspace: &str, wanted: u64, hold: Duration) -> Grant;
+
+    /// Ends a loan; `unused` tokens of it come back.
+    fn take_back(&self, loan: u64, unused: u64);
+}
+
+/// What a process says about its revision of the configuration.
+#[derive(Clone, Debug, Default, Eq, PartialEq)]
+pub struct RevisionAnswer {
+    /// Revision in force.
+    pub number: u64,
+    /// Whether the process was in contact with the key-value service within its cut-off time.
+    pub in_contact: bool,
+    /// Root record of the revision, as stored; empty when it is not above the caller's.
+    pub root: Bytes,
+}
+
+/// The configuration, as other processes ask for it.
+pub trait ConfigAnswers: 'static {
+    /// The revision in force; `known` is the caller's.
+    fn revision(&self, known: u64) -> RevisionAnswer;
+
+    /// A part of the configuration by its content hash.
+    fn chunk(&self, hash: &str) -> Option<Bytes>;
+}
+
+/// No configuration at all.
+#[derive(Clone, Copy, Debug, Default)]
+pub struct NoConfig;
+
+impl ConfigAnswers for NoConfig {
+    fn revision(&self, _known: u64) -> RevisionAnswer {
+        RevisionAnswer::default()
+    }
+
+    fn chunk(&self, _hash: &str) -> Option<Bytes> {
+        None
+    }
+}
+
+impl<C, L> TokenLender for SharedAllowances<C, L>
+where
+    C: Clock,
+    L: Lenders,
+{
+    fn lend(&self, workspace: &str, wanted: u64, hold: Duration) -> Grant {
+        Self::lend(self, workspace, wanted, hold)
+    }
+
+    fn take_back(&self, loan: u64, unused: u64) {
+        Self::take_back(self, loan, unused);
+    }
+}
+
+/// Listens for other gates.
+pub fn serve<T, A>(
+    addr: SocketAddr,
+    secret: Secret,
+    tokens: T,
+    config: A,
+) -> Result<PeerServer, LinkError>
+where
+    T: TokenLender,
+    A: ConfigAnswers,
+{
+    let client: gate::Client = capnp_rpc::new_client(Service { tokens, config });
+    bind(addr, secret, client)
+}
+
+struct Service<T, A> {
+    tokens: T,
+    config: A,
+}
+
+impl<T, A> gate::Server for Service<T, A>
+where
+    T: TokenLender,
+    A: ConfigAnswers,
+{
+    async fn borrow(
+        self: Rc<Self>,
+        params: gate::BorrowParams,
+        mut results: gate::BorrowResults,
+    ) -> Result<(), capnp::Error> {
+        let params = params.get()?;
+        let workspace = params.get_workspace()?.to_str()?;
+        let hold = Duration::from_millis(params.get_hold_ms().into());
+        let grant = self.tokens.lend(workspace, params.get_wanted(), hold);
+        let mut res = results.get();
+        res.set_granted(grant.granted);
+        res.set_loan(grant.loan);
+        Ok(())
+    }
+
+    async fn give_back(
+        self: Rc<Self>,
+        params: gate::GiveBackParams,
+        _results: gate::GiveBackResults,
+    ) -> Result<(), capnp::Error> {
+        let params = params.get()?;
+        self.tokens
+            .take_back(params.get_loan(), params.get_unused());
+        Ok(())
+    }
+
+    async fn revision(
+        self: Rc<Self>,
+        params: gate::RevisionParams,
+        mut results: gate::RevisionResults,
+    ) -> Result<(), capnp::Error> {
+        let answer = self.config.revision(params.get()?.get_known());
+        let mut revision = results.get().init_revision();
+        revision.set_number(answer.number);
+        revision.set_in_contact(answer.in_contact);
+        revision.set_root(&answer.root);
+        Ok(())
+    }
+
+    async fn chunk(
+        self: Rc<Self>,
+        params: gate::ChunkParams,
+        mut results: gate::ChunkResults,
+    ) -> Result<(), capnp::Error> {
+        let params = params.get()?;
+        let content = self.config.chunk(params.get_hash()?.to_str()?);
+        results.get().set_content(&content.unwrap_or_default());
+        Ok(())
+    }
+}
