--- a/crates/gate/src/lib.rs
+++ b/crates/gate/src/lib.rs
@@ -8,5 +8,6 @@
 mod error;
 pub mod peers;
 pub mod placement_view;
+pub mod services;
 
 pub use crate::error::{Code, Refusal, Run};
