--- a/crates/gate/src/lib.rs
+++ b/crates/gate/src/lib.rs
@@ -19,6 +19,7 @@
 mod listener;
 pub mod metrics;
 mod models;
+pub mod peers;
 pub mod placement_view;
 pub mod request_id;
 pub mod services;
