Route plain services and assemble the gate

Plain services are routed by the longest path prefix. A call that must run at most once is sent in a task of its own, on a new connection, and never again after a first byte may have reached an upstream; its handler and its task share a permit, so that a handler that answers run: no has taken from the task the leave to send. comfreyweir-gate now runs with all its parts.

--- a/crates/core/src/bin/comfreyweir-gate.rs
+++ b/crates/core/src/bin/comfreyweir-gate.rs
@@ -1,3 +1,21 @@
 //! Program `comfreyweir-gate`.
 
-fn main() {}
+use std::process::ExitCode;
+
+use comfreyweir_config::settings::GateSettings;
+use comfreyweir_core::daemon::{self, Program};
+
+const PROGRAM: Program = Program {
+    name: "comfreyweir-gate",
+    about: "Authenticates, admits, queues, routes and streams requests from callers to upstreams.",
+    defaults: GateSettings::DEFAULTS,
+};
+
+fn main() -> ExitCode {
+    daemon::run(
+        PROGRAM,
+        GateSettings::read,
+        comfreyweir_gate::spawn,
+        async |gate| gate.stop().await,
+    )
+}
--- a/crates/gate/src/body.rs
+++ b/crates/gate/src/body.rs
@@ -50,11 +50,21 @@
 /// Reads a request body of at most `limit` bytes; a pause longer than `stall` is refused.
 pub(crate) async fn read(
     headers: &HeaderMap,
-    mut body: Payload,
+    body: Payload,
     limit: usize,
     stall: Duration,
 ) -> Result<Bytes, Refusal> {
     check_encoding(headers)?;
+    read_any(headers, body, limit, stall).await
+}
+
+/// Does the same with a body of any encoding, which is passed on as it is.
+pub(crate) async fn read_any(
+    headers: &HeaderMap,
+    mut body: Payload,
+    limit: usize,
+    stall: Duration,
+) -> Result<Bytes, Refusal> {
     if declared_length(headers).is_some_and(|n| n > limit as u64) {
         return Err(too_large(limit));
     }
--- a/crates/gate/src/completion/attempt.rs
+++ b/crates/gate/src/completion/attempt.rs
@@ -21,7 +21,7 @@
     context::Cx,
     dispatch::{self, Run},
     placement_view::PlacementView,
-    upstream::{Answer, Call, CallError, Connection, Track},
+    upstream::{Answer, Call, CallError, Connection, Echo, Track},
 };
 
 /// Engines that one request is sent to at most.
@@ -174,6 +174,7 @@
         path: job.ask.path.clone(),
         headers,
         request_id: crate::request_id::fresh(),
+        echo: Echo::Required,
         connection: Connection::Reusable,
     }
 }
--- a/crates/gate/src/completion/mod.rs
+++ b/crates/gate/src/completion/mod.rs
@@ -17,6 +17,7 @@
 pub(crate) use self::attempt::late;
 use self::request::Ask;
 pub use self::request::DEADLINE_HEADER;
+pub(crate) use self::request::deadline;
 use crate::{
     Refusal,
     allowances::Allowances,
--- a/crates/gate/src/context.rs
+++ b/crates/gate/src/context.rs
@@ -2,10 +2,18 @@
 
 use std::rc::Rc;
 
+use comfreyweir_clock::SystemClock;
 use comfreyweir_config::settings::GateSettings;
+use comfreyweir_platform::kv_http::HttpKv;
 use comfreyweir_store::Follower;
 
-use crate::{metrics::Metrics, status::Status, stopping::Stopping, upstream::Upstreams};
+use crate::{
+    metrics::Metrics,
+    services::{balance::Balance, claims::Claims},
+    status::Status,
+    stopping::Stopping,
+    upstream::Upstreams,
+};
 
 /// What every request of a gate shares.
 pub struct Cx<A, V> {
@@ -19,6 +27,10 @@
     pub view: V,
     /// Connections to upstreams.
     pub upstreams: Upstreams,
+    /// Claims of idempotency keys.
+    pub claims: Claims<HttpKv, SystemClock>,
+    /// Load of the upstreams of plain services.
+    pub balance: Balance,
     /// Metrics of the process.
     pub metrics: Metrics,
     /// Sections of the status page.
--- a/crates/gate/src/dispatch.rs
+++ b/crates/gate/src/dispatch.rs
@@ -100,7 +100,8 @@
     Some((usable.upstream, addr))
 }
 
-fn shortage(shortage: Shortage) -> Refusal {
+/// Refusal when tokens cannot be reserved.
+pub(crate) fn shortage(shortage: Shortage) -> Refusal {
     match shortage {
         Shortage::RetryAfter(after) => Refusal::not_run(
             StatusCode::TOO_MANY_REQUESTS,
--- a/crates/gate/src/gate.rs
+++ b/crates/gate/src/gate.rs
@@ -1,9 +1,18 @@
 //! A running gate.
 
-use std::{future::ready, io, net::SocketAddr, rc::Rc, time::Duration};
+use std::{
+    future::{Future, ready},
+    io,
+    net::SocketAddr,
+    pin::Pin,
+    rc::Rc,
+    time::Duration,
+};
 
 use comfreyweir_clock::{Clock, SystemClock};
 use comfreyweir_config::settings::GateSettings;
+use comfreyweir_peer::{LinkError, SecretError};
+use comfreyweir_platform::kv_http::HttpKv;
 use comfreyweir_store::{Follower, Freshness};
 use serde_json::json;
 use snafu::{ResultExt, Snafu};
@@ -16,6 +25,7 @@
     listener::{self, Listener},
     metrics::Metrics,
     placement_view::PlacementView,
+    services::{balance::Balance, claims::Claims},
     status::Status,
     stopping::{Phase, Stopping},
     upstream::Upstreams,
@@ -23,7 +33,20 @@
 
 /// Why a gate cannot be started.
 #[derive(Debug, Snafu)]
+#[snafu(visibility(pub(crate)))]
 pub enum GateError {
+    /// The secret cannot be used.
+    #[snafu(display("{source}"))]
+    Secret {
+        /// What failed.
+        source: SecretError,
+    },
+    /// The port for other processes cannot be opened.
+    #[snafu(display("{source}"))]
+    Peer {
+        /// What failed.
+        source: LinkError,
+    },
     /// An address cannot be listened on.
     #[snafu(display("cannot listen on {addr}: {source}"))]
     Listen {
@@ -34,6 +57,12 @@
     },
 }
 
+/// Longest time of one call to the key-value service for an idempotency key.
+const CLAIM_TIMEOUT: Duration = Duration::from_secs(1);
+
+/// What is done after the last request has ended.
+type AfterStop = Pin<Box<dyn Future<Output = ()>>>;
+
 /// Handle of a running gate. Dropping it cuts what is in flight; [`Gate::stop`] does not.
 pub struct Gate {
     callers: Listener,
@@ -42,6 +71,7 @@
     notice: Duration,
     status: Status,
     metrics: Metrics,
+    after_stop: Vec<AfterStop>,
 }
 
 /// Starts a gate with its parts.
@@ -58,7 +88,11 @@
     let notice = Duration::from_millis(settings.timing.stop_notice_ms);
     let (listen, admin_addr) = (settings.listen, settings.admin);
     let limits = settings.limits.clone();
+    let http = awc::Client::builder().timeout(CLAIM_TIMEOUT).finish();
+    let kv = HttpKv::new(http, settings.instance.kv, CLAIM_TIMEOUT);
     let cx = Rc::new(Cx {
+        claims: Claims::new(kv, SystemClock, settings.instance.name.clone()),
+        balance: Balance::default(),
         settings,
         follower,
         allowances,
@@ -88,6 +122,7 @@
         notice,
         status: cx.status.clone(),
         metrics: cx.metrics.clone(),
+        after_stop: Vec::new(),
     })
 }
 
@@ -112,6 +147,14 @@
         &self.metrics
     }
 
+    /// Adds what is to be done after the last request has ended at a stop.
+    pub fn when_stopped<F>(&mut self, after: F)
+    where
+        F: Future<Output = ()> + 'static,
+    {
+        self.after_stop.push(Box::pin(after));
+    }
+
     /// Stops without cutting a request: turns unready, goes on accepting until the balancer has
     /// noticed, and finishes what is in flight.
     pub async fn stop(self) {
@@ -120,6 +163,9 @@
         self.stopping.set_phase(Phase::Draining);
         self.callers.close().await;
         self.stopping.idle().await;
+        for after in self.after_stop {
+            after.await;
+        }
     }
 }
 
--- a/crates/gate/src/lib.rs
+++ b/crates/gate/src/lib.rs
@@ -6,6 +6,7 @@
 
 mod admin;
 pub mod allowances;
+mod assembly;
 pub mod auth;
 mod body;
 mod caller;
@@ -28,6 +29,7 @@
 pub mod upstream;
 
 pub use crate::{
+    assembly::spawn,
     caller::Caller,
     completion::DEADLINE_HEADER,
     context::Cx,
--- a/crates/gate/src/metrics.rs
+++ b/crates/gate/src/metrics.rs
@@ -44,10 +44,14 @@
     outcome: String,
 }
 
+/// Brings values up to date before they are read.
+type Update = Box<dyn Fn()>;
+
 /// Metrics of a gate. Clones share the values.
 #[derive(Clone)]
 pub struct Metrics {
     registry: Rc<RefCell<Registry>>,
+    updates: Rc<RefCell<Vec<Update>>>,
     waiting_seconds: WaitFamily,
     first_token_seconds: WaitFamily,
     between_tokens_seconds: WaitFamily,
@@ -73,6 +77,7 @@
         let tokens: fn() -> Histogram = || Histogram::new(TOKEN_BOUNDS);
         let metrics = Self {
             registry: Rc::default(),
+            updates: Rc::default(),
             waiting_seconds: Family::new_with_constructor(waits),
             first_token_seconds: Family::new_with_constructor(waits),
             between_tokens_seconds: Family::new_with_constructor(tokens),
@@ -94,8 +99,17 @@
         add(&mut self.registry.borrow_mut());
     }
 
+    /// Adds what brings values up to date before they are read.
+    pub fn before_encoding<F>(&self, update: F)
+    where
+        F: Fn() + 'static,
+    {
+        self.updates.borrow_mut().push(Box::new(update));
+    }
+
     /// All metrics in the text format of `OpenMetrics`.
     pub fn encode(&self) -> String {
+        self.updates.borrow().iter().for_each(|update| update());
         let mut buf = String::new();
         text::encode(&mut buf, &self.registry.borrow()).expect("a string takes every metric");
         buf
--- /dev/null
+++ b/crates/gate/src/services/body.rs
@@ -0,0 +1,157 @@
+//! Bodies of calls and answers of plain services.
+
+use std::{
+    pin::Pin,
+    task::{Context, Poll, ready},
+    time::Duration,
+};
+
+use actix_http::{
+    Payload,
+    body::{BodySize, BoxBody, MessageBody, None as NoBody},
+    header::{self, HeaderMap},
+};
+use bytes::Bytes;
+use futures_util::Stream;
+use tokio::{
+    sync::mpsc,
+    time::{Instant, Sleep, sleep},
+};
+
+use crate::upstream::CallError;
+
+/// Largest body that is read before a call is sent, so that it can be sent again, in bytes.
+pub(super) const MAX_BUFFERED_BYTES: u64 = 64 << 10;
+
+type Error = Box<dyn std::error::Error>;
+
+/// Body of a call.
+pub(super) enum CallBody {
+    /// Read already; can be sent again.
+    Buffered(Bytes),
+    /// Passed on as it arrives; can be sent once.
+    Streamed(Option<StreamedBody>),
+}
+
+impl CallBody {
+    /// The body for the next try.
+    pub(super) fn for_one_try(&mut self) -> BoxBody {
+        match self {
+            Self::Buffered(bytes) if bytes.is_empty() => BoxBody::new(NoBody::new()),
+            Self::Buffered(bytes) => BoxBody::new(bytes.clone()),
+            Self::Streamed(body) => match body.take() {
+                Some(body) => BoxBody::new(body),
+                None => BoxBody::new(NoBody::new()),
+            },
+        }
+    }
+
+    /// Whether there is a body for another try.
+    pub(super) fn can_be_sent_again(&self) -> bool {
+        matches!(self, Self::Buffered(_) | Self::Streamed(Some(_)))
+    }
+}
+
+/// A caller's body that is passed on as it arrives. A pause longer than `stall` is an error.
+pub(super) struct StreamedBody {
+    payload: Payload,
+    length: Option<u64>,
+    stall: Duration,
+    stalled: Pin<Box<Sleep>>,
+}
+
+impl StreamedBody {
+    /// Takes the body of a request with these headers.
+    pub(super) fn new(payload: Payload, headers: &HeaderMap, stall: Duration) -> Self {
+        Self {
+            payload,
+            length: declared_length(headers),
+            stall,
+            stalled: Box::pin(sleep(stall)),
+        }
+    }
+}
+
+impl MessageBody for StreamedBody {
+    type Error = Error;
+
+    fn size(&self) -> BodySize {
+        self.length.map_or(BodySize::Stream, BodySize::Sized)
+    }
+
+    fn poll_next(
+        mut self: Pin<&mut Self>,
+        cx: &mut Context<'_>,
+    ) -> Poll<Option<Result<Bytes, Error>>> {
+        if let Poll::Ready(piece) = Pin::new(&mut self.payload).poll_next(cx) {
+            let until = Instant::now() + self.stall;
+            self.stalled.as_mut().reset(until);
+            return Poll::Ready(piece.map(|piece| piece.map_err(Into::into)));
+        }
+        ready!(self.stalled.as_mut().poll(cx));
+        Poll::Ready(Some(Err("the caller paused within its body".into())))
+    }
+}
+
+/// Length that a message declares for its body.
+pub(super) fn declared_length(headers: &HeaderMap) -> Option<u64> {
+    headers
+        .get(header::CONTENT_LENGTH)?
+        .to_str()
+        .ok()?
+        .trim()
+        .parse()
+        .ok()
+}
+
+/// Whether a request with these headers has a body.
+pub(super) fn has_body(headers: &HeaderMap) -> bool {
+    headers.contains_key(header::TRANSFER_ENCODING) || declared_length(headers).unwrap_or(0) > 0
+}
+
+/// Body of an answer that a task passes on in pieces.
+///
+/// It ends with an error unless the task said that the body is whole, so that a caller never
+/// takes a cut body for a whole one.
+pub(super) struct RelayedBody {
+    pieces: mpsc::Receiver<Piece>,
+    length: Option<u64>,
+}
+
+/// A piece of an answer's body.
+pub(super) enum Piece {
+    /// Some of its bytes.
+    Bytes(Bytes),
+    /// Its end: the body is whole.
+    End,
+    /// The upstream failed.
+    Failed(CallError),
+}
+
+impl RelayedBody {
+    /// A body of declared length, if any, made of the pieces.
+    pub(super) fn new(pieces: mpsc::Receiver<Piece>, length: Option<u64>) -> Self {
+        Self { pieces, length }
+    }
+}
+
+impl MessageBody for RelayedBody {
+    type Error = Error;
+
+    fn size(&self) -> BodySize {
+        self.length.map_or(BodySize::Stream, BodySize::Sized)
+    }
+
+    fn poll_next(
+        mut self: Pin<&mut Self>,
+        cx: &mut Context<'_>,
+    ) -> Poll<Option<Result<Bytes, Error>>> {
+        let piece = match ready!(self.pieces.poll_recv(cx)) {
+            Some(Piece::Bytes(bytes)) => Some(Ok(bytes)),
+            Some(Piece::End) => None,
+            Some(Piece::Failed(e)) => Some(Err(e.into())),
+            None => Some(Err("the answer was given up".into())),
+        };
+        Poll::Ready(piece)
+    }
+}
--- a/crates/gate/src/services/claim.rs
+++ b/crates/gate/src/services/claim.rs
@@ -50,10 +50,9 @@
 }
 
 impl RecordedAnswer {
-    /// Records an answer. A body above [`MAX_RECORDED_BYTES`] is left out.
-    pub fn new(status: u16, body: &[u8]) -> Self {
-        let fits = body.len() <= MAX_RECORDED_BYTES;
-        let body = fits.then(|| BASE64_STANDARD.encode(body));
+    /// Records an answer. The caller leaves out a body above [`MAX_RECORDED_BYTES`].
+    pub fn new(status: u16, body: Option<&[u8]>) -> Self {
+        let body = body.map(|body| BASE64_STANDARD.encode(body));
         Self {
             status,
             content_type: None,
--- /dev/null
+++ b/crates/gate/src/services/headers.rs
@@ -0,0 +1,91 @@
+//! Which headers pass between callers and plain services.
+
+use actix_http::header::{self, HeaderMap, HeaderName, HeaderValue};
+use comfreyweir_platform::engine::{
+    PRIORITY_HEADER, REQUEST_ID_HEADER, RESUME_HEADER, WORKSPACE_HEADER,
+};
+
+use crate::auth::API_KEY_HEADER;
+
+/// Header with which a caller names a call that must not run twice.
+pub const IDEMPOTENCY_KEY_HEADER: &str = "idempotency-key";
+
+/// Headers that belong to one connection and not to a message.
+const HOP_BY_HOP: [HeaderName; 8] = [
+    header::CONNECTION,
+    HeaderName::from_static("keep-alive"),
+    header::PROXY_AUTHENTICATE,
+    header::PROXY_AUTHORIZATION,
+    header::TE,
+    header::TRAILER,
+    header::TRANSFER_ENCODING,
+    header::UPGRADE,
+];
+
+/// Headers that only the gate may set, so that callers cannot forge them.
+const SET_BY_GATE: [&str; 4] = [
+    WORKSPACE_HEADER,
+    REQUEST_ID_HEADER,
+    PRIORITY_HEADER,
+    RESUME_HEADER,
+];
+
+/// Headers of a request that the HTTP client sets anew, or that end at the gate.
+const ENDS_AT_GATE: [HeaderName; 4] = [
+    header::HOST,
+    header::CONTENT_LENGTH,
+    header::EXPECT,
+    header::AUTHORIZATION,
+];
+
+/// Headers of a request for the upstream: without connection headers, credentials and forgeries.
+pub fn for_upstream(headers: &HeaderMap, key: Option<&str>, workspace: Option<&str>) -> HeaderMap {
+    let mut kept = HeaderMap::new();
+    let named = named_by_connection(headers);
+    for (name, value) in headers {
+        let passes = !HOP_BY_HOP.contains(name)
+            && !ENDS_AT_GATE.contains(name)
+            && !SET_BY_GATE.contains(&name.as_str())
+            && name.as_str() != API_KEY_HEADER
+            && !named.contains(name)
+            && !key.is_some_and(|key| contains(value.as_bytes(), key.as_bytes()));
+        if passes {
+            kept.append(name.clone(), value.clone());
+        }
+    }
+    if let Some(value) = workspace.and_then(|w| HeaderValue::from_str(w).ok()) {
+        kept.insert(HeaderName::from_static(WORKSPACE_HEADER), value);
+    }
+    kept
+}
+
+/// Headers of an answer for the caller.
+pub fn for_caller(headers: &HeaderMap) -> HeaderMap {
+    let mut kept = HeaderMap::new();
+    let named = named_by_connection(headers);
+    for (name, value) in headers {
+        let passes = !HOP_BY_HOP.contains(name)
+            && *name != header::CONTENT_LENGTH
+            && name.as_str() != REQUEST_ID_HEADER
+            && !named.contains(name);
+        if passes {
+            kept.append(name.clone(), value.clone());
+        }
+    }
+    kept
+}
+
+/// Whether `text` contains `part`. Used to find a key where callers may have put it by mistake.
+pub fn contains(text: &[u8], part: &[u8]) -> bool {
+    !part.is_empty() && text.windows(part.len()).any(|window| window == part)
+}
+
+/// Headers that the header `connection` declares as belonging to the connection.
+fn named_by_connection(headers: &HeaderMap) -> Vec<HeaderName> {
+    headers
+        .get_all(header::CONNECTION)
+        .filter_map(|value| value.to_str().ok())
+        .flat_map(|value| value.split(','))
+        .filter_map(|name| name.trim().parse().ok())
+        .collect()
+}
--- a/crates/gate/src/services/mod.rs
+++ b/crates/gate/src/services/mod.rs
@@ -1,29 +1,217 @@
 //! Plain services: routes by path prefix, calls that run at most once, idempotency keys.
 
+mod attempt;
+pub mod balance;
+mod body;
 pub mod claim;
 pub mod claims;
+pub mod headers;
+mod once;
+pub mod permit;
+mod relay;
 pub mod routes;
 
-use std::rc::Rc;
+use std::{
+    rc::Rc,
+    time::{Duration, Instant},
+};
 
-use actix_http::{Payload, Request, Response, StatusCode, body::BoxBody};
+use actix_http::{
+    HttpMessage, Payload, Request, Response, StatusCode, body::BoxBody, header::HeaderMap,
+};
+use comfreyweir_config::catalog::Route;
 
-use crate::{Code, Refusal, allowances::Allowances, context::Cx, placement_view::PlacementView};
+use self::{
+    attempt::{Outcome, ServiceCall},
+    body::{CallBody, MAX_BUFFERED_BYTES, StreamedBody},
+    headers::IDEMPOTENCY_KEY_HEADER,
+    once::Claiming,
+    relay::Abandoned,
+};
+use crate::{
+    Code, Refusal,
+    allowances::{Allowances, Charge, Reservation},
+    auth::{self, Identity},
+    completion,
+    context::Cx,
+    placement_view::PlacementView,
+};
+
+/// Longest idempotency key, in bytes.
+const MAX_IDEMPOTENCY_KEY_BYTES: usize = 255;
 
 /// Answers a request of a route.
-#[allow(clippy::unused_async)]
 pub async fn serve<A, V>(
-    _cx: &Rc<Cx<A, V>>,
+    cx: &Rc<Cx<A, V>>,
     req: &Request,
-    _body: Payload,
+    payload: Payload,
+) -> Result<Response<BoxBody>, Refusal>
+where
+    A: Allowances,
+    V: PlacementView,
+{
+    let arrived = Instant::now();
+    let snapshot = cx.follower.current();
+    let found = routes::find(&snapshot.catalog, req.path());
+    let (name, route) = found.ok_or_else(|| not_found(req.path()))?;
+    let identity = authorize(&snapshot, route, req.headers())?;
+    let workspace = identity
+        .as_ref()
+        .map(|identity| identity.workspace.as_str());
+    let deadline = completion::deadline(req.headers(), &cx.settings.limits, arrived)?;
+    let key = auth::key_of(req.headers());
+    let key = key.as_ref().map(auth::CallerKey::as_str);
+    let call = ServiceCall {
+        route: name.to_owned(),
+        repeatable: route.repeatable,
+        identity: identity.clone(),
+        method: req.method().clone(),
+        path: path_for_upstream(req, key)?,
+        headers: headers::for_upstream(req.headers(), key, workspace),
+        deadline,
+    };
+    let idempotency_key = idempotency_key(req.headers(), route)?;
+    let body = call_body(cx, req.headers(), payload, idempotency_key.is_some()).await?;
+    let tokens = match workspace {
+        Some(workspace) if route.cost > 0 => {
+            let reserved = cx.allowances.reserve(workspace, route.cost, deadline).await;
+            Some(reserved.map_err(crate::dispatch::shortage)?)
+        }
+        _ => None,
+    };
+    if route.repeatable {
+        return serve_repeatable(cx, call, body, tokens).await;
+    }
+    let claiming = idempotency_key.map(|key| claiming(&call, workspace, key, &body));
+    once::run(cx, call, body, claiming, tokens).await
+}
+
+/// Sends a call that may be sent again. It ends with its caller.
+async fn serve_repeatable<A, V>(
+    cx: &Rc<Cx<A, V>>,
+    call: ServiceCall,
+    body: CallBody,
+    tokens: Option<A::Reservation>,
 ) -> Result<Response<BoxBody>, Refusal>
 where
     A: Allowances,
     V: PlacementView,
 {
+    let (permit, _handler) = permit::pair();
+    let charge = tokens
+        .map(Reservation::charge)
+        .transpose()
+        .map_err(crate::dispatch::shortage)?;
+    match attempt::send(cx, &call, body, &permit).await {
+        Outcome::NotRun(refusal) => {
+            if let Some(charge) = charge {
+                charge.settle(0);
+            }
+            Err(refusal)
+        }
+        Outcome::MayHaveRun(refusal) => Err(refusal),
+        Outcome::Answered(answer, in_flight) => {
+            let (res, relay) = relay::begin(answer, &call.method);
+            let stall = Duration::from_millis(cx.settings.limits.stall_ms);
+            actix_rt::spawn(async move {
+                let _in_flight = in_flight;
+                relay.run(stall, Abandoned::Cancel).await;
+            });
+            Ok(res)
+        }
+    }
+}
+
+/// Checks the key of a caller; open routes take callers without one.
+fn authorize(
+    snapshot: &comfreyweir_store::Snapshot,
+    route: &Route,
+    headers: &HeaderMap,
+) -> Result<Option<Identity>, Refusal> {
+    if route.open {
+        return Ok(None);
+    }
+    let identity = auth::authenticate(snapshot, headers)?;
+    if routes::allows(route, &identity.workspace) {
+        return Ok(Some(identity));
+    }
+    Err(Refusal::not_run(
+        StatusCode::FORBIDDEN,
+        Code::NotAllowed,
+        format!("workspace `{}` may not use this route", identity.workspace),
+    ))
+}
+
+/// Path and query, which must not carry the caller's key.
+fn path_for_upstream(req: &Request, key: Option<&str>) -> Result<String, Refusal> {
+    let uri = req.uri();
+    let path = uri
+        .path_and_query()
+        .map_or(uri.path(), |path| path.as_str());
+    let leaks = key.is_some_and(|key| headers::contains(path.as_bytes(), key.as_bytes()));
+    if !leaks {
+        return Ok(path.to_owned());
+    }
     Err(Refusal::not_run(
+        StatusCode::BAD_REQUEST,
+        Code::InvalidRequest,
+        "the key must be sent in a header and not in the address",
+    ))
+}
+
+fn idempotency_key<'a>(headers: &'a HeaderMap, route: &Route) -> Result<Option<&'a str>, Refusal> {
+    let Some(value) = headers
+        .get(IDEMPOTENCY_KEY_HEADER)
+        .filter(|_| !route.repeatable)
+    else {
+        return Ok(None);
+    };
+    let key = value.to_str().ok().map(str::trim);
+    let usable = key.filter(|key| !key.is_empty() && key.len() <= MAX_IDEMPOTENCY_KEY_BYTES);
+    let usable = usable.ok_or_else(|| {
+        Refusal::not_run(
+            StatusCode::BAD_REQUEST,
+            Code::InvalidRequest,
+            format!("the idempotency key must have 1 to {MAX_IDEMPOTENCY_KEY_BYTES} characters"),
+        )
+    })?;
+    Ok(Some(usable))
+}
+
+/// Reads a body that has to be compared or may be sent again, and streams any other.
+async fn call_body<A, V>(
+    cx: &Cx<A, V>,
+    headers: &HeaderMap,
+    payload: Payload,
+    compared: bool,
+) -> Result<CallBody, Refusal> {
+    let limits = &cx.settings.limits;
+    let stall = Duration::from_millis(limits.stall_ms);
+    let is_small = body::declared_length(headers).is_some_and(|n| n <= MAX_BUFFERED_BYTES);
+    if compared || is_small || !body::has_body(headers) {
+        let bytes = crate::body::read_any(headers, payload, limits.body_bytes, stall).await?;
+        return Ok(CallBody::Buffered(bytes));
+    }
+    Ok(CallBody::Streamed(Some(StreamedBody::new(
+        payload, headers, stall,
+    ))))
+}
+
+fn claiming(call: &ServiceCall, workspace: Option<&str>, key: &str, body: &CallBody) -> Claiming {
+    let bytes = match body {
+        CallBody::Buffered(bytes) => bytes.as_ref(),
+        CallBody::Streamed(_) => &[],
+    };
+    Claiming {
+        key: claim::record_key(workspace.unwrap_or(""), &call.route, key),
+        call: claim::call_digest(call.method.as_str(), &call.path, bytes),
+    }
+}
+
+fn not_found(path: &str) -> Refusal {
+    Refusal::not_run(
         StatusCode::NOT_FOUND,
         Code::NotFound,
-        format!("nothing is served at {}", req.path()),
-    ))
+        format!("nothing is served at {path}"),
+    )
 }
--- a/crates/gate/src/upstream/mod.rs
+++ b/crates/gate/src/upstream/mod.rs
@@ -40,6 +40,15 @@
     Reusable,
 }
 
+/// Whether an answer has to carry the identifier of its request.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum Echo {
+    /// It has to. Engines answer so.
+    Required,
+    /// It may be without one, but must not carry another. For plain services.
+    IfPresent,
+}
+
 /// Why a call did not bring a whole answer. [`Track::is_written`] tells whether the upstream may
 /// have received any of the request.
 #[derive(Debug, Snafu)]
@@ -104,8 +113,10 @@
     pub path: String,
     /// Headers, already freed of what must not be forwarded.
     pub headers: HeaderMap,
-    /// Fresh identifier, which the answer has to echo.
+    /// Fresh identifier of the request.
     pub request_id: String,
+    /// Whether the answer has to echo it.
+    pub echo: Echo,
     /// Which connections it may use.
     pub connection: Connection,
 }
@@ -139,12 +150,15 @@
             addr,
             reason: e.to_string(),
         })?;
-        if res
+        let echoed = res
             .headers()
             .get(REQUEST_ID_HEADER)
-            .map(HeaderValue::as_bytes)
-            != Some(call.request_id.as_bytes())
-        {
+            .map(HeaderValue::as_bytes);
+        let is_own = match echoed {
+            Some(echoed) => echoed == call.request_id.as_bytes(),
+            None => call.echo == Echo::IfPresent,
+        };
+        if !is_own {
             return CrossedSnafu { addr }.fail();
         }
         Ok(Answer::new(addr, res, Rc::clone(track)))
--- a/crates/gate/tests/claims.rs
+++ b/crates/gate/tests/claims.rs
@@ -69,7 +69,7 @@
         Sending::NotReached => claim.release().await,
         Sending::Answered => {
             observed.borrow_mut().runs += 1;
-            claim.done(RecordedAnswer::new(201, b"order 7")).await;
+            claim.done(RecordedAnswer::new(201, Some(b"order 7"))).await;
             observed.borrow_mut().recorded = true;
         }
         Sending::AnswerLost => {
