Add test clusters of real processes

A cluster claims a loopback block, writes settings, secret and catalog, starts gates, planners and stand-ins, puts fault proxies into every link when asked to, and ends its processes when it is dropped.

--- a/crates/standins/src/kv/serve.rs
+++ b/crates/standins/src/kv/serve.rs
@@ -251,7 +251,9 @@
             (&Method::POST, None, None) => {
                 let ttl = http::query_number(req, "ttl_ms").unwrap_or(10_000);
                 let id = state.grant(Duration::from_millis(ttl));
-                return http::json(StatusCode::OK, &serde_json::json!({ "id": id }));
+                return Response::build(StatusCode::OK)
+                    .body(id.to_string())
+                    .map_into_boxed_body();
             }
             (&Method::POST, Some(id), Some(&"renew")) => state.renew(id),
             (&Method::DELETE, Some(id), None) => state.revoke(id),
--- a/crates/standins/src/program.rs
+++ b/crates/standins/src/program.rs
@@ -24,7 +24,7 @@
 \"ready\" on standard output once all of them listen.
 
 OPTIONS:
-    --config FILE    Settings in TOML: tables [kv], [instances], [weights], and arrays
+    --config FILE    Settings in TOML: tables [kv], [weights], and arrays [[instances]],
                      [[engine]], [[service]], [[proxy]]. Each stand-in takes `listen` and
                      may take `control`, the address of its /test/ paths.
     -h, --help       Print this help.
@@ -50,8 +50,8 @@
 pub struct Settings {
     /// Key-value service.
     pub kv: Option<kv::Settings>,
-    /// List of instances.
-    pub instances: Option<instances::Settings>,
+    /// Lists of instances. More than one show the same fleet through different proxies.
+    pub instances: Vec<instances::Settings>,
     /// Weight store that all engines share.
     pub weights: weights::Settings,
     /// Model engines.
@@ -66,8 +66,8 @@
 pub struct Standins {
     /// Key-value service.
     pub kv: Option<kv::KvService>,
-    /// List of instances.
-    pub instances: Option<instances::Instances>,
+    /// Lists of instances in the order of the settings.
+    pub instances: Vec<instances::Instances>,
     /// Weight store.
     pub weights: WeightStore,
     /// Engines by name.
@@ -91,10 +91,11 @@
         let name = settings.name.clone();
         services.insert(name, service::spawn(settings)?);
     }
+    let lists = settings.instances.into_iter().map(instances::spawn);
     let proxies = settings.proxy.iter().map(proxy::spawn);
     Ok(Standins {
         kv: settings.kv.map(kv::spawn).transpose()?,
-        instances: settings.instances.map(instances::spawn).transpose()?,
+        instances: lists.collect::<Result<_, _>>()?,
         weights,
         engines,
         services,
--- a/crates/standins/tests/standins.rs
+++ b/crates/standins/tests/standins.rs
@@ -169,8 +169,7 @@
         .send()
         .await
         .unwrap();
-    let granted: serde_json::Value = granted.json().await.unwrap();
-    let id = granted["id"].as_u64().unwrap();
+    let id = String::from_utf8(granted.body().await.unwrap().to_vec()).unwrap();
     let bound = http.put(format!("{base}/kv/k?expect=0&lease={id}"));
     assert_eq!(bound.send_body("1").await.unwrap().status(), StatusCode::OK);
     let renewed = http.post(format!("{base}/lease/{id}/renew")).send().await;
--- /dev/null
+++ b/crates/testbed/src/lib.rs
@@ -0,0 +1,29 @@
+//! Test clusters: gates, planners and stand-ins as real processes on loopback, with fault
+//! proxies between them.
+//!
+//! For tests and for the load tool only; no daemon depends on this crate. A cluster claims a
+//! loopback block of its own and uses fixed ports there, so that a process can be restarted on
+//! its address and clusters never meet.
+
+mod block;
+mod caller;
+mod cluster;
+mod error;
+pub mod judge;
+mod layout;
+mod metrics;
+mod process;
+mod spec;
+mod wait;
+
+pub use crate::{
+    block::Block,
+    caller::{Answer, Caller, Streamed},
+    cluster::{Cluster, NETWORK, PLATFORM, UPSTREAMS, gate_name, instance_name, planner_name},
+    error::TestbedError,
+    layout::{Layout, Link},
+    metrics::Metrics,
+    process::{Process, Usage},
+    spec::{ClusterSpec, EngineSpec, Programs, ServiceSpec},
+    wait::{until, until_some},
+};
