--- a/crates/placement/src/orders.rs
+++ b/crates/placement/src/orders.rs
@@ -16,6 +16,8 @@
 const SHORTEST_PAUSE: Duration = Duration::from_millis(5);
 /// Pause between two reports while an unload, or a load of unknown length, is under way.
 const UNLOAD_PAUSE: Duration = Duration::from_millis(50);
+/// Time after which a replica is unloaded although requests still run on it.
+const DRAIN_LIMIT: Duration = Duration::from_secs(30);
 /// Reports that are read over the rest of a load, at most.
 const REPORTS_WHILE_LOADING: u32 = 8;
 
@@ -163,7 +165,7 @@
         let due = retired.find(|r| {
             r.stage == Stage::Retire
                 && self.is_confirmed(r)
-                && self.is_grace_over(r, now)
+                && self.is_quiet(r, server, now)
                 && !self.has_adapters(upstream, r)
                 && matches!(
                     server.state(&r.artifact.served_name()),
@@ -175,10 +177,20 @@
         })
     }
 
-    fn is_grace_over(&self, r: &Reservation, now: Instant) -> bool {
-        let place = (r.upstream.clone(), r.artifact.served_name());
-        let retiring = self.retiring.get(&place);
-        retiring.is_none_or(|retiring| now >= retiring.since + self.settings.retire_grace)
+    /// Whether the gates have had the time to stop using a replica, and nothing runs on it any
+    /// more. After a limit the engine is left to finish what still runs there.
+    fn is_quiet(&self, r: &Reservation, server: &Server, now: Instant) -> bool {
+        let name = r.artifact.served_name();
+        let place = (r.upstream.clone(), name.clone());
+        let Some(since) = self.retiring.get(&place).map(|retiring| retiring.since) else {
+            return true;
+        };
+        let quiet_from = since + self.settings.retire_grace;
+        if now < quiet_from {
+            return false;
+        }
+        let is_unused = self.activity.get(&name).is_none_or(|a| a.running() == 0);
+        is_unused || server.was_quiet_at(quiet_from) || now >= since + DRAIN_LIMIT
     }
 
     fn has_adapters(&self, upstream: &str, base: &Reservation) -> bool {
--- a/crates/placement/src/server.rs
+++ b/crates/placement/src/server.rs
@@ -126,6 +126,16 @@
             .map(|l| l.state)
     }
 
+    /// Whether the engine had nothing to do at `at` or later. Its load figures lag.
+    pub fn was_quiet_at(&self, at: Instant) -> bool {
+        let Some((report, read_at)) = self.report.as_ref().zip(self.report_at) else {
+            return false;
+        };
+        let lag = Duration::from_millis(report.load_age_ms);
+        let figures_at = read_at.checked_sub(lag).unwrap_or(read_at);
+        report.running == 0 && report.waiting == 0 && figures_at >= at
+    }
+
     /// Whether the artifact serves requests.
     pub fn has_ready(&self, served_name: &str) -> bool {
         self.state(served_name) == Some(LoadState::Ready)
