--- a/crates/placement/src/holder.rs
+++ b/crates/placement/src/holder.rs
@@ -381,9 +381,7 @@
     if let Some(previous) = predecessor {
         plan = previous.plan.clone();
         term = previous.term + 1;
-        if !previous.released {
-            plan.inherit(previous.term);
-        }
+        plan.inherit((!previous.released).then_some(previous.term));
     }
     CellRecord {
         holder: identity.name.clone(),
--- a/crates/placement/src/record.rs
+++ b/crates/placement/src/record.rs
@@ -105,13 +105,13 @@
             .find(|r| r.upstream == upstream && is_served_as(&r.artifact, served_name))
     }
 
-    /// Prepares the plan of a predecessor that did not release the cell: each of its unfinished
-    /// load orders may still arrive.
-    pub fn inherit(&mut self, predecessor_term: u64) {
+    /// Prepares the plan of a predecessor. Unless it released the cell, each of its unfinished
+    /// load orders may still arrive with the term `unreleased`.
+    pub fn inherit(&mut self, unreleased: Option<u64>) {
         for r in &mut self.reservations {
             r.decision = 0;
             if r.stage == Stage::Load {
-                r.stray = r.stray.max(Some(predecessor_term));
+                r.stray = r.stray.max(unreleased);
             }
         }
     }
