--- a/crates/store/src/follow.rs
+++ b/crates/store/src/follow.rs
@@ -109,6 +109,18 @@
         }
     }
 
+    /// A configuration that never changes and never ages.
+    pub fn fixed(snapshot: Snapshot) -> Self {
+        let state = State::new(Duration::MAX);
+        state.contacts.borrow_mut().note_service(Instant::now());
+        state.changes.send_replace(snapshot.revision);
+        *state.current.borrow_mut() = Rc::new(snapshot);
+        Self {
+            state: Rc::new(state),
+            _tasks: Rc::new(Tasks(Vec::new())),
+        }
+    }
+
     /// The revision in force.
     pub fn current(&self) -> Rc<Snapshot> {
         Rc::clone(&self.state.current.borrow())
