Make the keeping of shares a state machine without input or output

The keeper named the next call and took its outcome inside the gate's async task, where random interleavings could not reach it. It is now a pure state machine in the allowance crate; the gate only makes its calls.

A share is removed only after the lapse plus the longest hold, so that what its gate lent or charged right before the lapse is used up by then. Loans need not end before the lapse any more. A revoked lease counts only for the incarnation that it names, because the service may offer an old value.

--- /dev/null
+++ b/crates/allowance/src/keeper/others.rs
@@ -0,0 +1,97 @@
+//! The leases of the other gates, and which of them are gone.
+
+use std::{
+    collections::{BTreeMap, VecDeque},
+    net::SocketAddr,
+    time::{Duration, Instant},
+};
+
+use super::{Outcome, RENEWALS_PER_LAPSE, Timing, Value, Version};
+use crate::{
+    lease::Sighting,
+    shares::{Member, ShareTable},
+};
+
+pub(super) struct Others {
+    timing: Timing,
+    sightings: BTreeMap<SocketAddr, Sighting>,
+    look_at: Instant,
+    to_look_at: VecDeque<SocketAddr>,
+    /// A gate whose lease has lapsed at a version, and is to be revoked.
+    lapsed: Option<(Member, Version)>,
+    /// A gate whose lease is revoked, and whose share is to be removed.
+    gone: Option<Member>,
+}
+
+impl Others {
+    pub(super) fn new(timing: Timing, now: Instant) -> Self {
+        Self {
+            timing,
+            sightings: BTreeMap::new(),
+            look_at: now,
+            to_look_at: VecDeque::new(),
+            lapsed: None,
+            gone: None,
+        }
+    }
+
+    /// The next gate whose lease is to be looked at, if it is time.
+    pub(super) fn take_due(
+        &mut self,
+        table: &ShareTable,
+        me: &Member,
+        now: Instant,
+    ) -> Option<Member> {
+        if self.to_look_at.is_empty() && now >= self.look_at {
+            self.look_at = now + self.period();
+            self.sightings
+                .retain(|addr, _| table.shares.contains_key(addr));
+            let others = table.shares.keys().filter(|addr| **addr != me.addr);
+            self.to_look_at = others.copied().collect();
+        }
+        let addr = self.to_look_at.pop_front()?;
+        let share = table.shares.get(&addr)?;
+        Some(Member {
+            addr,
+            incarnation: share.incarnation.clone(),
+        })
+    }
+
+    pub(super) fn answer_read(&mut self, member: &Member, outcome: Outcome, now: Instant) {
+        let Outcome::Found(found) = outcome else {
+            return;
+        };
+        let version = found.as_ref().map_or(0, |(version, _)| *version);
+        if let Some((_, Value::Lease(lease))) = found
+            && lease.revoked
+            && lease.incarnation == member.incarnation
+        {
+            self.gone = Some(member.clone());
+            return;
+        }
+        let first = Sighting::new(version, now);
+        let sighting = self.sightings.entry(member.addr).or_insert(first);
+        sighting.look(version, now);
+        if sighting.has_lapsed(self.timing.lapse, self.timing.hold, now) {
+            self.lapsed = Some((member.clone(), version));
+        }
+    }
+
+    pub(super) fn take_lapsed(&mut self) -> Option<(Member, Version)> {
+        self.lapsed.take()
+    }
+
+    pub(super) fn answer_revocation(&mut self, member: Member, outcome: &Outcome) {
+        if matches!(outcome, Outcome::Written(_)) {
+            self.gone = Some(member);
+        }
+    }
+
+    pub(super) fn take_gone(&mut self) -> Option<Member> {
+        self.gone.take()
+    }
+
+    fn period(&self) -> Duration {
+        self.timing.lapse / (2 * RENEWALS_PER_LAPSE)
+    }
+}
--- a/crates/allowance/src/lease.rs
+++ b/crates/allowance/src/lease.rs
@@ -44,9 +44,9 @@
         self.confirmed = Some(started);
     }
 
-    /// Ends the lease.
-    pub fn revoke(&mut self) {
-        self.confirmed = None;
+    /// Start of the last confirmed renewal.
+    pub fn confirmed(&self) -> Option<Instant> {
+        self.confirmed
     }
 
     /// When the share may no longer be used; `None` when it may not be used at all.
@@ -83,8 +83,10 @@
         self.version
     }
 
-    /// Whether the holder has surely stopped using its share by its own clock.
-    pub fn has_lapsed(&self, lapse: Duration, now: Instant) -> bool {
-        now.saturating_duration_since(self.first_seen) >= drift::guarded(lapse)
+    /// Whether the holder has surely stopped using its share by its own clock, and whatever it
+    /// sent or lent before is used up: that takes at most `hold` after the lapse.
+    pub fn has_lapsed(&self, lapse: Duration, hold: Duration, now: Instant) -> bool {
+        let wait = drift::guarded(lapse + drift::guarded(hold));
+        now.saturating_duration_since(self.first_seen) >= wait
     }
 }
--- a/crates/allowance/src/ledger/loans.rs
+++ b/crates/allowance/src/ledger/loans.rs
@@ -90,8 +90,7 @@
 }
 
 impl Ledger {
-    /// Lends up to `wanted` tokens for `hold`. Grants nothing when the share may lapse before the
-    /// loan has surely ended.
+    /// Lends up to `wanted` tokens for `hold`.
     pub fn lend(
         &mut self,
         workspace: WorkspaceKey,
@@ -102,9 +101,8 @@
         self.advance(now);
         self.bucket(workspace, now);
         let expires = now + drift::guarded(hold);
-        let valid = self.valid_until.is_some_and(|until| expires <= until);
         let granted = wanted.min(self.available(workspace));
-        if !valid || granted == 0 {
+        if granted == 0 {
             return Grant {
                 loan: 0,
                 granted: 0,
--- a/crates/gate/src/allowances.rs
+++ b/crates/gate/src/allowances.rs
@@ -3,11 +3,9 @@
 //! A reservation holds tokens while a request waits. It becomes a charge when the request is
 //! sent upstream, and the charge is settled with what the engine says was used.
 
-mod evict;
 mod gather;
 mod metrics;
-mod record;
-mod renewal;
+mod share_calls;
 mod shared;
 mod shares;
 mod status;
