--- a/crates/allowance/src/ledger.rs
+++ b/crates/allowance/src/ledger.rs
@@ -314,7 +314,11 @@
     }
 
     /// Notes how many tokens of a charge are used so far. A lower number than before is ignored.
-    pub fn progress(&mut self, charge: ChargeKey, used: u64) {
+    ///
+    /// The refill is brought up to `now` first: while the tokens were outstanding there was no
+    /// room for it.
+    pub fn progress(&mut self, charge: ChargeKey, used: u64, now: Instant) {
+        self.advance(now);
         let Some(charged) = self.charges.get_mut(charge) else {
             return;
         };
@@ -323,6 +327,7 @@
         charged.remaining -= covered;
         charged.used = charged.used.max(used);
         let bucket = &mut self.accounts[charged.workspace].bucket;
+        bucket.advance(now);
         bucket.consume(covered);
         bucket.overuse(more - covered);
     }
@@ -330,7 +335,7 @@
     /// Ends a charge with the tokens that were used; the rest returns.
     pub fn settle(&mut self, charge: ChargeKey, used: u64, now: Instant) {
         self.advance(now);
-        self.progress(charge, used);
+        self.progress(charge, used, now);
         if let Some(charged) = self.charges.remove(charge) {
             let bucket = self.bucket(charged.workspace, now);
             bucket.refund(charged.remaining);
--- a/crates/gate/src/allowances/shared.rs
+++ b/crates/gate/src/allowances/shared.rs
@@ -305,7 +305,8 @@
 {
     fn progress(&mut self, used: u64) {
         if let Some(charge) = self.charge {
-            self.state.ledger.borrow_mut().progress(charge, used);
+            let now = self.state.now();
+            self.state.ledger.borrow_mut().progress(charge, used, now);
         }
     }
 
