Judge freshness by first-hand evidence with its age

A process goes on only while it has evidence that no newer revision can have been accepted for longer than the cut-off time. Evidence is dated by the start of the call that gave it, so a process that resumes after a freeze has none. That the service is down for all is concluded only after an own failed call, from most of the fleet, with a running process heard in every zone.

Two cases came up while the model was written: a peer that has just been resumed would answer that it has no contact before it had tried, and a zone whose processes are all gone would count as heard. Both let a process behind a healed cut go on with an old revision.

A call that is not answered in time counts as failed, but its late answer is still taken, so that a slow service does not hide a new revision.

--- a/crates/store/src/freshness.rs
+++ b/crates/store/src/freshness.rs
@@ -29,7 +29,7 @@
 pub enum Heard {
     /// The peer itself reached the service within the contact period.
     InContact,
-    /// The peer runs and has not reached the service within the contact period.
+    /// The peer runs, has tried to reach the service within the contact period, and has failed.
     NoContact,
     /// No process listens at the peer's address any more.
     NotRunning,
@@ -43,6 +43,7 @@
 pub struct Contacts {
     cut_off: Duration,
     service: Option<Instant>,
+    failed: Option<Instant>,
     peers: HashMap<SocketAddr, (Instant, Heard)>,
 }
 
@@ -52,6 +53,7 @@
         Self {
             cut_off,
             service: None,
+            failed: None,
             peers: HashMap::new(),
         }
     }
@@ -67,6 +69,11 @@
         self.service = self.service.max(Some(began));
     }
 
+    /// Notes that a call to the service which began at `began` was not answered.
+    pub fn note_failure(&mut self, began: Instant) {
+        self.failed = self.failed.max(Some(began));
+    }
+
     /// Notes what a peer said in a call that began at `began`. `InContact` may be noted only when
     /// the peer's revision is not above the one in force here.
     pub fn note_peer(&mut self, peer: SocketAddr, began: Instant, heard: Heard) {
@@ -79,11 +86,22 @@
             .is_some_and(|at| age(at, now) <= self.contact_period())
     }
 
+    /// What a peer may be told: whether this process is in contact, or `None` while it does not
+    /// know. A process that has just been started or resumed has not failed to reach the service,
+    /// it has not tried yet.
+    pub fn report(&self, now: Instant) -> Option<bool> {
+        if self.in_contact(now) {
+            return Some(true);
+        }
+        self.has_failed(now).then_some(false)
+    }
+
     /// How far the revision in force can be trusted at `now`.
     ///
-    /// That the service is down for all is concluded only when the peers that were heard are most
-    /// of the fleet and come from every availability zone. A zone that has lost the others and
-    /// the service looks alike from within, while the others may still accept a withdrawal.
+    /// That the service is down for all is concluded only when this process has just failed to
+    /// reach it, when the peers that were heard are most of the fleet, and when one of them runs
+    /// in every availability zone. A zone that has lost the others and the service looks the same
+    /// from within, while a withdrawal may still be accepted outside.
     pub fn freshness(&self, listed: &[Peer], now: Instant) -> Freshness {
         let direct = self.service.is_some_and(|at| age(at, now) <= self.cut_off);
         if direct {
@@ -93,23 +111,35 @@
         if listed.iter().any(|p| heard(p) == Some(Heard::InContact)) {
             return Freshness::Current;
         }
-        let silent = listed.iter().filter(|p| heard(p).is_none()).count();
-        let answered = listed.len() - silent;
-        // This process is one of the fleet and has no contact itself.
-        let most = answered > 0 && answered + 1 > silent;
-        let zones = |known: bool| -> BTreeSet<&str> {
-            listed
-                .iter()
-                .filter(|p| heard(p).is_some() == known)
-                .map(|p| p.zone.as_str())
-                .collect()
-        };
-        if most && zones(false).is_subset(&zones(true)) {
+        if self.has_failed(now) && self.is_most(listed, now) && self.covers_zones(listed, now) {
             return Freshness::ServiceDown;
         }
         Freshness::CutOff
     }
 
+    fn has_failed(&self, now: Instant) -> bool {
+        self.failed
+            .is_some_and(|at| age(at, now) <= self.contact_period())
+    }
+
+    /// Whether this process and the peers that were heard are most of the fleet.
+    fn is_most(&self, listed: &[Peer], now: Instant) -> bool {
+        let answered = listed
+            .iter()
+            .filter(|p| self.heard(p.addr, now).is_some())
+            .count();
+        let silent = listed.len() - answered;
+        answered > 0 && answered + 1 > silent
+    }
+
+    /// Whether a running peer was heard in every zone. That a process is gone tells nothing about
+    /// what can be reached from its zone.
+    fn covers_zones(&self, listed: &[Peer], now: Instant) -> bool {
+        let runs = |p: &&Peer| self.heard(p.addr, now) == Some(Heard::NoContact);
+        let covered: BTreeSet<&str> = listed.iter().filter(runs).map(zone).collect();
+        listed.iter().map(zone).all(|z| covered.contains(z))
+    }
+
     /// Forgets peers that are no longer asked.
     pub fn retain(&mut self, asked: &[Peer]) {
         self.peers
@@ -122,6 +152,10 @@
     }
 }
 
+fn zone(peer: &Peer) -> &str {
+    &peer.zone
+}
+
 fn age(at: Instant, now: Instant) -> Duration {
     now.saturating_duration_since(at)
 }
--- a/crates/store/src/peers.rs
+++ b/crates/store/src/peers.rs
@@ -19,7 +19,7 @@
     /// Revision that the peer has in force.
     pub number: u64,
     /// Whether the peer itself, not one of its own peers, was in contact with the service within
-    /// the contact period.
+    /// the contact period. False only when it has tried and failed.
     pub in_contact: bool,
     /// Root record as it is stored in the service; empty when `number` is not above the caller's.
     pub root: Bytes,
