Answer peers only once contact with the service is known

A gate that has started or resumed a moment ago cannot say whether the key-value service is down, so it answers a peer's question with an error, which must not close the link.

--- a/crates/gate/src/assembly.rs
+++ b/crates/gate/src/assembly.rs
@@ -1,9 +1,6 @@
 //! A gate with all its parts, as the daemon runs it.
 
-use std::{
-    net::SocketAddr,
-    time::{Duration, Instant},
-};
+use std::{net::SocketAddr, time::Duration};
 
 use actix_rt::task::JoinHandle;
 use bytes::Bytes;
@@ -152,14 +149,13 @@
 struct FollowedConfig(Follower);
 
 impl ConfigAnswers for FollowedConfig {
-    fn revision(&self, known: u64) -> RevisionAnswer {
-        let now: Instant = SystemClock.now();
-        let report = self.0.report(known, now);
-        RevisionAnswer {
+    fn revision(&self, known: u64) -> Option<RevisionAnswer> {
+        let report = self.0.report(known, SystemClock.now())?;
+        Some(RevisionAnswer {
             number: report.number,
             in_contact: report.in_contact,
             root: report.root,
-        }
+        })
     }
 
     fn chunk(&self, hash: &str) -> Option<Bytes> {
--- a/crates/gate/src/peers/links.rs
+++ b/crates/gate/src/peers/links.rs
@@ -284,7 +284,7 @@
             let _stalled = Stalled::new(&self.stalled);
             call.await
         };
-        if answer.is_err() {
+        if answer.as_ref().is_err_and(is_broken) {
             self.close(link);
         }
         answer.context(LinkSnafu)
@@ -298,6 +298,15 @@
     }
 }
 
+/// Whether an error speaks against the link. A peer that has no answer yet still answers.
+fn is_broken(e: &LinkError) -> bool {
+    let is_answer = matches!(
+        e,
+        LinkError::Call { source, .. } if source.kind == capnp::ErrorKind::Overloaded
+    );
+    !is_answer
+}
+
 /// Counts a stalled call until it is dropped.
 struct Stalled<'a>(&'a Cell<u32>);
 
--- a/crates/gate/src/peers/served.rs
+++ b/crates/gate/src/peers/served.rs
@@ -9,6 +9,9 @@
 
 use crate::allowances::{Lenders, SharedAllowances};
 
+/// Answer of a process that has started or resumed a moment ago.
+const UNDECIDED: &str = "not known yet whether the key-value service can be reached";
+
 /// Tokens that can be lent.
 pub trait TokenLender: 'static {
     /// Lends up to `wanted` tokens of a workspace for `hold`.
@@ -31,8 +34,9 @@
 
 /// The configuration, as other processes ask for it.
 pub trait ConfigAnswers: 'static {
-    /// The revision in force; `known` is the caller's.
-    fn revision(&self, known: u64) -> RevisionAnswer;
+    /// The revision in force; `known` is the caller's. `None` while this process cannot tell
+    /// whether the key-value service can be reached.
+    fn revision(&self, known: u64) -> Option<RevisionAnswer>;
 
     /// A part of the configuration by its content hash.
     fn chunk(&self, hash: &str) -> Option<Bytes>;
@@ -43,8 +47,8 @@
 pub struct NoConfig;
 
 impl ConfigAnswers for NoConfig {
-    fn revision(&self, _known: u64) -> RevisionAnswer {
-        RevisionAnswer::default()
+    fn revision(&self, _known: u64) -> Option<RevisionAnswer> {
+        Some(RevisionAnswer::default())
     }
 
     fn chunk(&self, _hash: &str) -> Option<Bytes> {
@@ -123,6 +127,7 @@
         mut results: gate::RevisionResults,
     ) -> Result<(), capnp::Error> {
         let answer = self.config.revision(params.get()?.get_known());
+        let answer = answer.ok_or_else(|| capnp::Error::overloaded(UNDECIDED.to_owned()))?;
         let mut revision = results.get().init_revision();
         revision.set_number(answer.number);
         revision.set_in_contact(answer.in_contact);
