--- a/crates/allowance/tests/fleet/mod.rs
+++ b/crates/allowance/tests/fleet/mod.rs
@@ -24,7 +24,7 @@
 };
 pub const TIMING: Timing = Timing {
     contact: Duration::from_millis(50),
-    lapse: Duration::from_millis(2_000),
+    lapse: Duration::from_secs(2),
     hold: Duration::from_millis(500),
 };
 /// Longest time in which an upstream uses the tokens of a request.
