Prove that orders run at most once under failure

Thirteen cases with real processes: upstream breaking off at every stage, closed port, gate killed and frozen while it holds a claim, the same key through four gates at once, lost answers and an outage of the key-value service, a caller that leaves, a second upstream behind the route.

--- /dev/null
+++ b/crates/core/tests/at_most_once.rs
@@ -0,0 +1,437 @@
+//! Calls that must not be repeated run at most once, and an answer that says "not run" is true.
+
+use std::time::Duration;
+
+use awc::http::{Method, StatusCode};
+use bytes::Bytes;
+use comfreyweir_standins::{
+    kv,
+    proxy::{self, Mode},
+    service::{self, Reached, Stage},
+};
+
+mod support;
+
+use support::{Answer, Caller, Cluster, ClusterSpec, Link, gate_name, start, until};
+
+const ORDER: &[u8] = b"{\"part\":\"hydraulic hose\",\"count\":1}";
+const LIMIT: Duration = Duration::from_secs(10);
+
+fn spec(gates: usize) -> ClusterSpec {
+    let mut spec = ClusterSpec::new(gates)
+        .workspace("lodz", 1_000, 1_000)
+        .service("booking-0")
+        .service("booking-1")
+        .route("/orders", &["booking-0"], false)
+        .route("/visits", &["booking-0", "booking-1"], false)
+        .route("/stock", &["booking-0", "booking-1"], true);
+    spec.planners = 1;
+    spec.limits.deadline_ms = 3_000;
+    spec
+}
+
+/// Sends an order; `None` means that the answer broke off.
+async fn order(
+    caller: &Caller,
+    path: &str,
+    key: Option<&str>,
+    extra: &[(&str, &str)],
+) -> Option<Answer> {
+    let mut headers = vec![("content-type", "application/json")];
+    headers.extend(key.map(|key| ("idempotency-key", key)));
+    headers.extend(extra);
+    let body = Bytes::from_static(ORDER);
+    caller.send(Method::POST, path, &headers, body).await.ok()
+}
+
+/// Number of runs of a path, by the services' own records.
+async fn runs(cluster: &Cluster, path: &str) -> usize {
+    let mut runs = 0;
+    for name in ["booking-0", "booking-1"] {
+        let record = cluster.service_record(name).await.unwrap();
+        let ran = |call: &&service::Call| call.path == path && call.reached == Reached::Run;
+        runs += record.calls.iter().filter(ran).count();
+    }
+    runs
+}
+
+fn says_not_run(answer: Option<&Answer>) -> bool {
+    answer.is_some_and(|answer| answer.run() == "no")
+}
+
+#[actix_rt::test]
+async fn order_runs_at_most_once_wherever_the_upstream_breaks_off() {
+    let cluster = start(spec(2)).await;
+    let stages = [
+        Stage::BeforeRead,
+        Stage::AfterHead,
+        Stage::MidBody,
+        Stage::BeforeAnswer,
+        Stage::MidAnswer,
+    ];
+    for stage in stages {
+        let path = format!("/orders/{stage:?}");
+        let faults = service::Faults {
+            stage: Some(stage),
+            calls: 1,
+            ..service::Faults::default()
+        };
+        cluster
+            .set_service_faults("booking-0", &faults)
+            .await
+            .unwrap();
+
+        let first = order(&cluster.caller(0, "lodz"), &path, Some(&path), &[]).await;
+        let ran = runs(&cluster, &path).await;
+        assert!(ran <= 1, "{stage:?}");
+        if stage != Stage::BeforeRead {
+            let claim = says_not_run(first.as_ref());
+            assert!(!claim, "{stage:?}: the head was received, {first:?}");
+        }
+        // A connection that is closed before anything was written is honestly "not run".
+        let not_run = says_not_run(first.as_ref());
+        assert!(!not_run || ran == 0, "{stage:?}");
+
+        let again = order(&cluster.caller(1, "lodz"), &path, Some(&path), &[]).await;
+        let again = again.unwrap();
+        let runs_after = runs(&cluster, &path).await;
+        if not_run {
+            assert!(again.status.is_success(), "{stage:?}: {:?}", again.body);
+            assert_eq!(runs_after, 1, "{stage:?}");
+        } else {
+            assert_eq!(
+                again.status,
+                StatusCode::CONFLICT,
+                "{stage:?}: {:?}",
+                again.body
+            );
+            assert_eq!(again.run(), "unknown", "{stage:?}");
+            assert_eq!(runs_after, ran, "{stage:?}: the resend ran");
+        }
+    }
+}
+
+#[actix_rt::test]
+async fn order_that_cannot_be_sent_says_not_run_and_can_be_sent_again() {
+    let cluster = start(spec(2).proxied()).await;
+    let cut = proxy::Faults {
+        mode: Mode::Cut,
+        ..proxy::Faults::default()
+    };
+    cluster.set_link(&Link::Service(0), &cut).await.unwrap();
+    let path = "/orders/unreachable";
+    let first = order(&cluster.caller(0, "lodz"), path, Some("k1"), &[])
+        .await
+        .unwrap();
+    assert!(!first.status.is_success());
+    assert_eq!(runs(&cluster, path).await, 0);
+
+    cluster
+        .set_link(&Link::Service(0), &proxy::Faults::default())
+        .await
+        .unwrap();
+    let again = order(&cluster.caller(1, "lodz"), path, Some("k1"), &[])
+        .await
+        .unwrap();
+    // The proxy accepts before it resets, so that the gate may have to call the run unknown.
+    let expected = usize::from(first.run() == "no");
+    assert_eq!(
+        runs(&cluster, path).await,
+        expected,
+        "{:?} then {:?}",
+        first.body,
+        again.body
+    );
+    assert_eq!(again.status.is_success(), expected == 1);
+}
+
+#[actix_rt::test]
+async fn order_to_a_closed_port_says_not_run_and_can_be_sent_again() {
+    let mut cluster = start(spec(2)).await;
+    cluster.kill(support::UPSTREAMS).unwrap();
+    let path = "/orders/closed";
+    let first = order(&cluster.caller(0, "lodz"), path, Some("k1"), &[])
+        .await
+        .unwrap();
+    assert_eq!(
+        first.status,
+        StatusCode::SERVICE_UNAVAILABLE,
+        "{:?}",
+        first.body
+    );
+    assert_eq!(first.run(), "no");
+    assert!(first.header("retry-after").is_some());
+
+    cluster.restart(support::UPSTREAMS).await.unwrap();
+    let again = order(&cluster.caller(1, "lodz"), path, Some("k1"), &[])
+        .await
+        .unwrap();
+    assert!(again.status.is_success(), "{:?}", again.body);
+    assert_eq!(runs(&cluster, path).await, 1);
+}
+
+#[actix_rt::test]
+async fn resend_through_another_gate_gets_the_recorded_answer() {
+    let cluster = start(spec(2)).await;
+    let path = "/orders/twice";
+    let first = order(&cluster.caller(0, "lodz"), path, Some("k1"), &[])
+        .await
+        .unwrap();
+    assert!(first.status.is_success(), "{:?}", first.body);
+    let again = resend_until_replayed(&cluster.caller(1, "lodz"), path, "k1").await;
+    assert_eq!(again.body, first.body);
+    assert_eq!(runs(&cluster, path).await, 1);
+}
+
+/// Sends an order again until its recorded answer comes.
+async fn resend_until_replayed(caller: &Caller, path: &str, key: &str) -> Answer {
+    let probe = async || {
+        let again = order(caller, path, Some(key), &[]).await?;
+        again
+            .header("idempotent-replayed")
+            .is_some()
+            .then_some(again)
+    };
+    support::until_some(LIMIT, "the recorded answer", probe)
+        .await
+        .unwrap()
+}
+
+#[actix_rt::test]
+async fn same_key_through_all_gates_at_once_runs_once() {
+    let cluster = start(spec(4)).await;
+    let path = "/orders/at-once";
+    let callers: Vec<_> = (0..4).map(|gate| cluster.caller(gate, "lodz")).collect();
+    let orders = callers
+        .iter()
+        .map(|caller| order(caller, path, Some("k1"), &[]));
+    let answers = futures_util::future::join_all(orders).await;
+    let mut succeeded = 0;
+    for answer in answers {
+        let answer = answer.unwrap();
+        succeeded += usize::from(answer.status.is_success());
+        let expected = answer.status.is_success() || answer.status == StatusCode::CONFLICT;
+        assert!(expected, "{:?}", answer.body);
+    }
+    assert!(succeeded >= 1);
+    for caller in &callers {
+        resend_until_replayed(caller, path, "k1").await;
+    }
+    assert_eq!(runs(&cluster, path).await, 1);
+}
+
+#[actix_rt::test]
+async fn order_of_a_killed_gate_is_not_run_again() {
+    let mut cluster = start(spec(2)).await;
+    let path = "/orders/killed";
+    let slow = [("x-test-delay-ms", "1500")];
+    let caller = cluster.caller(0, "lodz");
+    let sent = actix_rt::spawn(async move { order(&caller, path, Some("k1"), &slow).await });
+    until(LIMIT, "the order at the service", async || {
+        arrived(&cluster, path).await
+    })
+    .await
+    .unwrap();
+    cluster.kill(&gate_name(0)).unwrap();
+    assert!(sent.await.unwrap().is_none());
+
+    let again = order(&cluster.caller(1, "lodz"), path, Some("k1"), &[])
+        .await
+        .unwrap();
+    assert_eq!(again.status, StatusCode::CONFLICT, "{:?}", again.body);
+    assert_eq!(again.run(), "unknown");
+    assert!(runs(&cluster, path).await <= 1);
+}
+
+async fn arrived(cluster: &Cluster, path: &str) -> bool {
+    let record = cluster.service_record("booking-0").await.unwrap();
+    record.calls.iter().any(|call| call.path == path)
+}
+
+#[actix_rt::test]
+async fn order_of_a_gate_frozen_before_it_sends_is_not_run_twice() {
+    let cluster = start(spec(2)).await;
+    let path = "/orders/frozen";
+    // The claim waits for the slow key-value service while the gate is frozen.
+    let slow = kv::Faults {
+        delay_ms: 300,
+        ..kv::Faults::default()
+    };
+    cluster.set_kv_faults(&slow).await.unwrap();
+    let caller = cluster.caller(0, "lodz");
+    let sent = actix_rt::spawn(async move { order(&caller, path, Some("k1"), &[]).await });
+    let before = cluster.kv_counts().await.unwrap().writes;
+    let claiming = async || cluster.kv_counts().await.unwrap().writes > before;
+    until(LIMIT, "the claim at the key-value service", claiming)
+        .await
+        .unwrap();
+    cluster.freeze(&gate_name(0)).unwrap();
+    cluster.set_kv_faults(&kv::Faults::default()).await.unwrap();
+
+    let again = order(&cluster.caller(1, "lodz"), path, Some("k1"), &[]).await;
+    cluster.thaw(&gate_name(0)).unwrap();
+    let first = sent.await.unwrap();
+    let ran = runs(&cluster, path).await;
+    assert!(ran <= 1, "{first:?} {again:?}");
+    if says_not_run(first.as_ref()) && says_not_run(again.as_ref()) {
+        assert_eq!(ran, 0);
+    }
+}
+
+#[actix_rt::test]
+async fn orders_run_at_most_once_while_answers_of_the_key_value_service_are_lost() {
+    let cluster = start(spec(2)).await;
+    for number in 0..20 {
+        let path = format!("/orders/lost-{number}");
+        let faults = kv::Faults {
+            lose_answers: 1 + number % 3,
+            lose_answers_prefix: "idem/".to_owned(),
+            ..kv::Faults::default()
+        };
+        cluster.set_kv_faults(&faults).await.unwrap();
+        let first = order(&cluster.caller(0, "lodz"), &path, Some(&path), &[])
+            .await
+            .unwrap();
+        let ran = runs(&cluster, &path).await;
+        assert_eq!(
+            ran,
+            usize::from(first.status.is_success()),
+            "{:?}",
+            first.body
+        );
+
+        cluster.set_kv_faults(&kv::Faults::default()).await.unwrap();
+        if first.status.is_success() {
+            resend_until_replayed(&cluster.caller(1, "lodz"), &path, &path).await;
+        } else {
+            assert_eq!(first.run(), "no", "{:?}", first.body);
+        }
+        assert!(runs(&cluster, &path).await <= 1);
+    }
+}
+
+#[actix_rt::test]
+async fn keyed_order_is_refused_while_the_key_value_service_is_down() {
+    let cluster = start(spec(2)).await;
+    let path = "/orders/outage";
+    let down = kv::Faults {
+        outage: kv::Outage::Silent,
+        ..kv::Faults::default()
+    };
+    cluster.set_kv_faults(&down).await.unwrap();
+    let first = order(&cluster.caller(0, "lodz"), path, Some("k1"), &[])
+        .await
+        .unwrap();
+    assert_eq!(
+        first.status,
+        StatusCode::SERVICE_UNAVAILABLE,
+        "{:?}",
+        first.body
+    );
+    assert_eq!(first.run(), "no");
+    assert!(first.header("retry-after").is_some());
+    assert_eq!(runs(&cluster, path).await, 0);
+
+    cluster.set_kv_faults(&kv::Faults::default()).await.unwrap();
+    let sent = async || {
+        let again = order(&cluster.caller(1, "lodz"), path, Some("k1"), &[]).await;
+        again.is_some_and(|again| again.status.is_success())
+    };
+    until(LIMIT, "the order after the outage", sent)
+        .await
+        .unwrap();
+    assert_eq!(runs(&cluster, path).await, 1);
+}
+
+#[actix_rt::test]
+async fn order_without_a_key_is_not_sent_to_a_second_upstream() {
+    let cluster = start(spec(1)).await;
+    for stage in [
+        Stage::BeforeRead,
+        Stage::AfterHead,
+        Stage::MidBody,
+        Stage::BeforeAnswer,
+    ] {
+        let path = format!("/visits/{stage:?}");
+        let faults = service::Faults {
+            stage: Some(stage),
+            calls: 1,
+            ..service::Faults::default()
+        };
+        for name in ["booking-0", "booking-1"] {
+            cluster.set_service_faults(name, &faults).await.unwrap();
+        }
+        let answer = order(&cluster.caller(0, "lodz"), &path, None, &[])
+            .await
+            .unwrap();
+        assert_eq!(answer.status, StatusCode::BAD_GATEWAY, "{stage:?}");
+        assert_eq!(answer.run(), "unknown", "{stage:?}");
+        let mut calls = 0;
+        for name in ["booking-0", "booking-1"] {
+            let record = cluster.service_record(name).await.unwrap();
+            calls += record.calls.iter().filter(|call| call.path == path).count();
+            cluster
+                .set_service_faults(name, &service::Faults::default())
+                .await
+                .unwrap();
+        }
+        assert!(calls <= 1, "{stage:?}: {calls} calls");
+    }
+}
+
+#[actix_rt::test]
+async fn repeatable_call_is_sent_to_a_second_upstream() {
+    let cluster = start(spec(1)).await;
+    let faults = service::Faults {
+        stage: Some(Stage::BeforeAnswer),
+        calls: 1,
+        ..service::Faults::default()
+    };
+    cluster
+        .set_service_faults("booking-0", &faults)
+        .await
+        .unwrap();
+    for number in 0..4 {
+        let path = format!("/stock/{number}");
+        let answer = cluster.caller(0, "lodz").get(&path).await.unwrap();
+        assert!(answer.status.is_success(), "{:?}", answer.body);
+    }
+}
+
+#[actix_rt::test]
+async fn answer_of_a_caller_that_left_is_recorded() {
+    let cluster = start(spec(2)).await;
+    let path = "/orders/left";
+    let slow = [("x-test-delay-ms", "300")];
+    let caller = cluster.caller(0, "lodz");
+    let sent = actix_rt::spawn(async move { order(&caller, path, Some("k1"), &slow).await });
+    until(LIMIT, "the order at the service", async || {
+        arrived(&cluster, path).await
+    })
+    .await
+    .unwrap();
+    sent.abort();
+    let again = resend_until_replayed(&cluster.caller(1, "lodz"), path, "k1").await;
+    assert!(again.status.is_success());
+    assert_eq!(runs(&cluster, path).await, 1);
+}
+
+#[actix_rt::test]
+async fn key_used_with_another_order_is_refused() {
+    let cluster = start(spec(2)).await;
+    let first = order(&cluster.caller(0, "lodz"), "/orders/a", Some("k1"), &[])
+        .await
+        .unwrap();
+    assert!(first.status.is_success(), "{:?}", first.body);
+    let other = order(&cluster.caller(1, "lodz"), "/orders/b", Some("k1"), &[])
+        .await
+        .unwrap();
+    assert_eq!(
+        other.status,
+        StatusCode::UNPROCESSABLE_ENTITY,
+        "{:?}",
+        other.body
+    );
+    assert_eq!(other.run(), "no");
+    assert_eq!(runs(&cluster, "/orders/b").await, 0);
+}
