--- a/crates/gate/src/admin.rs
+++ b/crates/gate/src/admin.rs
@@ -1,12 +1,11 @@
 //! The port for health checks, metrics and operators.
 
-use std::time::Instant;
-
 use actix_http::{
     Method, Request, Response, StatusCode,
     body::BoxBody,
     header::{self, HeaderValue},
 };
+use comfreyweir_clock::{Clock, SystemClock};
 use comfreyweir_store::Freshness;
 
 use crate::{allowances::Allowances, context::Cx, placement_view::PlacementView, stopping::Phase};
@@ -46,7 +45,7 @@
     if cx.follower.current().revision == 0 {
         return Some("no configuration yet\n");
     }
-    if cx.follower.freshness(Instant::now()) == Freshness::CutOff {
+    if cx.follower.freshness(SystemClock.now()) == Freshness::CutOff {
         return Some("cut off from the key-value service and from all peers\n");
     }
     None
--- a/crates/gate/src/allowances.rs
+++ b/crates/gate/src/allowances.rs
@@ -3,8 +3,21 @@
 //! A reservation holds tokens while a request waits. It becomes a charge when the request is
 //! sent upstream, and the charge is settled with what the engine says was used.
 
+mod gather;
+mod metrics;
+mod share_calls;
+mod shared;
+mod shares;
+mod status;
+
 use std::time::{Duration, Instant};
 
+pub use self::{
+    gather::{Ask, Lenders},
+    shared::{AllowanceTiming, SharedAllowances, SharedCharge, SharedReservation},
+    shares::ShareKeeper,
+};
+
 /// Why tokens cannot be reserved.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub enum Shortage {
--- a/crates/gate/src/completion/attempt.rs
+++ b/crates/gate/src/completion/attempt.rs
@@ -21,7 +21,7 @@
     context::Cx,
     dispatch::{self, Run},
     placement_view::PlacementView,
-    upstream::{Answer, Call, CallError, Connection, Track},
+    upstream::{Answer, Call, CallError, Connection, Echo, Track},
 };
 
 /// Engines that one request is sent to at most.
@@ -30,11 +30,12 @@
 const MAX_ERROR_BYTES: usize = 1 << 16;
 
 /// An engine that has begun to answer.
-pub(crate) struct Opened<A>
+pub(crate) struct Opened<A, V>
 where
     A: Allowances,
+    V: PlacementView,
 {
-    pub(crate) run: Run<A>,
+    pub(crate) run: Run<A, V>,
     pub(crate) answer: Answer,
 }
 
@@ -102,7 +103,7 @@
     job: &Job,
     done: u64,
     tries: &mut Tries,
-) -> Result<Opened<A>, Refusal>
+) -> Result<Opened<A, V>, Refusal>
 where
     A: Allowances,
     V: PlacementView,
@@ -121,9 +122,9 @@
 async fn attempt<A, V>(
     cx: &Rc<Cx<A, V>>,
     job: &Job,
-    run: Run<A>,
+    run: Run<A, V>,
     done: u64,
-) -> Result<Opened<A>, Failure>
+) -> Result<Opened<A, V>, Failure>
 where
     A: Allowances,
     V: PlacementView,
@@ -156,9 +157,10 @@
     }
 }
 
-fn call<A>(job: &Job, run: &Run<A>, done: u64) -> Call
+fn call<A, V>(job: &Job, run: &Run<A, V>, done: u64) -> Call
 where
     A: Allowances,
+    V: PlacementView,
 {
     let mut headers = HeaderMap::new();
     headers.insert(
@@ -175,6 +177,7 @@
         path: job.ask.path.clone(),
         headers,
         request_id: crate::request_id::fresh(),
+        echo: Echo::Required,
         connection: Connection::Reusable,
     }
 }
@@ -186,9 +189,10 @@
 }
 
 /// Judges an answer that is not a success.
-async fn refused<A, V>(cx: &Cx<A, V>, mut answer: Answer, run: Run<A>) -> Failure
+async fn refused<A, V>(cx: &Cx<A, V>, mut answer: Answer, run: Run<A, V>) -> Failure
 where
     A: Allowances,
+    V: PlacementView,
 {
     let status = answer.status;
     let stall = Duration::from_millis(cx.settings.limits.stall_ms);
--- a/crates/gate/src/completion/stream.rs
+++ b/crates/gate/src/completion/stream.rs
@@ -37,11 +37,12 @@
 const CLOSE_TIME: Duration = Duration::from_millis(20);
 
 /// An engine that sends events.
-struct Source<A>
+struct Source<A, V>
 where
     A: Allowances,
+    V: PlacementView,
 {
-    run: Run<A>,
+    run: Run<A, V>,
     body: AnswerBody,
     events: Events,
 }
@@ -54,7 +55,7 @@
 {
     cx: Rc<Cx<A, V>>,
     job: Job,
-    source: Option<Source<A>>,
+    source: Option<Source<A, V>>,
     tries: Tries,
     progress: Progress,
     last_token: Instant,
--- a/crates/gate/src/completion/whole.rs
+++ b/crates/gate/src/completion/whole.rs
@@ -46,9 +46,10 @@
     }
 }
 
-async fn read<A, V>(cx: &Cx<A, V>, job: &Job, opened: Opened<A>) -> Result<Bytes, Failure>
+async fn read<A, V>(cx: &Cx<A, V>, job: &Job, opened: Opened<A, V>) -> Result<Bytes, Failure>
 where
     A: Allowances,
+    V: PlacementView,
 {
     let Opened { run, mut answer } = opened;
     let stall = Duration::from_millis(cx.settings.limits.stall_ms);
--- a/crates/gate/src/context.rs
+++ b/crates/gate/src/context.rs
@@ -2,11 +2,18 @@
 
 use std::rc::Rc;
 
+use comfreyweir_clock::SystemClock;
 use comfreyweir_config::settings::GateSettings;
+use comfreyweir_platform::kv_http::HttpKv;
 use comfreyweir_store::Follower;
 
 use crate::{
-    metrics::Metrics, queue::Queues, status::Status, stopping::Stopping, upstream::Upstreams,
+    metrics::Metrics,
+    queue::Queues,
+    services::{balance::Balance, claims::Claims},
+    status::Status,
+    stopping::Stopping,
+    upstream::Upstreams,
 };
 
 /// What every request of a gate shares.
@@ -23,6 +30,10 @@
     pub upstreams: Upstreams,
     /// Requests that wait for a replica.
     pub(crate) queues: Queues,
+    /// Claims of idempotency keys.
+    pub claims: Claims<HttpKv, SystemClock>,
+    /// Load of the upstreams of plain services.
+    pub balance: Balance,
     /// Metrics of the process.
     pub metrics: Metrics,
     /// Sections of the status page.
--- a/crates/gate/src/dispatch.rs
+++ b/crates/gate/src/dispatch.rs
@@ -19,9 +19,10 @@
 type ChargeOf<A> = <<A as Allowances>::Reservation as Reservation>::Charge;
 
 /// Leave to call an engine once, with the tokens charged.
-pub(crate) struct Run<A>
+pub(crate) struct Run<A, V>
 where
     A: Allowances,
+    V: PlacementView,
 {
     /// Name of the engine.
     pub(crate) upstream: String,
@@ -30,11 +31,44 @@
     /// Place of the call in the gate's own counts.
     pub(crate) slot: Slot,
     charge: ChargeOf<A>,
+    _usage: Usage<V>,
+}
+
+/// Use of an artifact, until it is dropped.
+struct Usage<V>
+where
+    V: PlacementView,
+{
+    view: V,
+    served_name: String,
+}
+
+impl<V> Usage<V>
+where
+    V: PlacementView,
+{
+    fn begin(view: &V, served_name: &str) -> Self {
+        view.started(served_name);
+        Self {
+            view: view.clone(),
+            served_name: served_name.to_owned(),
+        }
+    }
+}
+
+impl<V> Drop for Usage<V>
+where
+    V: PlacementView,
+{
+    fn drop(&mut self) {
+        self.view.ended(&self.served_name);
+    }
 }
 
-impl<A> Run<A>
+impl<A, V> Run<A, V>
 where
     A: Allowances,
+    V: PlacementView,
 {
     /// Notes how many tokens were used so far.
     pub(crate) fn progress(&mut self, used: u64) {
@@ -61,7 +95,7 @@
     job: &Job,
     done: u64,
     is_retry: bool,
-) -> Result<Run<A>, Refusal>
+) -> Result<Run<A, V>, Refusal>
 where
     A: Allowances,
     V: PlacementView,
@@ -84,6 +118,7 @@
         addr: grant.addr,
         slot: grant.slot,
         charge,
+        _usage: Usage::begin(&cx.view, &job.ask.served_name),
     })
 }
 
--- a/crates/gate/src/gate.rs
+++ b/crates/gate/src/gate.rs
@@ -2,15 +2,19 @@
 
 use std::{
     collections::BTreeMap,
-    future::ready,
+    future::{Future, ready},
     io,
     net::SocketAddr,
+    pin::Pin,
     rc::Rc,
-    time::{Duration, Instant},
+    time::Duration,
 };
 
 use actix_rt::task::JoinHandle;
+use comfreyweir_clock::{Clock, SystemClock};
 use comfreyweir_config::settings::GateSettings;
+use comfreyweir_peer::{LinkError, SecretError};
+use comfreyweir_platform::kv_http::HttpKv;
 use comfreyweir_store::{Follower, Freshness};
 use serde_json::json;
 use snafu::{ResultExt, Snafu};
@@ -24,6 +28,7 @@
     metrics::Metrics,
     placement_view::PlacementView,
     queue::{self, Queues},
+    services::{balance::Balance, claims::Claims},
     status::Status,
     stopping::{Phase, Stopping},
     upstream::Upstreams,
@@ -31,7 +36,20 @@
 
 /// Why a gate cannot be started.
 #[derive(Debug, Snafu)]
+#[snafu(visibility(pub(crate)))]
 pub enum GateError {
+    /// The secret cannot be used.
+    #[snafu(display("{source}"))]
+    Secret {
+        /// What failed.
+        source: SecretError,
+    },
+    /// The port for other processes cannot be opened.
+    #[snafu(display("{source}"))]
+    Peer {
+        /// What failed.
+        source: LinkError,
+    },
     /// An address cannot be listened on.
     #[snafu(display("cannot listen on {addr}: {source}"))]
     Listen {
@@ -42,6 +60,12 @@
     },
 }
 
+/// Longest time of one call to the key-value service for an idempotency key.
+const CLAIM_TIMEOUT: Duration = Duration::from_secs(1);
+
+/// What is done after the last request has ended.
+type AfterStop = Pin<Box<dyn Future<Output = ()>>>;
+
 /// Handle of a running gate. Dropping it cuts what is in flight; [`Gate::stop`] does not.
 pub struct Gate {
     callers: Listener,
@@ -51,6 +75,7 @@
     status: Status,
     metrics: Metrics,
     pump: JoinHandle<()>,
+    after_stop: Vec<AfterStop>,
 }
 
 /// Starts a gate with its parts.
@@ -68,7 +93,11 @@
     let (listen, admin_addr) = (settings.listen, settings.admin);
     let limits = settings.limits.clone();
     let queues = Queues::new(limits.waiting);
+    let http = awc::Client::builder().timeout(CLAIM_TIMEOUT).finish();
+    let kv = HttpKv::new(http, settings.instance.kv, CLAIM_TIMEOUT);
     let cx = Rc::new(Cx {
+        claims: Claims::new(kv, SystemClock, settings.instance.name.clone()),
+        balance: Balance::default(),
         settings,
         follower,
         allowances,
@@ -101,6 +130,7 @@
         status: cx.status.clone(),
         metrics: cx.metrics.clone(),
         pump,
+        after_stop: Vec::new(),
     })
 }
 
@@ -125,6 +155,14 @@
         &self.metrics
     }
 
+    /// Adds what is to be done after the last request has ended at a stop.
+    pub fn when_stopped<F>(&mut self, after: F)
+    where
+        F: Future<Output = ()> + 'static,
+    {
+        self.after_stop.push(Box::pin(after));
+    }
+
     /// Stops without cutting a request: turns unready, goes on accepting until the balancer has
     /// noticed, and finishes what is in flight.
     pub async fn stop(mut self) {
@@ -133,6 +171,9 @@
         self.stopping.set_phase(Phase::Draining);
         self.stopping.idle().await;
         self.callers.close().await;
+        for after in std::mem::take(&mut self.after_stop) {
+            after.await;
+        }
     }
 }
 
@@ -149,7 +190,7 @@
 {
     let follower = cx.follower.clone();
     cx.status.add("configuration", move || {
-        let freshness = match follower.freshness(Instant::now()) {
+        let freshness = match follower.freshness(SystemClock.now()) {
             Freshness::Current => "current",
             Freshness::ServiceDown => "service_down",
             Freshness::CutOff => "cut_off",
--- a/crates/gate/src/handler.rs
+++ b/crates/gate/src/handler.rs
@@ -1,12 +1,9 @@
 //! Routing of callers' requests by path.
 
-use std::{
-    convert::Infallible,
-    rc::Rc,
-    time::{Duration, Instant},
-};
+use std::{convert::Infallible, rc::Rc, time::Duration};
 
 use actix_http::{Method, Payload, Request, Response, StatusCode, body::BoxBody};
+use comfreyweir_clock::{Clock, SystemClock};
 use comfreyweir_store::Freshness;
 
 use crate::{
@@ -70,7 +67,7 @@
 
 /// Without contact a key may have been withdrawn unseen, so that nothing can be admitted.
 pub(crate) fn check_fresh<A, V>(cx: &Cx<A, V>) -> Result<(), Refusal> {
-    if cx.follower.freshness(Instant::now()) != Freshness::CutOff {
+    if cx.follower.freshness(SystemClock.now()) != Freshness::CutOff {
         return Ok(());
     }
     let refusal = Refusal::not_run(
--- a/crates/gate/src/lib.rs
+++ b/crates/gate/src/lib.rs
@@ -6,6 +6,7 @@
 
 mod admin;
 pub mod allowances;
+mod assembly;
 pub mod auth;
 mod body;
 mod caller;
@@ -19,6 +20,7 @@
 mod listener;
 pub mod metrics;
 mod models;
+pub mod peers;
 pub mod placement_view;
 mod queue;
 pub mod request_id;
@@ -28,6 +30,7 @@
 pub mod upstream;
 
 pub use crate::{
+    assembly::spawn,
     caller::Caller,
     completion::DEADLINE_HEADER,
     context::Cx,
