Report each request in the log and the metrics

Cause: refusals were not counted, and no line told what became of a request. Change: one JSON line a request with identifier and workspace, refusals by workspace, code and whether inside the rate; the identifier goes back to the caller. Usage of a resumed stream is that of the whole answer. The integration tests of answers and deadlines are begun, not yet run.

--- /dev/null
+++ b/crates/core/tests/answers.rs
@@ -0,0 +1,203 @@
+//! Every caller receives the whole answer to its own request, or is told that it is incomplete.
+
+use std::time::Duration;
+
+use awc::http::{Method, StatusCode};
+use comfreyweir_standins::engine::{Faults, Outcome};
+use futures_util::future::join_all;
+use support::{Cluster, ClusterSpec, start, until};
+
+mod support;
+
+const PROMPT: &str = "List the faults of forklift 17 since its last service.";
+const TOKENS: u32 = 32;
+const LIMIT: Duration = Duration::from_secs(10);
+
+/// Two replicas of one model on two engines.
+fn spec() -> ClusterSpec {
+    let mut spec = ClusterSpec::new(1)
+        .engines(2, 1_000)
+        .model("assistant", 800, 2)
+        .workspace("lodz", 1_000_000, 1_000_000);
+    for engine in &mut spec.engines {
+        engine.settings.output_tokens = 64;
+    }
+    spec
+}
+
+/// Starts a cluster whose model has a replica on each engine, and gives the whole answer.
+async fn warm(spec: ClusterSpec) -> (Cluster, String) {
+    let cluster = start(spec).await;
+    let caller = cluster.caller(0, "lodz");
+    let both = async || {
+        // Many requests at once are demand for the second replica.
+        let burst = (0..24).map(|_| caller.chat("assistant", PROMPT, TOKENS));
+        join_all(burst).await;
+        let records = cluster.engine_records().await.unwrap();
+        records.iter().all(|r| !r.requests.is_empty())
+    };
+    until(LIMIT, "requests on both engines", both)
+        .await
+        .unwrap();
+    let answer = caller.chat("assistant", PROMPT, TOKENS).await.unwrap();
+    assert_eq!(answer.status, StatusCode::OK);
+    (cluster, answer.text())
+}
+
+/// Makes the next run fail, wherever it goes.
+async fn fail_next(cluster: &Cluster, faults: Faults) {
+    for engine in ["engine-0", "engine-1"] {
+        cluster.set_engine_faults(engine, &faults).await.unwrap();
+    }
+}
+
+#[actix_rt::test]
+async fn stream_cut_in_the_middle_goes_on_at_another_replica() {
+    let (cluster, whole) = warm(spec()).await;
+    let cut = Faults {
+        runs: 1,
+        cut_after_tokens: Some(7),
+        ..Faults::default()
+    };
+    fail_next(&cluster, cut).await;
+    let streamed = cluster
+        .caller(0, "lodz")
+        .stream("assistant", PROMPT, TOKENS);
+    let streamed = streamed.await.unwrap();
+    // Both engines cut one run each, so that the answer comes in three parts.
+    assert!(streamed.done, "{streamed:?}");
+    assert_eq!(streamed.text, whole);
+    assert_eq!(streamed.chunks, TOKENS as usize);
+    assert_eq!(streamed.usage.unwrap()["completion_tokens"], TOKENS);
+    let metrics = cluster.metrics(0).await.unwrap();
+    assert!(metrics.sum("comfreyweir_gate_streams_resumed_total", &[]) >= 2.0);
+}
+
+#[actix_rt::test]
+async fn stream_that_stalls_goes_on_at_another_replica() {
+    let mut spec = spec();
+    spec.limits.stall_ms = 300;
+    let (cluster, whole) = warm(spec).await;
+    let stall = Faults {
+        runs: 1,
+        stall_after_tokens: Some(5),
+        ..Faults::default()
+    };
+    fail_next(&cluster, stall).await;
+    let streamed = cluster
+        .caller(0, "lodz")
+        .stream("assistant", PROMPT, TOKENS);
+    let streamed = streamed.await.unwrap();
+    assert!(streamed.done, "{streamed:?}");
+    assert_eq!(streamed.text, whole);
+}
+
+#[actix_rt::test]
+async fn stream_that_cannot_go_on_ends_with_an_error() {
+    let (cluster, whole) = warm(spec()).await;
+    let cut = Faults {
+        runs: 100,
+        cut_after_tokens: Some(3),
+        ..Faults::default()
+    };
+    fail_next(&cluster, cut).await;
+    let streamed = cluster
+        .caller(0, "lodz")
+        .stream("assistant", PROMPT, TOKENS);
+    let streamed = streamed.await.unwrap();
+    assert!(!streamed.done, "{streamed:?}");
+    assert_eq!(streamed.broken, None);
+    let error = streamed.error.unwrap();
+    assert_eq!(error["error"]["run"], "unknown");
+    assert!(whole.starts_with(&streamed.text));
+}
+
+#[actix_rt::test]
+async fn crossed_answers_are_never_delivered() {
+    let (cluster, whole) = warm(spec()).await;
+    let crossed = Faults {
+        runs: 1,
+        wrong_echo: true,
+        ..Faults::default()
+    };
+    for _ in 0..3 {
+        fail_next(&cluster, crossed).await;
+        let caller = cluster.caller(0, "lodz");
+        let answer = caller.chat("assistant", PROMPT, TOKENS).await.unwrap();
+        assert_eq!(answer.status, StatusCode::OK, "{:?}", answer.body);
+        assert_eq!(answer.text(), whole);
+    }
+    fail_next(
+        &cluster,
+        Faults {
+            runs: 100,
+            ..crossed
+        },
+    )
+    .await;
+    let caller = cluster.caller(0, "lodz");
+    let answer = caller.chat("assistant", PROMPT, TOKENS).await.unwrap();
+    assert_eq!(answer.status, StatusCode::BAD_GATEWAY);
+    assert_eq!(
+        (answer.code().as_str(), answer.run().as_str()),
+        ("upstream_failed", "unknown")
+    );
+}
+
+#[actix_rt::test]
+async fn answers_of_many_callers_stay_apart() {
+    let (cluster, _) = warm(spec()).await;
+    let caller = cluster.caller(0, "lodz");
+    let prompts: Vec<String> = (0..40).map(|i| format!("question number {i}")).collect();
+    let alone = join_all(prompts.iter().map(|p| caller.chat("assistant", p, 8))).await;
+    let again = join_all(prompts.iter().map(|p| caller.stream("assistant", p, 8))).await;
+    let mut texts = std::collections::BTreeSet::new();
+    for (whole, streamed) in alone.iter().zip(&again) {
+        let whole = whole.as_ref().unwrap().text();
+        assert_eq!(whole, streamed.as_ref().unwrap().text);
+        texts.insert(whole);
+    }
+    assert_eq!(texts.len(), prompts.len(), "each prompt has its own answer");
+}
+
+#[actix_rt::test]
+async fn caller_that_leaves_cancels_its_run() {
+    let mut spec = spec();
+    for engine in &mut spec.engines {
+        engine.settings.times.token_us = 50_000;
+    }
+    let cluster = start(spec).await;
+    let caller = cluster.caller(0, "lodz");
+    assert_eq!(
+        caller.chat("assistant", PROMPT, 2).await.unwrap().status,
+        StatusCode::OK
+    );
+    let cancelled = async || {
+        let records = cluster.engine_records().await.unwrap();
+        let mut requests = records.iter().flat_map(|r| &r.requests);
+        requests.any(|r| r.outcome == Outcome::Cancelled)
+    };
+    for stream in [true, false] {
+        let body = serde_json::json!({
+            "model": "assistant", "prompt": PROMPT, "max_tokens": 60, "stream": stream,
+        });
+        let req = caller
+            .request(Method::POST, "/v1/completions")
+            .send_json(&body);
+        let running = async || {
+            let records = cluster.engine_records().await.unwrap();
+            let mut requests = records.iter().flat_map(|r| &r.requests);
+            requests.any(|r| r.outcome == Outcome::Running)
+        };
+        tokio::select! {
+            _ = async { let _answer = req.await; std::future::pending::<()>().await } => {}
+            begun = until(LIMIT, "a running request", running) => begun.unwrap(),
+        }
+        until(LIMIT, "a cancelled run", cancelled).await.unwrap();
+    }
+    let idle = async || {
+        let metrics = cluster.metrics(0).await.unwrap();
+        metrics.sum("comfreyweir_gate_in_flight", &[]) == 0.0
+    };
+    until(LIMIT, "an idle gate", idle).await.unwrap();
+}
--- a/crates/gate/src/completion/chunk.rs
+++ b/crates/gate/src/completion/chunk.rs
@@ -1,6 +1,6 @@
 //! Chunks of a streamed completion: what was delivered, and what the caller may see.
 
-use serde_json::Value;
+use serde_json::{Value, json};
 
 use super::attempt;
 
@@ -67,6 +67,7 @@
         self.unify(&mut chunk);
         let choice = &chunk["choices"][0];
         if choice.is_null() {
+            self.add_usage(&mut chunk);
             return Ok(self.wants_usage.then_some(chunk));
         }
         let has_token = has_token(choice);
@@ -83,6 +84,16 @@
         Ok(Some(chunk))
     }
 
+    /// The figures of an engine count its own tokens only; the caller sees those of the answer.
+    fn add_usage(&self, chunk: &mut Value) {
+        if self.sources < 2 || !chunk["usage"].is_object() {
+            return;
+        }
+        let prompt = chunk["usage"]["prompt_tokens"].as_u64();
+        chunk["usage"]["completion_tokens"] = json!(self.tokens);
+        chunk["usage"]["total_tokens"] = json!(prompt.unwrap_or_default() + self.tokens);
+    }
+
     /// Gives the chunks of all engines the identity of the first.
     fn unify(&mut self, chunk: &mut Value) {
         let (id, created) = self
--- a/crates/gate/src/handler.rs
+++ b/crates/gate/src/handler.rs
@@ -2,13 +2,18 @@
 
 use std::{convert::Infallible, rc::Rc, time::Duration};
 
-use actix_http::{Method, Payload, Request, Response, StatusCode, body::BoxBody};
+use actix_http::{
+    Method, Payload, Request, Response, StatusCode,
+    body::BoxBody,
+    header::{HeaderName, HeaderValue},
+};
 use comfreyweir_clock::{Clock, SystemClock};
+use comfreyweir_platform::engine::REQUEST_ID_HEADER;
 use comfreyweir_store::Freshness;
 
 use crate::{
     Code, Refusal, allowances::Allowances, caller::Caller, completion, context::Cx, models,
-    placement_view::PlacementView, request_id, services, stopping::Phase,
+    placement_view::PlacementView, report::Reported, request_id, services, stopping::Phase,
 };
 
 /// Answers a caller's request. Dropped when the caller's connection ends.
@@ -24,16 +29,32 @@
     let caller = req.conn_data::<Caller>().cloned();
     let guard = cx.stopping.enter();
     let request_id = request_id::fresh();
+    let reported = Reported::new(&cx, &req, &request_id);
     let answer = route(&cx, &req, body, &request_id);
     let answered = match caller {
-        // Nobody reads the answer of a caller that has left; it only ends the handler.
         Some(caller) => tokio::select! {
             answered = answer => answered,
-            () = caller.left() => Err(left()),
+            () = caller.left() => {
+                reported.left();
+                return Ok(left());
+            }
         },
         None => answer.await,
     };
-    let mut res = answered.unwrap_or_else(|refusal| refusal.to_response());
+    let mut res = match answered {
+        Ok(res) => {
+            reported.answered(&res);
+            res
+        }
+        Err(refusal) => {
+            reported.refused(&cx, &refusal);
+            refusal.to_response()
+        }
+    };
+    if let Ok(id) = HeaderValue::from_str(&request_id) {
+        let name = HeaderName::from_static(REQUEST_ID_HEADER);
+        res.headers_mut().insert(name, id);
+    }
     if cx.stopping.phase() != Phase::Serving {
         res.head_mut()
             .set_connection_type(actix_http::ConnectionType::Close);
@@ -90,11 +111,10 @@
     ))
 }
 
-fn left() -> Refusal {
-    Refusal::not_run(
-        StatusCode::REQUEST_TIMEOUT,
-        Code::RequestTimeout,
-        "the caller has left",
-    )
-    .run_unknown()
+/// Ends the handler of a caller that has left; nobody reads it.
+fn left() -> Response<BoxBody> {
+    let mut res = Response::new(StatusCode::REQUEST_TIMEOUT).map_into_boxed_body();
+    res.head_mut()
+        .set_connection_type(actix_http::ConnectionType::Close);
+    res
 }
--- a/crates/gate/src/lib.rs
+++ b/crates/gate/src/lib.rs
@@ -23,6 +23,7 @@
 pub mod peers;
 pub mod placement_view;
 mod queue;
+mod report;
 pub mod request_id;
 pub mod services;
 pub mod status;
