--- a/crates/core/tests/answers.rs
+++ b/crates/core/tests/answers.rs
@@ -60,9 +60,8 @@
         ..Faults::default()
     };
     fail_next(&cluster, cut).await;
-    let streamed = cluster
-        .caller(0, "lodz")
-        .stream("assistant", PROMPT, TOKENS);
+    let caller = cluster.caller(0, "lodz");
+    let streamed = caller.stream("assistant", PROMPT, TOKENS);
     let streamed = streamed.await.unwrap();
     // Both engines cut one run each, so that the answer comes in three parts.
     assert!(streamed.done, "{streamed:?}");
@@ -84,9 +83,8 @@
         ..Faults::default()
     };
     fail_next(&cluster, stall).await;
-    let streamed = cluster
-        .caller(0, "lodz")
-        .stream("assistant", PROMPT, TOKENS);
+    let caller = cluster.caller(0, "lodz");
+    let streamed = caller.stream("assistant", PROMPT, TOKENS);
     let streamed = streamed.await.unwrap();
     assert!(streamed.done, "{streamed:?}");
     assert_eq!(streamed.text, whole);
@@ -101,9 +99,8 @@
         ..Faults::default()
     };
     fail_next(&cluster, cut).await;
-    let streamed = cluster
-        .caller(0, "lodz")
-        .stream("assistant", PROMPT, TOKENS);
+    let caller = cluster.caller(0, "lodz");
+    let streamed = caller.stream("assistant", PROMPT, TOKENS);
     let streamed = streamed.await.unwrap();
     assert!(!streamed.done, "{streamed:?}");
     assert_eq!(streamed.broken, None);
