--- /dev/null
+++ b/crates/core/src/dev.rs
@@ -0,0 +1,381 @@
+//! `comfreyweir dev`: the whole system in one process, with stand-ins for everything around it.
+//!
+//! It is what a newcomer starts first. It runs the daemons as library handles with their usual
+//! settings, so that it serves requests just as an installation does.
+
+mod catalog;
+
+use std::{
+    ffi::OsString,
+    fmt::Display,
+    fs, io,
+    net::{Ipv4Addr, SocketAddr, TcpListener},
+    path::{Path, PathBuf},
+    process::ExitCode,
+    time::Duration,
+};
+
+use comfreyweir_config::{
+    keys,
+    settings::{GateSettings, GateTiming, Instance, Limits, PlannerSettings, PlannerTiming},
+};
+use comfreyweir_gate::{Gate, GateError};
+use comfreyweir_planner::{Planner, PlannerError};
+use comfreyweir_platform::{
+    instances::{InstanceInfo, Role, State},
+    kv_http::HttpKv,
+};
+use comfreyweir_standins::{
+    StandinError, engine, instances, kv, service,
+    weights::{self, WeightStore},
+};
+use comfreyweir_store::{PublishError, new_write_id, publish};
+use lexopt::{Arg, Parser, ValueExt};
+use snafu::{ResultExt, Snafu};
+use tempfile::TempDir;
+
+use crate::{
+    daemon::{EXIT_FAILED, EXIT_USAGE, StopSignals},
+    logging,
+};
+use catalog::Upstreams;
+
+/// Number of gates; each is an instance of its own.
+const GATES: usize = 2;
+/// Availability zones of the gates and engines.
+const ZONES: [&str; GATES] = ["zone-a", "zone-b"];
+/// Longest time for the gates to turn ready.
+const READY_LIMIT: Duration = Duration::from_secs(10);
+/// Pause between two looks whether a gate is ready.
+const READY_PERIOD: Duration = Duration::from_millis(20);
+/// Longest time of one call to the stand-ins.
+const CALL_TIMEOUT: Duration = Duration::from_secs(2);
+/// Memory of an engine, in MB.
+const ENGINE_MEMORY_MB: u64 = 48_000;
+/// Time between turning unready and closing connections at a stop, in ms. No balancer has to
+/// notice here.
+const STOP_NOTICE_MS: u64 = 50;
+
+const HELP: &str = "\
+comfreyweir dev
+Run the whole system in one process, with stand-ins for all that is around it: a
+key-value service, a list of instances, two model engines with a weight store,
+and a plain service. Two gates and a planner serve a sample configuration.
+
+When it is ready it prints one line on standard output:
+
+    ready http://ADDRESS:PORT key KEY
+
+Ctrl-C stops it gracefully. Nothing is kept.
+
+USAGE:
+    comfreyweir dev [OPTIONS]
+
+OPTIONS:
+    -l, --listen ADDRESS:PORT
+        Address of the first gate. Port 0 picks a free one. The default is
+        127.0.0.1:8080.
+    -v, --verbose
+        Log what happens, as JSON lines on standard error. Without it only
+        warnings are logged.
+    -h, --help
+        Print this help, and exit.
+
+EXIT CODES:
+    0   stopped as asked
+    1   failed while starting or running
+    2   the command line is wrong
+";
+
+/// What the command line asks for.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+struct Options {
+    listen: SocketAddr,
+    verbose: bool,
+}
+
+/// Why it cannot run.
+#[derive(Debug, Snafu)]
+enum DevError {
+    #[snafu(display("no free port on the loopback address: {source}"))]
+    Port { source: io::Error },
+    #[snafu(display("no folder for the secret of the processes: {source}"))]
+    Folder { source: io::Error },
+    #[snafu(display("a stand-in cannot start: {source}"))]
+    Standin { source: StandinError },
+    #[snafu(display("the sample configuration is not accepted: {source}"))]
+    Publish { source: PublishError },
+    #[snafu(display("{source}"))]
+    Gate { source: GateError },
+    #[snafu(display("{source}"))]
+    Planner { source: PlannerError },
+    #[snafu(display("gate {addr} was not ready within {} s", READY_LIMIT.as_secs()))]
+    NotReady { addr: SocketAddr },
+    #[snafu(display("signals cannot be listened for: {source}"))]
+    Signals { source: io::Error },
+}
+
+/// Runs the command with the arguments after its name.
+pub fn main<I>(args: I) -> ExitCode
+where
+    I: IntoIterator<Item = OsString>,
+{
+    let options = match parse(args) {
+        Ok(Some(options)) => options,
+        Ok(None) => {
+            print!("{HELP}");
+            return ExitCode::SUCCESS;
+        }
+        Err(e) => return fail(&e, EXIT_USAGE),
+    };
+    let level = if options.verbose {
+        logging::Detail::Info
+    } else {
+        logging::Detail::Warnings
+    };
+    if let Err(e) = logging::init(level) {
+        return fail(&e, EXIT_FAILED);
+    }
+    match actix_rt::System::new().block_on(run(options)) {
+        Ok(()) => ExitCode::SUCCESS,
+        Err(e) => fail(&e, EXIT_FAILED),
+    }
+}
+
+fn parse<I>(args: I) -> Result<Option<Options>, lexopt::Error>
+where
+    I: IntoIterator<Item = OsString>,
+{
+    let mut options = Options {
+        listen: SocketAddr::from((Ipv4Addr::LOCALHOST, 8080)),
+        verbose: false,
+    };
+    let mut parser = Parser::from_args(args);
+    while let Some(arg) = parser.next()? {
+        match arg {
+            Arg::Short('h') | Arg::Long("help") => return Ok(None),
+            Arg::Short('l') | Arg::Long("listen") => options.listen = parser.value()?.parse()?,
+            Arg::Short('v') | Arg::Long("verbose") => options.verbose = true,
+            other => return Err(other.unexpected()),
+        }
+    }
+    Ok(Some(options))
+}
+
+fn fail<E>(e: &E, code: u8) -> ExitCode
+where
+    E: Display,
+{
+    eprintln!("comfreyweir dev: {e}");
+    ExitCode::from(code)
+}
+
+async fn run(options: Options) -> Result<(), DevError> {
+    let signals = StopSignals::register().context(SignalsSnafu)?;
+    let layout = Layout::choose(options.listen)?;
+    let standins = Standins::spawn(&layout)?;
+    let key = seed(&layout).await?;
+    let planner = comfreyweir_planner::spawn(layout.planner_settings());
+    let planner = planner.await.context(PlannerSnafu)?;
+    let gates = spawn_gates(&layout).await?;
+    println!("ready http://{} key {key}", gates[0].addr());
+    signals.wait().await;
+    stop(gates, planner).await;
+    drop(standins);
+    Ok(())
+}
+
+async fn spawn_gates(layout: &Layout) -> Result<Vec<Gate>, DevError> {
+    let mut gates = Vec::new();
+    for index in 0..GATES {
+        let spawned = comfreyweir_gate::spawn(layout.gate_settings(index)).await;
+        gates.push(spawned.context(GateSnafu)?);
+    }
+    for gate in &gates {
+        wait_ready(gate.admin_addr()).await?;
+    }
+    Ok(gates)
+}
+
+async fn wait_ready(addr: SocketAddr) -> Result<(), DevError> {
+    let http = awc::Client::builder().timeout(CALL_TIMEOUT).finish();
+    let url = format!("http://{addr}/readyz");
+    let ready = async {
+        loop {
+            let answer = http.get(&url).send().await;
+            if answer.is_ok_and(|res| res.status().is_success()) {
+                return;
+            }
+            actix_rt::time::sleep(READY_PERIOD).await;
+        }
+    };
+    let waited = tokio::time::timeout(READY_LIMIT, ready).await;
+    waited.map_err(|_| DevError::NotReady { addr })
+}
+
+async fn stop(gates: Vec<Gate>, planner: Planner) {
+    for gate in gates {
+        gate.stop().await;
+    }
+    planner.stop().await;
+}
+
+/// Publishes the sample configuration, and returns the key of its workspace.
+async fn seed(layout: &Layout) -> Result<String, DevError> {
+    let key = keys::generate();
+    let catalog = catalog::sample(&layout.upstreams, &key);
+    let http = awc::Client::builder().timeout(CALL_TIMEOUT).finish();
+    let kv = HttpKv::new(http, layout.kv, CALL_TIMEOUT);
+    publish(&kv, &catalog, 0, &new_write_id())
+        .await
+        .context(PublishSnafu)?;
+    Ok(key)
+}
+
+/// Addresses and files of the run.
+struct Layout {
+    listen: SocketAddr,
+    kv: SocketAddr,
+    instances: SocketAddr,
+    upstreams: Upstreams,
+    gate_peers: [SocketAddr; GATES],
+    planner: SocketAddr,
+    secret: PathBuf,
+    _folder: TempDir,
+}
+
+impl Layout {
+    fn choose(listen: SocketAddr) -> Result<Self, DevError> {
+        let folder = tempfile::tempdir().context(FolderSnafu)?;
+        let secret = folder.path().join("peer.secret");
+        write_secret(&secret).context(FolderSnafu)?;
+        let mut ports = FreePorts::default();
+        Ok(Self {
+            listen,
+            kv: ports.next()?,
+            instances: ports.next()?,
+            upstreams: Upstreams {
+                engines: [ports.next()?, ports.next()?],
+                service: ports.next()?,
+            },
+            gate_peers: [ports.next()?, ports.next()?],
+            planner: ports.next()?,
+            secret,
+            _folder: folder,
+        })
+    }
+
+    fn instance(&self, index: usize) -> Instance {
+        Instance {
+            name: format!("entry-{index}"),
+            zone: ZONES[index].to_owned(),
+            kv: self.kv,
+            instances: self.instances,
+            peer_secret_file: self.secret.clone(),
+        }
+    }
+
+    fn gate_settings(&self, index: usize) -> GateSettings {
+        let any = SocketAddr::from((Ipv4Addr::LOCALHOST, 0));
+        GateSettings {
+            instance: self.instance(index),
+            listen: if index == 0 { self.listen } else { any },
+            admin: any,
+            peer: self.gate_peers[index],
+            planner: self.planner,
+            limits: Limits::default(),
+            timing: GateTiming {
+                stop_notice_ms: STOP_NOTICE_MS,
+                ..GateTiming::default()
+            },
+        }
+    }
+
+    fn planner_settings(&self) -> PlannerSettings {
+        PlannerSettings {
+            instance: self.instance(0),
+            admin: SocketAddr::from((Ipv4Addr::LOCALHOST, 0)),
+            peer: self.planner,
+            timing: PlannerTiming::default(),
+        }
+    }
+
+    fn list(&self) -> Vec<InstanceInfo> {
+        let entry = |index: usize| InstanceInfo {
+            name: format!("entry-{index}"),
+            role: Role::Entry,
+            zone: ZONES[index].to_owned(),
+            state: State::Live,
+            gate: Some(self.gate_peers[index]),
+            planner: (index == 0).then_some(self.planner),
+        };
+        (0..GATES).map(entry).collect()
+    }
+}
+
+fn write_secret(path: &Path) -> io::Result<()> {
+    fs::write(path, keys::generate())
+}
+
+/// Ports of the loopback address that were free a moment ago. They are held until all are chosen,
+/// so that none is chosen twice.
+#[derive(Default)]
+struct FreePorts(Vec<TcpListener>);
+
+impl FreePorts {
+    fn next(&mut self) -> Result<SocketAddr, DevError> {
+        let listener = TcpListener::bind((Ipv4Addr::LOCALHOST, 0)).context(PortSnafu)?;
+        let addr = listener.local_addr().context(PortSnafu)?;
+        self.0.push(listener);
+        Ok(addr)
+    }
+}
+
+/// The running stand-ins.
+struct Standins {
+    _kv: kv::KvService,
+    _instances: instances::Instances,
+    _engines: Vec<engine::Engine>,
+    _service: service::PlainService,
+}
+
+impl Standins {
+    fn spawn(layout: &Layout) -> Result<Self, DevError> {
+        let kv = kv::Settings {
+            listen: layout.kv,
+            control: None,
+            faults: kv::Faults::default(),
+        };
+        let instances = instances::Settings {
+            listen: layout.instances,
+            control: None,
+            lag_ms: 0,
+            instances: layout.list(),
+        };
+        let store = WeightStore::open(weights::Settings::default());
+        let engines = layout.upstreams.engines.iter().enumerate();
+        let engines = engines.map(|(index, addr)| {
+            engine::spawn(engine_settings(index, *addr), store.clone()).context(StandinSnafu)
+        });
+        let service = service::Settings {
+            name: catalog::SERVICE.to_owned(),
+            listen: layout.upstreams.service,
+            control: None,
+            faults: service::Faults::default(),
+        };
+        Ok(Self {
+            _kv: kv::spawn(kv).context(StandinSnafu)?,
+            _instances: instances::spawn(instances).context(StandinSnafu)?,
+            _engines: engines.collect::<Result<_, _>>()?,
+            _service: service::spawn(service).context(StandinSnafu)?,
+        })
+    }
+}
+
+fn engine_settings(index: usize, listen: SocketAddr) -> engine::Settings {
+    engine::Settings {
+        // Nobody reads the records of a run that goes on for long.
+        record: false,
+        ..engine::Settings::new(&catalog::engine_name(index), listen, ENGINE_MEMORY_MB)
+    }
+}
