--- a/crates/placement/tests/support/mod.rs
+++ b/crates/placement/tests/support/mod.rs
@@ -29,9 +29,9 @@
 const MODEL_MB: u64 = 40;
 const ENGINE_MB: u64 = 100;
 const KEEP_IDLE: Duration = Duration::from_millis(300);
-const DEADLINE: Duration = Duration::from_secs(60);
+const DEADLINE: Duration = Duration::from_mins(1);
 const TIMES: LeaseTimes = LeaseTimes {
-    lease: Duration::from_millis(1_000),
+    lease: Duration::from_secs(1),
     margin: Duration::from_millis(100),
 };
 
--- a/crates/planner/tests/placement.rs
+++ b/crates/planner/tests/placement.rs
@@ -5,6 +5,7 @@
 use std::time::Instant;
 
 use comfreyweir_gate::placement_view::PlacementView;
+use comfreyweir_standins::engine::{Change, Engine};
 use support::{Cluster, EngineSpec, LIMIT, adapter, model, served, until};
 
 const CHECKING: EngineSpec = EngineSpec {
@@ -101,15 +102,15 @@
     })
     .await;
     until("old version gone", || view.replicas("m@1").is_empty()).await;
-    let records: Vec<_> = cluster.engines.values().map(|e| e.record()).collect();
+    let records: Vec<_> = cluster.engines.values().map(Engine::record).collect();
     let at = |name: &str, change| {
         let mut changes = records.iter().flat_map(|r| &r.changes);
         changes
             .find(|c| c.artifact == name && c.change == change)
             .map(|c| c.at_us)
     };
-    let ready = at("m@2", comfreyweir_standins::engine::Change::Ready);
-    let gone = at("m@1", comfreyweir_standins::engine::Change::Gone);
+    let ready = at("m@2", Change::Ready);
+    let gone = at("m@1", Change::Gone);
     assert!(gone.is_none() || ready < gone);
     planner.stop().await;
 }
