--- a/crates/planner/tests/placement.rs
+++ b/crates/planner/tests/placement.rs
@@ -101,7 +101,11 @@
     })
     .await;
     until("old version gone", || view.replicas("m@1").is_empty()).await;
-    let records: Vec<_> = cluster.engines.values().map(comfreyweir_standins::engine::Engine::record).collect();
+    let records: Vec<_> = cluster
+        .engines
+        .values()
+        .map(comfreyweir_standins::engine::Engine::record)
+        .collect();
     let at = |name: &str, change| {
         let mut changes = records.iter().flat_map(|r| &r.changes);
         changes
