--- a/crates/planner/src/context.rs
+++ b/crates/planner/src/context.rs
@@ -5,10 +5,10 @@
 use comfreyweir_clock::SystemClock;
 use comfreyweir_config::settings::PlannerSettings;
 use comfreyweir_placement::{holder::Identity, lease::LeaseTimes};
-use comfreyweir_platform::kv_http::HttpKv;
+use comfreyweir_platform::{kv_counted::CountedKv, kv_http::HttpKv};
 use comfreyweir_store::Follower;
 
-use crate::{cell::CellState, counted_kv::CountedKv, fleet::Fleet, metrics::Metrics};
+use crate::{cell::CellState, fleet::Fleet, metrics::Metrics};
 
 /// Client of the key-value service.
 pub(crate) type PlannerKv = CountedKv<HttpKv>;
--- a/crates/planner/src/lib.rs
+++ b/crates/planner/src/lib.rs
@@ -8,7 +8,6 @@
 mod board;
 mod cell;
 mod context;
-mod counted_kv;
 mod engine;
 mod error;
 mod fleet;
--- a/crates/planner/src/metrics.rs
+++ b/crates/planner/src/metrics.rs
@@ -6,7 +6,10 @@
 };
 
 use comfreyweir_placement::orders::OrderOutcome;
-use comfreyweir_platform::engine::{Action, CheckpointTier};
+use comfreyweir_platform::{
+    engine::{Action, CheckpointTier},
+    kv_counted::KvCounts,
+};
 use prometheus_client::{
     encoding::{EncodeLabelSet, EncodeLabelValue, text::encode},
     metrics::{
@@ -23,34 +26,6 @@
 /// Buckets of load times; each is twice the one before.
 const LOAD_BUCKETS: u16 = 16;
 
-/// Call to the key-value service.
-#[derive(Clone, Copy, Debug, Eq, Hash, PartialEq, EncodeLabelValue)]
-pub(crate) enum KvCall {
-    /// A read.
-    Get,
-    /// A compare-and-swap.
-    Swap,
-    /// A watch.
-    Watch,
-}
-
-/// Outcome of a call to the key-value service.
-#[derive(Clone, Copy, Debug, Eq, Hash, PartialEq, EncodeLabelValue)]
-pub(crate) enum KvOutcome {
-    /// It was answered.
-    Answered,
-    /// It was refused for being over the rate.
-    RateLimited,
-    /// It failed, or its answer was lost.
-    Failed,
-}
-
-#[derive(Clone, Debug, Eq, Hash, PartialEq, EncodeLabelSet)]
-struct KvLabels {
-    call: KvCall,
-    outcome: KvOutcome,
-}
-
 #[derive(Clone, Copy, Debug, Eq, Hash, PartialEq, EncodeLabelValue)]
 enum Source {
     Memory,
@@ -83,7 +58,7 @@
     orders: Family<OrderLabels, Counter>,
     terms: Family<CellLabels, Gauge>,
     held: Family<CellLabels, Gauge>,
-    kv_calls: Family<KvLabels, Counter>,
+    kv_calls: KvCounts,
     idle_seconds: Counter<f64, AtomicU64>,
     refusals: Gauge,
 }
@@ -101,7 +76,7 @@
             orders: Family::default(),
             terms: Family::default(),
             held: Family::default(),
-            kv_calls: Family::default(),
+            kv_calls: KvCounts::default(),
             idle_seconds: Counter::default(),
             refusals: Gauge::default(),
         };
@@ -136,11 +111,7 @@
             "Whether this planner holds the cell",
             self.held.clone(),
         );
-        registry.register(
-            "kv_calls",
-            "Calls to the key-value service by outcome",
-            self.kv_calls.clone(),
-        );
+        self.kv_calls.register(&mut registry);
         registry.register(
             "idle_accelerator_seconds",
             "Time that ready replicas were unused, weighted by their share of the memory",
@@ -162,9 +133,9 @@
         text
     }
 
-    pub(crate) fn count_kv_call(&self, call: KvCall, outcome: KvOutcome) {
-        let labels = KvLabels { call, outcome };
-        self.kv_calls.get_or_create(&labels).inc();
+    /// Counts of the calls to the key-value service.
+    pub(crate) fn kv_counts(&self) -> KvCounts {
+        self.kv_calls.clone()
     }
 
     pub(crate) fn count_load(&self, tier: CheckpointTier, took: Duration) {
--- a/crates/planner/src/planner.rs
+++ b/crates/planner/src/planner.rs
@@ -7,7 +7,7 @@
 use comfreyweir_config::settings::PlannerSettings;
 use comfreyweir_peer::{PeerServer, Secret, peer_capnp::planner};
 use comfreyweir_placement::holder::Identity;
-use comfreyweir_platform::{instances::Instances, kv_http::HttpKv};
+use comfreyweir_platform::{instances::Instances, kv_counted::CountedKv, kv_http::HttpKv};
 use comfreyweir_store::{FollowTiming, Follower, NoPeers};
 use snafu::ResultExt;
 use tokio::sync::watch;
@@ -16,7 +16,6 @@
     admin::{self, AdminPort},
     cell::{self, CellState},
     context::Cx,
-    counted_kv::CountedKv,
     error::{AdminSnafu, PeerSnafu, PlannerError, SecretSnafu},
     fleet::Fleet,
     metrics::Metrics,
@@ -85,7 +84,7 @@
     let http = awc::Client::builder().timeout(PLATFORM_TIMEOUT).finish();
     let metrics = Metrics::new();
     let kv = HttpKv::new(http.clone(), settings.instance.kv, PLATFORM_TIMEOUT);
-    let kv = CountedKv::new(kv, metrics.clone());
+    let kv = CountedKv::new(kv, metrics.kv_counts());
     let timing = FollowTiming {
         cut_off: CUT_OFF,
         contact: CONTACT,
--- /dev/null
+++ b/crates/platform/src/kv_counted.rs
@@ -0,0 +1,122 @@
+//! A client of the key-value service that counts its calls.
+//!
+//! The service counts each call of the fleet against its rates, so every daemon shows what it
+//! takes of them.
+
+use std::time::Duration;
+
+use bytes::Bytes;
+use prometheus_client::{
+    encoding::{EncodeLabelSet, EncodeLabelValue},
+    metrics::{counter::Counter, family::Family},
+    registry::Registry,
+};
+
+use crate::kv::{Kv, KvError, LeaseId, LeasedKv, Swap, Version, Versioned};
+
+#[derive(Clone, Copy, Debug, Eq, Hash, PartialEq, EncodeLabelValue)]
+enum Call {
+    Get,
+    Swap,
+    Watch,
+    Grant,
+}
+
+#[derive(Clone, Copy, Debug, Eq, Hash, PartialEq, EncodeLabelValue)]
+enum Outcome {
+    Answered,
+    RateLimited,
+    Failed,
+}
+
+#[derive(Clone, Debug, Eq, Hash, PartialEq, EncodeLabelSet)]
+struct Labels {
+    call: Call,
+    outcome: Outcome,
+}
+
+/// Numbers of calls by kind and outcome. Clones share them.
+#[derive(Clone, Debug, Default)]
+pub struct KvCounts(Family<Labels, Counter>);
+
+impl KvCounts {
+    /// Adds the counts to a registry.
+    pub fn register(&self, registry: &mut Registry) {
+        let help = "Calls to the key-value service by outcome";
+        registry.register("kv_calls", help, self.0.clone());
+    }
+
+    fn count<T>(&self, call: Call, outcome: &Result<T, KvError>) {
+        let outcome = match outcome {
+            Ok(_) => Outcome::Answered,
+            Err(KvError::RateLimited { .. }) => Outcome::RateLimited,
+            Err(_) => Outcome::Failed,
+        };
+        self.0.get_or_create(&Labels { call, outcome }).inc();
+    }
+}
+
+/// A client of the key-value service that counts its calls.
+#[derive(Clone)]
+pub struct CountedKv<K> {
+    inner: K,
+    counts: KvCounts,
+}
+
+impl<K> CountedKv<K> {
+    /// Counts the calls of `inner`.
+    pub fn new(inner: K, counts: KvCounts) -> Self {
+        Self { inner, counts }
+    }
+}
+
+impl<K> Kv for CountedKv<K>
+where
+    K: Kv,
+{
+    async fn get(&self, key: &str) -> Result<Option<Versioned>, KvError> {
+        let outcome = self.inner.get(key).await;
+        self.counts.count(Call::Get, &outcome);
+        outcome
+    }
+
+    async fn swap(&self, key: &str, expected: Version, value: Bytes) -> Result<Swap, KvError> {
+        let outcome = self.inner.swap(key, expected, value).await;
+        self.counts.count(Call::Swap, &outcome);
+        outcome
+    }
+
+    async fn watch(
+        &self,
+        key: &str,
+        after: Version,
+        wait: Duration,
+    ) -> Result<Option<Versioned>, KvError> {
+        let outcome = self.inner.watch(key, after, wait).await;
+        self.counts.count(Call::Watch, &outcome);
+        outcome
+    }
+}
+
+impl<K> LeasedKv for CountedKv<K>
+where
+    K: LeasedKv,
+{
+    async fn grant(&self, ttl: Duration) -> Result<LeaseId, KvError> {
+        let outcome = self.inner.grant(ttl).await;
+        self.counts.count(Call::Grant, &outcome);
+        outcome
+    }
+
+    async fn swap_leased(
+        &self,
+        key: &str,
+        expected: Version,
+        value: Bytes,
+        lease: LeaseId,
+    ) -> Result<Swap, KvError> {
+        let outcome = self.inner.swap_leased(key, expected, value, lease).await;
+        self.counts.count(Call::Swap, &outcome);
+        outcome
+    }
+}
--- a/crates/platform/src/lib.rs
+++ b/crates/platform/src/lib.rs
@@ -6,4 +6,5 @@
 pub mod engine;
 pub mod instances;
 pub mod kv;
+pub mod kv_counted;
 pub mod kv_http;
