--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -1,5 +1,4 @@
 //! The command lines of the programs.
 
 pub mod daemon;
-pub mod dev;
 pub mod logging;
--- a/crates/gate/src/dispatch.rs
+++ b/crates/gate/src/dispatch.rs
@@ -10,7 +10,7 @@
     auth,
     completion::Job,
     context::Cx,
-    placement_view::{InUse, PlacementView},
+    placement_view::PlacementView,
 };
 
 /// The charge type of an allowance implementation.
@@ -26,7 +26,6 @@
     /// Address of the engine.
     pub(crate) addr: SocketAddr,
     charge: ChargeOf<A>,
-    _in_use: InUse,
 }
 
 impl<A> Run<A>
@@ -73,7 +72,6 @@
                 upstream,
                 addr,
                 charge,
-                _in_use: cx.view.begin_use(&job.ask.served_name),
             });
         }
         if tokio::time::timeout_at(deadline, cx.view.changed())
