--- a/crates/allowance/tests/allowance/faults.rs
+++ b/crates/allowance/tests/allowance/faults.rs
@@ -98,3 +98,16 @@
     fleet.pass(4_000);
     assert!(fleet.weight(1) > 490_000, "weight {}", fleet.weight(1));
 }
+
+#[test]
+fn reservation_is_not_charged_after_the_share_has_lapsed() {
+    let mut fleet = Fleet::start([0; GATES], GATES, TIMING);
+    let waiting = fleet.reserve(0, 100).expect("the bucket is full");
+    fleet.gates[0].cut = true;
+    fleet.pass(6_000);
+    assert!(fleet.weight(1) > 490_000, "weight {}", fleet.weight(1));
+    fleet.dispatch(waiting, 100);
+    assert_eq!(fleet.running(), 0);
+    fleet.burst_all();
+    assert_eq!(fleet.excess(), 0);
+}
--- a/crates/gate/src/admin.rs
+++ b/crates/gate/src/admin.rs
@@ -31,14 +31,20 @@
     }
 }
 
-fn ready<A, V>(cx: &Cx<A, V>) -> Response<BoxBody> {
+fn ready<A, V>(cx: &Cx<A, V>) -> Response<BoxBody>
+where
+    A: Allowances,
+{
     match unready_reason(cx) {
         None => text(StatusCode::OK, "ready\n"),
         Some(reason) => text(StatusCode::SERVICE_UNAVAILABLE, reason),
     }
 }
 
-fn unready_reason<A, V>(cx: &Cx<A, V>) -> Option<&'static str> {
+fn unready_reason<A, V>(cx: &Cx<A, V>) -> Option<&'static str>
+where
+    A: Allowances,
+{
     if cx.stopping.phase() != Phase::Serving {
         return Some("stopping\n");
     }
@@ -48,6 +54,9 @@
     if cx.follower.freshness(SystemClock.now()) == Freshness::CutOff {
         return Some("cut off from the key-value service and from all peers\n");
     }
+    if !cx.allowances.is_ready() {
+        return Some("no share of the allowances yet\n");
+    }
     None
 }
 
--- a/crates/gate/src/allowances.rs
+++ b/crates/gate/src/allowances.rs
@@ -41,6 +41,11 @@
         cost: u64,
         deadline: Instant,
     ) -> Result<Self::Reservation, Shortage>;
+
+    /// Whether there are tokens to be had from the start, or no use in waiting for them.
+    fn is_ready(&self) -> bool {
+        true
+    }
 }
 
 /// Tokens held for a request that waits.
--- a/crates/gate/src/allowances/gather.rs
+++ b/crates/gate/src/allowances/gather.rs
@@ -97,7 +97,7 @@
         let Ok(_guard) = timeout(left, turn.lock.lock()).await else {
             return Err(self.missing(cost, Cause::PeerSilent));
         };
-        let outcome = self.gather_in_turn(key, cost, left, &turn).await;
+        let outcome = self.gather_in_turn(key, cost, &turn).await;
         self.end_loans();
         outcome
     }
@@ -120,7 +120,6 @@
         &self,
         key: WorkspaceKey,
         cost: u64,
-        hold: Duration,
         turn: &Turn,
     ) -> Result<HoldKey, Missing> {
         let now = self.state.now();
@@ -139,7 +138,7 @@
         if self.is_hopeless(key, missing, turn) {
             return Err(self.missing(missing, Cause::OverRate));
         }
-        let silent = self.ask_all(key, &part, cost, hold).await;
+        let silent = self.ask_all(key, &part, cost).await;
         let missing = part.extend(cost);
         if missing == 0 {
             return Ok(part.keep());
@@ -154,20 +153,14 @@
     }
 
     /// Asks the most promising gate first, then all others at once.
-    async fn ask_all(
-        &self,
-        key: WorkspaceKey,
-        part: &PartHold<'_, C>,
-        cost: u64,
-        hold: Duration,
-    ) -> bool {
+    async fn ask_all(&self, key: WorkspaceKey, part: &PartHold<'_, C>, cost: u64) -> bool {
         let lenders = self.by_promise(key);
         let Some((first, others)) = lenders.split_first() else {
             return false;
         };
-        let mut silent = !self.ask_some(&[*first], key, part, cost, hold).await;
+        let mut silent = !self.ask_some(&[*first], key, part, cost).await;
         if part.extend(cost) > 0 {
-            silent |= !self.ask_some(others, key, part, cost, hold).await;
+            silent |= !self.ask_some(others, key, part, cost).await;
         }
         silent
     }
@@ -179,11 +172,10 @@
         key: WorkspaceKey,
         part: &PartHold<'_, C>,
         cost: u64,
-        hold: Duration,
     ) -> bool {
         let missing = part.extend(cost);
         let asks = lenders.iter().map(|lender| {
-            let answer = self.ask(*lender, key, missing, hold);
+            let answer = self.ask(*lender, key, missing);
             async move { (*lender, timeout(ASK_TIMEOUT, answer).await) }
         });
         let mut answers: FuturesUnordered<_> = asks.collect();
@@ -204,17 +196,11 @@
     }
 
     /// Asks one gate. An answer that nobody waits for any more is given back.
-    fn ask(
-        &self,
-        lender: Lender,
-        key: WorkspaceKey,
-        wanted: u64,
-        hold: Duration,
-    ) -> oneshot::Receiver<Borrowed> {
+    fn ask(&self, lender: Lender, key: WorkspaceKey, wanted: u64) -> oneshot::Receiver<Borrowed> {
         let (tx, rx) = oneshot::channel();
         let this = self.clone();
         actix_rt::spawn(async move {
-            let Some(loan) = this.ask_once(lender, key, wanted, hold).await else {
+            let Some(loan) = this.ask_once(lender, key, wanted).await else {
                 return;
             };
             if let Err(loan) = tx.send(loan) {
@@ -228,14 +214,9 @@
         rx
     }
 
-    async fn ask_once(
-        &self,
-        lender: Lender,
-        key: WorkspaceKey,
-        wanted: u64,
-        hold: Duration,
-    ) -> Option<Borrowed> {
-        let hold = whole_millis(hold.min(self.state.timing.loan_hold));
+    async fn ask_once(&self, lender: Lender, key: WorkspaceKey, wanted: u64) -> Option<Borrowed> {
+        // A loan ends as soon as it is not needed; the time only counts when that gets lost.
+        let hold = self.state.timing.loan_hold;
         let (workspace, terms) = {
             let ledger = self.state.ledger.borrow();
             (ledger.name(key).to_owned(), ledger.terms(key))
@@ -308,11 +289,6 @@
     }
 }
 
-/// Both sides count the same time, and it travels in whole milliseconds.
-fn whole_millis(time: Duration) -> Duration {
-    Duration::from_millis(u64::try_from(time.as_millis()).unwrap_or(u64::MAX))
-}
-
 /// Assigned weight from which rounding alone explains the rest, in parts per million.
 const WHOLE_ENOUGH: u32 = 999_000;
 
--- a/crates/gate/src/allowances/shared.rs
+++ b/crates/gate/src/allowances/shared.rs
@@ -1,7 +1,7 @@
 //! Allowances of all workspaces, shared with the other gates.
 
 use std::{
-    cell::RefCell,
+    cell::{Cell, RefCell},
     collections::HashMap,
     rc::Rc,
     time::{Duration, Instant},
@@ -23,6 +23,8 @@
 
 /// Shortest pause before a waiting request looks for tokens again.
 const MIN_WAIT: Duration = Duration::from_millis(5);
+/// Contact periods after which a gate without a share serves with borrowed tokens.
+const SHARE_CONTACTS: u32 = 20;
 /// When to come back if nothing is known about when tokens will be there.
 const UNKNOWN_RETRY: Duration = Duration::from_secs(5);
 
@@ -65,6 +67,8 @@
     /// Other gates and their weights, by the record as last read.
     pub(super) lenders: RefCell<Vec<Lender>>,
     pub(super) metrics: AllowanceMetrics,
+    pub(super) has_had_share: Cell<bool>,
+    started: Instant,
     /// Tokens that requests of a workspace wait for.
     waiting: RefCell<HashMap<WorkspaceKey, u64>>,
 }
@@ -86,6 +90,8 @@
     /// Allowances without a share: until one is kept, only borrowed tokens can be used.
     pub fn new(clock: C, lenders: L, timing: AllowanceTiming) -> Self {
         let state = Rc::new(State {
+            started: clock.now(),
+            has_had_share: Cell::new(false),
             clock,
             timing,
             ledger: RefCell::new(Ledger::new(rand::random())),
@@ -187,6 +193,12 @@
             actix_rt::time::sleep(after.max(MIN_WAIT)).await;
         }
     }
+
+    fn is_ready(&self) -> bool {
+        let state = &self.state;
+        let waited = state.now().saturating_duration_since(state.started);
+        state.has_had_share.get() || waited >= state.timing.contact * SHARE_CONTACTS
+    }
 }
 
 impl<C, L> SharedAllowances<C, L>
--- a/crates/gate/src/allowances/shares.rs
+++ b/crates/gate/src/allowances/shares.rs
@@ -164,6 +164,9 @@
 
     fn note_weight(&mut self, weight: u32) {
         self.state.metrics.set_weight(weight);
+        self.state
+            .has_had_share
+            .set(self.state.has_had_share.get() || weight > 0);
         if weight != self.weight {
             info!("share of the allowances: {} ppm", weight);
             self.weight = weight;
