--- a/crates/gate/src/context.rs
+++ b/crates/gate/src/context.rs
@@ -9,6 +9,7 @@
 
 use crate::{
     metrics::Metrics,
+    queue::Queues,
     services::{balance::Balance, claims::Claims},
     status::Status,
     stopping::Stopping,
@@ -27,6 +28,8 @@
     pub view: V,
     /// Connections to upstreams.
     pub upstreams: Upstreams,
+    /// Requests that wait for a replica.
+    pub(crate) queues: Queues,
     /// Claims of idempotency keys.
     pub claims: Claims<HttpKv, SystemClock>,
     /// Load of the upstreams of plain services.
