Reach lenders by the names of their instances

A gate's address in the record of shares is the one it listens on; the platform may list another one for it, as it does in front of a proxy. Links were looked up by the address in the record and nothing was ever lent. The record now names the instance too.

--- a/crates/allowance/src/keeper.rs
+++ b/crates/allowance/src/keeper.rs
@@ -11,6 +11,7 @@
 mod seen;
 
 use std::{
+    collections::BTreeMap,
     net::SocketAddr,
     time::{Duration, Instant},
 };
@@ -161,9 +162,16 @@
     /// A keeper for the gate at the peer address `addr`. The address must be listened on already:
     /// that is the evidence that an earlier process there has ended. `process` must differ from
     /// process to process.
-    pub fn new(addr: SocketAddr, process: String, timing: Timing, now: Instant) -> Self {
+    pub fn new(
+        addr: SocketAddr,
+        instance: String,
+        process: String,
+        timing: Timing,
+        now: Instant,
+    ) -> Self {
         let me = Member {
             addr,
+            instance,
             incarnation: format!("{process}-0"),
         };
         Self {
@@ -198,6 +206,15 @@
             .collect()
     }
 
+    /// Instances of the other gates by their peer addresses.
+    pub fn instances(&self) -> BTreeMap<SocketAddr, String> {
+        let shares = self.seen.table().shares.iter();
+        shares
+            .filter(|(addr, _)| **addr != self.me.addr)
+            .map(|(addr, share)| (*addr, share.instance.clone()))
+            .collect()
+    }
+
     /// Gives the share back from the next call on, as soon as nothing of it is charged or lent.
     pub fn leave(&mut self) {
         self.stage = Stage::Leaving;
--- a/crates/allowance/src/keeper/others.rs
+++ b/crates/allowance/src/keeper/others.rs
@@ -53,6 +53,7 @@
         let share = table.shares.get(&addr)?;
         Some(Member {
             addr,
+            instance: share.instance.clone(),
             incarnation: share.incarnation.clone(),
         })
     }
--- a/crates/allowance/src/shares.rs
+++ b/crates/allowance/src/shares.rs
@@ -16,6 +16,8 @@
 /// Share of one gate.
 #[derive(Clone, Debug, Eq, PartialEq, Deserialize, Serialize)]
 pub struct Share {
+    /// Name of the gate's instance, by which the platform lists where it can be reached.
+    pub instance: String,
     /// Incarnation of the process that may use it.
     pub incarnation: String,
     /// Part of every allowance.
@@ -36,6 +38,8 @@
 pub struct Member {
     /// Peer address of the gate.
     pub addr: SocketAddr,
+    /// Name of its instance.
+    pub instance: String,
     /// Incarnation of its process.
     pub incarnation: String,
 }
@@ -163,6 +167,7 @@
 
     fn put(&mut self, me: &Member, weight: Weight) {
         let share = Share {
+            instance: me.instance.clone(),
             incarnation: me.incarnation.clone(),
             weight,
         };
--- a/crates/allowance/tests/allowance/fleet/mod.rs
+++ b/crates/allowance/tests/allowance/fleet/mod.rs
@@ -155,7 +155,13 @@
         let mut ledger = Ledger::new(number << 32);
         ledger.configure([(WORKSPACE, TERMS)], now);
         let workspace = ledger.workspace(WORKSPACE).expect("configured");
-        let keeper = Keeper::new(self.gates[i].addr, format!("p{number}"), self.timing, now);
+        let keeper = Keeper::new(
+            self.gates[i].addr,
+            format!("gate-{i}"),
+            format!("p{number}"),
+            self.timing,
+            now,
+        );
         self.gates[i].process = Some(Process {
             number,
             ledger,
--- a/crates/core/tests/allowance.rs
+++ b/crates/core/tests/allowance.rs
@@ -212,6 +212,24 @@
     assert_bound(&cluster).await;
 }
 
+#[actix_rt::test]
+async fn workspace_inside_its_rate_may_send_all_to_one_gate() {
+    let mut cluster = start(spec()).await;
+    warm(&cluster).await;
+    // 20 requests of 30 tokens a second: 60% of the rate, and nearly five times the gate's share.
+    let period = Duration::from_millis(50);
+    let length = Duration::from_secs(3);
+    let one = [2];
+    let small = Sender::spawn(&cluster, SMALL, &one, period);
+    actix_rt::time::sleep(length).await;
+    assert_small_is_served("all at one gate", &small.stop());
+    cluster.kill(&gate_name(7)).unwrap();
+    let small = Sender::spawn(&cluster, SMALL, &one, period);
+    actix_rt::time::sleep(length).await;
+    assert_small_is_served("all at one gate, another killed", &small.stop());
+    assert_bound(&cluster).await;
+}
+
 #[actix_rt::test]
 async fn request_above_one_gates_share_is_served() {
     let cluster = start(spec()).await;
--- a/crates/gate/src/allowances/gather.rs
+++ b/crates/gate/src/allowances/gather.rs
@@ -2,7 +2,7 @@
 
 use std::{
     cell::RefCell,
-    collections::HashMap,
+    collections::{BTreeMap, HashMap},
     net::SocketAddr,
     rc::Rc,
     time::{Duration, Instant},
@@ -45,6 +45,10 @@
     /// Tells another gate that a loan has ended, without waiting.
     fn end_loan(&self, end: Return);
 
+    /// Takes the names of the instances that own shares, by the addresses in the record. The
+    /// platform may list other addresses, at which they can be reached.
+    fn set_instances(&self, instances: BTreeMap<SocketAddr, String>);
+
     /// Number of gates that the platform lists, with this one; `None` before the first look.
     fn listed(&self) -> Option<usize>;
 }
@@ -102,6 +106,11 @@
         outcome
     }
 
+    /// Takes the names of the instances that own shares.
+    pub(super) fn set_instances(&self, instances: BTreeMap<SocketAddr, String>) {
+        self.lenders.set_instances(instances);
+    }
+
     /// Number of gates that the platform lists.
     pub(super) fn listed(&self) -> Option<usize> {
         self.lenders.listed()
--- a/crates/gate/src/allowances/shares.rs
+++ b/crates/gate/src/allowances/shares.rs
@@ -31,16 +31,21 @@
 }
 
 impl ShareKeeper {
-    /// Starts to keep a share for the gate at the peer address `addr`. The address must be
-    /// listened on already: that is the evidence that an earlier process there has ended.
-    pub fn spawn<C, K, L>(allowances: &SharedAllowances<C, L>, kv: K, addr: SocketAddr) -> Self
+    /// Starts to keep a share for the gate at the peer address `addr` of an instance. The address
+    /// must be listened on already: that is the evidence that an earlier process there has ended.
+    pub fn spawn<C, K, L>(
+        allowances: &SharedAllowances<C, L>,
+        kv: K,
+        addr: SocketAddr,
+        instance: &str,
+    ) -> Self
     where
         C: Clock,
         K: Kv,
         L: Lenders,
     {
         let (leave, left) = oneshot::channel();
-        let task = KeeperTask::new(allowances.clone(), kv, addr);
+        let task = KeeperTask::new(allowances.clone(), kv, addr, instance);
         Self {
             task: actix_rt::spawn(task.run(left)),
             loans: actix_rt::spawn(end_loans(allowances.clone())),
@@ -93,10 +98,16 @@
     K: Kv,
     L: Lenders,
 {
-    fn new(allowances: SharedAllowances<C, L>, kv: K, addr: SocketAddr) -> Self {
+    fn new(allowances: SharedAllowances<C, L>, kv: K, addr: SocketAddr, instance: &str) -> Self {
         let state = Rc::clone(&allowances.state);
         let process = format!("{:032x}", rand::random::<u128>());
-        let keeper = Keeper::new(addr, process, state.timing.into(), state.now());
+        let keeper = Keeper::new(
+            addr,
+            instance.to_owned(),
+            process,
+            state.timing.into(),
+            state.now(),
+        );
         Self {
             allowances,
             state,
@@ -158,6 +169,8 @@
         let mut ledger = self.state.ledger.borrow_mut();
         self.keeper.answer(&mut ledger, outcome, now);
         let lenders = self.keeper.lenders();
+        let instances = self.keeper.instances();
+        self.allowances.gatherer.set_instances(instances);
         self.state.estimates.borrow_mut().retain(&lenders);
         *self.state.lenders.borrow_mut() = lenders;
     }
--- a/crates/gate/src/assembly.rs
+++ b/crates/gate/src/assembly.rs
@@ -33,7 +33,8 @@
     let kv = HttpKv::new(http.clone(), settings.instance.kv, PLATFORM_TIMEOUT);
     let instances = Instances::new(http, settings.instance.instances);
     let contact = Duration::from_millis(settings.timing.contact_ms);
-    let links = Links::spawn(settings.peer, secret.clone(), instances.clone(), contact);
+    let instance = settings.instance.name.clone();
+    let links = Links::spawn(&instance, secret.clone(), instances.clone(), contact);
     let follower = follow(&settings, kv.clone(), links.clone());
     let timing = AllowanceTiming::from(&settings.timing);
     let allowances = SharedAllowances::new(SystemClock, links, timing);
@@ -53,7 +54,7 @@
     report(&gate, &allowances);
     let tokens = Tokens {
         // The port is bound by now, which is the evidence that an earlier process has ended.
-        keeper: ShareKeeper::spawn(&allowances, kv, own),
+        keeper: ShareKeeper::spawn(&allowances, kv, own, &instance),
         _configure: Configure(actix_rt::spawn(configure(follower, allowances))),
         _server: server,
     };
--- a/crates/gate/src/peers/links.rs
+++ b/crates/gate/src/peers/links.rs
@@ -14,7 +14,7 @@
 use bytes::Bytes;
 use comfreyweir_allowance::ledger::{Grant, Return};
 use comfreyweir_peer::{Link, LinkError, Secret, open, peer_capnp::gate};
-use comfreyweir_platform::instances::{InstanceList, Instances, Role};
+use comfreyweir_platform::instances::{InstanceInfo, InstanceList, Instances, Role};
 use snafu::{OptionExt, ResultExt, Snafu};
 use spdlog::debug;
 use tokio::{sync::Mutex, time::timeout};
@@ -67,6 +67,7 @@
 
 struct Peer {
     addr: SocketAddr,
+    instance: RefCell<String>,
     zone: RefCell<String>,
     link: RefCell<Option<GateLink>>,
     /// Calls that have taken longer than [`STALL_LIMIT`] and are not answered yet.
@@ -75,12 +76,14 @@
 }
 
 struct Shared {
-    own: SocketAddr,
+    own: String,
     secret: Secret,
     instances: Instances,
     period: Duration,
     list: RefCell<Option<Rc<InstanceList>>>,
     peers: RefCell<BTreeMap<SocketAddr, Rc<Peer>>>,
+    /// Instances that own shares, by their addresses in the record of shares.
+    lenders: RefCell<BTreeMap<SocketAddr, String>>,
 }
 
 /// Links to the other gates. Clones share them; the last one that is dropped closes them.
@@ -100,15 +103,16 @@
 
 impl Links {
     /// Starts to follow the list of instances and to keep a link to every other gate. `own` is
-    /// the peer address of this gate, `period` the time between two looks at the list.
-    pub fn spawn(own: SocketAddr, secret: Secret, instances: Instances, period: Duration) -> Self {
+    /// the name of this instance, `period` the time between two looks at the list.
+    pub fn spawn(own: &str, secret: Secret, instances: Instances, period: Duration) -> Self {
         let shared = Rc::new(Shared {
-            own,
+            own: own.to_owned(),
             secret,
             instances,
             period,
             list: RefCell::default(),
             peers: RefCell::default(),
+            lenders: RefCell::default(),
         });
         let task = actix_rt::spawn(follow(Rc::clone(&shared)));
         Self {
@@ -174,8 +178,18 @@
         Ok(Rc::clone(peer))
     }
 
+    /// The gate that owns the share of `addr` in the record.
+    fn lender(&self, addr: SocketAddr) -> Result<Rc<Peer>, PeerError> {
+        let lenders = self.shared.lenders.borrow();
+        let peers = self.shared.peers.borrow();
+        let instance = lenders.get(&addr).context(NotListedSnafu { addr })?;
+        let mut peers = peers.values();
+        let peer = peers.find(|peer| *peer.instance.borrow() == *instance);
+        peer.cloned().context(NotListedSnafu { addr })
+    }
+
     async fn ask(&self, lender: SocketAddr, ask: &Ask) -> Result<Grant, PeerError> {
-        let peer = self.peer(lender)?;
+        let peer = self.lender(lender)?;
         let link = peer.ready().context(NoLinkSnafu { addr: lender })?;
         let mut req = link.client().borrow_request();
         let mut params = req.get();
@@ -194,7 +208,7 @@
     }
 
     async fn give_back(&self, end: Return) -> Result<(), PeerError> {
-        let peer = self.peer(end.lender)?;
+        let peer = self.lender(end.lender)?;
         let link = peer.opened(&self.shared.secret).await?;
         let mut req = link.client().give_back_request();
         let mut params = req.get();
@@ -228,6 +242,10 @@
         });
     }
 
+    fn set_instances(&self, instances: BTreeMap<SocketAddr, String>) {
+        *self.shared.lenders.borrow_mut() = instances;
+    }
+
     fn listed(&self) -> Option<usize> {
         let list = self.instances()?;
         let gates = list
@@ -242,6 +260,7 @@
     fn new(addr: SocketAddr) -> Self {
         Self {
             addr,
+            instance: RefCell::default(),
             zone: RefCell::default(),
             link: RefCell::default(),
             stalled: Cell::new(0),
@@ -336,20 +355,20 @@
 
 impl Shared {
     fn take(&self, list: InstanceList) {
-        let gates: BTreeMap<SocketAddr, &str> = list
+        let gates: BTreeMap<SocketAddr, &InstanceInfo> = list
             .instances
             .iter()
-            .filter(|instance| instance.role == Role::Entry)
-            .filter_map(|instance| Some((instance.gate?, instance.zone.as_str())))
-            .filter(|(addr, _)| *addr != self.own)
+            .filter(|instance| instance.role == Role::Entry && instance.name != self.own)
+            .filter_map(|instance| Some((instance.gate?, instance)))
             .collect();
         let mut peers = self.peers.borrow_mut();
         peers.retain(|addr, _| gates.contains_key(addr));
-        for (addr, zone) in gates {
+        for (addr, instance) in gates {
             let peer = peers
                 .entry(addr)
                 .or_insert_with(|| Rc::new(Peer::new(addr)));
-            zone.clone_into(&mut peer.zone.borrow_mut());
+            instance.name.clone_into(&mut peer.instance.borrow_mut());
+            instance.zone.clone_into(&mut peer.zone.borrow_mut());
         }
         drop(peers);
         *self.list.borrow_mut() = Some(Rc::new(list));
