Bound the time between requests of a connection, and document requests

Cause: the HTTP server limits the time of the first head only; half a second head kept its connection open and a stopping gate waiting for ever (half_a_head_on_an_open_connection_is_cut_off failed before). Change: the caller's stream limits half a head by head_ms and a connection without a request by the new idle_ms, and by head_ms while the gate stops.

--- a/crates/config/src/settings.rs
+++ b/crates/config/src/settings.rs
@@ -75,6 +75,8 @@
     pub head_ms: u64,
     /// Longest pause of a caller or an upstream within a body, in ms.
     pub stall_ms: u64,
+    /// Time that a caller's connection may stay open between two requests, in ms.
+    pub idle_ms: u64,
 }
 
 impl Default for Limits {
@@ -87,6 +89,7 @@
             max_deadline_ms: 600_000,
             head_ms: 5_000,
             stall_ms: 30_000,
+            idle_ms: 75_000,
         }
     }
 }
--- a/crates/core/tests/answers.rs
+++ b/crates/core/tests/answers.rs
@@ -174,10 +174,10 @@
     );
     let cancelled = async || {
         let records = cluster.engine_records().await.unwrap();
-        let mut requests = records.iter().flat_map(|r| &r.requests);
-        requests.any(|r| r.outcome == Outcome::Cancelled)
+        let requests = records.iter().flat_map(|r| &r.requests);
+        requests.filter(|r| r.outcome == Outcome::Cancelled).count()
     };
-    for stream in [true, false] {
+    for (before, stream) in [true, false].into_iter().enumerate() {
         let body = serde_json::json!({
             "model": "assistant", "prompt": PROMPT, "max_tokens": 60, "stream": stream,
         });
@@ -190,10 +190,14 @@
             requests.any(|r| r.outcome == Outcome::Running)
         };
         tokio::select! {
-            _ = async { let _answer = req.await; std::future::pending::<()>().await } => {}
+            () = async { let _answer = req.await; std::future::pending::<()>().await } => {}
             begun = until(LIMIT, "a running request", running) => begun.unwrap(),
         }
-        until(LIMIT, "a cancelled run", cancelled).await.unwrap();
+        until(LIMIT, "a cancelled run", async || {
+            cancelled().await > before
+        })
+        .await
+        .unwrap();
     }
     let idle = async || {
         let metrics = cluster.metrics(0).await.unwrap();
--- a/crates/core/tests/bad_input.rs
+++ b/crates/core/tests/bad_input.rs
@@ -28,6 +28,7 @@
     spec.limits.body_bytes = 10_000;
     spec.limits.head_ms = 500;
     spec.limits.stall_ms = 500;
+    spec.limits.idle_ms = 1_000;
     start(spec).await
 }
 
@@ -224,6 +225,26 @@
     assert!(record.requests.is_empty(), "broken input reached an engine");
 }
 
+#[actix_rt::test]
+async fn half_a_head_on_an_open_connection_is_cut_off() {
+    let mut cluster = cluster().await;
+    let gate = cluster.layout().gate(0);
+    let whole = "GET /v1/models HTTP/1.1\r\nhost: x\r\nauthorization: Bearer cw-lodz\r\n\r\n";
+    let began = Instant::now();
+    let answer = raw(gate, &[whole.as_bytes(), &whole.as_bytes()[..30]]).await;
+    assert_eq!(answer.matches("200 OK").count(), 1, "{answer}");
+    assert!(began.elapsed() < Duration::from_secs(5));
+    // Nor does it keep a gate from stopping.
+    let mut io = TcpStream::connect(gate).await.unwrap();
+    io.write_all(whole.as_bytes()).await.unwrap();
+    let mut byte = [0];
+    assert_eq!(io.read(&mut byte).await.unwrap(), 1);
+    io.write_all(&whole.as_bytes()[..30]).await.unwrap();
+    let process = cluster.process_mut("gate-0").unwrap();
+    let status = process.terminate(LIMIT).await.unwrap();
+    assert!(status.success(), "{}", process.log_tail());
+}
+
 #[actix_rt::test]
 async fn forged_headers_and_keys_never_reach_an_engine() {
     let cluster = cluster().await;
--- a/crates/core/tests/in_time.rs
+++ b/crates/core/tests/in_time.rs
@@ -10,6 +10,8 @@
 mod support;
 
 const LIMIT: Duration = Duration::from_secs(10);
+/// Most refusals of an overload come within this time.
+const AT_ONCE: Duration = Duration::from_millis(150);
 /// Time for an answer on its way back to a caller of this test, on a busy machine.
 const WAY: Duration = Duration::from_millis(150);
 
@@ -97,6 +99,13 @@
             assert!(!answer.run().is_empty(), "{answer:?}");
         }
     }
+    let refused = || answers.iter().filter(|(_, a)| a.status != StatusCode::OK);
+    let at_once = refused().filter(|(_, a)| a.took <= AT_ONCE).count();
+    assert!(
+        at_once * 2 > refused().count(),
+        "only {at_once} of {} refusals came at once",
+        refused().count()
+    );
     let (ok, all) = served("small");
     assert!(
         ok * 100 >= all * 95,
--- a/crates/gate/src/body.rs
+++ b/crates/gate/src/body.rs
@@ -16,23 +16,29 @@
 use futures_util::StreamExt;
 use tokio::time::timeout;
 
-use crate::{Code, Refusal, stopping::InFlight};
+use crate::{Code, Refusal};
 
 /// Body of an answer that counts as in flight until it was sent or dropped.
-struct Counted {
+struct Counted<G> {
     body: BoxBody,
-    _guard: InFlight,
+    _guard: G,
 }
 
 /// Counts a body as in flight until it was sent or dropped.
-pub(crate) fn counted(body: BoxBody, guard: InFlight) -> BoxBody {
+pub(crate) fn counted<G>(body: BoxBody, guard: G) -> BoxBody
+where
+    G: Unpin + 'static,
+{
     BoxBody::new(Counted {
         body,
         _guard: guard,
     })
 }
 
-impl MessageBody for Counted {
+impl<G> MessageBody for Counted<G>
+where
+    G: Unpin,
+{
     type Error = Box<dyn std::error::Error>;
 
     fn size(&self) -> BodySize {
--- a/crates/gate/src/gate.rs
+++ b/crates/gate/src/gate.rs
@@ -22,6 +22,7 @@
 use crate::{
     admin,
     allowances::Allowances,
+    caller::Caller,
     context::Cx,
     handler,
     listener::{self, Listener},
@@ -118,6 +119,7 @@
     .context(ListenSnafu { addr: listen })?;
     let admin_cx = Rc::clone(&cx);
     let admin = listener::bind(admin_addr, &limits, Rc::default(), move |req| {
+        let _busy = req.conn_data::<Caller>().map(Caller::begin);
         ready(Ok(admin::serve(&admin_cx, &req)))
     })
     .await
--- a/crates/gate/src/handler.rs
+++ b/crates/gate/src/handler.rs
@@ -27,7 +27,7 @@
 {
     let body = req.take_payload();
     let caller = req.conn_data::<Caller>().cloned();
-    let guard = cx.stopping.enter();
+    let guard = (cx.stopping.enter(), caller.as_ref().map(Caller::begin));
     let request_id = request_id::fresh();
     let reported = Reported::new(&cx, &req, &request_id);
     let answer = route(&cx, &req, body, &request_id);
--- a/crates/gate/src/listener.rs
+++ b/crates/gate/src/listener.rs
@@ -11,12 +11,13 @@
     task::JoinSet,
 };
 
-use crate::{caller::CallerStream, stopping::Stopping};
+use crate::{
+    caller::{CallerLimits, CallerStream},
+    stopping::Stopping,
+};
 
 /// Connections that may wait to be accepted.
 const BACKLOG: u32 = 1024;
-/// Time that a connection may stay open without a request.
-const KEEP_ALIVE: Duration = Duration::from_secs(75);
 /// Pause after accepting has failed, most likely for want of descriptors.
 const ACCEPT_PAUSE: Duration = Duration::from_millis(100);
 
@@ -63,8 +64,9 @@
     let listener = listen(addr)?;
     let addr = listener.local_addr()?;
     let signal = Rc::clone(&stopping);
+    let idle = Duration::from_millis(limits.idle_ms);
     let factory = HttpService::<CallerStream, _, _>::build()
-        .keep_alive(KeepAlive::Timeout(KEEP_ALIVE))
+        .keep_alive(KeepAlive::Timeout(idle))
         .client_request_timeout(Duration::from_millis(limits.head_ms))
         .client_disconnect_timeout(Duration::from_millis(limits.stall_ms))
         .graceful_shutdown_signal(move || {
@@ -80,15 +82,19 @@
         .await
         .map_err(|()| io::Error::other("the HTTP service cannot be built"))?;
     let service = Rc::new(service);
-    let stall = Duration::from_millis(limits.stall_ms);
+    let caller_limits = CallerLimits {
+        stall: Duration::from_millis(limits.stall_ms),
+        head: Duration::from_millis(limits.head_ms),
+        idle,
+    };
+    let stream_stopping = Rc::clone(&stopping);
     let serve = move |io: TcpStream, peer| {
         let _ = io.set_nodelay(true);
         let service = Rc::clone(&service);
+        let stream = CallerStream::new(io, caller_limits, Rc::clone(&stream_stopping));
         async move {
             // What went wrong with a connection shows at the caller.
-            let _ = service
-                .call((CallerStream::new(io, stall), Some(peer)))
-                .await;
+            let _ = service.call((stream, Some(peer))).await;
         }
     };
     let most = limits.connections;
