--- a/crates/core/src/daemon.rs
+++ b/crates/core/src/daemon.rs
@@ -63,7 +63,7 @@
         Ok(settings) => settings,
         Err(e) => return fail(program, &e, EXIT_USAGE),
     };
-    if let Err(e) = logging::init() {
+    if let Err(e) = logging::init(logging::Detail::Info) {
         return fail(program, &e, EXIT_FAILED);
     }
     actix_rt::System::new().block_on(async {
--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -1,4 +1,5 @@
 //! The command lines of the programs.
 
 pub mod daemon;
+pub mod dev;
 pub mod logging;
--- a/crates/core/tests/answers.rs
+++ b/crates/core/tests/answers.rs
@@ -187,7 +187,7 @@
             requests.any(|r| r.outcome == Outcome::Running)
         };
         tokio::select! {
-            _ = async { let _answer = req.await; std::future::pending::<()>().await } => {}
+            () = async { let _answer = req.await; std::future::pending::<()>().await } => {}
             begun = until(LIMIT, "a running request", running) => begun.unwrap(),
         }
         until(LIMIT, "a cancelled run", cancelled).await.unwrap();
--- a/crates/core/tests/in_time.rs
+++ b/crates/core/tests/in_time.rs
@@ -76,7 +76,7 @@
     let codes: std::collections::BTreeMap<String, usize> =
         answers
             .iter()
-            .fold(Default::default(), |mut codes, (_, a)| {
+            .fold(std::collections::BTreeMap::default(), |mut codes, (_, a)| {
                 *codes
                     .entry(format!("{} {} {}", a.status, a.code(), a.run()))
                     .or_default() += 1;
--- a/crates/gate/src/completion/attempt.rs
+++ b/crates/gate/src/completion/attempt.rs
@@ -30,12 +30,11 @@
 const MAX_ERROR_BYTES: usize = 1 << 16;
 
 /// An engine that has begun to answer.
-pub(crate) struct Opened<A, V>
+pub(crate) struct Opened<A>
 where
     A: Allowances,
-    V: PlacementView,
 {
-    pub(crate) run: Run<A, V>,
+    pub(crate) run: Run<A>,
     pub(crate) answer: Answer,
 }
 
@@ -103,7 +102,7 @@
     job: &Job,
     done: u64,
     tries: &mut Tries,
-) -> Result<Opened<A, V>, Refusal>
+) -> Result<Opened<A>, Refusal>
 where
     A: Allowances,
     V: PlacementView,
@@ -122,9 +121,9 @@
 async fn attempt<A, V>(
     cx: &Rc<Cx<A, V>>,
     job: &Job,
-    run: Run<A, V>,
+    run: Run<A>,
     done: u64,
-) -> Result<Opened<A, V>, Failure>
+) -> Result<Opened<A>, Failure>
 where
     A: Allowances,
     V: PlacementView,
@@ -157,10 +156,9 @@
     }
 }
 
-fn call<A, V>(job: &Job, run: &Run<A, V>, done: u64) -> Call
+fn call<A>(job: &Job, run: &Run<A>, done: u64) -> Call
 where
     A: Allowances,
-    V: PlacementView,
 {
     let mut headers = HeaderMap::new();
     headers.insert(
@@ -189,7 +187,7 @@
 }
 
 /// Judges an answer that is not a success.
-async fn refused<A, V>(cx: &Cx<A, V>, mut answer: Answer, run: Run<A, V>) -> Failure
+async fn refused<A, V>(cx: &Cx<A, V>, mut answer: Answer, run: Run<A>) -> Failure
 where
     A: Allowances,
     V: PlacementView,
--- a/crates/gate/src/completion/stream.rs
+++ b/crates/gate/src/completion/stream.rs
@@ -37,12 +37,11 @@
 const CLOSE_TIME: Duration = Duration::from_millis(20);
 
 /// An engine that sends events.
-struct Source<A, V>
+struct Source<A>
 where
     A: Allowances,
-    V: PlacementView,
 {
-    run: Run<A, V>,
+    run: Run<A>,
     body: AnswerBody,
     events: Events,
 }
@@ -55,7 +54,7 @@
 {
     cx: Rc<Cx<A, V>>,
     job: Job,
-    source: Option<Source<A, V>>,
+    source: Option<Source<A>>,
     tries: Tries,
     progress: Progress,
     last_token: Instant,
--- a/crates/gate/src/completion/whole.rs
+++ b/crates/gate/src/completion/whole.rs
@@ -46,7 +46,7 @@
     }
 }
 
-async fn read<A, V>(cx: &Cx<A, V>, job: &Job, opened: Opened<A, V>) -> Result<Bytes, Failure>
+async fn read<A, V>(cx: &Cx<A, V>, job: &Job, opened: Opened<A>) -> Result<Bytes, Failure>
 where
     A: Allowances,
     V: PlacementView,
--- a/crates/gate/src/dispatch.rs
+++ b/crates/gate/src/dispatch.rs
@@ -11,7 +11,7 @@
     completion::Job,
     context::Cx,
     handler,
-    placement_view::PlacementView,
+    placement_view::{InUse, PlacementView},
     queue::{Grant, Slot, Wanted},
 };
 
@@ -19,10 +19,9 @@
 type ChargeOf<A> = <<A as Allowances>::Reservation as Reservation>::Charge;
 
 /// Leave to call an engine once, with the tokens charged.
-pub(crate) struct Run<A, V>
+pub(crate) struct Run<A>
 where
     A: Allowances,
-    V: PlacementView,
 {
     /// Name of the engine.
     pub(crate) upstream: String,
@@ -31,44 +30,12 @@
     /// Place of the call in the gate's own counts.
     pub(crate) slot: Slot,
     charge: ChargeOf<A>,
-    _usage: Usage<V>,
-}
-
-/// Use of an artifact, until it is dropped.
-struct Usage<V>
-where
-    V: PlacementView,
-{
-    view: V,
-    served_name: String,
-}
-
-impl<V> Usage<V>
-where
-    V: PlacementView,
-{
-    fn begin(view: &V, served_name: &str) -> Self {
-        view.started(served_name);
-        Self {
-            view: view.clone(),
-            served_name: served_name.to_owned(),
-        }
-    }
-}
-
-impl<V> Drop for Usage<V>
-where
-    V: PlacementView,
-{
-    fn drop(&mut self) {
-        self.view.ended(&self.served_name);
-    }
+    _in_use: InUse,
 }
 
-impl<A, V> Run<A, V>
+impl<A> Run<A>
 where
     A: Allowances,
-    V: PlacementView,
 {
     /// Notes how many tokens were used so far.
     pub(crate) fn progress(&mut self, used: u64) {
@@ -95,7 +62,7 @@
     job: &Job,
     done: u64,
     is_retry: bool,
-) -> Result<Run<A, V>, Refusal>
+) -> Result<Run<A>, Refusal>
 where
     A: Allowances,
     V: PlacementView,
@@ -118,7 +85,7 @@
         addr: grant.addr,
         slot: grant.slot,
         charge,
-        _usage: Usage::begin(&cx.view, &job.ask.served_name),
+        _in_use: cx.view.begin_use(&job.ask.served_name),
     })
 }
 
--- a/crates/gate/src/placement_view/peer_view.rs
+++ b/crates/gate/src/placement_view/peer_view.rs
@@ -24,7 +24,7 @@
     exchange::{self, Told},
     holder,
     leaving::Listed,
-    usage::UsageTable,
+    usage::{InUse, UsageTable},
     waiting::{WaitKey, Waiters},
 };
 
@@ -72,7 +72,7 @@
     peers: PlacementPeers,
     cells: RefCell<BTreeMap<String, CellView>>,
     waiters: RefCell<Waiters>,
-    usage: RefCell<UsageTable>,
+    usage: Rc<RefCell<UsageTable>>,
     listed: RefCell<Listed>,
     /// Counts the changes of the view.
     version: watch::Sender<u64>,
@@ -99,7 +99,7 @@
             peers,
             cells: RefCell::default(),
             waiters: RefCell::default(),
-            usage: RefCell::default(),
+            usage: Rc::default(),
             listed: RefCell::default(),
             version: watch::Sender::new(0),
             woken: watch::Sender::new(0),
@@ -174,12 +174,8 @@
         }
     }
 
-    fn started(&self, served_name: &str) {
-        self.state.usage.borrow_mut().started(served_name);
-    }
-
-    fn ended(&self, served_name: &str) {
-        self.state.usage.borrow_mut().ended(served_name);
+    fn begin_use(&self, served_name: &str) -> InUse {
+        InUse::begin(&self.state.usage, served_name)
     }
 
     async fn changed(&self) {
--- a/crates/gate/src/placement_view/usage.rs
+++ b/crates/gate/src/placement_view/usage.rs
@@ -1,6 +1,6 @@
 //! Artifacts that this gate uses.
 
-use std::collections::BTreeMap;
+use std::{cell::RefCell, collections::BTreeMap, rc::Rc};
 
 /// Requests that run through this gate, by served name.
 #[derive(Default)]
@@ -26,3 +26,22 @@
         report
     }
 }
+
+/// A request that runs on an artifact. Dropping it ends the use.
+#[derive(Default)]
+pub struct InUse(Option<(Rc<RefCell<UsageTable>>, String)>);
+
+impl InUse {
+    pub(super) fn begin(table: &Rc<RefCell<UsageTable>>, served_name: &str) -> Self {
+        table.borrow_mut().started(served_name);
+        Self(Some((Rc::clone(table), served_name.to_owned())))
+    }
+}
+
+impl Drop for InUse {
+    fn drop(&mut self) {
+        if let Some((table, served_name)) = &self.0 {
+            table.borrow_mut().ended(served_name);
+        }
+    }
+}
--- a/crates/standins/src/engine/settings.rs
+++ b/crates/standins/src/engine/settings.rs
@@ -53,6 +53,29 @@
     pub record: bool,
 }
 
+impl Settings {
+    /// An engine that is quick and checks fencing numbers and memory.
+    pub fn new(name: &str, listen: SocketAddr, memory_mb: u64) -> Self {
+        Self {
+            name: name.to_owned(),
+            listen,
+            control: None,
+            memory_mb,
+            slots: default_slots(),
+            queue: default_queue(),
+            checks_fencing: default_true(),
+            checks_memory: default_true(),
+            checkpoints: BTreeMap::new(),
+            memory_checkpoints: default_memory_checkpoints(),
+            times: Times::default(),
+            output_tokens: default_output_tokens(),
+            cache_blocks: default_cache_blocks(),
+            cache_event_gap: 0,
+            record: default_true(),
+        }
+    }
+}
+
 /// Times of an engine.
 #[derive(Clone, Copy, Debug, Deserialize, Serialize)]
 #[serde(default, deny_unknown_fields)]
