Add the operators' client

check, apply, diff, key issue, key withdraw, drain and status. The folder remembers the last revision that it has seen and a write whose outcome is not known, both in a hidden state file, so that apply refuses to overwrite what it has not seen and settles a lost answer with the next command.

--- a/crates/core/src/bin/comfreyweir.rs
+++ b/crates/core/src/bin/comfreyweir.rs
@@ -1,12 +1,13 @@
-//! Program `comfreyweir`.
+//! Program `comfreyweir`: the operators' client, and `dev`.
 
-use std::process::ExitCode;
+use std::{env, process::ExitCode};
+
+use comfreyweir_core::{client, dev};
 
 fn main() -> ExitCode {
-    let mut args = std::env::args_os().skip(1);
-    if args.next().is_some_and(|command| command == "dev") {
-        return comfreyweir_core::dev::main(args);
+    let mut args = env::args_os().skip(1).peekable();
+    if args.next_if(|command| command == "dev").is_some() {
+        return dev::main(args);
     }
-    eprintln!("comfreyweir: name a command; the only one is `dev`");
-    ExitCode::from(comfreyweir_core::daemon::EXIT_USAGE)
+    client::main(args)
 }
--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -1,5 +1,6 @@
 //! The command lines of the programs.
 
+pub mod client;
 pub mod daemon;
 pub mod dev;
 pub mod logging;
