--- a/crates/gate/src/completion/stream.rs
+++ b/crates/gate/src/completion/stream.rs
@@ -37,11 +37,12 @@
 const CLOSE_TIME: Duration = Duration::from_millis(20);
 
 /// An engine that sends events.
-struct Source<A>
+struct Source<A, V>
 where
     A: Allowances,
+    V: PlacementView,
 {
-    run: Run<A>,
+    run: Run<A, V>,
     body: AnswerBody,
     events: Events,
 }
@@ -54,7 +55,7 @@
 {
     cx: Rc<Cx<A, V>>,
     job: Job,
-    source: Option<Source<A>>,
+    source: Option<Source<A, V>>,
     tries: Tries,
     progress: Progress,
     last_token: Instant,
@@ -188,6 +189,10 @@
         let chunk = self.progress.take(chunk).map_err(Failure::MayHaveRun)?;
         if self.progress.tokens() > before {
             self.note_token();
+            let used = self.job.ask.prompt_tokens + self.progress.source_tokens();
+            if let Some(source) = &mut self.source {
+                source.run.progress(used);
+            }
         }
         Ok(chunk.map(|chunk| events::encode(&chunk)))
     }
@@ -202,7 +207,10 @@
     }
 
     fn fail(&mut self, failure: Failure) -> Result<(), Refusal> {
-        let upstream = self.source.as_ref().map(|s| s.run.upstream.clone());
+        let upstream = self.source.as_ref().map(|source| {
+            source.run.slot.note_failed();
+            source.run.upstream.clone()
+        });
         self.settle_part();
         let upstream = upstream.unwrap_or_default();
         self.tries.note(&self.job, &upstream, failure)
@@ -237,6 +245,9 @@
 
     fn note_first(&mut self) {
         self.last_token = Instant::now();
+        if let Some(source) = &self.source {
+            source.run.slot.note_answer(true);
+        }
         let catalog = &self.cx.follower.current().catalog;
         let workspace = &self.job.identity.workspace;
         let time = self.job.arrived.elapsed();
