--- a/crates/store/src/chunk.rs
+++ b/crates/store/src/chunk.rs
@@ -29,6 +29,10 @@
     pub revision: u64,
     /// Hash of the chunk of each bucket.
     pub chunks: Vec<String>,
+    /// Hashes of chunks that the revision before used and this one does not. They are kept for
+    /// processes that are still reading that revision, and emptied with the next one.
+    #[serde(default)]
+    pub retired: Vec<String>,
     /// The latest writes with the revisions they made, oldest first.
     pub writes: Vec<Write>,
 }
--- a/crates/store/src/publish.rs
+++ b/crates/store/src/publish.rs
@@ -152,20 +152,22 @@
         write_id: write_id.to_owned(),
         body: Root {
             revision,
+            retired: dropped(&current.chunks, &chunks),
             chunks,
             writes,
         },
     };
     match swap_root(kv, version, &record).await? {
         RootOutcome::Accepted => {
-            empty_chunks(kv, &current.chunks, &record.body.chunks).await;
+            empty_chunks(kv, &current.retired).await;
             Ok(Published {
                 revision,
                 chunks_written: written,
             })
         }
         RootOutcome::Overtaken(now) => {
-            empty_chunks(kv, &record.body.chunks, &now.chunks).await;
+            let written = dropped(&record.body.chunks, &current.chunks);
+            empty_chunks(kv, &dropped(&written, &now.chunks)).await;
             ConflictSnafu {
                 base: current.revision,
                 current: now.revision,
@@ -307,13 +309,19 @@
     RootOutcome::Overtaken(now)
 }
 
+/// Chunks of `before` that are not in `after`.
+fn dropped(before: &[String], after: &[String]) -> Vec<String> {
+    let is_dropped = |hash: &&String| !after.contains(hash);
+    before.iter().filter(is_dropped).cloned().collect()
+}
+
 /// Empties chunks that no root record refers to any more. A chunk that stays costs memory of the
 /// service and nothing else, so failures are passed over.
-async fn empty_chunks<K>(kv: &K, dropped: &[String], kept: &[String])
+async fn empty_chunks<K>(kv: &K, hashes: &[String])
 where
     K: Kv,
 {
-    for hash in dropped.iter().filter(|h| !kept.contains(h)) {
+    for hash in hashes {
         let key = chunk::chunk_key(hash);
         if let Ok(Some(found)) = kv.get(&key).await {
             let _ = kv.swap(&key, found.version, bytes::Bytes::new()).await;
