--- a/crates/gate/src/assembly.rs
+++ b/crates/gate/src/assembly.rs
@@ -7,12 +7,17 @@
 use comfreyweir_clock::{Clock, SystemClock};
 use comfreyweir_config::settings::GateSettings;
 use comfreyweir_peer::{PeerServer, Secret};
-use comfreyweir_platform::{instances::Instances, kv_http::HttpKv};
+use comfreyweir_platform::{
+    instances::Instances,
+    kv_counted::{CountedKv, KvCounts},
+    kv_http::HttpKv,
+};
 use comfreyweir_store::{FollowTiming, Follower, Peer, PeerRevision, PeerSilence, Peers};
 use snafu::ResultExt;
 
 use crate::{
     allowances::{AllowanceTiming, ShareKeeper, SharedAllowances},
+    context::GateKv,
     gate::{Gate, GateError, PeerSnafu, SecretSnafu, spawn_with},
     peers::{self, ConfigAnswers, Links, PeerError, RevisionAnswer},
     placement_view::{PeerView, PlacementPeers},
@@ -30,7 +35,9 @@
 pub async fn spawn(settings: GateSettings) -> Result<Gate, GateError> {
     let secret = Secret::read(&settings.instance.peer_secret_file).context(SecretSnafu)?;
     let http = awc::Client::builder().timeout(PLATFORM_TIMEOUT).finish();
+    let kv_counts = KvCounts::default();
     let kv = HttpKv::new(http.clone(), settings.instance.kv, PLATFORM_TIMEOUT);
+    let kv = CountedKv::new(kv, kv_counts.clone());
     let instances = Instances::new(http, settings.instance.instances);
     let contact = Duration::from_millis(settings.timing.contact_ms);
     let instance = settings.instance.name.clone();
@@ -50,8 +57,15 @@
         contact,
     });
     let own = settings.peer;
-    let mut gate = spawn_with(settings, follower.clone(), allowances.clone(), view).await?;
-    report(&gate, &allowances);
+    let mut gate = spawn_with(
+        settings,
+        follower.clone(),
+        allowances.clone(),
+        view,
+        kv.clone(),
+    )
+    .await?;
+    report(&gate, &allowances, &kv_counts);
     let tokens = Tokens {
         // The port is bound by now, which is the evidence that an earlier process has ended.
         keeper: ShareKeeper::spawn(&allowances, kv, own, &instance),
@@ -83,7 +97,7 @@
     }
 }
 
-fn follow(settings: &GateSettings, kv: HttpKv, links: Links) -> Follower {
+fn follow(settings: &GateSettings, kv: GateKv, links: Links) -> Follower {
     let timing = FollowTiming {
         cut_off: Duration::from_millis(settings.timing.cut_off_ms),
         contact: Duration::from_millis(settings.timing.contact_ms),
@@ -102,9 +116,11 @@
     }
 }
 
-fn report(gate: &Gate, allowances: &GateAllowances) {
-    gate.metrics()
-        .with_registry(|registry| allowances.register(registry));
+fn report(gate: &Gate, allowances: &GateAllowances, kv_counts: &KvCounts) {
+    gate.metrics().with_registry(|registry| {
+        allowances.register(registry);
+        kv_counts.register(registry);
+    });
     let levels = allowances.clone();
     gate.metrics()
         .before_encoding(move || levels.update_metrics());
--- a/crates/gate/src/context.rs
+++ b/crates/gate/src/context.rs
@@ -4,7 +4,7 @@
 
 use comfreyweir_clock::SystemClock;
 use comfreyweir_config::settings::GateSettings;
-use comfreyweir_platform::kv_http::HttpKv;
+use comfreyweir_platform::{kv_counted::CountedKv, kv_http::HttpKv};
 use comfreyweir_store::Follower;
 
 use crate::{
@@ -16,6 +16,9 @@
     upstream::Upstreams,
 };
 
+/// Client of the key-value service.
+pub type GateKv = CountedKv<HttpKv>;
+
 /// What every request of a gate shares.
 pub struct Cx<A, V> {
     /// Settings of the process.
@@ -31,7 +34,7 @@
     /// Requests that wait for a replica.
     pub(crate) queues: Queues,
     /// Claims of idempotency keys.
-    pub claims: Claims<HttpKv, SystemClock>,
+    pub claims: Claims<GateKv, SystemClock>,
     /// Load of the upstreams of plain services.
     pub balance: Balance,
     /// Metrics of the process.
--- a/crates/gate/src/gate.rs
+++ b/crates/gate/src/gate.rs
@@ -14,7 +14,6 @@
 use comfreyweir_clock::{Clock, SystemClock};
 use comfreyweir_config::settings::GateSettings;
 use comfreyweir_peer::{LinkError, SecretError};
-use comfreyweir_platform::kv_http::HttpKv;
 use comfreyweir_store::{Follower, Freshness};
 use serde_json::json;
 use snafu::{ResultExt, Snafu};
@@ -22,7 +21,7 @@
 use crate::{
     admin,
     allowances::Allowances,
-    context::Cx,
+    context::{Cx, GateKv},
     handler,
     listener::{self, Listener},
     metrics::Metrics,
@@ -60,9 +59,6 @@
     },
 }
 
-/// Longest time of one call to the key-value service for an idempotency key.
-const CLAIM_TIMEOUT: Duration = Duration::from_secs(1);
-
 /// What is done after the last request has ended.
 type AfterStop = Pin<Box<dyn Future<Output = ()>>>;
 
@@ -84,6 +80,7 @@
     follower: Follower,
     allowances: A,
     view: V,
+    kv: GateKv,
 ) -> Result<Gate, GateError>
 where
     A: Allowances,
@@ -93,8 +90,6 @@
     let (listen, admin_addr) = (settings.listen, settings.admin);
     let limits = settings.limits.clone();
     let queues = Queues::new(limits.waiting);
-    let http = awc::Client::builder().timeout(CLAIM_TIMEOUT).finish();
-    let kv = HttpKv::new(http, settings.instance.kv, CLAIM_TIMEOUT);
     let cx = Rc::new(Cx {
         claims: Claims::new(kv, SystemClock, settings.instance.name.clone()),
         balance: Balance::default(),
--- a/crates/gate/src/lib.rs
+++ b/crates/gate/src/lib.rs
@@ -34,7 +34,7 @@
     assembly::spawn,
     caller::Caller,
     completion::DEADLINE_HEADER,
-    context::Cx,
+    context::{Cx, GateKv},
     error::{Code, Refusal, Run},
     gate::{Gate, GateError, spawn_with},
 };
--- a/crates/gate/src/services/once.rs
+++ b/crates/gate/src/services/once.rs
@@ -8,7 +8,6 @@
 
 use actix_http::{Response, StatusCode, body::BoxBody};
 use comfreyweir_clock::{Clock, SystemClock};
-use comfreyweir_platform::kv_http::HttpKv;
 use tokio::{
     sync::oneshot,
     time::{Instant, timeout_at},
@@ -25,7 +24,7 @@
 use crate::{
     Code, Refusal,
     allowances::{Allowances, Charge, Reservation},
-    context::Cx,
+    context::{Cx, GateKv},
     placement_view::PlacementView,
 };
 
@@ -43,7 +42,7 @@
 }
 
 type Reply = Result<Response<BoxBody>, Refusal>;
-type Held = HeldClaim<HttpKv, SystemClock>;
+type Held = HeldClaim<GateKv, SystemClock>;
 
 /// Runs a call at most once, and answers at the deadline at the latest.
 pub(super) async fn run<A, V>(
--- a/crates/gate/tests/support/mod.rs
+++ b/crates/gate/tests/support/mod.rs
@@ -19,6 +19,10 @@
     placement_view::ReplicaView,
     spawn_with,
 };
+use comfreyweir_platform::{
+    kv_counted::{CountedKv, KvCounts},
+    kv_http::HttpKv,
+};
 use comfreyweir_store::{Follower, Snapshot};
 use sha2::{Digest, Sha256};
 use tokio::{
@@ -298,7 +302,10 @@
     let snapshot = Snapshot::new(1, catalog);
     let follower = Follower::fixed(snapshot);
     let settings = settings(limits);
-    let gate = spawn_with(settings, follower, allowances.clone(), view.clone())
+    let http = awc::Client::default();
+    let kv = HttpKv::new(http, settings.instance.kv, Duration::from_secs(1));
+    let kv = CountedKv::new(kv, KvCounts::default());
+    let gate = spawn_with(settings, follower, allowances.clone(), view.clone(), kv)
         .await
         .unwrap();
     Bench {
