--- a/crates/gate/src/placement_view.rs
+++ b/crates/gate/src/placement_view.rs
@@ -49,6 +49,13 @@
     /// A request that waits.
     type Waiting: 'static;
 
+    /// Notes that a request for an artifact was sent to an engine, so that the artifact does not
+    /// count as idle.
+    fn started(&self, _served_name: &str) {}
+
+    /// Notes that a request noted by [`PlacementView::started`] has ended.
+    fn ended(&self, _served_name: &str) {}
+
     /// Notes that a request runs on an artifact until the returned value is dropped, so that the
     /// artifact does not count as idle.
     fn begin_use(&self, _served_name: &str) -> InUse {
--- a/crates/gate/src/placement_view/peer_view.rs
+++ b/crates/gate/src/placement_view/peer_view.rs
@@ -174,6 +174,14 @@
         }
     }
 
+    fn started(&self, served_name: &str) {
+        self.state.usage.borrow_mut().started(served_name);
+    }
+
+    fn ended(&self, served_name: &str) {
+        self.state.usage.borrow_mut().ended(served_name);
+    }
+
     fn begin_use(&self, served_name: &str) -> InUse {
         InUse::begin(&self.state.usage, served_name)
     }
--- a/crates/planner/tests/placement.rs
+++ b/crates/planner/tests/placement.rs
@@ -117,3 +117,26 @@
     assert!(gone.is_none() || ready < gone);
     planner.stop().await;
 }
+
+#[actix_rt::test]
+async fn a_slowed_store_shows_in_the_estimate_before_the_deadline() {
+    let cluster = Cluster::start(&[CHECKING, CHECKING], |catalog| {
+        catalog.models.insert("m".to_owned(), model(60, 1));
+        catalog.models.insert("n".to_owned(), model(60, 1));
+    })
+    .await;
+    let planner = cluster.planner(0).await;
+    let view = cluster.view(0, &planner);
+    served(&view, "m@1").await;
+    cluster.slow_store(100.0);
+    let deadline = Instant::now() + std::time::Duration::from_secs(2);
+    let waiting = view.wait_for("n@1", "w", deadline);
+    let is_late = || {
+        let ready_in = view.ready_in("n@1");
+        ready_in.is_some_and(|ready_in| Instant::now() + ready_in > deadline)
+    };
+    until("estimate beyond the deadline", is_late).await;
+    assert!(Instant::now() < deadline);
+    drop(waiting);
+    planner.stop().await;
+}
--- a/crates/planner/tests/support/mod.rs
+++ b/crates/planner/tests/support/mod.rs
@@ -73,6 +73,7 @@
     pub kv: kv::KvService,
     pub list: instances::Instances,
     pub engines: BTreeMap<String, Engine>,
+    store: WeightStore,
     pub catalog: Catalog,
     pub revision: u64,
     secret: tempfile::TempDir,
@@ -94,10 +95,7 @@
             control: None,
             faults: kv::Faults::default(),
         });
-        let store = WeightStore::open(weights::Settings {
-            loads_per_second: 100.0,
-            ..weights::Settings::default()
-        });
+        let store = WeightStore::open(store_settings(1.0));
         let mut running = BTreeMap::new();
         let mut catalog = Catalog::default();
         for (index, spec) in (0..).zip(engines) {
@@ -119,6 +117,7 @@
             kv: kv.unwrap(),
             list: list.unwrap(),
             engines: running,
+            store,
             catalog,
             revision: 0,
             secret,
@@ -139,6 +138,10 @@
         HttpKv::new(http, self.kv.addr(), Duration::from_secs(1))
     }
 
+    pub fn slow_store(&self, slowdown: f64) {
+        self.store.set(store_settings(slowdown));
+    }
+
     pub fn set_leaving(&self, leaving: &[&str]) {
         self.list.set(listed(&self.catalog, leaving));
     }
@@ -195,6 +198,14 @@
     }
 }
 
+fn store_settings(slowdown: f64) -> weights::Settings {
+    weights::Settings {
+        loads_per_second: 100.0,
+        slowdown,
+        ..weights::Settings::default()
+    }
+}
+
 fn engine_settings(name: &str, listen: SocketAddr, spec: &EngineSpec) -> engine::Settings {
     let text = format!(
         "name = \"{name}\"\nlisten = \"{listen}\"\nmemory_mb = {}\nchecks_fencing = {}\n\
