--- a/crates/core/tests/placement.rs
+++ b/crates/core/tests/placement.rs
@@ -8,7 +8,7 @@
 use actix_rt::task::JoinHandle;
 use awc::http::StatusCode;
 use comfreyweir_platform::{engine::CheckpointTier, instances::State, kv};
-use comfreyweir_standins::{engine, kv::Faults as KvFaults, proxy};
+use comfreyweir_standins::{engine, kv::Faults as KvFaults, proxy, weights};
 use serde_json::Value;
 use support::{
     Answer, Cluster, ClusterSpec, Link, TestbedError, instance_name, judge, planner_name, until,
@@ -359,3 +359,20 @@
     assert_eq!(Some(record.requests.len()), before);
     judge_all(&cluster, &[("m", 1)]).await;
 }
+#[actix_rt::test]
+async fn a_cold_model_behind_a_slowed_store_is_refused_before_its_deadline() {
+    let mut spec = spec(INSTANCES, true);
+    spec.limits.deadline_ms = 3_000;
+    let cluster = start(spec).await;
+    answered(ask(&cluster, 0, "n")).await;
+    let slow = weights::Settings {
+        loads_per_second: 20.0,
+        slowdown: 10.0,
+        ..weights::Settings::default()
+    };
+    cluster.set_weights(&slow).await.unwrap();
+    let answer = ask(&cluster, 0, "m").await.unwrap().unwrap();
+    assert_eq!(answer.status, StatusCode::SERVICE_UNAVAILABLE, "{answer:?}");
+    assert_eq!(answer.run(), "no");
+    assert!(answer.took < Duration::from_millis(2_900), "{answer:?}");
+}
--- a/crates/gate/src/auth.rs
+++ b/crates/gate/src/auth.rs
@@ -1,14 +1,11 @@
 //! Authentication of callers.
 
-use std::fmt::Write;
-
 use actix_http::{
     StatusCode,
     header::{self, HeaderMap},
 };
-use comfreyweir_store::Snapshot;
-use sha2::{Digest, Sha256};
-use subtle::ConstantTimeEq;
+use comfreyweir_config::keys::{self, KeyHash};
+use comfreyweir_store::{KeyRefusal, Snapshot};
 
 use crate::{Code, Refusal};
 
@@ -33,6 +30,8 @@
     pub workspace: String,
     /// Public identifier of the key.
     pub key_id: String,
+    /// Hash of the key, with which it is checked again.
+    key: KeyHash,
 }
 
 /// Finds the key in the headers of a request.
@@ -45,21 +44,29 @@
     let Some(key) = key_of(headers) else {
         return Err(unauthorized("no key: send `Authorization: Bearer KEY`"));
     };
-    let Some((key_id, workspace)) = find_key(snapshot, &key) else {
-        return Err(unauthorized("the key is not valid or has been withdrawn"));
-    };
+    let hash = keys::hash(key.as_str());
+    let owner = snapshot.owner(&hash).map_err(key_refused)?;
     Ok(Identity {
-        workspace: workspace.to_owned(),
-        key_id: key_id.to_owned(),
+        workspace: owner.workspace.clone(),
+        key_id: owner.id.clone(),
+        key: hash,
     })
 }
 
 /// Refuses a caller whose key has been withdrawn since it was authenticated.
 pub fn recheck(snapshot: &Snapshot, identity: &Identity) -> Result<(), Refusal> {
-    let key = snapshot.catalog.keys.get(&identity.key_id);
-    match key {
-        Some(key) if !key.withdrawn && key.workspace == identity.workspace => Ok(()),
-        _ => Err(unauthorized("the key has been withdrawn")),
+    let owner = snapshot.owner(&identity.key).map_err(key_refused)?;
+    if owner.workspace == identity.workspace {
+        Ok(())
+    } else {
+        Err(unauthorized("the key has moved to another workspace"))
+    }
+}
+
+fn key_refused(refusal: KeyRefusal) -> Refusal {
+    match refusal {
+        KeyRefusal::Unknown => unauthorized("the key is not valid"),
+        KeyRefusal::Withdrawn => unauthorized("the key has been withdrawn"),
     }
 }
 
@@ -79,25 +86,3 @@
     let key = headers.get(API_KEY_HEADER)?.to_str().ok()?.trim();
     (!key.is_empty()).then(|| CallerKey(key.to_owned()))
 }
-
-/// Finds the catalog's entry of a key. Every hash is compared in constant time, so that the time
-/// tells nothing of a hash.
-fn find_key<'a>(snapshot: &'a Snapshot, key: &CallerKey) -> Option<(&'a str, &'a str)> {
-    let hash = hex(&Sha256::digest(key.as_str()));
-    let mut found = None;
-    for (id, entry) in &snapshot.catalog.keys {
-        let is_same: bool = entry.sha256.as_bytes().ct_eq(hash.as_bytes()).into();
-        if is_same && !entry.withdrawn {
-            found = Some((id.as_str(), entry.workspace.as_str()));
-        }
-    }
-    found
-}
-
-fn hex(bytes: &[u8]) -> String {
-    let mut text = String::with_capacity(2 * bytes.len());
-    for byte in bytes {
-        let _ = write!(text, "{byte:02x}");
-    }
-    text
-}
