--- a/crates/load/src/args.rs
+++ b/crates/load/src/args.rs
@@ -20,6 +20,7 @@
     comfreyweir-load arrivals [OPTIONS]
     comfreyweir-load compare A.json B.json
     comfreyweir-load slopes [OPTIONS]
+    comfreyweir-load experiment NAME [OPTIONS]
 
 Starts real gates, planners and stand-ins as processes on loopback, from the folder that this
 program is in, and ends them when it is done. Build with --release before measuring.
@@ -33,6 +34,7 @@
     compare     Compares the results of two runs, which `run --json` has printed.
     slopes      Measures how processor time, memory and messages of each role grow with the size
                 of the fleet, at four sizes or more each, and fits straight lines.
+    experiment  Compares the ways of one decision on a virtual clock. NAME: allowances.
 
 OPTIONS:
     --deployment NAME    wozkownia or harrowgate. Default: wozkownia.
@@ -65,6 +67,8 @@
     Arrivals,
     /// Compare two results.
     Compare(PathBuf, PathBuf),
+    /// Compare ways to divide allowances.
+    Allowances,
     /// Measure slopes.
     Slopes,
 }
@@ -165,6 +169,7 @@
     match texts.as_slice() {
         ["run"] => Ok(Command::Run),
         ["arrivals"] => Ok(Command::Arrivals),
+        ["experiment", "allowances"] => Ok(Command::Allowances),
         ["slopes"] => Ok(Command::Slopes),
         ["compare", a, b] => Ok(Command::Compare(a.into(), b.into())),
         ["compare", ..] => usage("compare takes two files"),
--- a/crates/load/src/lib.rs
+++ b/crates/load/src/lib.rs
@@ -3,6 +3,7 @@
 //!
 //! The tool starts processes, as tests do; it is never part of a deployment.
 
+pub mod allowances;
 pub mod args;
 pub mod arrivals;
 pub mod compare;
--- a/crates/load/src/program.rs
+++ b/crates/load/src/program.rs
@@ -7,7 +7,7 @@
 use snafu::ResultExt;
 
 use crate::{
-    LoadError,
+    LoadError, allowances,
     args::{self, Args, Command},
     arrivals::{self, Load},
     compare, drive,
@@ -56,6 +56,7 @@
             let run = drive::run(&args.deployment, load, &programs);
             print(args, &system.block_on(run)?);
         }
+        Command::Allowances => print(args, &allowances::experiment(args.seed)),
         Command::Slopes => {
             let measured = slopes::measure(&programs, args.only.as_deref());
             print(args, &system.block_on(measured)?);
