--- a/crates/load/src/allowances/fleet.rs
+++ b/crates/load/src/allowances/fleet.rs
@@ -25,54 +25,54 @@
 /// Weight of the past in the demand that shares follow.
 const PAST: f64 = 0.7;
 
-/// A way to divide allowances.
+/// How an allowance is divided.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
-pub enum Way {
-    /// One bucket for the whole fleet: what the accounting costs without any division.
-    OneBucket,
+pub enum Division {
+    /// Not at all: one bucket for the whole fleet.
+    None,
     /// Equal shares.
     Equal,
     /// Shares of each workspace that follow its demand at each gate.
     Demand,
     /// Equal shares, and lending.
     Lending,
-    /// Equal shares and lending, and requests wait up to a second for tokens.
-    LendingWaiting,
-    /// The same, but what a running request has used is only settled at its end.
-    NoProgress,
+}
+
+/// A way to treat requests.
+#[derive(Clone, Copy, Debug)]
+pub struct Way {
+    pub name: &'static str,
+    pub division: Division,
+    /// Longest time that a request waits for tokens.
+    pub wait: Duration,
+    /// Whether the use of a running request is noted before its end.
+    pub progress: bool,
 }
 
 impl Way {
-    pub const ALL: [Self; 6] = [
-        Self::OneBucket,
-        Self::Equal,
-        Self::Demand,
-        Self::Lending,
-        Self::LendingWaiting,
-        Self::NoProgress,
+    pub const ALL: [Self; 9] = [
+        Self::new("one bucket", Division::None, 0),
+        Self::new("one bucket, wait 5 s", Division::None, 5),
+        Self::new("equal shares", Division::Equal, 0),
+        Self::new("shares after demand", Division::Demand, 0),
+        Self::new("lending", Division::Lending, 0),
+        Self::new("lending, wait 1 s", Division::Lending, 1),
+        Self::new("lending, wait 5 s", Division::Lending, 5),
+        Self::new("lending, wait 10 s", Division::Lending, 10),
+        Self {
+            progress: false,
+            ..Self::new("lending, wait 5 s, no progress", Division::Lending, 5)
+        },
     ];
 
-    pub fn name(self) -> &'static str {
-        match self {
-            Self::OneBucket => "one bucket",
-            Self::Equal => "equal shares",
-            Self::Demand => "shares after demand",
-            Self::Lending => "lending",
-            Self::LendingWaiting => "lending, waiting",
-            Self::NoProgress => "lending, waiting, no progress",
+    const fn new(name: &'static str, division: Division, wait: u64) -> Self {
+        Self {
+            name,
+            division,
+            wait: Duration::from_secs(wait),
+            progress: true,
         }
     }
-
-    fn lends(self) -> bool {
-        matches!(
-            self,
-            Self::Lending | Self::LendingWaiting | Self::NoProgress
-        )
-    }
-
-    pub fn waits(self) -> bool {
-        matches!(self, Self::LendingWaiting | Self::NoProgress)
-    }
 }
 
 /// A charge at a gate.
@@ -104,7 +104,11 @@
 
 impl Fleet {
     pub fn new(way: Way, now: Instant) -> Self {
-        let gates = if way == Way::OneBucket { 1 } else { GATES };
+        let gates = if way.division == Division::None {
+            1
+        } else {
+            GATES
+        };
         let weight = WHOLE / u32::try_from(gates).expect("few gates");
         let account = |gate: usize, workspace: usize| {
             let first_loan = u64::try_from(gate * WORKSPACES + workspace).expect("few") << 32;
@@ -170,7 +174,7 @@
     }
 
     pub fn progress(&mut self, charge: Charge, used: u64, now: Instant) {
-        if self.way == Way::NoProgress {
+        if !self.way.progress {
             return;
         }
         let account = &mut self.accounts[charge.gate][charge.workspace];
@@ -201,7 +205,7 @@
     /// Moves the shares of every workspace towards its demand. What shrinks does so now, and what
     /// it frees is taken in the next period, as it is with one record of shares.
     pub fn move_shares(&mut self, now: Instant) {
-        if self.way != Way::Demand || self.service_down {
+        if self.way.division != Division::Demand || self.service_down {
             return;
         }
         for workspace in 0..WORKSPACES {
@@ -258,7 +262,7 @@
         let hold = account.ledger.reserve_part(account.key, cost, now);
         let hold = hold.map_err(|_| cost)?;
         let mut missing = account.ledger.extend(hold, cost, now);
-        if self.way.lends() {
+        if self.lends() {
             for (other, lender) in self.others(gate, workspace, now) {
                 if missing == 0 {
                     break;
@@ -318,7 +322,7 @@
 
     /// Other gates in reach, the one believed to have the most tokens first.
     fn others(&self, gate: usize, workspace: usize, now: Instant) -> Vec<(usize, Lender)> {
-        if !self.way.lends() {
+        if !self.lends() {
             return Vec::new();
         }
         let mut others: Vec<_> = (0..self.accounts.len())
@@ -339,6 +343,10 @@
         others
     }
 
+    fn lends(&self) -> bool {
+        self.way.division == Division::Lending
+    }
+
     fn can_reach(&self, from: usize, to: usize) -> bool {
         let silent = [self.lost, self.cut_off];
         !silent.contains(&Some(from)) && !silent.contains(&Some(to))
--- a/crates/load/src/allowances/outcome.rs
+++ b/crates/load/src/allowances/outcome.rs
@@ -53,7 +53,7 @@
         Self {
             load,
             fault: trial.fault.name(),
-            way: trial.way.name(),
+            way: trial.way.name,
             inside,
             refused_percent: percent(refused, inside),
             refused_tokens_percent: percent(refused_tokens, inside_tokens),
--- a/crates/load/src/allowances/run.rs
+++ b/crates/load/src/allowances/run.rs
@@ -12,8 +12,6 @@
     offer::{self, Arrival, WORKSPACES},
 };
 
-/// Longest time that a request waits for tokens.
-const TOKEN_WAIT: Duration = Duration::from_secs(1);
 /// Reports of use while a request runs.
 const REPORTS: u32 = 20;
 /// The gate that is lost or cut off.
@@ -188,8 +186,8 @@
         let tokens = missing + self.waiting[workspace];
         let now = self.base + self.now;
         let after = self.fleet.tokens_after(gate, workspace, tokens, now);
-        let give_up = arrival.at + TOKEN_WAIT;
-        if self.trial.way.waits() && self.now.saturating_add(after) <= give_up {
+        let give_up = arrival.at + self.trial.way.wait;
+        if !after.is_zero() && self.now.saturating_add(after) <= give_up {
             self.waiting[workspace] += arrival.cost();
             let after = after.max(Duration::from_millis(5));
             let event = Event::TriesAgain { arrival: index };
