--- a/crates/gate/src/completion/attempt.rs
+++ b/crates/gate/src/completion/attempt.rs
@@ -30,18 +30,20 @@
 const MAX_ERROR_BYTES: usize = 1 << 16;
 
 /// An engine that has begun to answer.
-pub(crate) struct Opened<A>
+pub(crate) struct Opened<A, V>
 where
     A: Allowances,
+    V: PlacementView,
 {
-    pub(crate) run: Run<A>,
+    pub(crate) run: Run<A, V>,
     pub(crate) answer: Answer,
 }
 
-/// Engines that have failed a request.
+/// What engines did with a request so far.
 #[derive(Clone, Debug, Default)]
 pub(crate) struct Tries {
-    failed: Vec<String>,
+    failed: usize,
+    called: bool,
     may_have_run: bool,
 }
 
@@ -58,11 +60,6 @@
 }
 
 impl Tries {
-    /// Engines to avoid.
-    pub(crate) fn failed(&self) -> &[String] {
-        &self.failed
-    }
-
     /// Notes a failure that may be followed by another try, or gives the refusal.
     pub(crate) fn note(
         &mut self,
@@ -70,18 +67,18 @@
         upstream: &str,
         failure: Failure,
     ) -> Result<(), Refusal> {
+        self.called = true;
         let request_id = job.request_id.as_str();
         match failure {
             Failure::NotRun(reason) => {
                 warn!("engine did not run a request", kv: { request_id, upstream, reason });
-                self.failed.push(upstream.to_owned());
                 Ok(())
             }
             Failure::MayHaveRun(reason) => {
                 warn!("engine failed a request", kv: { request_id, upstream, reason });
                 self.may_have_run = true;
-                self.failed.push(upstream.to_owned());
-                if self.failed.len() < MAX_TRIES {
+                self.failed += 1;
+                if self.failed < MAX_TRIES {
                     return Ok(());
                 }
                 Err(self.judge(upstream_failed(&reason)))
@@ -106,13 +103,13 @@
     job: &Job,
     done: u64,
     tries: &mut Tries,
-) -> Result<Opened<A>, Refusal>
+) -> Result<Opened<A, V>, Refusal>
 where
     A: Allowances,
     V: PlacementView,
 {
     loop {
-        let acquired = dispatch::acquire(cx, job, done, tries.failed()).await;
+        let acquired = dispatch::acquire(cx, job, done, tries.called).await;
         let run = acquired.map_err(|refusal| tries.judge(refusal))?;
         let upstream = run.upstream.clone();
         match attempt(cx, job, run, done).await {
@@ -125,9 +122,9 @@
 async fn attempt<A, V>(
     cx: &Rc<Cx<A, V>>,
     job: &Job,
-    run: Run<A>,
+    run: Run<A, V>,
     done: u64,
-) -> Result<Opened<A>, Failure>
+) -> Result<Opened<A, V>, Failure>
 where
     A: Allowances,
     V: PlacementView,
@@ -138,6 +135,7 @@
     let sent = timeout_at(Instant::from_std(job.deadline), sent).await;
     let Ok(sent) = sent else {
         let late = late();
+        run.slot.note_answer(job.ask.stream);
         if track.is_written() {
             return Err(Failure::Late(late.run_unknown()));
         }
@@ -147,17 +145,22 @@
     match sent {
         Ok(answer) if answer.status == StatusCode::OK => Ok(Opened { run, answer }),
         Ok(answer) => Err(refused(cx, answer, run).await),
-        Err(e) if track.is_written() => Err(Failure::MayHaveRun(e.to_string())),
+        Err(e) if track.is_written() => {
+            run.slot.note_failed();
+            Err(Failure::MayHaveRun(e.to_string()))
+        }
         Err(e) => {
+            run.slot.note_failed();
             run.settle(0);
             Err(Failure::NotRun(e.to_string()))
         }
     }
 }
 
-fn call<A>(job: &Job, run: &Run<A>, done: u64) -> Call
+fn call<A, V>(job: &Job, run: &Run<A, V>, done: u64) -> Call
 where
     A: Allowances,
+    V: PlacementView,
 {
     let mut headers = HeaderMap::new();
     headers.insert(
@@ -186,9 +189,10 @@
 }
 
 /// Judges an answer that is not a success.
-async fn refused<A, V>(cx: &Cx<A, V>, mut answer: Answer, run: Run<A>) -> Failure
+async fn refused<A, V>(cx: &Cx<A, V>, mut answer: Answer, run: Run<A, V>) -> Failure
 where
     A: Allowances,
+    V: PlacementView,
 {
     let status = answer.status;
     let stall = Duration::from_millis(cx.settings.limits.stall_ms);
@@ -196,6 +200,7 @@
     let body = answer.body.read_all(MAX_ERROR_BYTES, stall).await;
     let reason = body.map_or_else(|e| e.to_string(), |b| error_message(&b));
     if not_run {
+        run.slot.note_full();
         run.settle(0);
         return Failure::NotRun(reason);
     }
@@ -204,7 +209,10 @@
             let refusal = Refusal::not_run(status, Code::InvalidRequest, reason);
             Failure::Rejected(refusal.run_unknown())
         }
-        _ => Failure::MayHaveRun(format!("{status}: {reason}")),
+        _ => {
+            run.slot.note_failed();
+            Failure::MayHaveRun(format!("{status}: {reason}"))
+        }
     }
 }
 
--- a/crates/gate/src/gate.rs
+++ b/crates/gate/src/gate.rs
@@ -1,6 +1,7 @@
 //! A running gate.
 
 use std::{
+    collections::BTreeMap,
     future::{Future, ready},
     io,
     net::SocketAddr,
@@ -9,6 +10,7 @@
     time::Duration,
 };
 
+use actix_rt::task::JoinHandle;
 use comfreyweir_clock::{Clock, SystemClock};
 use comfreyweir_config::settings::GateSettings;
 use comfreyweir_peer::{LinkError, SecretError};
@@ -25,6 +27,7 @@
     listener::{self, Listener},
     metrics::Metrics,
     placement_view::PlacementView,
+    queue::{self, Queues},
     services::{balance::Balance, claims::Claims},
     status::Status,
     stopping::{Phase, Stopping},
@@ -71,6 +74,7 @@
     notice: Duration,
     status: Status,
     metrics: Metrics,
+    pump: JoinHandle<()>,
     after_stop: Vec<AfterStop>,
 }
 
@@ -88,6 +92,7 @@
     let notice = Duration::from_millis(settings.timing.stop_notice_ms);
     let (listen, admin_addr) = (settings.listen, settings.admin);
     let limits = settings.limits.clone();
+    let queues = Queues::new(limits.waiting);
     let http = awc::Client::builder().timeout(CLAIM_TIMEOUT).finish();
     let kv = HttpKv::new(http, settings.instance.kv, CLAIM_TIMEOUT);
     let cx = Rc::new(Cx {
@@ -98,11 +103,13 @@
         allowances,
         view,
         upstreams: Upstreams::default(),
+        queues,
         metrics: Metrics::new(),
         status: Status::default(),
         stopping: Rc::default(),
     });
     add_sections(&cx);
+    let pump = actix_rt::spawn(queue::run(Rc::clone(&cx)));
     let serve_cx = Rc::clone(&cx);
     let callers = listener::bind(listen, &limits, Rc::clone(&cx.stopping), move |req| {
         handler::serve(Rc::clone(&serve_cx), req)
@@ -122,6 +129,7 @@
         notice,
         status: cx.status.clone(),
         metrics: cx.metrics.clone(),
+        pump,
         after_stop: Vec::new(),
     })
 }
@@ -157,18 +165,24 @@
 
     /// Stops without cutting a request: turns unready, goes on accepting until the balancer has
     /// noticed, and finishes what is in flight.
-    pub async fn stop(self) {
+    pub async fn stop(mut self) {
         self.stopping.set_phase(Phase::Noticing);
         actix_rt::time::sleep(self.notice).await;
         self.stopping.set_phase(Phase::Draining);
-        self.callers.close().await;
         self.stopping.idle().await;
-        for after in self.after_stop {
+        self.callers.close().await;
+        for after in std::mem::take(&mut self.after_stop) {
             after.await;
         }
     }
 }
 
+impl Drop for Gate {
+    fn drop(&mut self) {
+        self.pump.abort();
+    }
+}
+
 fn add_sections<A, V>(cx: &Rc<Cx<A, V>>)
 where
     A: Allowances,
@@ -184,7 +198,7 @@
         json!({ "revision": follower.current().revision, "freshness": freshness })
     });
     let stopping = Rc::clone(&cx.stopping);
-    let metrics = cx.metrics.clone();
+    let queues = cx.queues.clone();
     let instance = cx.settings.instance.clone();
     cx.status.add("gate", move || {
         json!({
@@ -192,7 +206,8 @@
             "zone": instance.zone,
             "stopping": stopping.phase() != Phase::Serving,
             "in_flight": stopping.in_flight(),
-            "waiting": metrics.waiting.get(),
+            "waiting": queues.waiting(),
+            "running": queues.running().into_iter().collect::<BTreeMap<_, _>>(),
         })
     });
 }
--- a/crates/gate/src/lib.rs
+++ b/crates/gate/src/lib.rs
@@ -22,6 +22,8 @@
 mod models;
 pub mod peers;
 pub mod placement_view;
+mod queue;
+mod report;
 pub mod request_id;
 pub mod services;
 pub mod status;
