Let requests wait in their order for tokens that will be there

A request that lacks tokens now lines up behind those that lack them too, for up to 10 s and half of its own time, and is refused at once when it is known that its tokens will not be there by then. The time is told from the pace at which the gate got tokens since requests began to wait.

--- a/crates/allowance/src/estimate.rs
+++ b/crates/allowance/src/estimate.rs
@@ -84,17 +84,6 @@
     pub granted: u64,
 }
 
-/// Time in which a part of the rate brings so many tokens; `None` when it never does.
-pub fn time_to_refill(tokens: u64, weight: Weight, terms: Terms) -> Option<Duration> {
-    let per_second = u128::from(weight) * u128::from(terms.rate);
-    if per_second == 0 {
-        return None;
-    }
-    let nanos = u128::from(tokens) * u128::from(WHOLE) * 1_000_000_000;
-    let nanos = u64::try_from(nanos.div_ceil(per_second)).ok()?;
-    Some(Duration::from_nanos(nanos))
-}
-
 fn weighted(weight: Weight, tokens: u64) -> u64 {
     let amount = u128::from(weight) * u128::from(tokens) / u128::from(WHOLE);
     u64::try_from(amount).unwrap_or(u64::MAX)
--- a/crates/allowance/src/lib.rs
+++ b/crates/allowance/src/lib.rs
@@ -12,6 +12,7 @@
 pub mod keeper;
 pub mod lease;
 pub mod ledger;
+pub mod pace;
 pub mod shares;
 
 pub use crate::bucket::Terms;
--- a/crates/config/src/settings.rs
+++ b/crates/config/src/settings.rs
@@ -104,7 +104,8 @@
     /// Longest time that a gate holds tokens borrowed from another, in ms. A request that takes
     /// more tokens than one gate owns should end within it.
     pub loan_hold_ms: u64,
-    /// Longest time that a request waits for tokens that will be there, in ms.
+    /// Longest time that a request waits for tokens that will be there, in ms. Half of the time
+    /// that the request has left counts if it is shorter.
     pub token_wait_ms: u64,
     /// Time between turning unready and closing idle connections at a stop, in ms.
     pub stop_notice_ms: u64,
@@ -117,7 +118,7 @@
             cut_off_ms: 4_000,
             share_lapse_ms: 600_000,
             loan_hold_ms: 60_000,
-            token_wait_ms: 1_000,
+            token_wait_ms: 10_000,
             stop_notice_ms: 1_000,
         }
     }
--- a/crates/gate/src/allowances/gather.rs
+++ b/crates/gate/src/allowances/gather.rs
@@ -5,7 +5,7 @@
     collections::{BTreeMap, HashMap},
     net::SocketAddr,
     rc::Rc,
-    time::{Duration, Instant},
+    time::Duration,
 };
 
 use comfreyweir_allowance::{
@@ -23,9 +23,6 @@
 
 /// How long a request waits for the answer of another gate.
 const ASK_TIMEOUT: Duration = Duration::from_millis(200);
-/// Pause between two rounds of asking while the others are believed to be empty.
-const PROBE_PAUSE: Duration = Duration::from_millis(100);
-
 /// What another gate is asked for.
 #[derive(Clone, Debug, Eq, PartialEq)]
 pub struct Ask {
@@ -60,20 +57,13 @@
     pub(super) cause: Cause,
 }
 
-#[derive(Default)]
-struct Turn {
-    lock: Mutex<()>,
-    /// When a round of asking last found nothing.
-    found_nothing: RefCell<Option<Instant>>,
-}
-
 #[derive(Clone)]
 pub(super) struct Gatherer<C, L> {
     state: Rc<State<C>>,
     lenders: L,
     /// One request of a workspace gathers at a time, so that two large ones do not each hold
     /// half of what one of them needs.
-    turns: Rc<RefCell<HashMap<WorkspaceKey, Rc<Turn>>>>,
+    turns: Rc<RefCell<HashMap<WorkspaceKey, Rc<Mutex<()>>>>>,
 }
 
 impl<C, L> Gatherer<C, L>
@@ -89,19 +79,14 @@
         }
     }
 
-    /// Reserves `cost` with the help of other gates.
-    pub(super) async fn gather(
-        &self,
-        key: WorkspaceKey,
-        cost: u64,
-        deadline: Instant,
-    ) -> Result<HoldKey, Missing> {
-        let turn = Rc::clone(self.turns.borrow_mut().entry(key).or_default());
-        let left = deadline.saturating_duration_since(self.state.now());
-        let Ok(_guard) = timeout(left, turn.lock.lock()).await else {
-            return Err(self.missing(cost, Cause::PeerSilent));
-        };
-        let outcome = self.gather_in_turn(key, cost, &turn).await;
+    /// The turn of requests of a workspace, in the order in which they ask for it.
+    pub(super) fn turn(&self, key: WorkspaceKey) -> Rc<Mutex<()>> {
+        Rc::clone(self.turns.borrow_mut().entry(key).or_default())
+    }
+
+    /// Reserves `cost` with the help of other gates. To be called by the request whose turn it is.
+    pub(super) async fn gather(&self, key: WorkspaceKey, cost: u64) -> Result<HoldKey, Missing> {
+        let outcome = self.gather_parts(key, cost).await;
         self.end_loans();
         outcome
     }
@@ -125,12 +110,7 @@
         }
     }
 
-    async fn gather_in_turn(
-        &self,
-        key: WorkspaceKey,
-        cost: u64,
-        turn: &Turn,
-    ) -> Result<HoldKey, Missing> {
+    async fn gather_parts(&self, key: WorkspaceKey, cost: u64) -> Result<HoldKey, Missing> {
         let now = self.state.now();
         let reserved = self.state.ledger.borrow_mut().reserve_part(key, cost, now);
         let Ok(reserved) = reserved else {
@@ -144,15 +124,11 @@
         if missing == 0 {
             return Ok(part.keep());
         }
-        if self.is_hopeless(key, missing, turn) {
-            return Err(self.missing(missing, Cause::OverRate));
-        }
         let silent = self.ask_all(key, &part, cost).await;
         let missing = part.extend(cost);
         if missing == 0 {
             return Ok(part.keep());
         }
-        *turn.found_nothing.borrow_mut() = Some(self.state.now());
         let cause = if silent {
             Cause::PeerSilent
         } else {
@@ -265,23 +241,6 @@
         lenders
     }
 
-    /// Whether the others are believed to lack what is missing, and were asked just now.
-    fn is_hopeless(&self, key: WorkspaceKey, missing: u64, turn: &Turn) -> bool {
-        let now = self.state.now();
-        let asked = *turn.found_nothing.borrow();
-        if asked.is_none_or(|at| now.saturating_duration_since(at) >= PROBE_PAUSE) {
-            return false;
-        }
-        let terms = self.state.ledger.borrow().terms(key);
-        let estimates = self.state.estimates.borrow();
-        let lenders = self.state.lenders.borrow();
-        let believed: u64 = lenders
-            .iter()
-            .map(|lender| estimates.tokens(*lender, key, terms, now))
-            .sum();
-        believed < missing
-    }
-
     /// Refines the cause: a gate without a share, or a record with free parts, lacks tokens that
     /// the workspace is due.
     fn missing(&self, tokens: u64, cause: Cause) -> Missing {
--- a/crates/gate/src/allowances/shared.rs
+++ b/crates/gate/src/allowances/shared.rs
@@ -7,18 +7,21 @@
     time::{Duration, Instant},
 };
 
+use actix_rt::time::sleep;
 use comfreyweir_allowance::{
     Terms,
     estimate::{Estimates, Lender},
     ledger::{ChargeKey, Grant, HoldKey, Lack, Ledger, WorkspaceKey},
+    pace::Pace,
 };
 use comfreyweir_clock::Clock;
 use comfreyweir_config::{catalog::Catalog, settings::GateTiming};
+use tokio::time::timeout;
 
 use super::{
     Allowances, Charge, Reservation, Shortage,
     gather::{Gatherer, Lenders},
-    metrics::AllowanceMetrics,
+    metrics::{AllowanceMetrics, Cause},
 };
 
 /// Shortest pause before a waiting request looks for tokens again.
@@ -71,6 +74,8 @@
     started: Instant,
     /// Tokens that requests of a workspace wait for.
     waiting: RefCell<HashMap<WorkspaceKey, u64>>,
+    /// How fast those requests get tokens.
+    paces: RefCell<HashMap<WorkspaceKey, Pace>>,
 }
 
 impl<C> State<C>
@@ -99,6 +104,7 @@
             lenders: RefCell::default(),
             metrics: AllowanceMetrics::default(),
             waiting: RefCell::default(),
+            paces: RefCell::default(),
         });
         let gatherer = Gatherer::new(Rc::clone(&state), lenders);
         Self { state, gatherer }
@@ -170,27 +176,25 @@
         cost: u64,
         deadline: Instant,
     ) -> Result<SharedReservation<C>, Shortage> {
-        let state = &self.state;
         let key = self.known(workspace)?;
-        let give_up = deadline.min(state.now() + state.timing.token_wait);
-        let waiting = Waiting::new(state, key, cost);
-        loop {
-            let reserved = state.ledger.borrow_mut().reserve(key, cost, state.now());
-            let lack = match reserved {
-                Ok(hold) => return Ok(self.reservation(hold)),
-                Err(lack) => lack,
-            };
-            refuse_at_once(lack)?;
-            let missing = match self.gatherer.gather(key, cost, deadline).await {
+        if cost == 0 || self.ahead(key) == 0 {
+            match self.reserve_free(key, cost) {
                 Ok(hold) => return Ok(self.reservation(hold)),
-                Err(missing) => missing,
-            };
-            let after = self.tokens_after(key, missing.tokens + waiting.ahead());
-            if state.now() + after > give_up {
-                state.metrics.refused(workspace, missing.cause);
-                return Err(Shortage::RetryAfter(after));
+                Err(Lack::Tokens(_)) => {}
+                Err(lack) => return Err(shortage(lack)),
+            }
+        }
+        let waiting = Waiting::new(&self.state, key, cost);
+        let reserved = self.reserve_in_turn(key, &waiting, deadline).await;
+        match reserved {
+            Ok(hold) => {
+                self.note_reserved(key, cost);
+                Ok(self.reservation(hold))
+            }
+            Err((shortage, cause)) => {
+                self.state.metrics.refused(workspace, cause);
+                Err(shortage)
             }
-            actix_rt::time::sleep(after.max(MIN_WAIT)).await;
         }
     }
 
@@ -206,23 +210,94 @@
     C: Clock,
     L: Lenders,
 {
-    /// Time in which the known shares together bring so many tokens.
+    fn reserve_free(&self, key: WorkspaceKey, cost: u64) -> Result<HoldKey, Lack> {
+        let now = self.state.now();
+        self.state.ledger.borrow_mut().reserve(key, cost, now)
+    }
+
+    /// Tokens that requests of a workspace wait for. A new request lines up behind them: small
+    /// ones that overtake would keep a large one waiting for ever.
+    fn ahead(&self, key: WorkspaceKey) -> u64 {
+        let waiting = self.state.waiting.borrow();
+        waiting.get(&key).copied().unwrap_or_default()
+    }
+
+    /// Waits for the requests before this one, and then for tokens; refuses as soon as it is
+    /// known that they will not be there in time.
+    async fn reserve_in_turn(
+        &self,
+        key: WorkspaceKey,
+        waiting: &Waiting<'_, C>,
+        deadline: Instant,
+    ) -> Result<HoldKey, (Shortage, Cause)> {
+        let give_up = self.give_up_at(deadline);
+        if waiting.ahead > 0 {
+            let after = self.tokens_after(key, waiting.ahead + waiting.cost);
+            self.check_in_time(after, give_up, Cause::OverRate)?;
+        }
+        let turn = self.gatherer.turn(key);
+        let left = give_up.saturating_duration_since(self.state.now());
+        let Ok(_guard) = timeout(left, turn.lock()).await else {
+            let after = self.tokens_after(key, waiting.cost);
+            return Err((Shortage::RetryAfter(after), Cause::OverRate));
+        };
+        loop {
+            let missing = match self.gatherer.gather(key, waiting.cost).await {
+                Ok(hold) => return Ok(hold),
+                Err(missing) => missing,
+            };
+            let after = self.tokens_after(key, missing.tokens);
+            self.check_in_time(after, give_up, missing.cause)?;
+            sleep(after.max(MIN_WAIT)).await;
+        }
+    }
+
+    /// A request waits for tokens at most the configured time, and leaves half of its own time
+    /// for what comes after.
+    fn give_up_at(&self, deadline: Instant) -> Instant {
+        let now = self.state.now();
+        let half = deadline.saturating_duration_since(now) / 2;
+        now + half.min(self.state.timing.token_wait)
+    }
+
+    fn check_in_time(
+        &self,
+        after: Duration,
+        give_up: Instant,
+        cause: Cause,
+    ) -> Result<(), (Shortage, Cause)> {
+        if self.state.now() + after <= give_up {
+            return Ok(());
+        }
+        Err((Shortage::RetryAfter(after), cause))
+    }
+
+    /// Time until so many more tokens can be expected here.
     fn tokens_after(&self, key: WorkspaceKey, tokens: u64) -> Duration {
+        let now = self.state.now();
         let ledger = self.state.ledger.borrow();
         let lenders = self.state.lenders.borrow();
-        let others: u32 = lenders.iter().map(|lender| lender.weight).sum();
-        let weight = ledger.weight() + others;
-        let after =
-            comfreyweir_allowance::estimate::time_to_refill(tokens, weight, ledger.terms(key));
+        let own = ledger.weight();
+        let reach = own + lenders.iter().map(|lender| lender.weight).sum::<u32>();
+        let paces = self.state.paces.borrow();
+        let pace = paces.get(&key).copied().unwrap_or(Pace::begin(now));
+        let after = pace.time_for(tokens, own, reach, ledger.terms(key), now);
         after.unwrap_or(UNKNOWN_RETRY)
     }
+
+    fn note_reserved(&self, key: WorkspaceKey, cost: u64) {
+        let now = self.state.now();
+        if let Some(pace) = self.state.paces.borrow_mut().get_mut(&key) {
+            pace.note(cost, now);
+        }
+    }
 }
 
-fn refuse_at_once(lack: Lack) -> Result<(), Shortage> {
+fn shortage(lack: Lack) -> Shortage {
     match lack {
-        Lack::Tokens(_) => Ok(()),
-        Lack::ExceedsBurst => Err(Shortage::ExceedsBurst),
-        Lack::UnknownWorkspace => Err(Shortage::UnknownWorkspace),
+        Lack::Tokens(_) => Shortage::RetryAfter(UNKNOWN_RETRY),
+        Lack::ExceedsBurst => Shortage::ExceedsBurst,
+        Lack::UnknownWorkspace => Shortage::UnknownWorkspace,
     }
 }
 
@@ -231,19 +306,29 @@
     state: &'a State<C>,
     key: WorkspaceKey,
     cost: u64,
+    /// Tokens that the requests before it wait for.
+    ahead: u64,
 }
 
-impl<'a, C> Waiting<'a, C> {
+impl<'a, C> Waiting<'a, C>
+where
+    C: Clock,
+{
     fn new(state: &'a State<C>, key: WorkspaceKey, cost: u64) -> Self {
-        *state.waiting.borrow_mut().entry(key).or_default() += cost;
-        Self { state, key, cost }
-    }
-
-    /// Tokens that other requests of the workspace wait for.
-    fn ahead(&self) -> u64 {
-        let waiting = self.state.waiting.borrow();
-        let all = waiting.get(&self.key).copied().unwrap_or_default();
-        all.saturating_sub(self.cost)
+        let mut waiting = state.waiting.borrow_mut();
+        let tokens = waiting.entry(key).or_default();
+        let ahead = *tokens;
+        if ahead == 0 {
+            let pace = Pace::begin(state.now());
+            state.paces.borrow_mut().insert(key, pace);
+        }
+        *tokens += cost;
+        Self {
+            state,
+            key,
+            cost,
+            ahead,
+        }
     }
 }
 
@@ -252,6 +337,9 @@
         let mut waiting = self.state.waiting.borrow_mut();
         if let Some(tokens) = waiting.get_mut(&self.key) {
             *tokens = tokens.saturating_sub(self.cost);
+            if *tokens == 0 {
+                self.state.paces.borrow_mut().remove(&self.key);
+            }
         }
     }
 }
@@ -280,11 +368,9 @@
                 state,
                 charge: Some(charge),
             }),
-            Err(Lack::UnknownWorkspace) => Err(Shortage::UnknownWorkspace),
-            Err(Lack::ExceedsBurst) => Err(Shortage::ExceedsBurst),
-            Err(Lack::Tokens(_)) => {
+            Err(lack) => {
                 state.metrics.lost();
-                Err(Shortage::RetryAfter(UNKNOWN_RETRY))
+                Err(shortage(lack))
             }
         }
     }
--- a/crates/load/src/allowances/fleet.rs
+++ b/crates/load/src/allowances/fleet.rs
@@ -6,8 +6,9 @@
 };
 
 use comfreyweir_allowance::{
-    estimate::{Answer, Estimates, Lender, time_to_refill},
+    estimate::{Answer, Estimates, Lender},
     ledger::{Borrowed, ChargeKey, HoldKey, Ledger, WorkspaceKey},
+    pace::Pace,
 };
 
 use super::{
@@ -50,18 +51,19 @@
 }
 
 impl Way {
-    pub const ALL: [Self; 9] = [
+    pub const ALL: [Self; 10] = [
         Self::new("one bucket", Division::None, 0),
-        Self::new("one bucket, wait 5 s", Division::None, 5),
+        Self::new("one bucket, wait 10 s", Division::None, 10),
         Self::new("equal shares", Division::Equal, 0),
         Self::new("shares after demand", Division::Demand, 0),
         Self::new("lending", Division::Lending, 0),
         Self::new("lending, wait 1 s", Division::Lending, 1),
         Self::new("lending, wait 5 s", Division::Lending, 5),
         Self::new("lending, wait 10 s", Division::Lending, 10),
+        Self::new("lending, wait 20 s", Division::Lending, 20),
         Self {
             progress: false,
-            ..Self::new("lending, wait 5 s, no progress", Division::Lending, 5)
+            ..Self::new("lending, wait 10 s, no progress", Division::Lending, 10)
         },
     ];
 
@@ -89,6 +91,7 @@
     ledger: Ledger,
     key: WorkspaceKey,
     estimates: Estimates,
+    pace: Option<Pace>,
     demand: f64,
     demanded: u64,
 }
@@ -122,6 +125,7 @@
                 ledger,
                 key,
                 estimates: Estimates::default(),
+                pace: None,
                 demand: 0.0,
                 demanded: 0,
             }
@@ -166,6 +170,9 @@
         };
         let account = &mut self.accounts[gate][workspace];
         let key = account.ledger.charge(hold, now).map_err(|_| cost)?;
+        if let Some(pace) = &mut account.pace {
+            pace.note(cost, now);
+        }
         Ok(Charge {
             gate,
             workspace,
@@ -173,6 +180,11 @@
         })
     }
 
+    /// Requests begin or cease to wait for tokens.
+    pub fn set_waiting(&mut self, gate: usize, workspace: usize, waits: bool, now: Instant) {
+        self.accounts[gate][workspace].pace = waits.then(|| Pace::begin(now));
+    }
+
     pub fn progress(&mut self, charge: Charge, used: u64, now: Instant) {
         if !self.way.progress {
             return;
@@ -195,10 +207,13 @@
         tokens: u64,
         now: Instant,
     ) -> Duration {
-        let reach = self.others(gate, workspace, now);
-        let own = self.accounts[gate][workspace].ledger.weight();
-        let weight = own + reach.iter().map(|(_, other)| other.weight).sum::<u32>();
-        let after = time_to_refill(tokens, weight, offer::terms(workspace));
+        let others = self.others(gate, workspace, now);
+        let account = &self.accounts[gate][workspace];
+        let own = account.ledger.weight();
+        let reach = own + others.iter().map(|(_, other)| other.weight).sum::<u32>();
+        let terms = offer::terms(workspace);
+        let pace = account.pace.unwrap_or(Pace::begin(now));
+        let after = pace.time_for(tokens, own, reach, terms, now);
         after.unwrap_or(Duration::MAX)
     }
 
--- a/crates/load/src/allowances/run.rs
+++ b/crates/load/src/allowances/run.rs
@@ -2,16 +2,18 @@
 
 use std::{
     cmp::Reverse,
-    collections::BinaryHeap,
+    collections::{BinaryHeap, VecDeque},
     time::{Duration, Instant},
 };
 
 use super::{
-    FAULT_AT, Fault, LENGTH,
+    FAULT_AT, Fault, GATES, LENGTH,
     fleet::{Charge, Fleet, MOVE_PERIOD, Way},
     offer::{self, Arrival, WORKSPACES},
 };
 
+/// Shortest pause before a waiting request tries again.
+const MIN_WAIT: Duration = Duration::from_millis(5);
 /// Reports of use while a request runs.
 const REPORTS: u32 = 20;
 /// The gate that is lost or cut off.
@@ -47,7 +49,7 @@
     FaultBegins,
     Report { run: usize, report: u32 },
     Arrives { arrival: usize },
-    TriesAgain { arrival: usize },
+    TriesAgain { gate: usize, workspace: usize },
 }
 
 struct Running {
@@ -63,7 +65,8 @@
     fleet: Fleet,
     events: BinaryHeap<Reverse<(Duration, Event)>>,
     running: Vec<Running>,
-    waiting: [u64; WORKSPACES],
+    /// Requests that wait, in their order, by gate and workspace.
+    queues: [[VecDeque<usize>; WORKSPACES]; GATES],
     ideal: [Ideal; WORKSPACES],
     inside: Vec<bool>,
     tallies: [Tally; WORKSPACES],
@@ -88,7 +91,7 @@
         fleet: Fleet::new(trial.way, base),
         events: BinaryHeap::new(),
         running: Vec::new(),
-        waiting: [0; WORKSPACES],
+        queues: std::array::from_fn(|_| std::array::from_fn(|_| VecDeque::new())),
         ideal: std::array::from_fn(Ideal::full),
         inside: vec![false; arrivals.len()],
         tallies: [Tally::default(); WORKSPACES],
@@ -126,10 +129,7 @@
                 self.note_arrival(arrival);
                 self.admit(arrival);
             }
-            Event::TriesAgain { arrival } => {
-                self.waiting[self.arrivals[arrival].workspace] -= self.arrivals[arrival].cost();
-                self.admit(arrival);
-            }
+            Event::TriesAgain { gate, workspace } => self.serve_queue(gate, workspace),
         }
     }
 
@@ -154,16 +154,78 @@
         }
     }
 
+    /// A request that finds others waiting lines up behind them.
     fn admit(&mut self, index: usize) {
         let arrival = self.arrivals[index];
         let gate = self.fleet.gate(arrival.gate);
+        let workspace = arrival.workspace;
+        let ahead: u64 = self.queues[gate][workspace]
+            .iter()
+            .map(|waiting| self.arrivals[*waiting].cost())
+            .sum();
+        let missing = if ahead > 0 {
+            arrival.cost()
+        } else {
+            match self.charge(index, gate) {
+                Ok(charge) => return self.start(index, charge),
+                Err(missing) => missing,
+            }
+        };
+        let after = self.tokens_after(gate, workspace, ahead + missing);
+        if self.now.saturating_add(after) > arrival.at + self.trial.way.wait {
+            return self.refuse(index);
+        }
+        self.queues[gate][workspace].push_back(index);
+        if ahead == 0 {
+            let now = self.base + self.now;
+            self.fleet.set_waiting(gate, workspace, true, now);
+            self.try_again(gate, workspace, after);
+        }
+    }
+
+    /// Lets the requests that wait try in their order, until one still has to wait.
+    fn serve_queue(&mut self, gate: usize, workspace: usize) {
+        while let Some(index) = self.queues[gate][workspace].front().copied() {
+            match self.charge(index, gate) {
+                Ok(charge) => self.start(index, charge),
+                Err(missing) => {
+                    let after = self.tokens_after(gate, workspace, missing);
+                    let give_up = self.arrivals[index].at + self.trial.way.wait;
+                    if self.now.saturating_add(after) <= give_up {
+                        return self.try_again(gate, workspace, after);
+                    }
+                    self.refuse(index);
+                }
+            }
+            self.queues[gate][workspace].pop_front();
+        }
+        let now = self.base + self.now;
+        self.fleet.set_waiting(gate, workspace, false, now);
+    }
+
+    fn try_again(&mut self, gate: usize, workspace: usize, after: Duration) {
+        let at = self.now + after.max(MIN_WAIT);
+        self.at(at, Event::TriesAgain { gate, workspace });
+    }
+
+    fn charge(&mut self, index: usize, gate: usize) -> Result<Charge, u64> {
+        let arrival = self.arrivals[index];
         let now = self.base + self.now;
-        let charged = self
-            .fleet
-            .charge(gate, arrival.workspace, arrival.cost(), now);
-        match charged {
-            Ok(charge) => self.start(index, charge),
-            Err(missing) => self.wait_or_refuse(index, gate, missing),
+        self.fleet
+            .charge(gate, arrival.workspace, arrival.cost(), now)
+    }
+
+    fn tokens_after(&self, gate: usize, workspace: usize, tokens: u64) -> Duration {
+        let now = self.base + self.now;
+        self.fleet.tokens_after(gate, workspace, tokens, now)
+    }
+
+    fn refuse(&mut self, index: usize) {
+        let arrival = self.arrivals[index];
+        if self.inside[index] && arrival.at >= FAULT_AT {
+            let tally = &mut self.tallies[arrival.workspace];
+            tally.refused += 1;
+            tally.refused_tokens += arrival.used();
         }
     }
 
@@ -180,25 +242,6 @@
         }
     }
 
-    fn wait_or_refuse(&mut self, index: usize, gate: usize, missing: u64) {
-        let arrival = self.arrivals[index];
-        let workspace = arrival.workspace;
-        let tokens = missing + self.waiting[workspace];
-        let now = self.base + self.now;
-        let after = self.fleet.tokens_after(gate, workspace, tokens, now);
-        let give_up = arrival.at + self.trial.way.wait;
-        if !after.is_zero() && self.now.saturating_add(after) <= give_up {
-            self.waiting[workspace] += arrival.cost();
-            let after = after.max(Duration::from_millis(5));
-            let event = Event::TriesAgain { arrival: index };
-            self.at(self.now + after, event);
-        } else if self.inside[index] && arrival.at >= FAULT_AT {
-            let tally = &mut self.tallies[workspace];
-            tally.refused += 1;
-            tally.refused_tokens += arrival.used();
-        }
-    }
-
     /// Tokens are generated between the reports; here all of an interval at its end.
     fn report(&mut self, run: usize, report: u32) {
         let Running { arrival, charge } = self.running[run];
