--- a/crates/core/tests/bad_input.rs
+++ b/crates/core/tests/bad_input.rs
@@ -225,6 +225,21 @@
     assert!(record.requests.is_empty(), "broken input reached an engine");
 }
 
+/// Reads an answer and then sends half a head.
+async fn half_a_second_head(gate: SocketAddr, head: &str) -> TcpStream {
+    let mut io = TcpStream::connect(gate).await.unwrap();
+    io.write_all(head.as_bytes()).await.unwrap();
+    let mut answer = String::new();
+    while !answer.ends_with("]}") {
+        let mut buf = [0; 1024];
+        let n = io.read(&mut buf).await.unwrap();
+        assert_ne!(n, 0, "{answer}");
+        answer.push_str(&String::from_utf8_lossy(&buf[..n]));
+    }
+    io.write_all(&head.as_bytes()[..30]).await.unwrap();
+    io
+}
+
 #[actix_rt::test]
 async fn half_a_head_on_an_open_connection_is_cut_off() {
     let mut cluster = cluster().await;
@@ -234,12 +249,12 @@
     let answer = raw(gate, &[whole.as_bytes(), &whole.as_bytes()[..30]]).await;
     assert_eq!(answer.matches("200 OK").count(), 1, "{answer}");
     assert!(began.elapsed() < Duration::from_secs(5));
+    // The same when the half comes after the answer.
+    let mut io = half_a_second_head(gate, whole).await;
+    let read = timeout(LIMIT, io.read_to_end(&mut Vec::new())).await;
+    let _ = read.expect("the gate keeps half a head");
     // Nor does it keep a gate from stopping.
-    let mut io = TcpStream::connect(gate).await.unwrap();
-    io.write_all(whole.as_bytes()).await.unwrap();
-    let mut byte = [0];
-    assert_eq!(io.read(&mut byte).await.unwrap(), 1);
-    io.write_all(&whole.as_bytes()[..30]).await.unwrap();
+    let _io = half_a_second_head(gate, whole).await;
     let process = cluster.process_mut("gate-0").unwrap();
     let status = process.terminate(LIMIT).await.unwrap();
     assert!(status.success(), "{}", process.log_tail());
--- a/crates/gate/tests/support/mod.rs
+++ b/crates/gate/tests/support/mod.rs
@@ -63,7 +63,7 @@
     CutAfter { tokens: u64 },
     /// Sends this many tokens of a stream, then nothing.
     StallAfter { tokens: u64 },
-    /// Sends tokens every 5 ms until it is closed.
+    /// Sends tokens as fast as they are taken, until it is closed.
     Endless,
     /// Closes after reading the request.
     Close,
@@ -85,6 +85,8 @@
     pub received: Rc<RefCell<Vec<Received>>>,
     /// Number of connections that were closed by the gate before an answer had ended.
     pub cancelled: Rc<RefCell<usize>>,
+    /// Bytes that the gate took of endless streams.
+    pub sent: Rc<RefCell<usize>>,
 }
 
 impl Engine {
@@ -95,18 +97,20 @@
             addr: listener.local_addr().unwrap(),
             received: Rc::default(),
             cancelled: Rc::default(),
+            sent: Rc::default(),
         };
         let received = Rc::clone(&engine.received);
         let cancelled = Rc::clone(&engine.cancelled);
+        let sent = Rc::clone(&engine.sent);
         actix_rt::spawn(async move {
             while let Ok((mut io, _)) = listener.accept().await {
                 let (script, received) = (script.clone(), Rc::clone(&received));
-                let cancelled = Rc::clone(&cancelled);
+                let (cancelled, sent) = (Rc::clone(&cancelled), Rc::clone(&sent));
                 actix_rt::spawn(async move {
                     while let Some(req) = read_request(&mut io).await {
                         let step = received.borrow().len().min(script.len() - 1);
                         received.borrow_mut().push(req.clone());
-                        if !play(&mut io, &req, script[step], &cancelled).await {
+                        if !play(&mut io, &req, script[step], &cancelled, &sent).await {
                             return;
                         }
                     }
@@ -153,6 +157,7 @@
     req: &Received,
     step: Play,
     cancelled: &Rc<RefCell<usize>>,
+    sent: &Rc<RefCell<usize>>,
 ) -> bool {
     let id = req.header("x-request-id").unwrap_or_default();
     let from: u64 = req
@@ -199,11 +204,11 @@
         Play::Endless => {
             send_head(io, &id).await;
             for token in 0.. {
-                tokio::time::sleep(Duration::from_millis(5)).await;
                 let data = token_chunk(token);
                 if io.write_all(data.as_bytes()).await.is_err() {
                     break;
                 }
+                *sent.borrow_mut() += data.len();
             }
             *cancelled.borrow_mut() += 1;
             false
