--- a/crates/gate/src/gate.rs
+++ b/crates/gate/src/gate.rs
@@ -21,6 +21,7 @@
 use crate::{
     admin,
     allowances::Allowances,
+    caller::Caller,
     context::{Cx, GateKv},
     handler,
     listener::{self, Listener},
@@ -113,6 +114,7 @@
     .context(ListenSnafu { addr: listen })?;
     let admin_cx = Rc::clone(&cx);
     let admin = listener::bind(admin_addr, &limits, Rc::default(), move |req| {
+        let _busy = req.conn_data::<Caller>().map(Caller::begin);
         ready(Ok(admin::serve(&admin_cx, &req)))
     })
     .await
