Add the load tool: arrivals, runs, comparison and slopes

Seeded open-loop arrivals after two deployments, driven against real daemons; tail cold starts by source, idle accelerator hours, the worst-served workspace and refusals inside the rate; slopes of processor time, memory and messages over eight series of four or five sizes. Engine records now say where a checkpoint was when its load began.

The tool starts processes, as tests do, and reads the kernel's socket counters through ss for the one link that no proxy stands in.

--- a/crates/load/src/lib.rs
+++ b/crates/load/src/lib.rs
@@ -1,1 +1,17 @@
-//! Load and experiment tool.
+//! Load and experiment tool: open-loop arrivals after two deployments, run against real daemons
+//! and stand-ins; slopes of state, messages, processor time and memory for capacity planning.
+//!
+//! The tool starts processes, as tests do; it is never part of a deployment.
+
+pub mod args;
+pub mod arrivals;
+pub mod compare;
+pub mod deployment;
+pub mod drive;
+pub mod error;
+pub mod fit;
+pub mod program;
+pub mod report;
+pub mod slopes;
+
+pub use crate::error::LoadError;
--- a/crates/standins/src/engine/record.rs
+++ b/crates/standins/src/engine/record.rs
@@ -2,7 +2,7 @@
 
 use std::collections::BTreeMap;
 
-use comfreyweir_platform::engine::Artifact;
+use comfreyweir_platform::engine::{Artifact, CheckpointTier};
 use serde::{Deserialize, Serialize};
 
 use crate::timeline;
@@ -40,6 +40,8 @@
     pub replicas: u32,
     /// Memory taken on this engine after the change, in MB.
     pub used_mb: u64,
+    /// Where the checkpoint was when the change was noted.
+    pub checkpoint: CheckpointTier,
 }
 
 /// An invariant that the engine saw broken.
--- a/crates/standins/src/engine/state.rs
+++ b/crates/standins/src/engine/state.rs
@@ -154,6 +154,7 @@
             term,
             replicas: u32::from(self.held.contains_key(served)),
             used_mb,
+            checkpoint: self.tier(served),
         });
     }
 
