--- a/crates/load/src/lib.rs
+++ b/crates/load/src/lib.rs
@@ -6,6 +6,7 @@
 pub mod args;
 pub mod arrivals;
 pub mod compare;
+pub mod cost;
 pub mod deployment;
 pub mod drive;
 pub mod error;
--- a/crates/load/src/program.rs
+++ b/crates/load/src/program.rs
@@ -10,7 +10,7 @@
     LoadError,
     args::{self, Args, Command},
     arrivals::{self, Load},
-    compare, drive,
+    compare, cost, drive,
     error::{FileSnafu, ResultSnafu},
     report::Report,
     slopes,
@@ -60,6 +60,7 @@
             let measured = slopes::measure(&programs, args.only.as_deref());
             print(args, &system.block_on(measured)?);
         }
+        Command::Cost => print(args, &system.block_on(cost::measure(&programs))?),
     }
     Ok(())
 }
--- a/crates/load/src/slopes/mod.rs
+++ b/crates/load/src/slopes/mod.rs
@@ -18,7 +18,7 @@
 const SETTLE: Duration = Duration::from_secs(3);
 const LENGTH: Duration = Duration::from_secs(6);
 const LIMIT: Duration = Duration::from_secs(30);
-const WORKSPACE: &str = "measured";
+pub(crate) const WORKSPACE: &str = "measured";
 /// A rate that no series reaches, in tokens a second.
 const AMPLE: u64 = 100_000_000;
 const PROMPT: &str =
@@ -155,7 +155,7 @@
 }
 
 /// One gate and two planners before engines with ample slots.
-fn one_gate() -> ClusterSpec {
+pub(crate) fn one_gate() -> ClusterSpec {
     let mut spec = spec(1, 4);
     spec.planners = 2;
     spec.limits.waiting = 10_000;
@@ -214,7 +214,7 @@
     answer.is_ok_and(|answer| answer.status.as_u16() == 401)
 }
 
-async fn warm(cluster: &Cluster) -> Result<(), LoadError> {
+pub(crate) async fn warm(cluster: &Cluster) -> Result<(), LoadError> {
     cluster
         .caller(0, WORKSPACE)
         .chat("served", PROMPT, 1)
