--- a/crates/load/src/args.rs
+++ b/crates/load/src/args.rs
@@ -20,6 +20,7 @@
     comfreyweir-load arrivals [OPTIONS]
     comfreyweir-load compare A.json B.json
     comfreyweir-load slopes [OPTIONS]
+    comfreyweir-load capacity SLOPES.json
     comfreyweir-load cost [OPTIONS]
 
 Starts real gates, planners and stand-ins as processes on loopback, from the folder that this
@@ -34,6 +35,8 @@
     compare     Compares the results of two runs, which `run --json` has printed.
     slopes      Measures how processor time, memory and messages of each role grow with the size
                 of the fleet, at four sizes or more each, and fits straight lines.
+    capacity    Prints the lines of a result of `slopes --json`, and the estimates of
+                docs/CAPACITY.md that are worked out from them.
     cost        Measures what a gate adds to a call, against the direct call in the same run, at
                 several loads by other callers. Processor time a token and memory a request are
                 series of `slopes`.
@@ -71,6 +74,8 @@
     Compare(PathBuf, PathBuf),
     /// Measure slopes.
     Slopes,
+    /// Work out estimates from measured slopes.
+    Capacity(PathBuf),
     /// Measure the cost of a gate.
     Cost,
 }
@@ -172,6 +177,8 @@
         ["run"] => Ok(Command::Run),
         ["arrivals"] => Ok(Command::Arrivals),
         ["slopes"] => Ok(Command::Slopes),
+        ["capacity", file] => Ok(Command::Capacity(file.into())),
+        ["capacity", ..] => usage("capacity takes one file"),
         ["cost"] => Ok(Command::Cost),
         ["compare", a, b] => Ok(Command::Compare(a.into(), b.into())),
         ["compare", ..] => usage("compare takes two files"),
--- a/crates/load/src/lib.rs
+++ b/crates/load/src/lib.rs
@@ -5,6 +5,7 @@
 
 pub mod args;
 pub mod arrivals;
+pub mod capacity;
 pub mod compare;
 pub mod cost;
 pub mod deployment;
--- a/crates/load/src/program.rs
+++ b/crates/load/src/program.rs
@@ -3,16 +3,16 @@
 use std::{ffi::OsString, fmt::Display, fs, path::Path, process::ExitCode};
 
 use comfreyweir_testbed::Programs;
-use serde::Serialize;
+use serde::{Serialize, de::DeserializeOwned};
 use snafu::ResultExt;
 
 use crate::{
     LoadError,
     args::{self, Args, Command},
     arrivals::{self, Load},
+    capacity::{Estimator, PLANNED},
     compare, cost, drive,
     error::{FileSnafu, ResultSnafu},
-    report::Report,
     slopes,
 };
 
@@ -60,6 +60,10 @@
             let measured = slopes::measure(&programs, args.only.as_deref());
             print(args, &system.block_on(measured)?);
         }
+        Command::Capacity(file) => {
+            let slopes: slopes::Slopes = read(file)?;
+            print!("{slopes}\n{}", Estimator::new(&slopes, PLANNED).estimate());
+        }
         Command::Cost => print(args, &system.block_on(cost::measure(&programs))?),
     }
     Ok(())
@@ -83,7 +87,10 @@
     serde_json::to_string(value).expect("results are serializable")
 }
 
-fn read(path: &Path) -> Result<Report, LoadError> {
+fn read<T>(path: &Path) -> Result<T, LoadError>
+where
+    T: DeserializeOwned,
+{
     let text = fs::read_to_string(path).context(FileSnafu { path })?;
     serde_json::from_str(&text).context(ResultSnafu { path })
 }
--- a/crates/load/src/slopes/sample.rs
+++ b/crates/load/src/slopes/sample.rs
@@ -26,6 +26,7 @@
     planner_kv_bytes: Vec<f64>,
     holder: Option<usize>,
     holder_bytes: f64,
+    engine_bytes: f64,
 }
 
 impl Sample {
@@ -44,6 +45,7 @@
             gate_peer_bytes: 0.0,
             planner_kv_bytes: vec![0.0; spec.planners],
             holder,
+            engine_bytes: 0.0,
             holder_bytes: holder.map_or(0.0, |i| socket_bytes(cluster.layout().planner_peer(i))),
             at: Instant::now(),
         };
@@ -55,14 +57,12 @@
 
     async fn take_links(&mut self, cluster: &Cluster) -> Result<(), LoadError> {
         for link in cluster.links() {
-            if matches!(link, Link::Engine(_) | Link::Service(_)) {
-                continue;
-            }
             let counts = cluster.link_counts(&link).await?;
             #[allow(clippy::cast_precision_loss)]
             let bytes = (counts.to_upstream_bytes + counts.to_caller_bytes) as f64;
             match link {
                 Link::GateKv(_) => self.gate_kv_bytes += bytes,
+                Link::Engine(_) => self.engine_bytes += bytes,
                 Link::Gate { .. } => self.gate_peer_bytes += bytes,
                 Link::PlannerKv(i) if i < self.planner_kv_bytes.len() => {
                     self.planner_kv_bytes[i] += bytes;
@@ -100,6 +100,11 @@
             "gate to holder, B/s",
             rate(self.holder_bytes, before.holder_bytes) / gates,
         );
+        // Requests pass these links as well; in idle clusters they carry reports only.
+        set(
+            "holder to engines, B/s",
+            rate(self.engine_bytes, before.engine_bytes),
+        );
         for (index, (now, then)) in self.planners.iter().zip(&before.planners).enumerate() {
             let role = if Some(index) == self.holder {
                 "holder"
