--- a/crates/load/src/slopes/mod.rs
+++ b/crates/load/src/slopes/mod.rs
@@ -8,6 +8,7 @@
 use std::{collections::BTreeMap, fmt, time::Duration};
 
 use comfreyweir_config::settings::{GateTiming, Limits, PlannerTiming};
+use comfreyweir_platform::kv::Kv;
 use comfreyweir_testbed::{Caller, Cluster, ClusterSpec, Programs, until};
 use futures_util::{FutureExt, StreamExt, future::join_all};
 use serde::{Deserialize, Serialize};
@@ -331,9 +332,23 @@
             actix_rt::spawn(async move { caller.chat(&model, PROMPT, 1).await });
         }
     });
-    let values = over(&cluster, SETTLE, Duration::from_secs_f64(SECONDS)).await;
+    let mut values = over(&cluster, SETTLE, Duration::from_secs_f64(SECONDS)).await?;
     sending.abort();
-    values
+    add_record(&cluster, &mut values).await;
+    Ok(values)
+}
+
+/// Size of the cell record and the number of its reservations.
+#[allow(clippy::cast_precision_loss)]
+async fn add_record(cluster: &Cluster, values: &mut Values) {
+    let Ok(Some(record)) = cluster.kv().get("cell/main").await else {
+        return;
+    };
+    let json: serde_json::Value = serde_json::from_slice(&record.value).unwrap_or_default();
+    let reservations = json["body"]["plan"]["reservations"].as_array();
+    let reservations = reservations.map_or(0, Vec::len);
+    values.insert("reservations".to_owned(), reservations as f64);
+    values.insert("cell record, B".to_owned(), record.value.len() as f64);
 }
 
 impl fmt::Display for Slopes {
