--- a/crates/load/src/args.rs
+++ b/crates/load/src/args.rs
@@ -21,6 +21,8 @@
     comfreyweir-load compare A.json B.json
     comfreyweir-load slopes [OPTIONS]
     comfreyweir-load experiment NAME [OPTIONS]
+    comfreyweir-load capacity SLOPES.json
+    comfreyweir-load cost [OPTIONS]
 
 Starts real gates, planners and stand-ins as processes on loopback, from the folder that this
 program is in, and ends them when it is done. Build with --release before measuring.
@@ -35,6 +37,11 @@
     slopes      Measures how processor time, memory and messages of each role grow with the size
                 of the fleet, at four sizes or more each, and fits straight lines.
     experiment  Compares the ways of one decision on a virtual clock. NAME: allowances.
+    capacity    Prints the lines of a result of `slopes --json`, and the estimates of
+                docs/CAPACITY.md that are worked out from them.
+    cost        Measures what a gate adds to a call, against the direct call in the same run, at
+                several loads by other callers. Processor time a token and memory a request are
+                series of `slopes`.
 
 OPTIONS:
     --deployment NAME    wozkownia or harrowgate. Default: wozkownia.
@@ -71,6 +78,10 @@
     Allowances,
     /// Measure slopes.
     Slopes,
+    /// Work out estimates from measured slopes.
+    Capacity(PathBuf),
+    /// Measure the cost of a gate.
+    Cost,
 }
 
 /// Checked arguments.
@@ -171,6 +182,9 @@
         ["arrivals"] => Ok(Command::Arrivals),
         ["experiment", "allowances"] => Ok(Command::Allowances),
         ["slopes"] => Ok(Command::Slopes),
+        ["capacity", file] => Ok(Command::Capacity(file.into())),
+        ["capacity", ..] => usage("capacity takes one file"),
+        ["cost"] => Ok(Command::Cost),
         ["compare", a, b] => Ok(Command::Compare(a.into(), b.into())),
         ["compare", ..] => usage("compare takes two files"),
         [] => usage("no command"),
