--- a/crates/load/src/lib.rs
+++ b/crates/load/src/lib.rs
@@ -6,7 +6,9 @@
 pub mod allowances;
 pub mod args;
 pub mod arrivals;
+pub mod capacity;
 pub mod compare;
+pub mod cost;
 pub mod deployment;
 pub mod drive;
 pub mod error;
