--- a/crates/core/tests/answers.rs
+++ b/crates/core/tests/answers.rs
@@ -3,9 +3,12 @@
 use std::time::Duration;
 
 use awc::http::{Method, StatusCode};
-use comfreyweir_standins::engine::{Faults, Outcome};
+use comfreyweir_standins::{
+    engine::{Faults, Outcome, Record},
+    kv,
+};
 use futures_util::future::join_all;
-use support::{Cluster, ClusterSpec, start, until};
+use support::{Cluster, ClusterSpec, start, until, until_some};
 
 mod support;
 
@@ -75,6 +78,46 @@
     assert!(metrics.sum("comfreyweir_gate_streams_resumed_total", &[]) >= 2.0);
 }
 
+/// Crashes the engine that runs the only stream, and checks that the stream goes on.
+async fn crash_in_the_middle(cluster: &Cluster, whole: &str) {
+    let caller = cluster.caller(0, "lodz");
+    let stream = actix_rt::spawn(async move { caller.stream("assistant", PROMPT, TOKENS).await });
+    let running = async || {
+        let records = cluster.engine_records().await.unwrap();
+        let runs = |r: &&Record| {
+            r.requests
+                .iter()
+                .any(|r| r.outcome == Outcome::Running && r.output_tokens > 3)
+        };
+        records.iter().find(runs).map(|r| r.name.clone())
+    };
+    let engine = until_some(LIMIT, "a running stream", running)
+        .await
+        .unwrap();
+    cluster.crash_engine(&engine).await.unwrap();
+    let streamed = stream.await.unwrap().unwrap();
+    assert!(streamed.done, "{streamed:?}");
+    assert_eq!(streamed.text, whole);
+    assert_eq!(streamed.chunks, TOKENS as usize);
+}
+
+#[actix_rt::test]
+async fn stream_of_a_crashed_engine_goes_on_at_another_replica() {
+    let (cluster, whole) = warm(spec()).await;
+    crash_in_the_middle(&cluster, &whole).await;
+}
+
+#[actix_rt::test]
+async fn stream_of_a_crashed_engine_goes_on_while_the_service_is_down() {
+    let (cluster, whole) = warm(spec()).await;
+    let down = kv::Faults {
+        outage: kv::Outage::Silent,
+        ..kv::Faults::default()
+    };
+    cluster.set_kv_faults(&down).await.unwrap();
+    crash_in_the_middle(&cluster, &whole).await;
+}
+
 #[actix_rt::test]
 async fn stream_that_stalls_goes_on_at_another_replica() {
     let mut spec = spec();
