Compare ways of deciding cold starts on a virtual clock

The holder's state machine runs unchanged among engines and a store on a virtual clock, and a third idle policy learns the time that costs least for the gaps seen. Looking for a ready replica built the artifact's name for each entry of a report; it now compares in place.

--- a/crates/load/src/args.rs
+++ b/crates/load/src/args.rs
@@ -20,6 +20,7 @@
     comfreyweir-load arrivals [OPTIONS]
     comfreyweir-load compare A.json B.json
     comfreyweir-load slopes [OPTIONS]
+    comfreyweir-load experiment cold-starts [OPTIONS]
 
 Starts real gates, planners and stand-ins as processes on loopback, from the folder that this
 program is in, and ends them when it is done. Build with --release before measuring.
@@ -33,6 +34,9 @@
     compare     Compares the results of two runs, which `run --json` has printed.
     slopes      Measures how processor time, memory and messages of each role grow with the size
                 of the fleet, at four sizes or more each, and fits straight lines.
+    experiment cold-starts
+                Compares ways of deciding cold starts on a virtual clock; starts no process. Use
+                --seconds 28800 for eight hours.
 
 OPTIONS:
     --deployment NAME    wozkownia or harrowgate. Default: wozkownia.
@@ -67,6 +71,8 @@
     Compare(PathBuf, PathBuf),
     /// Measure slopes.
     Slopes,
+    /// Run the experiment on cold starts.
+    ColdStarts,
 }
 
 /// Checked arguments.
@@ -166,6 +172,7 @@
         ["run"] => Ok(Command::Run),
         ["arrivals"] => Ok(Command::Arrivals),
         ["slopes"] => Ok(Command::Slopes),
+        ["experiment", "cold-starts"] => Ok(Command::ColdStarts),
         ["compare", a, b] => Ok(Command::Compare(a.into(), b.into())),
         ["compare", ..] => usage("compare takes two files"),
         [] => usage("no command"),
--- a/crates/load/src/lib.rs
+++ b/crates/load/src/lib.rs
@@ -5,6 +5,7 @@
 
 pub mod args;
 pub mod arrivals;
+pub mod cold_starts;
 pub mod compare;
 pub mod deployment;
 pub mod drive;
--- a/crates/load/src/program.rs
+++ b/crates/load/src/program.rs
@@ -10,7 +10,7 @@
     LoadError,
     args::{self, Args, Command},
     arrivals::{self, Load},
-    compare, drive,
+    cold_starts, compare, drive,
     error::{FileSnafu, ResultSnafu},
     report::Report,
     slopes,
@@ -56,6 +56,10 @@
             let run = drive::run(&args.deployment, load, &programs);
             print(args, &system.block_on(run)?);
         }
+        Command::ColdStarts => {
+            let table = cold_starts::run(&args.deployment, args.seed, args.length);
+            print(args, &table);
+        }
         Command::Slopes => {
             let measured = slopes::measure(&programs, args.only.as_deref());
             print(args, &system.block_on(measured)?);
--- a/crates/placement/src/decide.rs
+++ b/crates/placement/src/decide.rs
@@ -122,7 +122,7 @@
 
     pub(crate) fn is_ready(&self, r: &Reservation) -> bool {
         let server = self.servers.get(&r.upstream);
-        r.stage == Stage::Placed && server.is_some_and(|s| s.has_ready(&r.artifact.served_name()))
+        r.stage == Stage::Placed && server.is_some_and(|s| s.serves(&r.artifact))
     }
 
     fn sorted_candidates(
--- a/crates/placement/src/idle.rs
+++ b/crates/placement/src/idle.rs
@@ -120,3 +120,137 @@
         habit.and_then(|h| h.gap).unwrap_or(self.longest)
     }
 }
+
+/// Buckets of gaps; each is twice as long as the one before.
+const GAP_BUCKETS: usize = 16;
+/// Upper end of the first bucket, in seconds.
+const FIRST_BUCKET_SECONDS: f64 = 8.0;
+/// Weight of what is known of all artifacts together, in gaps.
+const COMMON_WEIGHT: f64 = 4.0;
+/// A change of the time kept must save at least this part of its cost.
+const WORTHWHILE_PART: f64 = 0.1;
+
+/// Gaps of one artifact, or of all together, by length.
+#[derive(Clone, Debug, Default)]
+struct Gaps([f64; GAP_BUCKETS]);
+
+impl Gaps {
+    fn add(&mut self, gap: Duration) {
+        self.0[bucket_of(gap.as_secs_f64())] += 1.0;
+    }
+
+    fn count(&self) -> f64 {
+        self.0.iter().sum()
+    }
+
+    /// This histogram with `other` mixed in at the weight of `weight` gaps.
+    fn mixed(&self, other: &Self, weight: f64) -> Self {
+        let scale = weight / other.count().max(1.0);
+        let mut mixed = self.clone();
+        for (own, common) in mixed.0.iter_mut().zip(&other.0) {
+            *own += common * scale;
+        }
+        mixed
+    }
+
+    /// Mean cost of a gap, in seconds, when the artifact is kept for `keep`: the idle time, and
+    /// `cold_start` for each gap that is longer.
+    fn cost(&self, keep: f64, cold_start: f64) -> f64 {
+        let mut cost = 0.0;
+        for (bucket, count) in self.0.iter().enumerate() {
+            let gap = bucket_end(bucket);
+            cost += count * if gap <= keep { gap } else { keep + cold_start };
+        }
+        cost / self.count().max(1.0)
+    }
+}
+
+fn bucket_end(bucket: usize) -> f64 {
+    let doublings = u32::try_from(bucket).unwrap_or(u32::MAX);
+    FIRST_BUCKET_SECONDS * f64::from(2_u32.saturating_pow(doublings))
+}
+
+fn bucket_of(seconds: f64) -> usize {
+    let bucket = (0..GAP_BUCKETS).find(|b| seconds <= bucket_end(*b));
+    bucket.unwrap_or(GAP_BUCKETS - 1)
+}
+
+#[derive(Clone, Debug)]
+struct Learned {
+    last_use: Instant,
+    gaps: Gaps,
+    keep: f64,
+}
+
+/// The time that costs least for the gaps seen so far, when a cold start is worth a given idle
+/// time. Artifacts that are little known borrow from all others.
+#[derive(Clone, Debug)]
+pub struct LearnedKeep {
+    cold_start: Duration,
+    longest: Duration,
+    common: Gaps,
+    learned: BTreeMap<String, Learned>,
+}
+
+impl LearnedKeep {
+    /// Creates a policy that would keep an artifact idle for up to `cold_start` to save one cold
+    /// start, and never longer than `longest`.
+    pub fn new(cold_start: Duration, longest: Duration) -> Self {
+        Self {
+            cold_start,
+            longest,
+            common: Gaps::default(),
+            learned: BTreeMap::new(),
+        }
+    }
+
+    /// The best time for these gaps, unless `kept` is nearly as good.
+    fn best(&self, gaps: &Gaps, kept: f64) -> f64 {
+        let cold_start = self.cold_start.as_secs_f64();
+        let longest = self.longest.as_secs_f64();
+        let ends = (0..GAP_BUCKETS).map(bucket_end);
+        let options = ends.filter(|end| *end <= longest).chain([longest]);
+        let cost = |keep: &f64| gaps.cost(*keep, cold_start);
+        let best = options.min_by(|a, b| cost(a).total_cmp(&cost(b)));
+        let best = best.unwrap_or(kept);
+        if cost(&best) < cost(&kept) * (1.0 - WORTHWHILE_PART) {
+            best
+        } else {
+            kept
+        }
+    }
+}
+
+impl IdlePolicy for LearnedKeep {
+    fn note_use(&mut self, served_name: &str, now: Instant) {
+        let longest = self.longest.as_secs_f64();
+        let known = self.learned.remove(served_name);
+        let mut learned = known.unwrap_or_else(|| Learned {
+            last_use: now,
+            gaps: Gaps::default(),
+            keep: longest,
+        });
+        let gap = now.duration_since(learned.last_use);
+        learned.last_use = now;
+        if gap > SAME_USE {
+            learned.gaps.add(gap);
+            self.common.add(gap);
+            let gaps = learned.gaps.mixed(&self.common, COMMON_WEIGHT);
+            learned.keep = self.best(&gaps, learned.keep);
+        }
+        self.learned.insert(served_name.to_owned(), learned);
+    }
+
+    fn keep_for(&self, served_name: &str) -> Duration {
+        let learned = self.learned.get(served_name);
+        learned.map_or(self.longest, |l| Duration::from_secs_f64(l.keep))
+    }
+
+    fn expected_gap(&self, served_name: &str) -> Duration {
+        let Some(learned) = self.learned.get(served_name) else {
+            return self.longest;
+        };
+        let gaps = learned.gaps.mixed(&self.common, COMMON_WEIGHT);
+        Duration::from_secs_f64(gaps.cost(f64::INFINITY, 0.0))
+    }
+}
--- a/crates/placement/src/server.rs
+++ b/crates/placement/src/server.rs
@@ -4,7 +4,7 @@
 
 use comfreyweir_config::catalog::{Upstream, UpstreamKind};
 use comfreyweir_platform::{
-    engine::{CheckpointTier, LoadState, Report},
+    engine::{Artifact, CheckpointTier, LoadState, Report},
     instances::State,
 };
 
@@ -136,6 +136,19 @@
         report.running == 0 && report.waiting == 0 && figures_at >= at
     }
 
+    /// Whether an artifact of a reservation serves requests. Compares without building its name.
+    pub fn serves(&self, artifact: &Artifact) -> bool {
+        let Some(report) = self.report.as_ref() else {
+            return false;
+        };
+        let mut loaded = report.loaded.iter();
+        loaded.any(|l| {
+            l.state == LoadState::Ready
+                && l.artifact.name == artifact.name
+                && l.artifact.version == artifact.version
+        })
+    }
+
     /// Whether the artifact serves requests.
     pub fn has_ready(&self, served_name: &str) -> bool {
         self.state(served_name) == Some(LoadState::Ready)
