--- a/crates/core/src/bin/comfreyweir.rs
+++ b/crates/core/src/bin/comfreyweir.rs
@@ -1,3 +1,13 @@
-//! Program `comfreyweir`.
+//! Program `comfreyweir`: the operators' client, and `dev`.
 
-fn main() {}
+use std::{env, process::ExitCode};
+
+use comfreyweir_core::{client, dev};
+
+fn main() -> ExitCode {
+    let mut args = env::args_os().skip(1).peekable();
+    if args.next_if(|command| command == "dev").is_some() {
+        return dev::main(args);
+    }
+    client::main(args)
+}
--- a/crates/load/src/slopes/mod.rs
+++ b/crates/load/src/slopes/mod.rs
@@ -8,6 +8,7 @@
 use std::{collections::BTreeMap, fmt, time::Duration};
 
 use comfreyweir_config::settings::{GateTiming, Limits, PlannerTiming};
+use comfreyweir_platform::kv::Kv;
 use comfreyweir_testbed::{Caller, Cluster, ClusterSpec, Programs, until};
 use futures_util::{FutureExt, StreamExt, future::join_all};
 use serde::{Deserialize, Serialize};
@@ -18,7 +19,7 @@
 const SETTLE: Duration = Duration::from_secs(3);
 const LENGTH: Duration = Duration::from_secs(6);
 const LIMIT: Duration = Duration::from_secs(30);
-const WORKSPACE: &str = "measured";
+pub(crate) const WORKSPACE: &str = "measured";
 /// A rate that no series reaches, in tokens a second.
 const AMPLE: u64 = 100_000_000;
 const PROMPT: &str =
@@ -155,7 +156,7 @@
 }
 
 /// One gate and two planners before engines with ample slots.
-fn one_gate() -> ClusterSpec {
+pub(crate) fn one_gate() -> ClusterSpec {
     let mut spec = spec(1, 4);
     spec.planners = 2;
     spec.limits.waiting = 10_000;
@@ -214,7 +215,7 @@
     answer.is_ok_and(|answer| answer.status.as_u16() == 401)
 }
 
-async fn warm(cluster: &Cluster) -> Result<(), LoadError> {
+pub(crate) async fn warm(cluster: &Cluster) -> Result<(), LoadError> {
     cluster
         .caller(0, WORKSPACE)
         .chat("served", PROMPT, 1)
@@ -331,9 +332,23 @@
             actix_rt::spawn(async move { caller.chat(&model, PROMPT, 1).await });
         }
     });
-    let values = over(&cluster, SETTLE, Duration::from_secs_f64(SECONDS)).await;
+    let mut values = over(&cluster, SETTLE, Duration::from_secs_f64(SECONDS)).await?;
     sending.abort();
-    values
+    add_record(&cluster, &mut values).await;
+    Ok(values)
+}
+
+/// Size of the cell record and the number of its reservations.
+#[allow(clippy::cast_precision_loss)]
+async fn add_record(cluster: &Cluster, values: &mut Values) {
+    let Ok(Some(record)) = cluster.kv().get("cell/main").await else {
+        return;
+    };
+    let json: serde_json::Value = serde_json::from_slice(&record.value).unwrap_or_default();
+    let reservations = json["body"]["plan"]["reservations"].as_array();
+    let reservations = reservations.map_or(0, Vec::len);
+    values.insert("reservations".to_owned(), reservations as f64);
+    values.insert("cell record, B".to_owned(), record.value.len() as f64);
 }
 
 impl fmt::Display for Slopes {
