Shorten the wait for tokens in the test with eight gates

Requests wait for tokens up to 10 s now, so that within the 2 s of a phase none of those above the rate was refused and the check that the load exceeds the rate failed.

--- a/crates/core/tests/allowance.rs
+++ b/crates/core/tests/allowance.rs
@@ -37,6 +37,8 @@
     spec.planners = 2;
     spec.gate_timing.share_lapse_ms = 3_000;
     spec.gate_timing.loan_hold_ms = 1_000;
+    // Short, so that requests above the rate are refused while a test runs.
+    spec.gate_timing.token_wait_ms = 500;
     spec
 }
 
@@ -169,8 +171,7 @@
         }
     }
     let (_, small) = load(&cluster, &all_but(&[]), length).await;
-    let refused = small.refused.get();
-    eprintln!("peers of the busiest gate cut: small refused {refused}");
+    assert_small_is_served("peers of the busiest gate cut", &small);
     assert_bound(&cluster).await;
 }
 
