--- a/crates/core/tests/answers.rs
+++ b/crates/core/tests/answers.rs
@@ -21,6 +21,9 @@
         .workspace("lodz", 1_000_000, 1_000_000);
     for engine in &mut spec.engines {
         engine.settings.output_tokens = 64;
+        // Few slots, so that a burst waits and the model gets its second replica.
+        engine.settings.slots = 2;
+        engine.settings.times.token_us = 5_000;
     }
     spec
 }
@@ -31,7 +34,7 @@
     let caller = cluster.caller(0, "lodz");
     let both = async || {
         // Many requests at once are demand for the second replica.
-        let burst = (0..24).map(|_| caller.chat("assistant", PROMPT, TOKENS));
+        let burst = (0..32).map(|_| caller.chat("assistant", PROMPT, TOKENS));
         join_all(burst).await;
         let records = cluster.engine_records().await.unwrap();
         records.iter().all(|r| !r.requests.is_empty())
@@ -171,10 +174,10 @@
     );
     let cancelled = async || {
         let records = cluster.engine_records().await.unwrap();
-        let mut requests = records.iter().flat_map(|r| &r.requests);
-        requests.any(|r| r.outcome == Outcome::Cancelled)
+        let requests = records.iter().flat_map(|r| &r.requests);
+        requests.filter(|r| r.outcome == Outcome::Cancelled).count()
     };
-    for stream in [true, false] {
+    for (before, stream) in [true, false].into_iter().enumerate() {
         let body = serde_json::json!({
             "model": "assistant", "prompt": PROMPT, "max_tokens": 60, "stream": stream,
         });
@@ -190,7 +193,11 @@
             () = async { let _answer = req.await; std::future::pending::<()>().await } => {}
             begun = until(LIMIT, "a running request", running) => begun.unwrap(),
         }
-        until(LIMIT, "a cancelled run", cancelled).await.unwrap();
+        until(LIMIT, "a cancelled run", async || {
+            cancelled().await > before
+        })
+        .await
+        .unwrap();
     }
     let idle = async || {
         let metrics = cluster.metrics(0).await.unwrap();
