Offer the older revision to running gates as well

The watch of the stand-in is never stale, so that only a gate that reads again after an outage is offered the older revision.

--- a/crates/core/tests/configuration.rs
+++ b/crates/core/tests/configuration.rs
@@ -253,13 +253,27 @@
         }),
         ..kv::Faults::default()
     };
+    // After an outage the gates read instead of watching on, so that they are offered it.
+    let down = kv::Faults {
+        outage: kv::Outage::Unavailable,
+        ..kv::Faults::default()
+    };
+    cluster.set_kv_faults(&down).await.unwrap();
+    for gate in 0..3 {
+        until(RETURN, "the gate notices the outage", async || {
+            let status = cluster.admin(gate).get("/status").await.unwrap().json();
+            status["configuration"]["freshness"] == "service_down"
+        })
+        .await
+        .unwrap();
+    }
     cluster.set_kv_faults(&stale).await.unwrap();
     // A new process knows nothing: the service offers it revision 2, its peers have 3.
     cluster.restart("gate-1").await.unwrap();
     let mut watcher = Watcher::new(&cluster);
     watcher.all_reach(3).await;
-    let until = Instant::now() + IN_FORCE;
-    while Instant::now() < until {
+    let end = Instant::now() + IN_FORCE;
+    while Instant::now() < end {
         for gate in 0..3 {
             watcher.revision(gate).await;
         }
