--- a/crates/core/tests/keys.rs
+++ b/crates/core/tests/keys.rs
@@ -276,6 +276,7 @@
 #[actix_rt::test]
 async fn no_upstream_sees_a_key_and_no_forged_workspace() {
     const FORGED: &str = "forged-workspace";
+    const OTHER_KEY: &str = "cw-other";
     let cluster = start(spec(2)).await;
     let stranger = cluster.stranger(0);
     let bearer = format!("Bearer {KEY}");
@@ -285,6 +286,8 @@
         vec![("authorization", &lower)],
         vec![("x-api-key", KEY)],
         vec![("authorization", &bearer), ("x-api-key", KEY)],
+        vec![("authorization", &bearer), ("x-api-key", OTHER_KEY)],
+        vec![("authorization", &bearer), ("x-note", KEY)],
     ];
     let path = "/orders/1?page=2";
     for mut headers in calls {
@@ -326,6 +329,11 @@
         0,
         "an upstream saw the key"
     );
+    assert_eq!(
+        cluster.inbound(OTHER_KEY).await.unwrap(),
+        0,
+        "another key passed"
+    );
     assert_eq!(
         cluster.inbound(FORGED).await.unwrap(),
         0,
