--- a/crates/config/src/settings.rs
+++ b/crates/config/src/settings.rs
@@ -75,6 +75,8 @@
     pub head_ms: u64,
     /// Longest pause of a caller or an upstream within a body, in ms.
     pub stall_ms: u64,
+    /// Time that a caller's connection may stay open between two requests, in ms.
+    pub idle_ms: u64,
 }
 
 impl Default for Limits {
@@ -87,6 +89,7 @@
             max_deadline_ms: 600_000,
             head_ms: 5_000,
             stall_ms: 30_000,
+            idle_ms: 75_000,
         }
     }
 }
@@ -104,7 +107,8 @@
     /// Longest time that a gate holds tokens borrowed from another, in ms. A request that takes
     /// more tokens than one gate owns should end within it.
     pub loan_hold_ms: u64,
-    /// Longest time that a request waits for tokens that will be there, in ms.
+    /// Longest time that a request waits for tokens that will be there, in ms. Half of the time
+    /// that the request has left counts if it is shorter.
     pub token_wait_ms: u64,
     /// Time between turning unready and closing idle connections at a stop, in ms.
     pub stop_notice_ms: u64,
@@ -117,7 +121,7 @@
             cut_off_ms: 4_000,
             share_lapse_ms: 600_000,
             loan_hold_ms: 60_000,
-            token_wait_ms: 1_000,
+            token_wait_ms: 10_000,
             stop_notice_ms: 1_000,
         }
     }
--- a/crates/load/src/lib.rs
+++ b/crates/load/src/lib.rs
@@ -3,9 +3,12 @@
 //!
 //! The tool starts processes, as tests do; it is never part of a deployment.
 
+pub mod allowances;
 pub mod args;
 pub mod arrivals;
+pub mod capacity;
 pub mod compare;
+pub mod cost;
 pub mod deployment;
 pub mod drive;
 pub mod error;
