Follow a slow service, and log what following finds

The client that the gate gave its follower gave up after one second, so that a service which answers later hid every new revision: the gates told each other that it was down, and a withdrawn key went on working. The follower now has a client as patient as itself.

--- a/crates/core/tests/keys.rs
+++ b/crates/core/tests/keys.rs
@@ -201,6 +201,31 @@
     assert_eq!(stops(&mut connection, withdrawn).await, 401);
 }
 
+#[actix_rt::test]
+async fn withdrawn_key_stops_although_the_service_is_slow() {
+    let cluster = start(spec(3)).await;
+    let operator = Operator::new(&cluster);
+    let mut connection = KeptAlive::open(cluster.layout().gate(0)).await;
+    assert_eq!(connection.chat().await, 200);
+    let slow = kv::Faults {
+        delay_ms: 1_200,
+        ..kv::Faults::default()
+    };
+    cluster.set_kv_faults(&slow).await.unwrap();
+    let id = key_id(&cluster, "school");
+    let done = operator.run(&["key", "withdraw", "DIR", &id]);
+    assert_eq!(done.code, 0, "{done:?}");
+    let withdrawn = Instant::now();
+    // Refused as withdrawn, or before that as cut off from the service, which ends the connection.
+    while stops(&mut connection, withdrawn).await != 401 {
+        connection = KeptAlive::open(cluster.layout().gate(0)).await;
+        assert!(
+            withdrawn.elapsed() < STOPPED,
+            "the key is not known as withdrawn"
+        );
+    }
+}
+
 /// A request that waits for a cold model when its key is withdrawn.
 ///
 /// Gives its status; it has to be answered in time, although the model is not ready by then.
--- a/crates/gate/src/assembly.rs
+++ b/crates/gate/src/assembly.rs
@@ -12,7 +12,9 @@
     kv_counted::{CountedKv, KvCounts},
     kv_http::HttpKv,
 };
-use comfreyweir_store::{FollowTiming, Follower, Peer, PeerRevision, PeerSilence, Peers};
+use comfreyweir_store::{
+    FollowTiming, Follower, Peer, PeerRevision, PeerSilence, Peers, SLOWEST_ANSWER,
+};
 use snafu::ResultExt;
 
 use crate::{
@@ -35,6 +37,7 @@
 pub async fn spawn(settings: GateSettings) -> Result<Gate, GateError> {
     let secret = Secret::read(&settings.instance.peer_secret_file).context(SecretSnafu)?;
     let http = awc::Client::builder().timeout(PLATFORM_TIMEOUT).finish();
+    let patient_http = awc::Client::builder().timeout(SLOWEST_ANSWER).finish();
     let kv_counts = KvCounts::default();
     let kv = HttpKv::new(http.clone(), settings.instance.kv, PLATFORM_TIMEOUT);
     let kv = CountedKv::new(kv, kv_counts.clone());
@@ -42,7 +45,10 @@
     let contact = Duration::from_millis(settings.timing.contact_ms);
     let instance = settings.instance.name.clone();
     let links = Links::spawn(&instance, secret.clone(), instances.clone(), contact);
-    let follower = follow(&settings, kv.clone(), links.clone());
+    // A slow service must not hide a new revision, so the follower waits for longer.
+    let patient = HttpKv::new(patient_http, settings.instance.kv, SLOWEST_ANSWER);
+    let patient = CountedKv::new(patient, kv_counts.clone());
+    let follower = follow(&settings, patient, links.clone());
     let timing = AllowanceTiming::from(&settings.timing);
     let allowances = SharedAllowances::new(SystemClock, links, timing);
     let answers = FollowedConfig(follower.clone());
--- a/crates/store/src/follow.rs
+++ b/crates/store/src/follow.rs
@@ -19,6 +19,7 @@
 use comfreyweir_platform::kv::Kv;
 use tokio::sync::watch;
 
+pub use self::service::SLOWEST_ANSWER;
 use self::state::State;
 use crate::{
     freshness::Freshness,
--- a/crates/store/src/follow/gossip.rs
+++ b/crates/store/src/follow/gossip.rs
@@ -9,7 +9,7 @@
 
 use super::{Follow, adopt::decode_root};
 use crate::{
-    freshness::Heard,
+    freshness::{Freshness, Heard},
     peers::{Peer, PeerRevision, PeerSilence, Peers},
 };
 
@@ -35,10 +35,32 @@
             } else {
                 join_all(asked.iter().map(|peer| self.ask(peer))).await;
             }
+            self.log_freshness();
             actix_rt::time::sleep(self.timing.contact).await;
         }
     }
 
+    /// Logs changes of the freshness; the decision itself is made at every query.
+    fn log_freshness(&self) {
+        let asked = self.state.asked.borrow();
+        let contacts = self.state.contacts.borrow();
+        let freshness = contacts.freshness(&asked, self.clock.now());
+        if self.state.freshness.replace(freshness) == freshness {
+            return;
+        }
+        match freshness {
+            Freshness::Current => spdlog::info!("configuration: in contact with the service"),
+            Freshness::ServiceDown => {
+                spdlog::warn!(
+                    "configuration: the service is down for all; the last revision stands"
+                );
+            }
+            Freshness::CutOff => {
+                spdlog::error!("configuration: cut off from the service and from the fleet");
+            }
+        }
+    }
+
     /// Chooses whom to ask. The sample stays the same while the service is out of reach, so that
     /// its answers add up.
     fn choose_peers(&self, in_contact: bool) {
--- a/crates/store/src/follow/service.rs
+++ b/crates/store/src/follow/service.rs
@@ -9,13 +9,14 @@
 use comfreyweir_platform::kv::{Kv, KvError, Version, Versioned};
 use tokio::{task::JoinSet, time::timeout};
 
-use super::{Follow, adopt::decode_root};
+use super::{Follow, adopt::decode_root, state::Fault};
 use crate::{chunk::ROOT_KEY, error::ReadError, peers::Peers};
 
 /// Pauses between failed calls to the service that fit into the cut-off time.
 const PAUSES_PER_CUT_OFF: u32 = 20;
-/// Age up to which a late answer of the service is waited for.
-const SLOWEST_ANSWER: Duration = Duration::from_secs(10);
+/// Age up to which a late answer of the service is waited for. The client that a follower is given
+/// must not give up before.
+pub const SLOWEST_ANSWER: Duration = Duration::from_secs(10);
 
 /// A call to the service.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
@@ -85,12 +86,26 @@
             Ok(found) => self.take(call.after, found).await,
             // The service runs, so this is no failure to reach it.
             Err(KvError::RateLimited { .. }) => return None,
-            Err(_) => {
+            Err(e) => {
                 self.state.contacts.borrow_mut().note_failure(call.began);
+                if self.state.is_news(Some(Fault::Failed)) {
+                    spdlog::warn!("configuration: {e}");
+                }
                 return None;
             }
         };
-        let version = taken.ok()?;
+        let version = match taken {
+            Ok(version) => version,
+            // Logged where it was found.
+            Err(ReadError::Stale { .. }) => return None,
+            Err(e) => {
+                if self.state.is_news(Some(Fault::Unreadable)) {
+                    spdlog::warn!("configuration: {e}");
+                }
+                return None;
+            }
+        };
+        self.state.is_news(None);
         self.state.answered.set(Some(call.began));
         if self.state.is_latest() {
             self.state.contacts.borrow_mut().note_service(call.began);
--- a/crates/store/src/follow/state.rs
+++ b/crates/store/src/follow/state.rs
@@ -14,11 +14,22 @@
 use crate::{
     chunk::{self, Root},
     error::{ReadError, StaleSnafu},
-    freshness::Contacts,
+    freshness::{Contacts, Freshness},
     peers::Peer,
     snapshot::Snapshot,
 };
 
+/// A fault of the service, as it is logged.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub(super) enum Fault {
+    /// It offers an older revision than the one in force.
+    Older,
+    /// A call failed.
+    Failed,
+    /// A revision cannot be read.
+    Unreadable,
+}
+
 /// State of following, shared by its tasks and the handle.
 pub(super) struct State {
     pub(super) current: RefCell<Rc<Snapshot>>,
@@ -33,6 +44,10 @@
     pub(super) changes: watch::Sender<u64>,
     /// Start of the latest call that the service answered.
     pub(super) answered: Cell<Option<Instant>>,
+    /// Fault of the service that was logged last; `None` after an answer.
+    pub(super) fault: Cell<Option<Fault>>,
+    /// Freshness that was logged last.
+    pub(super) freshness: Cell<Freshness>,
     /// Revision that the service offered last.
     pub(super) offered: Cell<u64>,
     pub(super) rejected: Cell<u64>,
@@ -55,6 +70,8 @@
             asked: RefCell::default(),
             changes: watch::Sender::new(0),
             answered: Cell::default(),
+            fault: Cell::default(),
+            freshness: Cell::new(Freshness::CutOff),
             offered: Cell::default(),
             rejected: Cell::default(),
         }
@@ -75,12 +92,23 @@
         self.offered.set(revision);
         let in_force = self.revision();
         if revision < in_force {
+            if self.is_news(Some(Fault::Older)) {
+                spdlog::warn!(
+                    "configuration: the service offers revision {revision}, older than {in_force} \
+                     in force"
+                );
+            }
             self.rejected.set(self.rejected.get() + 1);
             return StaleSnafu { revision, in_force }.fail();
         }
         Ok(())
     }
 
+    /// Whether a fault differs from the last one; each is logged once, and not with every call.
+    pub(super) fn is_news(&self, fault: Option<Fault>) -> bool {
+        self.fault.replace(fault) != fault
+    }
+
     /// Whether no higher revision than the one in force is known.
     pub(super) fn is_latest(&self) -> bool {
         self.revision() >= self.seen.get()
@@ -97,5 +125,6 @@
         *self.root.borrow_mut() = stored;
         *self.chunks.borrow_mut() = parts;
         self.changes.send_replace(root.revision);
+        spdlog::info!("configuration: revision {} is in force", root.revision);
     }
 }
--- a/crates/store/src/lib.rs
+++ b/crates/store/src/lib.rs
@@ -15,7 +15,7 @@
 pub use crate::{
     chunk::{ROOT_KEY, Root, Write, chunk_key, content_hash},
     error::{PublishError, ReadError},
-    follow::{FollowTiming, Follower},
+    follow::{FollowTiming, Follower, SLOWEST_ANSWER},
     freshness::{Contacts, Freshness, Heard},
     peers::{NoPeers, Peer, PeerRevision, PeerSilence, Peers},
     publish::{Published, new_write_id, overwrite, publish, read, read_root},
