--- a/crates/core/tests/in_time.rs
+++ b/crates/core/tests/in_time.rs
@@ -73,15 +73,15 @@
             .count();
         (ok, of.count())
     };
-    let codes: std::collections::BTreeMap<String, usize> =
-        answers
-            .iter()
-            .fold(std::collections::BTreeMap::default(), |mut codes, (_, a)| {
-                *codes
-                    .entry(format!("{} {} {}", a.status, a.code(), a.run()))
-                    .or_default() += 1;
-                codes
-            });
+    let codes: std::collections::BTreeMap<String, usize> = answers.iter().fold(
+        std::collections::BTreeMap::default(),
+        |mut codes, (_, a)| {
+            *codes
+                .entry(format!("{} {} {}", a.status, a.code(), a.run()))
+                .or_default() += 1;
+            codes
+        },
+    );
     println!(
         "small {:?}, large {:?}, {codes:?}",
         served("small"),
--- a/crates/load/src/capacity.rs
+++ b/crates/load/src/capacity.rs
@@ -16,6 +16,8 @@
     pub engines: f64,
     /// Models and adapters.
     pub artifacts: f64,
+    /// Artifacts that are loaded, each with a reservation in the cell record.
+    pub loaded: f64,
     /// Requests a second.
     pub requests: f64,
     /// Streamed tokens a second.
@@ -36,6 +38,8 @@
     instances: 370.0,
     engines: 890.0,
     artifacts: 13_600.0,
+    // One model on each accelerator.
+    loaded: 3_600.0,
     requests: 5_900.0,
     tokens: 1_300_000.0,
     token_gap: 0.027,
@@ -49,6 +53,7 @@
 const CPU_LIMIT: f64 = 1.9;
 const MEMORY_LIMIT_MB: f64 = 128.0;
 const BYTES_LIMIT: f64 = 19_000.0;
+const VALUE_LIMIT: f64 = 1_000_000.0;
 const READS_LIMIT: f64 = 2_000.0;
 const WRITES_LIMIT: f64 = 300.0;
 
@@ -85,7 +90,7 @@
     fn add(&mut self, slope: f64, size: f64, unit: &str) {
         if slope * size > 0.0 {
             self.total += slope * size;
-            self.parts.push(format!("{slope:.6} × {size:.0} {unit}"));
+            self.parts.push(format!("{slope:.6} × {size:.2} {unit}"));
         }
     }
 
@@ -123,6 +128,16 @@
         line.cloned().unwrap_or_default()
     }
 
+    /// Bytes that one reservation takes in the cell record.
+    fn reservation_bytes(&self) -> f64 {
+        let bytes = self.line("wakes", "cell record, B").slope;
+        bytes
+            / self
+                .line("wakes", "reservations")
+                .slope
+                .max(f64::MIN_POSITIVE)
+    }
+
     /// Value of an idle process in the whole fleet.
     fn idle(&self, value: &str) -> Sum {
         let fleet = self.fleet;
@@ -160,7 +175,6 @@
             Some(MEMORY_LIMIT_MB),
         ));
         let mut bytes = self.idle("gate to gates, B/s");
-        bytes.parts.insert(0, "to gates:".to_owned());
         for value in ["gate to key-value service, B/s", "gate to holder, B/s"] {
             let other = self.idle(value);
             bytes.total += other.total;
@@ -211,8 +225,18 @@
             "memory, MB",
             Some(MEMORY_LIMIT_MB),
         ));
+        let renewals = self.line("fleet", "key-value writes, /s").intercept;
+        let mut record = Sum::default();
+        record.add(self.reservation_bytes(), fleet.loaded, "reservations");
+        let record_bytes = record.total;
+        rows.push(record.row(
+            "planner, holds the cell",
+            "cell record, B",
+            Some(VALUE_LIMIT),
+        ));
         let per_gate = self.idle("gate to holder, B/s");
         let mut bytes = self.idle("holder to key-value service, B/s");
+        bytes.add(record_bytes, renewals, "renewals/s of the cell record");
         bytes.add(
             per_gate.total,
             fleet.instances,
@@ -244,11 +268,9 @@
             "memory, MB",
             Some(MEMORY_LIMIT_MB),
         ));
-        rows.push(self.idle("standby to key-value service, B/s").row(
-            standby,
-            "messages, B/s",
-            Some(BYTES_LIMIT),
-        ));
+        let mut bytes = self.idle("standby to key-value service, B/s");
+        bytes.add(record_bytes, renewals, "renewals/s of the cell record");
+        rows.push(bytes.row(standby, "messages, B/s", Some(BYTES_LIMIT)));
     }
 
     fn key_value(&self, rows: &mut Vec<Row>) {
