--- a/crates/load/src/args.rs
+++ b/crates/load/src/args.rs
@@ -20,6 +20,7 @@
     comfreyweir-load arrivals [OPTIONS]
     comfreyweir-load compare A.json B.json
     comfreyweir-load slopes [OPTIONS]
+    comfreyweir-load experiment NAME [OPTIONS]
     comfreyweir-load capacity SLOPES.json
     comfreyweir-load cost [OPTIONS]
 
@@ -35,6 +36,7 @@
     compare     Compares the results of two runs, which `run --json` has printed.
     slopes      Measures how processor time, memory and messages of each role grow with the size
                 of the fleet, at four sizes or more each, and fits straight lines.
+    experiment  Compares the ways of one decision on a virtual clock. NAME: allowances.
     capacity    Prints the lines of a result of `slopes --json`, and the estimates of
                 docs/CAPACITY.md that are worked out from them.
     cost        Measures what a gate adds to a call, against the direct call in the same run, at
@@ -72,6 +74,8 @@
     Arrivals,
     /// Compare two results.
     Compare(PathBuf, PathBuf),
+    /// Compare ways to divide allowances.
+    Allowances,
     /// Measure slopes.
     Slopes,
     /// Work out estimates from measured slopes.
@@ -176,6 +180,7 @@
     match texts.as_slice() {
         ["run"] => Ok(Command::Run),
         ["arrivals"] => Ok(Command::Arrivals),
+        ["experiment", "allowances"] => Ok(Command::Allowances),
         ["slopes"] => Ok(Command::Slopes),
         ["capacity", file] => Ok(Command::Capacity(file.into())),
         ["capacity", ..] => usage("capacity takes one file"),
