--- a/crates/load/src/args.rs
+++ b/crates/load/src/args.rs
@@ -36,7 +36,8 @@
     compare     Compares the results of two runs, which `run --json` has printed.
     slopes      Measures how processor time, memory and messages of each role grow with the size
                 of the fleet, at four sizes or more each, and fits straight lines.
-    experiment  Compares the ways of one decision on a virtual clock. NAME: allowances.
+    experiment  Compares the ways of one decision on a virtual clock. NAME: allowances, or
+                cold-starts (with --seconds 7200 for two hours).
     capacity    Prints the lines of a result of `slopes --json`, and the estimates of
                 docs/CAPACITY.md that are worked out from them.
     cost        Measures what a gate adds to a call, against the direct call in the same run, at
@@ -78,6 +79,8 @@
     Allowances,
     /// Measure slopes.
     Slopes,
+    /// Run the experiment on cold starts.
+    ColdStarts,
     /// Work out estimates from measured slopes.
     Capacity(PathBuf),
     /// Measure the cost of a gate.
@@ -182,6 +185,7 @@
         ["arrivals"] => Ok(Command::Arrivals),
         ["experiment", "allowances"] => Ok(Command::Allowances),
         ["slopes"] => Ok(Command::Slopes),
+        ["experiment", "cold-starts"] => Ok(Command::ColdStarts),
         ["capacity", file] => Ok(Command::Capacity(file.into())),
         ["capacity", ..] => usage("capacity takes one file"),
         ["cost"] => Ok(Command::Cost),
