Let fresh estimates decide also while nothing runs

Cause: estimates of a run counted only while something ran, so that an old one could not refuse everything. With two slots shared by two gates nothing runs at a gate each time a slot comes free, and requests were sent with no time left. Change: an estimate counts for a second after the last answer.

--- a/crates/gate/src/queue/slot.rs
+++ b/crates/gate/src/queue/slot.rs
@@ -43,12 +43,7 @@
         let Some(queue) = state.artifacts.get_mut(&self.served_name) else {
             return;
         };
-        let time = self.begun.elapsed();
-        if is_stream {
-            queue.pace.first_token.observe(time);
-        } else {
-            queue.pace.whole.observe(time);
-        }
+        queue.observe_answer(is_stream, self.begun.elapsed());
     }
 
     /// Gives the upstream a short pause because it is full.
--- a/crates/gate/src/queue/state.rs
+++ b/crates/gate/src/queue/state.rs
@@ -18,6 +18,9 @@
 use super::{Grant, Wanted};
 use crate::Refusal;
 
+/// Time for which an estimate counts though nothing runs.
+const ESTIMATE_TIME: Duration = Duration::from_secs(1);
+
 new_key_type! {
     /// Key of a request that waits.
     pub(super) struct TicketKey;
@@ -36,6 +39,8 @@
     retries: VecDeque<TicketKey>,
     pub(super) pace: Pace,
     pub(super) running: u32,
+    /// When the pace was last observed.
+    observed_at: Option<Instant>,
 }
 
 /// All queues, and the gate's own calls.
@@ -65,6 +70,21 @@
 }
 
 impl ArtifactQueue {
+    /// Notes a time to an answer, or to the first token of a stream.
+    pub(super) fn observe_answer(&mut self, is_stream: bool, time: Duration) {
+        self.observed_at = Some(Instant::now());
+        if is_stream {
+            self.pace.first_token.observe(time);
+        } else {
+            self.pace.whole.observe(time);
+        }
+    }
+
+    fn is_estimate_fresh(&self) -> bool {
+        self.observed_at
+            .is_some_and(|at| at.elapsed() < ESTIMATE_TIME)
+    }
+
     pub(super) fn is_empty(&self) -> bool {
         self.retries.is_empty() && self.first_tries.is_empty()
     }
@@ -122,11 +142,11 @@
         queue.pace.expected_wait(ahead, queue.running)
     }
 
-    /// Whether a request that is sent at `sent` would be answered too late. Never while nothing
-    /// runs: then the estimate may be out of date, and a request has to try.
+    /// Whether a request that is sent at `sent` would be answered too late. An old estimate does
+    /// not count while nothing runs that would renew it: then a request has to try.
     pub(super) fn is_hopeless(&self, wanted: &Wanted, sent: Instant) -> bool {
         let queue = self.artifacts.get(&wanted.served_name);
-        let Some(queue) = queue.filter(|q| q.running > 0) else {
+        let Some(queue) = queue.filter(|q| q.running > 0 || q.is_estimate_fresh()) else {
             return sent > wanted.deadline;
         };
         sent + queue.pace.expected_answer(wanted.is_stream) > wanted.deadline
