--- a/crates/routing/tests/fair.rs
+++ b/crates/routing/tests/fair.rs
@@ -5,7 +5,7 @@
 use comfreyweir_routing::fair::{
     ClassId, DeficitRoundRobin, FairQueue, FirstCome, Item, NestedDeficitRoundRobin,
 };
-use proptest::prelude::*;
+use proptest::{prelude::*, test_runner::RngSeed};
 
 #[derive(Clone, Copy, Debug)]
 enum Step {
@@ -154,7 +154,17 @@
     Ok(())
 }
 
+fn config() -> ProptestConfig {
+    ProptestConfig {
+        rng_seed: RngSeed::Fixed(7),
+        failure_persistence: None,
+        ..ProptestConfig::default()
+    }
+}
+
 proptest! {
+    #![proptest_config(config())]
+
     #[test]
     fn deficit_round_robin_shares_with_closed_loops(light in 1..6_u32) {
         check_closed_loops::<DeficitRoundRobin<u64>>(light)?;
