Decide on reports that show news, not on every report

Each of twenty engines' reports, four a second, asked for a decision; load figures alone now wait for the next regular one. A test shows that a further replica needs sustained waiting.

--- a/crates/load/src/cold_starts/cell.rs
+++ b/crates/load/src/cold_starts/cell.rs
@@ -268,10 +268,9 @@
         let now = self.clock.now();
         let name = upstream(engine);
         let report = self.engines.report(engine);
-        let known = self.holder.servers().get(&name);
-        let is_new = known.and_then(|s| s.report.as_ref()) != Some(&report);
+        let is_news = self.holder.is_news(&name, &report);
         self.holder.report_read(&name, &report, now);
-        if is_new {
+        if is_news {
             self.think();
             self.see_view();
         }
--- a/crates/placement/src/reconcile.rs
+++ b/crates/placement/src/reconcile.rs
@@ -45,6 +45,17 @@
         self.follow_loads(upstream, report, now);
     }
 
+    /// Whether a report shows anything but new load figures, so that it calls for a decision.
+    pub fn is_news(&self, upstream: &str, report: &Report) -> bool {
+        let server = self.servers.get(upstream);
+        let known = server.and_then(|s| s.report.as_ref());
+        known.is_none_or(|known| {
+            known.incarnation != report.incarnation
+                || known.term != report.term
+                || known.loaded != report.loaded
+        })
+    }
+
     /// Notes that an engine did not give a report.
     pub fn report_failed(&mut self, upstream: &str) {
         if let Some(server) = self.servers.get_mut(upstream) {
--- a/crates/planner/src/engine.rs
+++ b/crates/planner/src/engine.rs
@@ -39,7 +39,6 @@
             return;
         }
         read_report(&cx, &hold, &name, &control).await;
-        hold.decide.notify_one();
         let now = cx.clock.now();
         let pause = hold
             .holder
@@ -98,8 +97,14 @@
 async fn read_report(cx: &Cx, hold: &Hold, name: &str, control: &EngineControl) {
     let answer = control.report().await;
     let mut holder = hold.holder.borrow_mut();
+    let is_news = answer
+        .as_ref()
+        .is_ok_and(|report| holder.is_news(name, report));
     match answer {
         Ok(report) => holder.report_read(name, &report, cx.clock.now()),
         Err(_) => holder.report_failed(name),
     }
+    if is_news {
+        hold.decide.notify_one();
+    }
 }
--- a/crates/planner/tests/placement.rs
+++ b/crates/planner/tests/placement.rs
@@ -2,7 +2,7 @@
 
 mod support;
 
-use std::time::Instant;
+use std::time::{Duration, Instant};
 
 use comfreyweir_gate::placement_view::PlacementView;
 use support::{Cluster, EngineSpec, LIMIT, adapter, model, served, until};
@@ -12,6 +12,9 @@
     checks_fencing: true,
 };
 
+/// Waiting after which a further replica is loaded.
+const SCALE_OUT_AFTER: Duration = Duration::from_secs(2);
+
 #[actix_rt::test]
 async fn a_cold_model_and_its_adapter_are_loaded_once_for_all_gates() {
     let cluster = Cluster::start(&[CHECKING, CHECKING], |catalog| {
@@ -129,7 +132,7 @@
     let view = cluster.view(0, &planner);
     served(&view, "m@1").await;
     cluster.slow_store(100.0);
-    let deadline = Instant::now() + std::time::Duration::from_secs(2);
+    let deadline = Instant::now() + Duration::from_secs(2);
     let waiting = view.wait_for("n@1", "w", deadline);
     let is_late = || {
         let ready_in = view.ready_in("n@1");
@@ -140,3 +143,28 @@
     drop(waiting);
     planner.stop().await;
 }
+
+#[actix_rt::test]
+async fn a_further_replica_is_loaded_only_under_sustained_waiting() {
+    let cluster = Cluster::start(&[CHECKING, CHECKING, CHECKING], |catalog| {
+        catalog.models.insert("m".to_owned(), model(60, 2));
+    })
+    .await;
+    let planner = cluster.planner(0).await;
+    let view = cluster.view(0, &planner);
+    let begun = Instant::now();
+    let waiting = view.wait_for("m@1", "w", begun + LIMIT);
+    until("first replica", || {
+        view.replicas("m@1").iter().any(|r| r.ready)
+    })
+    .await;
+    assert_eq!(cluster.loads("m@1"), 1);
+    until("second replica", || cluster.loads("m@1") == 2).await;
+    assert!(begun.elapsed() >= SCALE_OUT_AFTER);
+    let both_ready = || view.replicas("m@1").iter().filter(|r| r.ready).count() == 2;
+    until("both ready", both_ready).await;
+    actix_rt::time::sleep(SCALE_OUT_AFTER * 2).await;
+    assert_eq!(cluster.loads("m@1"), 2);
+    drop(waiting);
+    planner.stop().await;
+}
