Watch the leases of four other gates instead of all

Each gate read the leases of all others, so that the reads of a fleet grew with the square of its size: 8 gates 1.1 reads a second, 400 gates 3,200 by calculation, above what the key-value service takes. Each gate now looks at the next four in the order of addresses: 400 gates 32 reads a second.

--- a/crates/allowance/src/keeper/others.rs
+++ b/crates/allowance/src/keeper/others.rs
@@ -3,6 +3,7 @@
 use std::{
     collections::{BTreeMap, VecDeque},
     net::SocketAddr,
+    ops::Bound,
     time::{Duration, Instant},
 };
 
@@ -12,6 +13,9 @@
     shares::{Member, ShareTable},
 };
 
+/// Gates whose leases one gate looks at, so that the reads of a fleet grow with its size only.
+const WATCHED: usize = 4;
+
 pub(super) struct Others {
     timing: Timing,
     sightings: BTreeMap<SocketAddr, Sighting>,
@@ -44,10 +48,9 @@
     ) -> Option<Member> {
         if self.to_look_at.is_empty() && now >= self.look_at {
             self.look_at = now + self.period();
-            self.sightings
-                .retain(|addr, _| table.shares.contains_key(addr));
-            let others = table.shares.keys().filter(|addr| **addr != me.addr);
-            self.to_look_at = others.copied().collect();
+            self.to_look_at = watched(table, me.addr);
+            let watched = &self.to_look_at;
+            self.sightings.retain(|addr, _| watched.contains(addr));
         }
         let addr = self.to_look_at.pop_front()?;
         let share = table.shares.get(&addr)?;
@@ -96,3 +99,12 @@
         self.timing.lapse / (2 * RENEWALS_PER_LAPSE)
     }
 }
+
+/// The next gates in the order of their addresses, around the end. When some of them are gone
+/// too, they are found by the gates before them.
+fn watched(table: &ShareTable, own: SocketAddr) -> VecDeque<SocketAddr> {
+    let after = table.shares.range((Bound::Excluded(own), Bound::Unbounded));
+    let before = table.shares.range(..own);
+    let next = after.chain(before).map(|(addr, _)| *addr);
+    next.take(WATCHED).collect()
+}
