--- a/crates/allowance/src/keeper.rs
+++ b/crates/allowance/src/keeper.rs
@@ -6,8 +6,10 @@
 //! shares in use below the whole: what shrinks is used less before it is written, and what grows
 //! is written before it is used.
 
+mod call;
 mod others;
 mod own_lease;
+mod plan;
 mod seen;
 
 use std::{
@@ -16,6 +18,7 @@
     time::{Duration, Instant},
 };
 
+pub use self::call::{Call, Key, Outcome, Timing, Value, Version};
 use self::{others::Others, own_lease::OwnLease, seen::Seen};
 use crate::{
     drift,
@@ -25,9 +28,6 @@
     shares::{Edit, Member, ShareTable, Weight},
 };
 
-/// Version of a key; zero stands for a key that does not exist.
-pub type Version = u64;
-
 /// Renewals within one lapse, so that a few may fail.
 const RENEWALS_PER_LAPSE: u32 = 6;
 /// Longest wait for a change of the record.
@@ -39,75 +39,6 @@
 /// Contact periods that a gate waits for the platform's list before it joins.
 const LIST_CONTACTS: u32 = 4;
 
-/// A key of the key-value service.
-#[derive(Clone, Copy, Debug, Eq, Ord, PartialEq, PartialOrd)]
-pub enum Key {
-    /// The record of shares.
-    Shares,
-    /// The lease of the gate at a peer address.
-    Lease(SocketAddr),
-}
-
-/// A value of a key.
-#[derive(Clone, Debug, Eq, PartialEq)]
-pub enum Value {
-    /// The record of shares.
-    Shares(ShareTable),
-    /// A lease.
-    Lease(LeaseRecord),
-}
-
-/// A call to the key-value service.
-#[derive(Clone, Debug, Eq, PartialEq)]
-pub enum Call {
-    /// Read a key.
-    Get(Key),
-    /// Write a key if it stands at `expected`.
-    Swap {
-        /// The key.
-        key: Key,
-        /// Version that it must stand at.
-        expected: Version,
-        /// Identifier of the write, the same when it is tried again.
-        write_id: String,
-        /// What is written.
-        value: Value,
-    },
-    /// Wait until the record of shares rises above a version.
-    Watch {
-        /// The version.
-        after: Version,
-        /// Longest wait.
-        wait: Duration,
-    },
-    /// Nothing is left to do: the share was given back.
-    Done,
-}
-
-/// Outcome of a call.
-#[derive(Clone, Debug, Eq, PartialEq)]
-pub enum Outcome {
-    /// What was read; `None` when there is nothing, or nothing new.
-    Found(Option<(Version, Value)>),
-    /// The value was written.
-    Written(Version),
-    /// The key stood at another version, and nothing was written.
-    Conflict,
-    /// Not known: the write may have taken effect, or may still do so.
-    Unknown,
-}
-
-/// Periods of keeping a share.
-#[derive(Clone, Copy, Debug, Eq, PartialEq)]
-pub struct Timing {
-    /// Period of contact between gates.
-    pub contact: Duration,
-    /// Time that a share may be used after its last renewal.
-    pub lapse: Duration,
-    /// Longest time that tokens are used after they were lent or charged.
-    pub hold: Duration,
-}
-
 /// What the keeper has called for.
 #[derive(Clone, Debug)]
 enum Pending {
@@ -335,34 +266,6 @@
         self.had_share = true;
     }
 
-    fn plan(&self, ledger: &Ledger, listed: Option<usize>, now: Instant) -> Option<Edit> {
-        let table = self.seen.table();
-        let Some(own) = table.weight_of(&self.me) else {
-            return self.plan_join(listed, now);
-        };
-        if self.is_leaving() {
-            let weight = ledger.least_weight();
-            return (weight == 0).then_some(Edit::Leave);
-        }
-        if let Some(Edit::Shrink { weight }) = table.plan_shrink(&self.me) {
-            let weight = weight.max(ledger.least_weight());
-            return (weight < own).then_some(Edit::Shrink { weight });
-        }
-        let settled = self.is_settled(now);
-        table.plan_grow(&self.me).filter(|_| settled)
-    }
-
-    fn plan_join(&self, listed: Option<usize>, now: Instant) -> Option<Edit> {
-        self.lease.valid_until()?;
-        let waited = now.saturating_duration_since(self.started);
-        let enough = self.timing.contact * LIST_CONTACTS;
-        if self.is_leaving() || listed.is_none() && waited < enough {
-            return None;
-        }
-        let table = self.seen.table();
-        table.plan_join(&self.me, listed.unwrap_or(1))
-    }
-
     fn change(&mut self, edit: &Edit, ledger: &mut Ledger, now: Instant) -> Call {
         match edit {
             Edit::Shrink { weight } => self.use_less(ledger, *weight, now),
--- a/crates/gate/src/allowances.rs
+++ b/crates/gate/src/allowances.rs
@@ -4,17 +4,20 @@
 //! sent upstream, and the charge is settled with what the engine says was used.
 
 mod gather;
+mod handles;
 mod metrics;
 mod share_calls;
 mod shared;
 mod shares;
 mod status;
+mod waiting;
 
 use std::time::{Duration, Instant};
 
 pub use self::{
     gather::{Ask, Lenders},
-    shared::{AllowanceTiming, SharedAllowances, SharedCharge, SharedReservation},
+    handles::{SharedCharge, SharedReservation},
+    shared::{AllowanceTiming, SharedAllowances},
     shares::ShareKeeper,
 };
 
--- a/crates/gate/src/allowances/shared.rs
+++ b/crates/gate/src/allowances/shared.rs
@@ -11,7 +11,7 @@
 use comfreyweir_allowance::{
     Terms,
     estimate::{Estimates, Lender},
-    ledger::{ChargeKey, Grant, HoldKey, Lack, Ledger, WorkspaceKey},
+    ledger::{Grant, HoldKey, Lack, Ledger, WorkspaceKey},
     pace::Pace,
 };
 use comfreyweir_clock::Clock;
@@ -19,9 +19,11 @@
 use tokio::time::timeout;
 
 use super::{
-    Allowances, Charge, Reservation, Shortage,
+    Allowances, Shortage,
     gather::{Gatherer, Lenders},
+    handles::SharedReservation,
     metrics::{AllowanceMetrics, Cause},
+    waiting::Waiting,
 };
 
 /// Shortest pause before a waiting request looks for tokens again.
@@ -73,9 +75,9 @@
     pub(super) has_had_share: Cell<bool>,
     started: Instant,
     /// Tokens that requests of a workspace wait for.
-    waiting: RefCell<HashMap<WorkspaceKey, u64>>,
+    pub(super) waiting: RefCell<HashMap<WorkspaceKey, u64>>,
     /// How fast those requests get tokens.
-    paces: RefCell<HashMap<WorkspaceKey, Pace>>,
+    pub(super) paces: RefCell<HashMap<WorkspaceKey, Pace>>,
 }
 
 impl<C> State<C>
@@ -293,137 +295,10 @@
     }
 }
 
-fn shortage(lack: Lack) -> Shortage {
+pub(super) fn shortage(lack: Lack) -> Shortage {
     match lack {
         Lack::Tokens(_) => Shortage::RetryAfter(UNKNOWN_RETRY),
         Lack::ExceedsBurst => Shortage::ExceedsBurst,
         Lack::UnknownWorkspace => Shortage::UnknownWorkspace,
     }
 }
-
-/// A request that waits for tokens, counted until it is dropped.
-struct Waiting<'a, C> {
-    state: &'a State<C>,
-    key: WorkspaceKey,
-    cost: u64,
-    /// Tokens that the requests before it wait for.
-    ahead: u64,
-}
-
-impl<'a, C> Waiting<'a, C>
-where
-    C: Clock,
-{
-    fn new(state: &'a State<C>, key: WorkspaceKey, cost: u64) -> Self {
-        let mut waiting = state.waiting.borrow_mut();
-        let tokens = waiting.entry(key).or_default();
-        let ahead = *tokens;
-        if ahead == 0 {
-            let pace = Pace::begin(state.now());
-            state.paces.borrow_mut().insert(key, pace);
-        }
-        *tokens += cost;
-        Self {
-            state,
-            key,
-            cost,
-            ahead,
-        }
-    }
-}
-
-impl<C> Drop for Waiting<'_, C> {
-    fn drop(&mut self) {
-        let mut waiting = self.state.waiting.borrow_mut();
-        if let Some(tokens) = waiting.get_mut(&self.key) {
-            *tokens = tokens.saturating_sub(self.cost);
-            if *tokens == 0 {
-                self.state.paces.borrow_mut().remove(&self.key);
-            }
-        }
-    }
-}
-
-/// Tokens held for a request that waits. Dropping it gives them back.
-pub struct SharedReservation<C>
-where
-    C: Clock,
-{
-    state: Rc<State<C>>,
-    hold: Option<HoldKey>,
-}
-
-impl<C> Reservation for SharedReservation<C>
-where
-    C: Clock,
-{
-    type Charge = SharedCharge<C>;
-
-    fn charge(mut self) -> Result<SharedCharge<C>, Shortage> {
-        let hold = self.hold.take().ok_or(Shortage::UnknownWorkspace)?;
-        let state = Rc::clone(&self.state);
-        let charged = state.ledger.borrow_mut().charge(hold, state.now());
-        match charged {
-            Ok(charge) => Ok(SharedCharge {
-                state,
-                charge: Some(charge),
-            }),
-            Err(lack) => {
-                state.metrics.lost();
-                Err(shortage(lack))
-            }
-        }
-    }
-}
-
-impl<C> Drop for SharedReservation<C>
-where
-    C: Clock,
-{
-    fn drop(&mut self) {
-        if let Some(hold) = self.hold.take() {
-            let now = self.state.now();
-            self.state.ledger.borrow_mut().release(hold, now);
-        }
-    }
-}
-
-/// Tokens charged for a request that was sent.
-pub struct SharedCharge<C>
-where
-    C: Clock,
-{
-    state: Rc<State<C>>,
-    charge: Option<ChargeKey>,
-}
-
-impl<C> Charge for SharedCharge<C>
-where
-    C: Clock,
-{
-    fn progress(&mut self, used: u64) {
-        if let Some(charge) = self.charge {
-            let now = self.state.now();
-            self.state.ledger.borrow_mut().progress(charge, used, now);
-        }
-    }
-
-    fn settle(mut self, used: u64) {
-        if let Some(charge) = self.charge.take() {
-            let now = self.state.now();
-            self.state.ledger.borrow_mut().settle(charge, used, now);
-        }
-    }
-}
-
-impl<C> Drop for SharedCharge<C>
-where
-    C: Clock,
-{
-    fn drop(&mut self) {
-        if let Some(charge) = self.charge.take() {
-            let now = self.state.now();
-            self.state.ledger.borrow_mut().forfeit(charge, now);
-        }
-    }
-}
--- a/crates/gate/src/peers/links.rs
+++ b/crates/gate/src/peers/links.rs
@@ -1,80 +1,24 @@
 //! Links to the other gates, which the platform's list of instances names.
 
-use std::{
-    cell::{Cell, RefCell},
-    collections::BTreeMap,
-    future::Future,
-    io,
-    net::SocketAddr,
-    rc::Rc,
-    time::Duration,
-};
+use std::{cell::RefCell, collections::BTreeMap, net::SocketAddr, rc::Rc, time::Duration};
 
 use actix_rt::{task::JoinHandle, time::sleep};
 use bytes::Bytes;
 use comfreyweir_allowance::ledger::{Grant, Return};
-use comfreyweir_peer::{Link, LinkError, Secret, open, peer_capnp::gate};
+use comfreyweir_peer::Secret;
 use comfreyweir_platform::instances::{InstanceInfo, InstanceList, Instances, Role};
-use snafu::{OptionExt, ResultExt, Snafu};
+use snafu::OptionExt;
 use spdlog::debug;
-use tokio::{sync::Mutex, time::timeout};
 
-use super::served::RevisionAnswer;
+use super::{
+    peer::{NoLinkSnafu, NotListedSnafu, Peer, PeerError},
+    served::RevisionAnswer,
+};
 use crate::allowances::{Ask, Lenders};
 
-/// Longest time of a call to another gate.
-const CALL_LIMIT: Duration = Duration::from_secs(1);
-/// Time after which a call counts as stalled, and no tokens are asked for on its link.
-const STALL_LIMIT: Duration = Duration::from_millis(200);
 /// Tries to tell a lender that a loan has ended. After that the loan expires by itself.
 const END_LOAN_TRIES: u32 = 2;
 
-/// Why a gate did not answer.
-#[derive(Debug, Snafu)]
-pub enum PeerError {
-    /// The platform does not list the gate.
-    #[snafu(display("no gate at {addr} is listed"))]
-    NotListed {
-        /// Peer address of the gate.
-        addr: SocketAddr,
-    },
-    /// There is no link at the moment.
-    #[snafu(display("no link to gate {addr} at the moment"))]
-    NoLink {
-        /// Peer address of the gate.
-        addr: SocketAddr,
-    },
-    /// The link failed.
-    #[snafu(display("{source}"))]
-    Link {
-        /// What failed.
-        source: LinkError,
-    },
-}
-
-impl PeerError {
-    /// Whether the instance answered that nothing listens at the address.
-    pub fn is_not_running(&self) -> bool {
-        matches!(
-            self,
-            Self::Link { source: LinkError::Connect { source, .. } }
-                if source.kind() == io::ErrorKind::ConnectionRefused
-        )
-    }
-}
-
-type GateLink = Rc<Link<gate::Client>>;
-
-struct Peer {
-    addr: SocketAddr,
-    instance: RefCell<String>,
-    zone: RefCell<String>,
-    link: RefCell<Option<GateLink>>,
-    /// Calls that have taken longer than [`STALL_LIMIT`] and are not answered yet.
-    stalled: Cell<u32>,
-    opening: Mutex<()>,
-}
-
 struct Shared {
     own: String,
     secret: Secret,
@@ -256,92 +200,6 @@
     }
 }
 
-impl Peer {
-    fn new(addr: SocketAddr) -> Self {
-        Self {
-            addr,
-            instance: RefCell::default(),
-            zone: RefCell::default(),
-            link: RefCell::default(),
-            stalled: Cell::new(0),
-            opening: Mutex::new(()),
-        }
-    }
-
-    fn current(&self) -> Option<GateLink> {
-        let link = self.link.borrow();
-        link.as_ref().filter(|link| !link.is_closed()).cloned()
-    }
-
-    /// A link on which no call is stalled.
-    fn ready(&self) -> Option<GateLink> {
-        self.current().filter(|_| self.stalled.get() == 0)
-    }
-
-    /// The link, opened now if there is none.
-    async fn opened(&self, secret: &Secret) -> Result<GateLink, PeerError> {
-        let _opening = self.opening.lock().await;
-        if let Some(link) = self.current() {
-            return Ok(link);
-        }
-        let link = open(self.addr, secret).await.context(LinkSnafu)?;
-        let link = Rc::new(link);
-        *self.link.borrow_mut() = Some(Rc::clone(&link));
-        Ok(link)
-    }
-
-    /// Bounds a call. A link on which a call was not answered is closed.
-    async fn call<F, T>(&self, link: &GateLink, call: F) -> Result<T, PeerError>
-    where
-        F: Future<Output = Result<T, capnp::Error>>,
-    {
-        let call = link.call(CALL_LIMIT, call);
-        tokio::pin!(call);
-        let answer = if let Ok(answer) = timeout(STALL_LIMIT, &mut call).await {
-            answer
-        } else {
-            let _stalled = Stalled::new(&self.stalled);
-            call.await
-        };
-        if answer.as_ref().is_err_and(is_broken) {
-            self.close(link);
-        }
-        answer.context(LinkSnafu)
-    }
-
-    fn close(&self, failed: &GateLink) {
-        let mut link = self.link.borrow_mut();
-        if link.as_ref().is_some_and(|link| Rc::ptr_eq(link, failed)) {
-            *link = None;
-        }
-    }
-}
-
-/// Whether an error speaks against the link. A peer that has no answer yet still answers.
-fn is_broken(e: &LinkError) -> bool {
-    let is_answer = matches!(
-        e,
-        LinkError::Call { source, .. } if source.kind == capnp::ErrorKind::Overloaded
-    );
-    !is_answer
-}
-
-/// Counts a stalled call until it is dropped.
-struct Stalled<'a>(&'a Cell<u32>);
-
-impl<'a> Stalled<'a> {
-    fn new(calls: &'a Cell<u32>) -> Self {
-        calls.set(calls.get() + 1);
-        Self(calls)
-    }
-}
-
-impl Drop for Stalled<'_> {
-    fn drop(&mut self) {
-        self.0.set(self.0.get() - 1);
-    }
-}
-
 async fn follow(shared: Rc<Shared>) {
     loop {
         match shared.instances.read().await {
