--- a/crates/load/src/lib.rs
+++ b/crates/load/src/lib.rs
@@ -7,6 +7,7 @@
 pub mod args;
 pub mod arrivals;
 pub mod capacity;
+pub mod cold_starts;
 pub mod compare;
 pub mod cost;
 pub mod deployment;
--- a/crates/load/src/program.rs
+++ b/crates/load/src/program.rs
@@ -11,7 +11,7 @@
     args::{self, Args, Command},
     arrivals::{self, Load},
     capacity::{Estimator, PLANNED},
-    compare, cost, drive,
+    cold_starts, compare, cost, drive,
     error::{FileSnafu, ResultSnafu},
     slopes,
 };
@@ -56,6 +56,10 @@
             let run = drive::run(&args.deployment, load, &programs);
             print(args, &system.block_on(run)?);
         }
+        Command::ColdStarts => {
+            let table = cold_starts::run(&args.deployment, args.seed, args.length);
+            print(args, &table);
+        }
         Command::Allowances => print(args, &allowances::experiment(args.seed)),
         Command::Slopes => {
             let measured = slopes::measure(&programs, args.only.as_deref());
