Write the lapse and the hold of a gate into its lease

While settings are changed gates have different lapses and holds. A gate with a shorter lapse would have removed the share of one that still used it, and a restarted gate with a shorter hold would not have waited out the loans of the process before. Both tests were seen failing without the change.

--- a/crates/allowance/src/keeper.rs
+++ b/crates/allowance/src/keeper.rs
@@ -112,7 +112,7 @@
             writes: 0,
             me,
             seen: Seen::new(now),
-            lease: OwnLease::new(timing.lapse),
+            lease: OwnLease::new(timing),
             others: Others::new(timing, now),
             started: now,
             renew_at: now,
@@ -225,7 +225,7 @@
         ledger.set_valid_until(None, now);
         self.incarnations += 1;
         self.me.incarnation = format!("{}-{}", self.process, self.incarnations);
-        self.lease = OwnLease::new(self.timing.lapse);
+        self.lease = OwnLease::new(self.timing);
         self.entry = None;
         self.entered = false;
         self.shrinking = None;
@@ -257,7 +257,7 @@
             }
             Some(Edit::Inherit { .. }) if !self.had_share => {
                 ledger.set_weight(recorded, now);
-                let hold = drift::guarded(drift::guarded(self.timing.hold));
+                let hold = drift::guarded(drift::guarded(self.lease.earlier_hold()));
                 ledger.quarantine(now + hold, now);
             }
             _ => ledger.set_weight(recorded, now),
@@ -334,6 +334,8 @@
             incarnation: member.incarnation.clone(),
             renewal: 0,
             revoked: true,
+            lapse_ms: 0,
+            hold_ms: 0,
         };
         let key = Key::Lease(member.addr);
         self.pending = Some(Pending::Revocation(member));
--- a/crates/allowance/src/keeper/others.rs
+++ b/crates/allowance/src/keeper/others.rs
@@ -66,17 +66,18 @@
             return;
         };
         let version = found.as_ref().map_or(0, |(version, _)| *version);
-        if let Some((_, Value::Lease(lease))) = found
-            && lease.revoked
-            && lease.incarnation == member.incarnation
-        {
-            self.gone = Some(member.clone());
-            return;
+        let (mut lapse, mut hold) = (self.timing.lapse, self.timing.hold);
+        if let Some((_, Value::Lease(lease))) = found {
+            if lease.revoked && lease.incarnation == member.incarnation {
+                self.gone = Some(member.clone());
+                return;
+            }
+            (lapse, hold) = (lease.lapse(lapse), lease.hold(hold));
         }
         let first = Sighting::new(version, now);
         let sighting = self.sightings.entry(member.addr).or_insert(first);
         sighting.look(version, now);
-        if sighting.has_lapsed(self.timing.lapse, self.timing.hold, now) {
+        if sighting.has_lapsed(lapse, hold, now) {
             self.lapsed = Some((member.clone(), version));
         }
     }
--- a/crates/allowance/src/keeper/own_lease.rs
+++ b/crates/allowance/src/keeper/own_lease.rs
@@ -2,7 +2,7 @@
 
 use std::time::{Duration, Instant};
 
-use super::{Outcome, Version};
+use super::{Outcome, Timing, Value, Version};
 use crate::lease::{Lease, LeaseRecord};
 
 /// A renewal, which is tried again unchanged while its outcome is not known.
@@ -14,16 +14,21 @@
 }
 
 pub(super) struct OwnLease {
+    timing: Timing,
     lease: Lease,
+    /// Longest loans that an earlier process may have granted.
+    earlier_hold: Duration,
     renewals: u64,
     version: Option<Version>,
     attempt: Option<Attempt>,
 }
 
 impl OwnLease {
-    pub(super) fn new(lapse: Duration) -> Self {
+    pub(super) fn new(timing: Timing) -> Self {
         Self {
-            lease: Lease::new(lapse),
+            timing,
+            lease: Lease::new(timing.lapse),
+            earlier_hold: timing.hold,
             renewals: 0,
             version: None,
             attempt: None,
@@ -39,6 +44,11 @@
         self.lease.valid_until()
     }
 
+    /// Longest loans that an earlier process on this address may have granted.
+    pub(super) fn earlier_hold(&self) -> Duration {
+        self.earlier_hold
+    }
+
     /// Start of the last confirmed renewal.
     pub(super) fn confirmed(&self) -> Option<Instant> {
         self.lease.confirmed()
@@ -47,18 +57,25 @@
     pub(super) fn answer_read(&mut self, outcome: &Outcome) {
         if let Outcome::Found(found) = outcome {
             self.version = Some(found.as_ref().map_or(0, |(version, _)| *version));
+            if let Some((_, Value::Lease(earlier))) = found {
+                self.earlier_hold = earlier.hold(self.earlier_hold);
+            }
         }
     }
 
     /// The renewal to try. The lease will count from the first try.
     pub(super) fn attempt(&mut self, incarnation: &str, write_id: String, now: Instant) -> Attempt {
         let renewal = self.renewals + 1;
+        // Kept from process to process: none of them knows what the ones before have lent.
+        let (lapse, hold) = (self.timing.lapse, self.earlier_hold);
         let attempt = self.attempt.get_or_insert_with(|| Attempt {
             write_id,
             record: LeaseRecord {
                 incarnation: incarnation.to_owned(),
                 renewal,
                 revoked: false,
+                lapse_ms: millis(lapse),
+                hold_ms: millis(hold),
             },
             started: now,
         });
@@ -86,3 +103,8 @@
         }
     }
 }
+
+fn millis(time: Duration) -> u64 {
+    // Rounded up, so that nobody counts less.
+    u64::try_from(time.as_nanos().div_ceil(1_000_000)).unwrap_or(u64::MAX)
+}
--- a/crates/allowance/src/lease.rs
+++ b/crates/allowance/src/lease.rs
@@ -21,6 +21,24 @@
     pub renewal: u64,
     /// Whether another gate has ended the lease.
     pub revoked: bool,
+    /// Lapse of the holder, in ms. Settings may differ between gates while they are changed.
+    #[serde(default)]
+    pub lapse_ms: u64,
+    /// Longest time of the holder's loans, in ms.
+    #[serde(default)]
+    pub hold_ms: u64,
+}
+
+impl LeaseRecord {
+    /// A lapse that is at least the holder's.
+    pub fn lapse(&self, own: Duration) -> Duration {
+        own.max(Duration::from_millis(self.lapse_ms))
+    }
+
+    /// A hold that is at least the holder's.
+    pub fn hold(&self, own: Duration) -> Duration {
+        own.max(Duration::from_millis(self.hold_ms))
+    }
 }
 
 /// The lease of this gate.
--- a/crates/allowance/tests/allowance/faults.rs
+++ b/crates/allowance/tests/allowance/faults.rs
@@ -111,3 +111,38 @@
     fleet.burst_all();
     assert_eq!(fleet.excess(), 0);
 }
+
+#[test]
+fn shorter_settings_of_other_gates_end_no_share_too_early() {
+    let mut fleet = Fleet::start([0; GATES], 1, TIMING);
+    fleet.timing.lapse = TIMING.lapse / 4;
+    fleet.timing.hold = TIMING.hold / 4;
+    fleet.start_process(1);
+    fleet.start_process(2);
+    fleet.pass(2 * FILL_MS);
+    let weights = [0, 1, 2].map(|gate| fleet.weight(gate));
+    fleet.gates[0].cut = true;
+    // Far above the lapse of the other gates, and below that of the first one.
+    fleet.pass(1_600);
+    assert_eq!([0, 1, 2].map(|gate| fleet.weight(gate)), weights);
+    fleet.burst_all();
+    assert_eq!(fleet.excess(), 0);
+}
+
+#[test]
+fn longer_loans_of_an_earlier_process_are_waited_out() {
+    let long = Timing {
+        hold: Duration::from_millis(1_500),
+        ..TIMING
+    };
+    let mut fleet = Fleet::start([0; GATES], GATES, long);
+    fleet.lend(0, 1, 100);
+    fleet.deliver(0, 1);
+    fleet.kill(0);
+    fleet.timing = TIMING;
+    fleet.start_process(0);
+    // Longer than the hold of the new process, shorter than the loan.
+    keep(&mut fleet, 0, 1_400);
+    fleet.burst_all();
+    assert_eq!(fleet.excess(), 0);
+}
--- a/crates/allowance/tests/allowance/fleet/mod.rs
+++ b/crates/allowance/tests/allowance/fleet/mod.rs
@@ -84,7 +84,8 @@
 /// The fleet.
 pub struct Fleet {
     base: Instant,
-    timing: Timing,
+    /// Periods of processes that are started from now on.
+    pub timing: Timing,
     /// True time in nanoseconds.
     now: u64,
     pub gates: Vec<Gate>,
