--- a/crates/core/src/client/apply.rs
+++ b/crates/core/src/client/apply.rs
@@ -5,7 +5,7 @@
 use comfreyweir_config::{catalog::Catalog, folder};
 use comfreyweir_platform::kv_http::HttpKv;
 use comfreyweir_store::{
-    PublishError, Snapshot, new_write_id, overwrite, publish, read, read_root,
+    PublishError, ReadError, Snapshot, new_write_id, overwrite, publish, read, read_root,
 };
 use serde_json::{Value, json};
 use snafu::{ResultExt, ensure};
@@ -101,7 +101,13 @@
 ) -> Result<Accepted, ClientError> {
     let kv = remote::kv(target.kv);
     settle_pending(&kv, locked).await?;
-    let in_force = read(&kv).await.context(ReadSnafu)?;
+    let in_force = match read(&kv).await {
+        // What cannot be read is what is to be replaced.
+        Err(ReadError::Chunk { .. } | ReadError::Decode { .. }) if target.overwrite => {
+            Snapshot::default()
+        }
+        read => read.context(ReadSnafu)?,
+    };
     if in_force.revision > 0 && in_force.catalog == catalog {
         let revision = in_force.revision;
         remember(locked, revision, catalog);
--- a/crates/core/tests/client.rs
+++ b/crates/core/tests/client.rs
@@ -6,6 +6,7 @@
 use std::fs;
 
 use awc::http::StatusCode;
+use comfreyweir_platform::kv::Kv;
 use operator::{Operator, finish, program};
 use support::{Caller, Cluster, ClusterSpec, start};
 
@@ -181,3 +182,23 @@
         assert_eq!(snapshot.catalog.upstreams["engine-0"].draining, draining);
     }
 }
+
+#[actix_rt::test]
+async fn configuration_with_a_lost_part_is_written_again() {
+    let cluster = cluster().await;
+    let operator = Operator::new(&cluster);
+    let kv = cluster.kv();
+    let root = comfreyweir_store::read_root(&kv).await.unwrap().unwrap().1;
+    let key = comfreyweir_store::chunk_key(&root.chunks[0]);
+    let found = kv.get(&key).await.unwrap().unwrap();
+    kv.swap(&key, found.version, Vec::new().into())
+        .await
+        .unwrap();
+
+    let done = operator.run(&["apply", "DIR"]);
+    assert_eq!(done.code, 1, "{done:?}");
+    let done = operator.run(&["apply", "DIR", "--overwrite", "--wait"]);
+    assert_eq!(done.code, 0, "{done:?}");
+    assert_eq!(done.json()["revision"], 2);
+    assert!(comfreyweir_store::read(&kv).await.is_ok());
+}
