Refuse a caller's key that stands escaped in the address

The gate looked for the key in the address as it was sent, so that an escaped one was passed on, and an upstream that decodes its query saw it. Test: one more case in no_upstream_sees_a_key_and_no_forged_workspace, seen failing before (answered 200).

--- a/crates/core/tests/keys.rs
+++ b/crates/core/tests/keys.rs
@@ -302,6 +302,8 @@
 async fn no_upstream_sees_a_key_and_no_forged_workspace() {
     const FORGED: &str = "forged-workspace";
     const OTHER_KEY: &str = "cw-other";
+    /// The key as an upstream that decodes the query would see it.
+    const ESCAPED_KEY: &str = "%63w%2Dschool";
     let cluster = start(spec(2)).await;
     let stranger = cluster.stranger(0);
     let bearer = format!("Bearer {KEY}");
@@ -323,8 +325,9 @@
         assert_eq!(answer.unwrap().status, StatusCode::OK, "{headers:?}");
     }
     // A key in the query is not accepted as one, and the gate does not send it on either.
-    for name in ["api_key", "key", "access_token", "anything"] {
-        let path = format!("/orders/1?{name}={KEY}&page=2");
+    let plain = ["api_key", "key", "access_token", "anything"].map(|name| (name, KEY));
+    for (name, key) in plain.into_iter().chain([("key", ESCAPED_KEY)]) {
+        let path = format!("/orders/1?{name}={key}&page=2");
         let headers = [("authorization", bearer.as_str())];
         let answer = stranger
             .send(Method::POST, &path, &headers, "hose".into())
--- a/crates/gate/src/services/mod.rs
+++ b/crates/gate/src/services/mod.rs
@@ -20,6 +20,7 @@
     HttpMessage, Payload, Request, Response, StatusCode, body::BoxBody, header::HeaderMap,
 };
 use comfreyweir_config::catalog::Route;
+use percent_encoding::percent_decode_str;
 
 use self::{
     attempt::{Outcome, ServiceCall},
@@ -148,7 +149,12 @@
     let path = uri
         .path_and_query()
         .map_or(uri.path(), |path| path.as_str());
-    let leaks = key.is_some_and(|key| headers::contains(path.as_bytes(), key.as_bytes()));
+    // Upstreams see an escaped key decoded.
+    let decoded: Vec<u8> = percent_decode_str(path).collect();
+    let leaks = key.is_some_and(|key| {
+        headers::contains(path.as_bytes(), key.as_bytes())
+            || headers::contains(&decoded, key.as_bytes())
+    });
     if !leaks {
         return Ok(path.to_owned());
     }
