--- a/crates/store/src/publish.rs
+++ b/crates/store/src/publish.rs
@@ -1,23 +1,27 @@
 //! Publishing a catalog: chunks first, the root record last.
 
+mod chunks;
+mod root;
+
 use comfreyweir_config::catalog::Catalog;
-use comfreyweir_platform::{
-    kv::{self, Kv, KvError, Recorded, Swap, Version},
-    kv_http::MAX_VALUE_BYTES,
-};
+use comfreyweir_platform::kv::{self, Kv, Recorded, Version};
 use snafu::{OptionExt, ResultExt, ensure};
 
+use self::{
+    chunks::{dropped, empty_chunks, write_chunks},
+    root::{RootOutcome, swap_root},
+};
 use crate::{
     chunk::{self, REMEMBERED_WRITES, ROOT_KEY, Root, Write},
     error::{
-        ChunkSnafu, ConflictSnafu, DecodeSnafu, NotAcceptedSnafu, PublishError, ReadError,
-        ServiceSnafu, TooLargeSnafu, UnknownSnafu, UnreadableSnafu,
+        ChunkSnafu, ConflictSnafu, DecodeSnafu, PublishError, ReadError, ServiceSnafu,
+        UnreadableSnafu,
     },
     snapshot::Snapshot,
 };
 
-/// Times that a root swap with an unknown outcome is tried again.
-const ROOT_TRIES: usize = 5;
+/// Times that a write is tried.
+const TRIES: usize = 5;
 /// Bytes of a write identifier.
 const WRITE_ID_BYTES: usize = 16;
 
@@ -177,158 +181,6 @@
     }
 }
 
-/// Writes the chunks that differ from those of the current revision.
-async fn write_chunks<K>(
-    kv: &K,
-    catalog: &Catalog,
-    current: &Root,
-    salt: &str,
-) -> Result<(Vec<String>, usize), PublishError>
-where
-    K: Kv,
-{
-    let bytes = encoded(catalog, salt)?.len();
-    let buckets = chunk::bucket_count(bytes, current.chunks.len());
-    let before = if buckets == current.chunks.len() {
-        read_parts(kv, current).await.unwrap_or_default()
-    } else {
-        Vec::new()
-    };
-    let mut hashes = Vec::with_capacity(buckets);
-    let mut written = 0;
-    for (bucket, part) in chunk::split(catalog, buckets).iter().enumerate() {
-        if before.get(bucket) == Some(part) {
-            hashes.push(current.chunks[bucket].clone());
-            continue;
-        }
-        hashes.push(write_chunk(kv, part, salt).await?);
-        written += 1;
-    }
-    Ok((hashes, written))
-}
-
-async fn write_chunk<K>(kv: &K, part: &Catalog, salt: &str) -> Result<String, PublishError>
-where
-    K: Kv,
-{
-    let content = encoded(part, salt)?;
-    ensure!(
-        content.len() <= MAX_VALUE_BYTES,
-        TooLargeSnafu {
-            what: "a chunk",
-            bytes: content.len(),
-            limit: MAX_VALUE_BYTES
-        }
-    );
-    let hash = chunk::content_hash(&content);
-    let key = chunk::chunk_key(&hash);
-    let mut last = KvError::RateLimited { key: key.clone() };
-    for _ in 0..ROOT_TRIES {
-        match kv.swap(&key, 0, content.clone()).await {
-            // A conflict means that an earlier try has written the same content.
-            Ok(_) => return Ok(hash),
-            Err(e) => last = e,
-        }
-        pause().await;
-    }
-    Err(last).context(NotAcceptedSnafu)
-}
-
-fn encoded(part: &Catalog, salt: &str) -> Result<bytes::Bytes, PublishError> {
-    chunk::encode(part, salt)
-        .context(DecodeSnafu)
-        .context(UnreadableSnafu)
-}
-
-enum RootOutcome {
-    Accepted,
-    /// Another write came first; the root record that is in force now.
-    Overtaken(Root),
-}
-
-/// Swaps the root record until it is known what became of it.
-async fn swap_root<K>(
-    kv: &K,
-    expected: Version,
-    record: &Recorded<Root>,
-) -> Result<RootOutcome, PublishError>
-where
-    K: Kv,
-{
-    let value = serde_json::to_vec(record)
-        .context(DecodeSnafu)
-        .context(UnreadableSnafu)?;
-    ensure!(
-        value.len() <= MAX_VALUE_BYTES,
-        TooLargeSnafu {
-            what: "the root record",
-            bytes: value.len(),
-            limit: MAX_VALUE_BYTES
-        }
-    );
-    let value = bytes::Bytes::from(value);
-    // Once a try had no answer, its write may take effect at any later time. From then on only
-    // the record itself tells the outcome.
-    let mut in_doubt = false;
-    let mut last = KvError::RateLimited {
-        key: ROOT_KEY.to_owned(),
-    };
-    for _ in 0..ROOT_TRIES {
-        match kv.swap(ROOT_KEY, expected, value.clone()).await {
-            Ok(Swap::Written(_)) => return Ok(RootOutcome::Accepted),
-            Ok(Swap::Conflict) => match read_root(kv).await {
-                Ok(Some((version, now))) if version > expected => {
-                    return Ok(outcome(now, &record.write_id));
-                }
-                // A stale read, which tells nothing about the write.
-                Ok(_) => in_doubt = true,
-                Err(ReadError::Service { source }) => {
-                    in_doubt = true;
-                    last = source;
-                }
-                Err(e) => return Err(e).context(UnreadableSnafu),
-            },
-            Err(e @ KvError::RateLimited { .. }) => last = e,
-            Err(e) => {
-                in_doubt = true;
-                last = e;
-            }
-        }
-        pause().await;
-    }
-    if in_doubt {
-        return Err(last).context(UnknownSnafu);
-    }
-    Err(last).context(NotAcceptedSnafu)
-}
-
-fn outcome(now: Root, write_id: &str) -> RootOutcome {
-    if now.revision_of(write_id).is_some() {
-        return RootOutcome::Accepted;
-    }
-    RootOutcome::Overtaken(now)
-}
-
-/// Chunks of `before` that are not in `after`.
-fn dropped(before: &[String], after: &[String]) -> Vec<String> {
-    let is_dropped = |hash: &&String| !after.contains(hash);
-    before.iter().filter(is_dropped).cloned().collect()
-}
-
-/// Empties chunks that no root record refers to any more. A chunk that stays costs memory of the
-/// service and nothing else, so failures are passed over.
-async fn empty_chunks<K>(kv: &K, hashes: &[String])
-where
-    K: Kv,
-{
-    for hash in hashes {
-        let key = chunk::chunk_key(hash);
-        if let Ok(Some(found)) = kv.get(&key).await {
-            let _ = kv.swap(&key, found.version, bytes::Bytes::new()).await;
-        }
-    }
-}
-
 async fn pause() {
     /// Pause between two tries of a write.
     const PAUSE: std::time::Duration = std::time::Duration::from_millis(200);
