--- a/crates/load/src/cost.rs
+++ b/crates/load/src/cost.rs
@@ -22,7 +22,7 @@
 };
 
 /// Requests a second of other callers.
-const RATES: [u32; 4] = [0, 100, 200, 400];
+const RATES: [u32; 4] = [0, 200, 400, 800];
 /// Pairs of calls at each rate.
 const PAIRS: usize = 1_500;
 const SETTLE: Duration = Duration::from_secs(1);
