--- a/crates/load/src/deployment.rs
+++ b/crates/load/src/deployment.rs
@@ -147,7 +147,8 @@
         }
         for (name, part) in self.workspaces {
             let rate = rate(tokens_per_second, part);
-            spec = spec.workspace(name, rate, rate * BURST_SECONDS);
+            let burst = (rate * BURST_SECONDS).max(SMALLEST_BURST);
+            spec = spec.workspace(name, rate, burst);
         }
         spec
     }
@@ -158,7 +159,7 @@
         R: Rng,
     {
         let places = (0..self.models).filter_map(|index| {
-            let tier = match rng.random_range(0..20) {
+            let tier = match rng.random_range(0..100) {
                 0 => CheckpointTier::Memory,
                 1..4 => CheckpointTier::Disk,
                 _ => return None,
@@ -171,6 +172,8 @@
 
 /// Burst of a workspace, in seconds of its rate.
 const BURST_SECONDS: u64 = 5;
+/// Smallest burst, in tokens: a long request with its output limit fits.
+const SMALLEST_BURST: u64 = 1_000;
 /// Room of a rate over the load that it is meant for.
 const ROOM: f64 = 1.3;
 
