--- a/crates/planner/src/planner.rs
+++ b/crates/planner/src/planner.rs
@@ -8,7 +8,7 @@
 use comfreyweir_peer::{PeerServer, Secret, peer_capnp::planner};
 use comfreyweir_placement::holder::Identity;
 use comfreyweir_platform::{instances::Instances, kv_counted::CountedKv, kv_http::HttpKv};
-use comfreyweir_store::{FollowTiming, Follower, NoPeers};
+use comfreyweir_store::{FollowTiming, Follower, NoPeers, SLOWEST_ANSWER};
 use snafu::ResultExt;
 use tokio::sync::watch;
 
@@ -85,6 +85,10 @@
     let metrics = Metrics::new();
     let kv = HttpKv::new(http.clone(), settings.instance.kv, PLATFORM_TIMEOUT);
     let kv = CountedKv::new(kv, metrics.kv_counts());
+    // A slow service must not hide a new revision, so the follower waits for longer.
+    let patient = awc::Client::builder().timeout(SLOWEST_ANSWER).finish();
+    let patient = HttpKv::new(patient, settings.instance.kv, SLOWEST_ANSWER);
+    let patient = CountedKv::new(patient, metrics.kv_counts());
     let timing = FollowTiming {
         cut_off: CUT_OFF,
         contact: CONTACT,
@@ -95,7 +99,7 @@
             address: settings.peer,
         },
         clock: SystemClock,
-        follower: Follower::spawn(kv.clone(), SystemClock, timing, NoPeers),
+        follower: Follower::spawn(patient, SystemClock, timing, NoPeers),
         fleet: Fleet::spawn(Instances::new(http.clone(), settings.instance.instances)),
         kv,
         http,
