--- a/crates/core/tests/configuration.rs
+++ b/crates/core/tests/configuration.rs
@@ -93,7 +93,7 @@
 #[actix_rt::test]
 async fn racing_operators_lose_nothing_that_was_accepted() {
     const ROUNDS: u32 = 6;
-    let cluster = start(spec(3)).await;
+    let cluster = start(spec(8)).await;
     let mut watcher = Watcher::new(&cluster);
     let operators = [Operator::new(&cluster), Operator::new(&cluster)];
     let mut accepted = Vec::new();
