--- a/crates/load/src/cold_starts/engine.rs
+++ b/crates/load/src/cold_starts/engine.rs
@@ -14,8 +14,10 @@
 /// Time of a load from disk and from memory, as parts of a load from the store.
 const DISK_PART: f64 = 0.4;
 const MEMORY_PART: f64 = 0.1;
-/// Checkpoints that stay in the memory of a server.
-const MEMORY_CHECKPOINTS: usize = 4;
+/// Checkpoints that stay in the memory of a server, the latest loaded.
+const MEMORY_CHECKPOINTS: usize = 1;
+/// Checkpoints that stay in the memory or on the disk of a server.
+const LOCAL_CHECKPOINTS: usize = 2;
 /// Adapters that load at full speed at once.
 const FULL_SPEED_ADAPTERS: usize = 30;
 
@@ -46,7 +48,7 @@
 struct Engine {
     held: BTreeMap<String, Loaded>,
     checkpoints: BTreeMap<String, CheckpointTier>,
-    in_memory: VecDeque<String>,
+    local: VecDeque<String>,
     term: u64,
 }
 
@@ -195,14 +197,18 @@
         if lane == Lane::StoreAdapters {
             return;
         }
-        self.in_memory.retain(|kept| kept != name);
-        self.in_memory.push_back(name.to_owned());
-        self.checkpoints
-            .insert(name.to_owned(), CheckpointTier::Memory);
-        if self.in_memory.len() > MEMORY_CHECKPOINTS
-            && let Some(oldest) = self.in_memory.pop_front()
-        {
-            self.checkpoints.insert(oldest, CheckpointTier::Disk);
+        self.local.retain(|kept| kept != name);
+        self.local.push_front(name.to_owned());
+        for (place, kept) in self.local.iter().enumerate() {
+            if place < MEMORY_CHECKPOINTS {
+                self.checkpoints
+                    .insert(kept.clone(), CheckpointTier::Memory);
+            } else if place < LOCAL_CHECKPOINTS {
+                self.checkpoints.insert(kept.clone(), CheckpointTier::Disk);
+            } else {
+                self.checkpoints.remove(kept);
+            }
         }
+        self.local.truncate(LOCAL_CHECKPOINTS);
     }
 }
