--- a/crates/load/src/cold_starts.rs
+++ b/crates/load/src/cold_starts.rs
@@ -47,7 +47,7 @@
 }
 
 const KEPT: Way = Way {
-    order: "fair deadline",
+    order: "deadline",
     concurrency: FULL_SPEED,
     server: "nearest checkpoint",
     idle: "learned",
@@ -69,7 +69,7 @@
 
 fn ways() -> Vec<Way> {
     let mut ways = vec![KEPT];
-    for order in ["first come", "deadline"] {
+    for order in ["first come", "fair deadline"] {
         ways.push(Way { order, ..KEPT });
     }
     for concurrency in [2, 8] {
--- a/crates/planner/src/hold.rs
+++ b/crates/planner/src/hold.rs
@@ -12,8 +12,8 @@
 use comfreyweir_placement::{
     choice::ServerChoice,
     holder::{Holder, HolderSettings, Policies},
-    idle::AdaptiveKeep,
-    order::FairDeadline,
+    idle::LearnedKeep,
+    order::EarliestDeadline,
     record::CellRecord,
 };
 use comfreyweir_platform::kv::Version;
@@ -29,11 +29,11 @@
 
 /// Longest time between two decisions.
 const DECIDE_EVERY: Duration = Duration::from_millis(100);
-/// The shortest time that idle models are kept, as a part of the longest.
-const SHORTEST_KEEP_PART: u32 = 10;
+/// Idle time that is spent to save one cold start.
+const COLD_START_WORTH: Duration = Duration::from_mins(2);
 
 /// The holder with the policies of the daemon.
-pub(crate) type CellHolder = Holder<FairDeadline, AdaptiveKeep>;
+pub(crate) type CellHolder = Holder<EarliestDeadline, LearnedKeep>;
 
 /// A cell that this planner holds or claims.
 pub(crate) struct Hold {
@@ -123,11 +123,11 @@
     Stopping,
 }
 
-fn policies(cx: &Cx) -> Policies<FairDeadline, AdaptiveKeep> {
+fn policies(cx: &Cx) -> Policies<EarliestDeadline, LearnedKeep> {
     let longest = cx.keep_idle();
     Policies {
-        order: FairDeadline,
-        idle: AdaptiveKeep::new(longest / SHORTEST_KEEP_PART, longest),
+        order: EarliestDeadline,
+        idle: LearnedKeep::new(COLD_START_WORTH.min(longest), longest),
         choice: ServerChoice::NearestCheckpoint,
     }
 }
