Count the tokens that are delivered while a load is measured

The series requests and tokens so far tell only the load that was meant; a sender that falls behind makes their lines flat.

--- a/crates/load/src/slopes/mod.rs
+++ b/crates/load/src/slopes/mod.rs
@@ -5,11 +5,15 @@
 
 mod sample;
 
-use std::{collections::BTreeMap, fmt, time::Duration};
+use std::{
+    collections::BTreeMap,
+    fmt,
+    time::{Duration, Instant},
+};
 
 use comfreyweir_config::settings::{GateTiming, Limits, PlannerTiming};
 use comfreyweir_platform::kv::Kv;
-use comfreyweir_testbed::{Caller, Cluster, ClusterSpec, Programs, until};
+use comfreyweir_testbed::{Caller, Cluster, ClusterSpec, Programs, judge, until};
 use futures_util::{FutureExt, StreamExt, future::join_all};
 use serde::{Deserialize, Serialize};
 
@@ -192,7 +196,7 @@
     if let Some(key) = changed.keys.values_mut().next() {
         key.withdrawn = true;
     }
-    let start = std::time::Instant::now();
+    let start = Instant::now();
     cluster.publish(&changed).await?;
     let published = start.elapsed();
     let refused = async || {
@@ -235,9 +239,21 @@
             actix_rt::spawn(async move { caller.stream("served", PROMPT, tokens).await });
         }
     });
-    let values = over(cluster, SETTLE, LENGTH).await;
+    let before = delivered(cluster).await?;
+    let start = Instant::now();
+    let mut values = over(cluster, SETTLE, LENGTH).await?;
+    let tokens = delivered(cluster).await? - before;
+    let rate = tokens / start.elapsed().as_secs_f64();
+    values.insert("delivered tokens with prompts, /s".to_owned(), rate);
     sending.abort();
-    values
+    Ok(values)
+}
+
+/// Tokens that the engines have given to the workspace so far.
+#[allow(clippy::cast_precision_loss)]
+async fn delivered(cluster: &Cluster) -> Result<f64, LoadError> {
+    let records = cluster.engine_records().await?;
+    Ok(judge::tokens(&records, WORKSPACE) as f64)
 }
 
 async fn requests(size: usize, programs: &Programs) -> Result<Values, LoadError> {
