Write once what stood in several places

Listening sockets were opened by four copies of one function, durations turned into milliseconds by five, hashes written as hexadecimal and write ids made by two each.

--- a/crates/clock/src/lib.rs
+++ b/crates/clock/src/lib.rs
@@ -74,3 +74,8 @@
         UNIX_EPOCH + self.elapsed.get()
     }
 }
+
+/// Whole milliseconds of a time, for logs and records.
+pub fn whole_millis(time: Duration) -> u64 {
+    u64::try_from(time.as_millis()).unwrap_or(u64::MAX)
+}
--- a/crates/gate/src/listener.rs
+++ b/crates/gate/src/listener.rs
@@ -6,8 +6,9 @@
 use actix_rt::task::JoinHandle;
 use actix_service::{Service, ServiceFactory, fn_service};
 use comfreyweir_config::settings::Limits;
+use comfreyweir_listen::listen;
 use tokio::{
-    net::{TcpListener, TcpSocket, TcpStream},
+    net::{TcpListener, TcpStream},
     task::JoinSet,
 };
 
@@ -16,8 +17,6 @@
     stopping::Stopping,
 };
 
-/// Connections that may wait to be accepted.
-const BACKLOG: u32 = 1024;
 /// Pause after accepting has failed, most likely for want of descriptors.
 const ACCEPT_PAUSE: Duration = Duration::from_millis(100);
 
@@ -105,17 +104,6 @@
     })
 }
 
-fn listen(addr: SocketAddr) -> io::Result<TcpListener> {
-    let socket = if addr.is_ipv4() {
-        TcpSocket::new_v4()?
-    } else {
-        TcpSocket::new_v6()?
-    };
-    socket.set_reuseaddr(true)?;
-    socket.bind(addr)?;
-    socket.listen(BACKLOG)
-}
-
 /// Accepts until the gate drains, takes what the kernel has accepted by then, and waits for the
 /// connections to end.
 async fn accept_all<F, R>(listener: TcpListener, most: usize, stopping: Rc<Stopping>, serve: F)
--- a/crates/gate/src/peers/links.rs
+++ b/crates/gate/src/peers/links.rs
@@ -5,7 +5,7 @@
 use actix_rt::{task::JoinHandle, time::sleep};
 use bytes::Bytes;
 use comfreyweir_allowance::ledger::{Grant, Return};
-use comfreyweir_peer::Secret;
+use comfreyweir_peer::{Secret, wire_millis};
 use comfreyweir_platform::instances::{InstanceInfo, InstanceList, Instances, Role};
 use snafu::OptionExt;
 use spdlog::debug;
@@ -139,7 +139,7 @@
         let mut params = req.get();
         params.set_workspace(ask.workspace.as_str());
         params.set_wanted(ask.wanted);
-        params.set_hold_ms(millis(ask.hold));
+        params.set_hold_ms(wire_millis(ask.hold));
         let answer = async {
             let res = req.send().promise.await?;
             let res = res.get()?;
@@ -249,7 +249,3 @@
         }
     }
 }
-
-fn millis(time: Duration) -> u32 {
-    u32::try_from(time.as_millis()).unwrap_or(u32::MAX)
-}
--- a/crates/gate/src/placement_view/exchange.rs
+++ b/crates/gate/src/placement_view/exchange.rs
@@ -9,6 +9,7 @@
 use comfreyweir_peer::{
     Link, LinkError,
     peer_capnp::{planner, view},
+    wire_millis,
 };
 
 use super::{
@@ -54,7 +55,7 @@
     params.set_gate(told.gate);
     params.set_known_term(told.known_term);
     params.set_known_version(told.known_version);
-    params.set_wait_ms(millis(told.wait));
+    params.set_wait_ms(wire_millis(told.wait));
     let mut demand = params.reborrow().init_demand(count(told.demand.len())?);
     for (index, (artifact, workspaces)) in (0..).zip(told.demand) {
         let mut entry = demand.reborrow().get(index);
@@ -64,7 +65,7 @@
             let mut entry = list.reborrow().get(index);
             entry.set_workspace(workspace.as_str());
             entry.set_waiting(waiting.waiting);
-            entry.set_deadline_ms(millis(waiting.left));
+            entry.set_deadline_ms(wire_millis(waiting.left));
         }
     }
     let mut usage = params.init_usage(count(told.usage.len())?);
@@ -139,7 +140,3 @@
 fn count(len: usize) -> Result<u32, Error> {
     u32::try_from(len).map_err(|_| Error::failed("too many entries".to_owned()))
 }
-
-fn millis(time: Duration) -> u32 {
-    u32::try_from(time.as_millis()).unwrap_or(u32::MAX)
-}
--- a/crates/gate/src/report.rs
+++ b/crates/gate/src/report.rs
@@ -1,9 +1,10 @@
 //! What a gate notes of each request: a log line and a count of refusals. Never a key, and never a
 //! query, in which a caller may have put one by mistake.
 
-use std::time::{Duration, Instant};
+use std::time::Instant;
 
 use actix_http::{HttpMessage, Request, Response, body::BoxBody};
+use comfreyweir_clock::whole_millis;
 use spdlog::{debug, info};
 
 use crate::{Refusal, Run, auth, context::Cx};
@@ -36,7 +37,7 @@
         let (request_id, method, path) = self.names();
         let workspace = self.workspace.as_deref().unwrap_or_default();
         let status = res.status().as_u16();
-        let ms = millis(self.arrived.elapsed());
+        let ms = whole_millis(self.arrived.elapsed());
         info!("answered", kv: { request_id, workspace, method, path, status, ms });
     }
 
@@ -54,7 +55,7 @@
             Run::Unknown => "unknown",
         };
         let reason = refusal.message.as_str();
-        let ms = millis(self.arrived.elapsed());
+        let ms = whole_millis(self.arrived.elapsed());
         info!("refused", kv: { request_id, workspace, method, path, status, code, run, reason, ms });
     }
 
@@ -66,11 +67,7 @@
     pub(crate) fn left(&self) {
         let request_id = self.request_id.as_str();
         let workspace = self.workspace.as_deref().unwrap_or_default();
-        let ms = millis(self.arrived.elapsed());
+        let ms = whole_millis(self.arrived.elapsed());
         debug!("caller left", kv: { request_id, workspace, ms });
     }
 }
-
-fn millis(time: Duration) -> u64 {
-    u64::try_from(time.as_millis()).unwrap_or(u64::MAX)
-}
--- a/crates/gate/src/services/claim.rs
+++ b/crates/gate/src/services/claim.rs
@@ -1,6 +1,7 @@
 //! What is recorded of a call with an idempotency key, and what follows from a record.
 
 use base64::{Engine, prelude::BASE64_STANDARD};
+use comfreyweir_config::keys;
 use comfreyweir_platform::kv::{Recorded, Version};
 use serde::{Deserialize, Serialize};
 use sha2::{Digest, Sha256};
@@ -108,7 +109,7 @@
         digest.update((part.len() as u64).to_be_bytes());
         digest.update(part);
     }
-    hex(&digest.finalize())
+    keys::hex(&digest.finalize())
 }
 
 /// Key of the record. It is bound to the workspace, so that no workspace sees another's answers.
@@ -116,13 +117,3 @@
     let digest = call_digest(workspace, route, idempotency_key.as_bytes());
     format!("idem/{digest}")
 }
-
-fn hex(bytes: &[u8]) -> String {
-    use std::fmt::Write;
-    bytes
-        .iter()
-        .fold(String::with_capacity(bytes.len() * 2), |mut text, byte| {
-            let _ = write!(text, "{byte:02x}");
-            text
-        })
-}
--- a/crates/gate/src/services/claims.rs
+++ b/crates/gate/src/services/claims.rs
@@ -14,10 +14,11 @@
     time::{Duration, Instant},
 };
 
-use comfreyweir_clock::Clock;
+use comfreyweir_clock::{Clock, whole_millis};
 use comfreyweir_platform::kv::{
     KvError, LeaseId, LeasedKv, Recorded, Swap, Version, get_recorded, swap_recorded_leased,
 };
+use comfreyweir_store::new_write_id;
 use snafu::{ResultExt, Snafu};
 
 use super::claim::{Claim, ClaimState, RecordedAnswer, Step, next_step};
@@ -149,11 +150,11 @@
 
     fn record(&self, call: &str, limit: Duration) -> Recorded<Claim> {
         Recorded {
-            write_id: write_id(),
+            write_id: new_write_id(),
             body: Claim {
                 call: call.to_owned(),
                 gate: self.gate.clone(),
-                given_up_at_ms: self.wall_ms().saturating_add(millis(limit)),
+                given_up_at_ms: self.wall_ms().saturating_add(whole_millis(limit)),
                 state: ClaimState::Claimed,
             },
         }
@@ -161,7 +162,7 @@
 
     fn wall_ms(&self) -> u64 {
         let since_epoch = self.clock.wall().duration_since(std::time::UNIX_EPOCH);
-        millis(since_epoch.unwrap_or_default())
+        whole_millis(since_epoch.unwrap_or_default())
     }
 }
 
@@ -201,7 +202,7 @@
             ..self.record.body.clone()
         };
         let record = Recorded {
-            write_id: write_id(),
+            write_id: new_write_id(),
             body,
         };
         let mut retry = Retry::new(self.claims.clock.now());
@@ -255,7 +256,7 @@
             ..self.record.body.clone()
         };
         let record = Recorded {
-            write_id: write_id(),
+            write_id: new_write_id(),
             body,
         };
         let swap =
@@ -291,11 +292,3 @@
         true
     }
 }
-
-fn write_id() -> String {
-    format!("{:032x}", rand::random::<u128>())
-}
-
-fn millis(duration: Duration) -> u64 {
-    u64::try_from(duration.as_millis()).unwrap_or(u64::MAX)
-}
--- a/crates/peer/src/lib.rs
+++ b/crates/peer/src/lib.rs
@@ -10,5 +10,5 @@
 
 pub use crate::{
     auth::{AuthError, Secret, SecretError},
-    link::{Link, LinkError, PeerServer, bind, open},
+    link::{Link, LinkError, PeerServer, bind, open, wire_millis},
 };
--- a/crates/peer/src/link.rs
+++ b/crates/peer/src/link.rs
@@ -5,10 +5,11 @@
 use actix_rt::task::JoinHandle;
 use capnp::capability::FromClientHook;
 use capnp_rpc::{RpcSystem, rpc_twoparty_capnp::Side, twoparty::VatNetwork};
+use comfreyweir_listen::listen;
 use futures_util::AsyncReadExt;
 use snafu::{ResultExt, Snafu};
 use tokio::{
-    net::{TcpListener, TcpSocket, TcpStream},
+    net::{TcpListener, TcpStream},
     time::timeout,
 };
 use tokio_util::compat::TokioAsyncReadCompatExt;
@@ -17,8 +18,6 @@
 
 /// Longest time for connecting and authenticating.
 const OPEN_TIMEOUT: Duration = Duration::from_secs(1);
-/// Connections that may wait to be accepted.
-const BACKLOG: u32 = 1024;
 
 /// Why a link cannot be opened or used.
 #[derive(Debug, Snafu)]
@@ -165,17 +164,6 @@
     Ok(PeerServer { addr, accept })
 }
 
-fn listen(addr: SocketAddr) -> io::Result<TcpListener> {
-    let socket = if addr.is_ipv4() {
-        TcpSocket::new_v4()?
-    } else {
-        TcpSocket::new_v6()?
-    };
-    socket.set_reuseaddr(true)?;
-    socket.bind(addr)?;
-    socket.listen(BACKLOG)
-}
-
 async fn accept_all<C>(listener: TcpListener, secret: Secret, service: C)
 where
     C: FromClientHook + Clone + 'static,
@@ -230,3 +218,8 @@
         capnp::message::ReaderOptions::default(),
     ))
 }
+
+/// A time as calls carry it, in whole milliseconds.
+pub fn wire_millis(time: Duration) -> u32 {
+    u32::try_from(time.as_millis()).unwrap_or(u32::MAX)
+}
--- a/crates/planner/src/admin.rs
+++ b/crates/planner/src/admin.rs
@@ -5,15 +5,12 @@
 use actix_http::{HttpService, Method, Request, Response, StatusCode, body::BoxBody, header};
 use actix_rt::task::JoinHandle;
 use actix_service::{Service, ServiceFactory, fn_service};
-use tokio::{
-    net::{TcpListener, TcpSocket},
-    task::JoinSet,
-};
+use comfreyweir_listen::listen;
+use tokio::task::JoinSet;
 
 use crate::{context::Cx, status};
 
 /// Connections that may wait to be accepted.
-const BACKLOG: u32 = 128;
 /// Time that a caller has for the head of a request.
 const HEAD_TIMEOUT: Duration = Duration::from_secs(5);
 /// Pause after accepting has failed, most likely for want of descriptors.
@@ -67,17 +64,6 @@
     Ok(AdminPort { accept })
 }
 
-fn listen(addr: SocketAddr) -> io::Result<TcpListener> {
-    let socket = if addr.is_ipv4() {
-        TcpSocket::new_v4()?
-    } else {
-        TcpSocket::new_v6()?
-    };
-    socket.set_reuseaddr(true)?;
-    socket.bind(addr)?;
-    socket.listen(BACKLOG)
-}
-
 fn answer(cx: &Cx, req: &Request) -> Response<BoxBody> {
     if req.method() != Method::GET && req.method() != Method::HEAD {
         let text = "only GET is served here\n";
--- a/crates/planner/src/service.rs
+++ b/crates/planner/src/service.rs
@@ -8,7 +8,10 @@
 
 use capnp::{Error, text};
 use comfreyweir_clock::Clock;
-use comfreyweir_peer::peer_capnp::{demand, planner, usage, view};
+use comfreyweir_peer::{
+    peer_capnp::{demand, planner, usage, view},
+    wire_millis,
+};
 use comfreyweir_placement::{
     demand::{GateDemand, Waiting},
     view::View,
@@ -152,7 +155,7 @@
             entry.set_upstream(replica.upstream.as_str());
             entry.set_artifact(replica.artifact.as_str());
             entry.set_ready(replica.ready);
-            entry.set_ready_in_ms(millis(replica.ready_in));
+            entry.set_ready_in_ms(wire_millis(replica.ready_in));
         }
     }
     let mut loads = answer.reborrow().init_loads(count(view.loads.len())?);
@@ -161,7 +164,7 @@
         entry.set_upstream(load.upstream.as_str());
         entry.set_running(load.running);
         entry.set_waiting(load.waiting);
-        entry.set_age_ms(millis(load.age));
+        entry.set_age_ms(wire_millis(load.age));
         entry.set_reachable(load.reachable);
         entry.set_leaving(load.leaving);
     }
@@ -169,7 +172,7 @@
     for (index, refusal) in (0..).zip(&view.refusals) {
         let mut entry = refusals.reborrow().get(index);
         entry.set_artifact(refusal.artifact.as_str());
-        entry.set_ready_in_ms(millis(refusal.ready_in));
+        entry.set_ready_in_ms(wire_millis(refusal.ready_in));
         entry.set_reason(refusal.reason.as_str());
     }
     Ok(())
@@ -178,7 +181,3 @@
 fn count(len: usize) -> Result<u32, Error> {
     u32::try_from(len).map_err(|_| Error::failed("the view is too large".to_owned()))
 }
-
-fn millis(time: Duration) -> u32 {
-    u32::try_from(time.as_millis()).unwrap_or(u32::MAX)
-}
--- a/crates/standins/src/http.rs
+++ b/crates/standins/src/http.rs
@@ -1,16 +1,17 @@
 //! The HTTP server that all stand-ins share.
 
-use std::{cell::Cell, future::Future, io, net::SocketAddr, rc::Rc, time::Duration};
+use std::{cell::Cell, future::Future, net::SocketAddr, rc::Rc, time::Duration};
 
 use actix_http::{HttpService, KeepAlive, Request, Response, StatusCode, body::BoxBody, header};
 use actix_rt::task::JoinHandle;
 use actix_service::{Service, ServiceFactory, fn_service};
 use bytes::{Bytes, BytesMut};
+use comfreyweir_listen::listen;
 use futures_util::StreamExt;
 use serde::{Serialize, de::DeserializeOwned};
 use snafu::ResultExt;
 use tokio::{
-    net::{TcpListener, TcpSocket, TcpStream},
+    net::{TcpListener, TcpStream},
     task::JoinSet,
 };
 
@@ -19,7 +20,6 @@
     tap::{Breaker, Inbound, Tap},
 };
 
-const BACKLOG: u32 = 1024;
 const KEEP_ALIVE: Duration = Duration::from_mins(2);
 const ACCEPT_PAUSE: Duration = Duration::from_millis(100);
 /// Largest body that a stand-in reads, in bytes.
@@ -68,17 +68,6 @@
     Ok(Server { addr, accept })
 }
 
-pub(crate) fn listen(addr: SocketAddr) -> io::Result<TcpListener> {
-    let socket = if addr.is_ipv4() {
-        TcpSocket::new_v4()?
-    } else {
-        TcpSocket::new_v6()?
-    };
-    socket.set_reuseaddr(true)?;
-    socket.bind(addr)?;
-    socket.listen(BACKLOG)
-}
-
 async fn accept_all<H, F>(listener: TcpListener, options: Options, handler: H)
 where
     H: Fn(Request) -> F + Clone + 'static,
--- a/crates/standins/src/proxy.rs
+++ b/crates/standins/src/proxy.rs
@@ -11,6 +11,7 @@
 use actix_http::{Method, Request, Response, StatusCode, body::BoxBody};
 use actix_rt::task::JoinHandle;
 use bytes::{Bytes, BytesMut};
+use comfreyweir_listen::listen;
 use serde::{Deserialize, Serialize};
 use snafu::ResultExt;
 use tokio::{
@@ -122,7 +123,7 @@
 /// Runs a proxy.
 pub fn spawn(settings: &Settings) -> Result<Proxy, StandinError> {
     let addr = settings.listen;
-    let listener = http::listen(addr).context(BindSnafu { addr })?;
+    let listener = listen(addr).context(BindSnafu { addr })?;
     let addr = listener.local_addr().context(BindSnafu { addr })?;
     let shared = Shared {
         faults: Rc::new(watch::Sender::new(settings.faults)),
