--- a/crates/gate/src/services/attempt.rs
+++ b/crates/gate/src/services/attempt.rs
@@ -41,6 +41,15 @@
     pub(super) deadline: std::time::Instant,
 }
 
+impl ServiceCall {
+    /// Workspace that the call runs for; none on an open route.
+    pub(super) fn workspace(&self) -> Option<&str> {
+        self.identity
+            .as_ref()
+            .map(|identity| identity.workspace.as_str())
+    }
+}
+
 /// What became of a call.
 pub(super) enum Outcome {
     /// An upstream has begun to answer.
--- a/crates/gate/src/services/mod.rs
+++ b/crates/gate/src/services/mod.rs
@@ -51,40 +51,56 @@
     A: Allowances,
     V: PlacementView,
 {
-    let arrived = Instant::now();
     let snapshot = cx.follower.current();
     let found = routes::find(&snapshot.catalog, req.path());
     let (name, route) = found.ok_or_else(|| not_found(req.path()))?;
     let identity = authorize(&snapshot, route, req.headers())?;
-    let workspace = identity
-        .as_ref()
-        .map(|identity| identity.workspace.as_str());
-    let deadline = completion::deadline(req.headers(), &cx.settings.limits, arrived)?;
+    let call = service_call(cx, req, (name, route), identity)?;
+    let idempotency_key = idempotency_key(req.headers(), route)?;
+    let body = call_body(cx, req.headers(), payload, idempotency_key.is_some()).await?;
+    let tokens = reserve(cx, &call, route.cost).await?;
+    if route.repeatable {
+        return serve_repeatable(cx, call, body, tokens).await;
+    }
+    let claiming = idempotency_key.map(|key| claiming(&call, key, &body));
+    once::run(cx, call, body, claiming, tokens).await
+}
+
+/// The call for the upstream, freed of what must not reach it.
+fn service_call<A, V>(
+    cx: &Cx<A, V>,
+    req: &Request,
+    (name, route): (&str, &Route),
+    identity: Option<Identity>,
+) -> Result<ServiceCall, Refusal> {
     let key = auth::key_of(req.headers());
     let key = key.as_ref().map(auth::CallerKey::as_str);
-    let call = ServiceCall {
+    let workspace = identity.as_ref().map(|i| i.workspace.as_str());
+    Ok(ServiceCall {
         route: name.to_owned(),
         repeatable: route.repeatable,
-        identity: identity.clone(),
         method: req.method().clone(),
         path: path_for_upstream(req, key)?,
         headers: headers::for_upstream(req.headers(), key, workspace),
-        deadline,
-    };
-    let idempotency_key = idempotency_key(req.headers(), route)?;
-    let body = call_body(cx, req.headers(), payload, idempotency_key.is_some()).await?;
-    let tokens = match workspace {
-        Some(workspace) if route.cost > 0 => {
-            let reserved = cx.allowances.reserve(workspace, route.cost, deadline).await;
-            Some(reserved.map_err(crate::dispatch::shortage)?)
-        }
-        _ => None,
+        deadline: completion::deadline(req.headers(), &cx.settings.limits, Instant::now())?,
+        identity,
+    })
+}
+
+/// Reserves what a call costs its workspace, if it costs anything.
+async fn reserve<A, V>(
+    cx: &Cx<A, V>,
+    call: &ServiceCall,
+    cost: u64,
+) -> Result<Option<A::Reservation>, Refusal>
+where
+    A: Allowances,
+{
+    let Some(workspace) = call.workspace().filter(|_| cost > 0) else {
+        return Ok(None);
     };
-    if route.repeatable {
-        return serve_repeatable(cx, call, body, tokens).await;
-    }
-    let claiming = idempotency_key.map(|key| claiming(&call, workspace, key, &body));
-    once::run(cx, call, body, claiming, tokens).await
+    let reserved = cx.allowances.reserve(workspace, cost, call.deadline).await;
+    reserved.map(Some).map_err(crate::dispatch::shortage)
 }
 
 /// Sends a call that may be sent again. It ends with its caller.
@@ -203,13 +219,13 @@
     ))))
 }
 
-fn claiming(call: &ServiceCall, workspace: Option<&str>, key: &str, body: &CallBody) -> Claiming {
+fn claiming(call: &ServiceCall, key: &str, body: &CallBody) -> Claiming {
     let bytes = match body {
         CallBody::Buffered(bytes) => bytes.as_ref(),
         CallBody::Streamed(_) => &[],
     };
     Claiming {
-        key: claim::record_key(workspace.unwrap_or(""), &call.route, key),
+        key: claim::record_key(call.workspace().unwrap_or_default(), &call.route, key),
         call: claim::call_digest(call.method.as_str(), &call.path, bytes),
     }
 }
