--- a/crates/core/src/dev.rs
+++ b/crates/core/src/dev.rs
@@ -4,41 +4,33 @@
 //! settings, so that it serves requests just as an installation does.
 
 mod catalog;
+mod layout;
+mod standins;
 
 use std::{
     ffi::OsString,
     fmt::Display,
-    fs, io,
-    net::{Ipv4Addr, SocketAddr, TcpListener},
-    path::{Path, PathBuf},
+    io,
+    net::{Ipv4Addr, SocketAddr},
     process::ExitCode,
     time::Duration,
 };
 
-use comfreyweir_config::{
-    keys,
-    settings::{GateSettings, GateTiming, Instance, Limits, PlannerSettings, PlannerTiming},
-};
+use comfreyweir_config::keys;
 use comfreyweir_gate::{Gate, GateError};
 use comfreyweir_planner::{Planner, PlannerError};
-use comfreyweir_platform::{
-    instances::{InstanceInfo, Role, State},
-    kv_http::HttpKv,
-};
-use comfreyweir_standins::{
-    StandinError, engine, instances, kv, service,
-    weights::{self, WeightStore},
-};
+use comfreyweir_platform::kv_http::HttpKv;
+use comfreyweir_standins::StandinError;
 use comfreyweir_store::{PublishError, new_write_id, publish};
 use lexopt::{Arg, Parser, ValueExt};
 use snafu::{ResultExt, Snafu};
-use tempfile::TempDir;
 
 use crate::{
     daemon::{EXIT_FAILED, EXIT_USAGE, StopSignals},
     logging,
 };
-use catalog::Upstreams;
+use layout::Layout;
+use standins::Standins;
 
 /// Number of gates; each is an instance of its own.
 const GATES: usize = 2;
@@ -52,9 +44,6 @@
 const CALL_TIMEOUT: Duration = Duration::from_secs(2);
 /// Memory of an engine, in MB.
 const ENGINE_MEMORY_MB: u64 = 48_000;
-/// Time between turning unready and closing connections at a stop, in ms. No balancer has to
-/// notice here.
-const STOP_NOTICE_MS: u64 = 50;
 
 const HELP: &str = "\
 comfreyweir dev
@@ -231,151 +220,3 @@
         .context(PublishSnafu)?;
     Ok(key)
 }
-
-/// Addresses and files of the run.
-struct Layout {
-    listen: SocketAddr,
-    kv: SocketAddr,
-    instances: SocketAddr,
-    upstreams: Upstreams,
-    gate_peers: [SocketAddr; GATES],
-    planner: SocketAddr,
-    secret: PathBuf,
-    _folder: TempDir,
-}
-
-impl Layout {
-    fn choose(listen: SocketAddr) -> Result<Self, DevError> {
-        let folder = tempfile::tempdir().context(FolderSnafu)?;
-        let secret = folder.path().join("peer.secret");
-        write_secret(&secret).context(FolderSnafu)?;
-        let mut ports = FreePorts::default();
-        Ok(Self {
-            listen,
-            kv: ports.next()?,
-            instances: ports.next()?,
-            upstreams: Upstreams {
-                engines: [ports.next()?, ports.next()?],
-                service: ports.next()?,
-            },
-            gate_peers: [ports.next()?, ports.next()?],
-            planner: ports.next()?,
-            secret,
-            _folder: folder,
-        })
-    }
-
-    fn instance(&self, index: usize) -> Instance {
-        Instance {
-            name: format!("entry-{index}"),
-            zone: ZONES[index].to_owned(),
-            kv: self.kv,
-            instances: self.instances,
-            peer_secret_file: self.secret.clone(),
-        }
-    }
-
-    fn gate_settings(&self, index: usize) -> GateSettings {
-        let any = SocketAddr::from((Ipv4Addr::LOCALHOST, 0));
-        GateSettings {
-            instance: self.instance(index),
-            listen: if index == 0 { self.listen } else { any },
-            admin: any,
-            peer: self.gate_peers[index],
-            planner: self.planner,
-            limits: Limits::default(),
-            timing: GateTiming {
-                stop_notice_ms: STOP_NOTICE_MS,
-                ..GateTiming::default()
-            },
-        }
-    }
-
-    fn planner_settings(&self) -> PlannerSettings {
-        PlannerSettings {
-            instance: self.instance(0),
-            admin: SocketAddr::from((Ipv4Addr::LOCALHOST, 0)),
-            peer: self.planner,
-            timing: PlannerTiming::default(),
-        }
-    }
-
-    fn list(&self) -> Vec<InstanceInfo> {
-        let entry = |index: usize| InstanceInfo {
-            name: format!("entry-{index}"),
-            role: Role::Entry,
-            zone: ZONES[index].to_owned(),
-            state: State::Live,
-            gate: Some(self.gate_peers[index]),
-            planner: (index == 0).then_some(self.planner),
-        };
-        (0..GATES).map(entry).collect()
-    }
-}
-
-fn write_secret(path: &Path) -> io::Result<()> {
-    fs::write(path, keys::generate())
-}
-
-/// Ports of the loopback address that were free a moment ago. They are held until all are chosen,
-/// so that none is chosen twice.
-#[derive(Default)]
-struct FreePorts(Vec<TcpListener>);
-
-impl FreePorts {
-    fn next(&mut self) -> Result<SocketAddr, DevError> {
-        let listener = TcpListener::bind((Ipv4Addr::LOCALHOST, 0)).context(PortSnafu)?;
-        let addr = listener.local_addr().context(PortSnafu)?;
-        self.0.push(listener);
-        Ok(addr)
-    }
-}
-
-/// The running stand-ins.
-struct Standins {
-    _kv: kv::KvService,
-    _instances: instances::Instances,
-    _engines: Vec<engine::Engine>,
-    _service: service::PlainService,
-}
-
-impl Standins {
-    fn spawn(layout: &Layout) -> Result<Self, DevError> {
-        let kv = kv::Settings {
-            listen: layout.kv,
-            control: None,
-            faults: kv::Faults::default(),
-        };
-        let instances = instances::Settings {
-            listen: layout.instances,
-            control: None,
-            lag_ms: 0,
-            instances: layout.list(),
-        };
-        let store = WeightStore::open(weights::Settings::default());
-        let engines = layout.upstreams.engines.iter().enumerate();
-        let engines = engines.map(|(index, addr)| {
-            engine::spawn(engine_settings(index, *addr), store.clone()).context(StandinSnafu)
-        });
-        let service = service::Settings {
-            name: catalog::SERVICE.to_owned(),
-            listen: layout.upstreams.service,
-            control: None,
-            faults: service::Faults::default(),
-        };
-        Ok(Self {
-            _kv: kv::spawn(kv).context(StandinSnafu)?,
-            _instances: instances::spawn(instances).context(StandinSnafu)?,
-            _engines: engines.collect::<Result<_, _>>()?,
-            _service: service::spawn(service).context(StandinSnafu)?,
-        })
-    }
-}
-
-fn engine_settings(index: usize, listen: SocketAddr) -> engine::Settings {
-    engine::Settings {
-        // Nobody reads the records of a run that goes on for long.
-        record: false,
-        ..engine::Settings::new(&catalog::engine_name(index), listen, ENGINE_MEMORY_MB)
-    }
-}
