Let gates see the view after every decision in the experiment

One cold start of 21.9 s under the adaptive idle policy had no cause in the decisions: a replica kept just before its unload became ready in the plan without a report, and the experiment's gates looked only after reports.

--- a/crates/load/src/cold_starts/cell.rs
+++ b/crates/load/src/cold_starts/cell.rs
@@ -242,6 +242,8 @@
                 self.after(ONE_WAY, Event::OrderArrives(engine));
             }
         }
+        // A decision alone can make a replica ready: one that was about to be unloaded.
+        self.see_view();
     }
 
     fn order_arrives(&mut self, engine: usize) {
@@ -272,7 +274,6 @@
         self.holder.report_read(&name, &report, now);
         if is_news {
             self.think();
-            self.see_view();
         }
         let pause = self.holder.report_pause(&name, TICK, now);
         self.after(pause, Event::ReportRead(engine));
