Report what each workspace saw in a load run

Cause: the runs showed 3.6 to 7.6% of requests refused inside their rate and seconds of waiting on warm models, and the report could not say whose.

Change: inside, refused inside, refused and time to the first token by workspace.

--- a/crates/load/src/report.rs
+++ b/crates/load/src/report.rs
@@ -83,10 +83,27 @@
     pub worst_workspace: (String, f64),
     /// Part of its due that each workspace received.
     pub due: BTreeMap<String, f64>,
+    /// What else each workspace saw.
+    #[serde(default)]
+    pub seen: BTreeMap<String, Seen>,
     /// Invariants that engines saw broken, by kind.
     pub breaks: BTreeMap<String, usize>,
 }
 
+/// What a workspace saw.
+#[derive(Clone, Debug, Default, Deserialize, Serialize)]
+pub struct Seen {
+    /// Requests inside the rate, by an ideal bucket that knows all arrivals.
+    pub inside: usize,
+    /// Those of them that were not answered whole. The ideal bucket may have chosen other requests
+    /// of a workspace that is over its rate, so compare with its due.
+    pub inside_refused: usize,
+    /// All requests that were not answered whole.
+    pub refused: usize,
+    /// Time to the first token.
+    pub first_token: Percentiles,
+}
+
 /// Rate and burst of a workspace.
 #[derive(Clone, Copy, Debug)]
 pub struct Allowance {
@@ -173,17 +190,26 @@
                 .filter(|o| o.arrival.workspace == *workspace);
             let mut bucket = Bucket::full(*allowance);
             let (mut offered, mut received) = (0, 0);
+            let mut seen = Seen::default();
+            let mut first = Vec::new();
             for outcome in of_workspace {
                 let cost = outcome.arrival.cost();
                 offered += cost;
+                first.extend(outcome.first_us);
+                let is_refused = !outcome.whole;
                 if outcome.whole {
                     received += cost;
                 }
+                seen.refused += usize::from(is_refused);
                 if bucket.admits(outcome.arrival.at_us, cost) {
-                    inside += 1;
-                    self.refused_inside_rate += usize::from(!outcome.whole);
+                    seen.inside += 1;
+                    seen.inside_refused += usize::from(is_refused);
                 }
             }
+            inside += seen.inside;
+            self.refused_inside_rate += seen.inside_refused;
+            seen.first_token = percentiles(&first);
+            self.seen.insert(workspace.clone(), seen);
             let allowed = allowance.rate as f64 * length.as_secs_f64() + allowance.burst as f64;
             let due = (offered as f64).min(allowed);
             let part = if due > 0.0 {
@@ -193,7 +219,7 @@
             };
             self.due.insert(workspace.clone(), part);
         }
-        self.refused_inside_rate_part = self.refused_inside_rate as f64 / f64::from(inside.max(1));
+        self.refused_inside_rate_part = self.refused_inside_rate as f64 / inside.max(1) as f64;
         let worst = self.due.iter().min_by(|a, b| a.1.total_cmp(b.1));
         self.worst_workspace =
             worst.map_or_else(Default::default, |(name, part)| (name.clone(), *part));
@@ -383,6 +409,22 @@
     }
 }
 
+impl fmt::Display for Seen {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        let Self {
+            inside,
+            inside_refused,
+            refused,
+            first_token,
+        } = self;
+        write!(
+            f,
+            ", {inside} inside its rate, {inside_refused} of them refused, {refused} in all"
+        )?;
+        write!(f, "; first token {first_token}")
+    }
+}
+
 impl fmt::Display for Report {
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
         writeln!(
@@ -413,7 +455,11 @@
             part * 100.0
         )?;
         for (workspace, part) in &self.due {
-            writeln!(f, "  {workspace:<22} {:.1}%", part * 100.0)?;
+            write!(f, "  {workspace:<22} {:.1}%", part * 100.0)?;
+            match self.seen.get(workspace) {
+                Some(seen) => writeln!(f, "{seen}")?,
+                None => writeln!(f)?,
+            }
         }
         writeln!(
             f,
