--- a/crates/gate/src/body.rs
+++ b/crates/gate/src/body.rs
@@ -102,7 +102,8 @@
     ))
 }
 
-fn declared_length(headers: &HeaderMap) -> Option<u64> {
+/// Length that a message declares for its body.
+pub(crate) fn declared_length(headers: &HeaderMap) -> Option<u64> {
     let value = headers.get(header::CONTENT_LENGTH)?;
     value.to_str().ok()?.trim().parse().ok()
 }
--- a/crates/gate/src/completion/mod.rs
+++ b/crates/gate/src/completion/mod.rs
@@ -16,7 +16,7 @@
 
 use self::request::Ask;
 pub use self::request::DEADLINE_HEADER;
-pub(crate) use self::request::deadline;
+pub(crate) use self::{attempt::late, request::deadline};
 use crate::{
     Refusal,
     allowances::Allowances,
--- a/crates/gate/src/services/attempt.rs
+++ b/crates/gate/src/services/attempt.rs
@@ -15,6 +15,7 @@
     Code, Refusal,
     allowances::Allowances,
     auth::{self, Identity},
+    completion,
     context::Cx,
     placement_view::PlacementView,
     upstream::{Answer, Call, Connection, Echo, Track},
@@ -86,7 +87,7 @@
     for candidate in &candidates {
         if SystemClock.now() >= call.deadline || !permit.take() {
             permit.put_back();
-            return failures.judge(late());
+            return failures.judge(completion::late());
         }
         let in_flight = cx.balance.begin(&candidate.name);
         match try_once(cx, call, candidate, body.for_one_try()).await {
@@ -213,13 +214,3 @@
         }
     }
 }
-
-/// Refusal when the deadline has passed.
-pub(super) fn late() -> Refusal {
-    Refusal::not_run(
-        StatusCode::GATEWAY_TIMEOUT,
-        Code::DeadlineExceeded,
-        "the answer was not there before the deadline",
-    )
-    .retry_after(RETRY_AFTER)
-}
--- a/crates/gate/src/services/body.rs
+++ b/crates/gate/src/services/body.rs
@@ -18,7 +18,7 @@
     time::{Instant, Sleep, sleep},
 };
 
-use crate::upstream::CallError;
+use crate::{body::declared_length, upstream::CallError};
 
 /// Largest body that is read before a call is sent, so that it can be sent again, in bytes.
 pub(super) const MAX_BUFFERED_BYTES: u64 = 64 << 10;
@@ -93,17 +93,6 @@
     }
 }
 
-/// Length that a message declares for its body.
-pub(super) fn declared_length(headers: &HeaderMap) -> Option<u64> {
-    headers
-        .get(header::CONTENT_LENGTH)?
-        .to_str()
-        .ok()?
-        .trim()
-        .parse()
-        .ok()
-}
-
 /// Whether a request with these headers has a body.
 pub(super) fn has_body(headers: &HeaderMap) -> bool {
     headers.contains_key(header::TRANSFER_ENCODING) || declared_length(headers).unwrap_or(0) > 0
--- a/crates/gate/src/services/mod.rs
+++ b/crates/gate/src/services/mod.rs
@@ -209,7 +209,7 @@
 ) -> Result<CallBody, Refusal> {
     let limits = &cx.settings.limits;
     let stall = Duration::from_millis(limits.stall_ms);
-    let is_small = body::declared_length(headers).is_some_and(|n| n <= MAX_BUFFERED_BYTES);
+    let is_small = crate::body::declared_length(headers).is_some_and(|n| n <= MAX_BUFFERED_BYTES);
     if compared || is_small || !body::has_body(headers) {
         let bytes = crate::body::read_any(headers, payload, limits.body_bytes, stall).await?;
         return Ok(CallBody::Buffered(bytes));
--- a/crates/gate/src/services/once.rs
+++ b/crates/gate/src/services/once.rs
@@ -24,6 +24,7 @@
 use crate::{
     Code, Refusal,
     allowances::{Allowances, Charge, Reservation},
+    completion,
     context::{Cx, GateKv},
     placement_view::PlacementView,
 };
@@ -69,8 +70,8 @@
     match timeout_at(deadline, &mut rx).await {
         Ok(Ok(reply)) => reply,
         Ok(Err(_)) => Err(given_up().run_unknown()),
-        Err(_) if handler.give_up() => Err(attempt::late()),
-        Err(_) => Err(attempt::late().run_unknown()),
+        Err(_) if handler.give_up() => Err(completion::late()),
+        Err(_) => Err(completion::late().run_unknown()),
     }
 }
 
--- a/crates/gate/src/services/relay.rs
+++ b/crates/gate/src/services/relay.rs
@@ -7,11 +7,14 @@
 use tokio::{sync::mpsc, time::timeout};
 
 use super::{
-    body::{Piece, RelayedBody, declared_length},
+    body::{Piece, RelayedBody},
     claim::{MAX_RECORDED_BYTES, RecordedAnswer},
     headers,
 };
-use crate::upstream::{Answer, AnswerBody};
+use crate::{
+    body::declared_length,
+    upstream::{Answer, AnswerBody},
+};
 
 /// Pieces of an answer that may wait for a slow caller.
 const PIECES: usize = 16;
