Take a reset answer for broken, and read settings again on SIGHUP

An answer without a length ends with its connection; one that was reset was passed on as whole. SIGHUP ended the process. Settings are also read again when the file changes without a signal.

--- a/crates/core/src/bin/comfreyweir-gate.rs
+++ b/crates/core/src/bin/comfreyweir-gate.rs
@@ -16,6 +16,7 @@
         PROGRAM,
         GateSettings::read,
         comfreyweir_gate::spawn,
+        |_, _| daemon::log_restart_needed(),
         async |gate| gate.stop().await,
     )
 }
--- a/crates/core/src/bin/comfreyweir-planner.rs
+++ b/crates/core/src/bin/comfreyweir-planner.rs
@@ -16,6 +16,7 @@
         PROGRAM,
         PlannerSettings::read,
         comfreyweir_planner::spawn,
+        |_, _| daemon::log_restart_needed(),
         async |planner| planner.stop().await,
     )
 }
--- a/crates/core/src/daemon.rs
+++ b/crates/core/src/daemon.rs
@@ -1,6 +1,13 @@
 //! What the mains of the daemons have in common: command line, settings, logs and signals.
 
-use std::{ffi::OsString, fmt::Display, future::Future, path::PathBuf, process::ExitCode};
+use std::{
+    ffi::OsString,
+    fmt::Display,
+    future::Future,
+    path::{Path, PathBuf},
+    process::ExitCode,
+    time::Duration,
+};
 
 use lexopt::{Arg, Parser};
 use snafu::{ResultExt, Snafu};
@@ -13,6 +20,9 @@
 /// Exit code after a mistake on the command line or in the settings.
 pub const EXIT_USAGE: u8 = 2;
 
+/// Period of looking whether the settings have changed: they may do so without a signal.
+const SETTINGS_PERIOD: Duration = Duration::from_secs(2);
+
 /// Names and texts of a daemon.
 #[derive(Clone, Copy, Debug)]
 pub struct Program {
@@ -43,14 +53,17 @@
 }
 
 /// Runs a daemon to its end: reads the command line and the settings, spawns, waits for SIGTERM
-/// or SIGINT, and stops gracefully.
+/// or SIGINT, and stops gracefully. Settings that change meanwhile, with or without SIGHUP, are
+/// checked and handed to `reload`.
 pub fn run<S, ReadError, Handle, SpawnError>(
     program: Program,
-    read: impl FnOnce(&std::path::Path) -> Result<S, ReadError>,
+    read: impl Fn(&Path) -> Result<S, ReadError>,
     spawn: impl AsyncFnOnce(S) -> Result<Handle, SpawnError>,
+    reload: impl Fn(&Handle, S),
     stop: impl AsyncFnOnce(Handle),
 ) -> ExitCode
 where
+    S: Clone + PartialEq,
     ReadError: Display,
     SpawnError: Display,
 {
@@ -67,32 +80,83 @@
         return fail(program, &e, EXIT_FAILED);
     }
     actix_rt::System::new().block_on(async {
-        match serve(program, spawn(settings), stop).await {
+        let file = SettingsFile {
+            path,
+            read,
+            current: settings.clone(),
+        };
+        match serve(program, spawn(settings), file, reload, stop).await {
             Ok(()) => ExitCode::SUCCESS,
             Err(e) => fail(program, &e, EXIT_FAILED),
         }
     })
 }
 
-async fn serve<Handle, SpawnError>(
+async fn serve<S, ReadError, Handle, SpawnError>(
     program: Program,
     spawning: impl Future<Output = Result<Handle, SpawnError>>,
+    mut file: SettingsFile<S, impl Fn(&Path) -> Result<S, ReadError>>,
+    reload: impl Fn(&Handle, S),
     stop: impl AsyncFnOnce(Handle),
 ) -> Result<(), String>
 where
+    S: Clone + PartialEq,
+    ReadError: Display,
     SpawnError: Display,
 {
     // Registered first: a signal during start must still end in a graceful stop.
-    let stopping = StopSignals::register().map_err(|e| e.to_string())?;
+    let mut stopping = StopSignals::register().map_err(|e| e.to_string())?;
+    let mut hangup = signal(SignalKind::hangup()).map_err(|e| e.to_string())?;
     let handle = spawning.await.map_err(|e| e.to_string())?;
     spdlog::info!("{} runs", program.name);
-    stopping.wait().await;
+    loop {
+        tokio::select! {
+            () = stopping.wait() => break,
+            _ = hangup.recv() => spdlog::info!("SIGHUP: settings are read again"),
+            () = actix_rt::time::sleep(SETTINGS_PERIOD) => {}
+        }
+        if let Some(settings) = file.changed() {
+            reload(&handle, settings);
+        }
+    }
     spdlog::info!("{} stops", program.name);
     stop(handle).await;
     spdlog::info!("{} has stopped", program.name);
     Ok(())
 }
 
+/// The settings file of a running process.
+struct SettingsFile<S, R> {
+    path: PathBuf,
+    read: R,
+    current: S,
+}
+
+impl<S, R, ReadError> SettingsFile<S, R>
+where
+    S: Clone + PartialEq,
+    R: Fn(&Path) -> Result<S, ReadError>,
+    ReadError: Display,
+{
+    /// Settings that are valid and differ from those in force.
+    fn changed(&mut self) -> Option<S> {
+        match (self.read)(&self.path) {
+            Ok(settings) if settings == self.current => None,
+            Ok(settings) => {
+                self.current = settings.clone();
+                Some(settings)
+            }
+            Err(e) => {
+                let reason = e.to_string();
+                spdlog::error!("settings cannot be used; those in force stay", kv: {
+                    reason = reason.as_str()
+                });
+                None
+            }
+        }
+    }
+}
+
 /// SIGTERM and SIGINT, from the moment they are registered.
 pub struct StopSignals {
     terminate: tokio::signal::unix::Signal,
@@ -109,7 +173,7 @@
     }
 
     /// Completes on the first of the signals.
-    pub async fn wait(mut self) {
+    pub async fn wait(&mut self) {
         tokio::select! {
             _ = self.terminate.recv() => {}
             _ = self.interrupt.recv() => {}
@@ -164,7 +228,7 @@
 
 SIGNALS:
     SIGTERM and SIGINT stop the process gracefully: it takes no new work, finishes what it has
-    and exits with code 0.
+    and exits with code 0. SIGHUP makes it read its settings again at once.
 
 EXIT CODES:
     0   stopped as asked
@@ -182,3 +246,8 @@
     eprintln!("{}: {e}", program.name);
     ExitCode::from(code)
 }
+
+/// Tells that changed settings are not taken over by a running process.
+pub fn log_restart_needed() {
+    spdlog::warn!("settings have changed; they take effect when the process is started again");
+}
--- a/crates/core/src/dev.rs
+++ b/crates/core/src/dev.rs
@@ -160,7 +160,7 @@
 }
 
 async fn run(options: Options) -> Result<(), DevError> {
-    let signals = StopSignals::register().context(SignalsSnafu)?;
+    let mut signals = StopSignals::register().context(SignalsSnafu)?;
     let layout = Layout::choose(options.listen)?;
     let standins = Standins::spawn(&layout)?;
     let key = seed(&layout).await?;
--- a/crates/entry/src/assembly.rs
+++ b/crates/entry/src/assembly.rs
@@ -51,7 +51,7 @@
 {
     let cx = Rc::new(Cx::new(platform, settings));
     let desk = Rc::new(duty::Desk::new(Rc::clone(&cx)));
-    let settings = &cx.settings;
+    let settings = cx.settings();
     let limits = &settings.limits;
     let for_callers = Rc::clone(&cx);
     let callers = listener::bind(
@@ -117,10 +117,16 @@
         self.admin.addr()
     }
 
+    /// Puts changed settings into force.
+    pub fn reload(&self, settings: EntrySettings) {
+        self.cx.reload(settings);
+    }
+
     /// Stops without cutting a request, as far as the grace time allows: turns unready, goes on
     /// accepting until the balancer has noticed, and finishes what is in flight.
     pub async fn stop(mut self) {
-        let timing = &self.cx.settings.timing;
+        let settings = self.cx.settings();
+        let timing = &settings.timing;
         let grace = timing.grace().saturating_sub(STOP_MARGIN);
         let notice = Duration::from_millis(timing.stop_notice_ms);
         self.cx.stopping.set_phase(Phase::Noticing);
--- a/crates/entry/src/duty/tenure.rs
+++ b/crates/entry/src/duty/tenure.rs
@@ -94,14 +94,14 @@
 where
     P: Platform,
 {
-    let limit = cx.settings.timing.store_call();
-    let ttl = DUTY_TTL.max(Duration::from_millis(cx.settings.store.min_lease_ms));
+    let limit = cx.settings().timing.store_call();
+    let ttl = DUTY_TTL.max(Duration::from_millis(cx.settings().store.min_lease_ms));
     let called = cx.clock.since_boot();
     let lease = cx.platform.grant(ttl, limit).await?;
     let key = format!("{}{DUTY}", cx.platform.keys().own);
     let holder = Holder {
         process: cx.process.clone(),
-        peer: cx.settings.listen.peer,
+        peer: cx.settings().listen.peer,
     };
     let value = serde_json::to_vec(&holder).unwrap_or_default();
     let tx = Transaction {
@@ -115,7 +115,7 @@
         end_lease(cx, lease.id).await;
         return committed.map(|_| None);
     };
-    let rest = Duration::from_millis(cx.settings.timing.order_rest_ms);
+    let rest = Duration::from_millis(cx.settings().timing.order_rest_ms);
     let now = cx.clock.since_boot();
     let rest_ms = whole_millis(rest);
     spdlog::info!("planning duty taken", kv: { fence, lease = lease.id, rest_ms });
@@ -128,7 +128,7 @@
 where
     P: Platform,
 {
-    let limit = cx.settings.timing.store_call();
+    let limit = cx.settings().timing.store_call();
     if let Err(e) = cx.platform.end(lease, limit).await {
         let reason = e.to_string();
         spdlog::warn!("lease could not be ended; it lapses", kv: {
@@ -146,7 +146,7 @@
     let mut suspension = Suspension::new(cx);
     while let Some(tenure) = desk.tenure() {
         if suspension.was_suspended(cx) {
-            desk.pause_orders(Duration::from_millis(cx.settings.timing.thaw_ms));
+            desk.pause_orders(Duration::from_millis(cx.settings().timing.thaw_ms));
         }
         let now = cx.clock.since_boot();
         if tenure.has_lapsed(now) {
@@ -169,7 +169,7 @@
 where
     P: Platform,
 {
-    let limit = cx.settings.timing.store_call();
+    let limit = cx.settings().timing.store_call();
     while let Some(tenure) = desk.tenure() {
         sleep(RENEW_PERIOD).await;
         let called = cx.clock.since_boot();
--- a/crates/entry/src/exchange/client.rs
+++ b/crates/entry/src/exchange/client.rs
@@ -64,7 +64,7 @@
     if cx.demand.borrow().has_waiting() {
         return;
     }
-    let period = cx.settings.timing.exchange();
+    let period = cx.settings().timing.exchange();
     let _ = timeout(period, cx.demand_changed.notified()).await;
 }
 
@@ -121,7 +121,7 @@
         P: Platform,
     {
         let members = cx.members.borrow();
-        let own = cx.settings.listen.peer;
+        let own = cx.settings().listen.peer;
         let holder = members.holder.as_ref().map(|h| h.peer);
         let known = self.hint.or(holder).filter(|addr| *addr != own);
         if self.asked.is_multiple_of(2)
--- a/crates/entry/src/exchange/server.rs
+++ b/crates/entry/src/exchange/server.rs
@@ -45,7 +45,7 @@
         desk: Rc::clone(desk),
     };
     let client: entry::Client = capnp_rpc::new_client(service);
-    Some(bind(cx.settings.listen.peer, secret, client))
+    Some(bind(cx.settings().listen.peer, secret, client))
 }
 
 struct Service<P> {
--- a/crates/entry/src/follow/config.rs
+++ b/crates/entry/src/follow/config.rs
@@ -40,7 +40,7 @@
     P: Platform,
 {
     let key = cx.platform.keys().config;
-    let limit = cx.settings.timing.store_call();
+    let limit = cx.settings().timing.store_call();
     let Some(item) = cx.platform.get(key, limit).await? else {
         // The operator has not written any yet.
         outage.answered(cx.now());
--- a/crates/entry/src/follow/directory.rs
+++ b/crates/entry/src/follow/directory.rs
@@ -56,7 +56,7 @@
     P: Platform,
 {
     let prefix = cx.platform.keys().upstreams;
-    let limit = cx.settings.timing.store_call();
+    let limit = cx.settings().timing.store_call();
     let called = cx.now();
     let (page, mut more) = cx.platform.range(prefix, None, limit).await?;
     // Later pages may be newer; the list is at least as new as its first page.
--- a/crates/entry/src/follow/members.rs
+++ b/crates/entry/src/follow/members.rs
@@ -48,12 +48,12 @@
 where
     P: Platform,
 {
-    let limit = cx.settings.timing.store_call();
+    let limit = cx.settings().timing.store_call();
     let own = cx.platform.keys().own;
-    let ttl = ENTRY_TTL.max(Duration::from_millis(cx.settings.store.min_lease_ms));
+    let ttl = ENTRY_TTL.max(Duration::from_millis(cx.settings().store.min_lease_ms));
     let lease = cx.platform.grant(ttl, limit).await?;
-    let key = format!("{own}{INSTANCES}{}", cx.settings.instance.name);
-    let value = Bytes::from(cx.settings.listen.peer.to_string());
+    let key = format!("{own}{INSTANCES}{}", cx.settings().instance.name);
+    let value = Bytes::from(cx.settings().listen.peer.to_string());
     let tx = Transaction {
         puts: vec![(key, value, lease.id)],
         ..Transaction::default()
@@ -89,7 +89,7 @@
     P: Platform,
 {
     let own = cx.platform.keys().own;
-    let limit = cx.settings.timing.store_call();
+    let limit = cx.settings().timing.store_call();
     let mut items = read_all(cx, own, limit).await?;
     outage.answered(cx.now());
     if !items
--- a/crates/entry/src/serve/admit.rs
+++ b/crates/entry/src/serve/admit.rs
@@ -56,7 +56,7 @@
         Refusal::not_run(reason, NO_CONFIG_RETRY)
     })?;
     let service = service.to_owned();
-    let limits = &cx.settings.limits;
+    let limits = &cx.settings().limits;
     let deadline = declared
         .deadline
         .unwrap_or(Duration::from_millis(limits.deadline_ms));
@@ -134,7 +134,7 @@
         let reason = "this instance's memory is taken by other requests";
         return Err(Refusal::not_run(reason, MEMORY_RETRY));
     }
-    let stall = Duration::from_millis(cx.settings.limits.stall_ms);
+    let stall = Duration::from_millis(cx.settings().limits.stall_ms);
     let read = read_whole(headers, payload, limit, stall).await;
     read.map_err(|e| {
         let status = match e {
--- a/crates/entry/src/serve/pick.rs
+++ b/crates/entry/src/serve/pick.rs
@@ -139,7 +139,7 @@
         .iter()
         .map(|u| Candidate {
             id: &u.id,
-            is_near: u.zone == cx.settings.instance.zone,
+            is_near: u.zone == cx.settings().instance.zone,
             load: loads.total(&u.id),
             slots: u.slots,
             unread: unread(&kept, u, ticket),
--- a/crates/entry/src/state.rs
+++ b/crates/entry/src/state.rs
@@ -37,7 +37,7 @@
 /// State of one entry instance.
 pub(crate) struct Cx<P> {
     pub(crate) platform: P,
-    pub(crate) settings: EntrySettings,
+    settings: RefCell<Rc<EntrySettings>>,
     pub(crate) clock: SystemClock,
     /// Name of the instance with a number drawn at start.
     pub(crate) process: String,
@@ -176,11 +176,7 @@
     P: Platform,
 {
     pub(crate) fn new(platform: P, settings: EntrySettings) -> Self {
-        let limits = BudgetLimits {
-            ratio: settings.repeats.ratio,
-            extra: settings.repeats.extra,
-            window: settings.repeats.window(),
-        };
+        let limits = budget_limits(&settings);
         let process = format!("{}/{:08x}", settings.instance.name, rand::random::<u32>());
         Self {
             platform,
@@ -204,10 +200,31 @@
             stopping: Rc::default(),
             metrics: Metrics::new(),
             body_bytes: Rc::default(),
-            settings,
+            settings: RefCell::new(Rc::new(settings)),
         }
     }
 
+    /// Settings in force.
+    pub(crate) fn settings(&self) -> Rc<EntrySettings> {
+        Rc::clone(&self.settings.borrow())
+    }
+
+    /// Puts settings into force. What is bound to a port or a name stays as it was.
+    pub(crate) fn reload(&self, mut settings: EntrySettings) {
+        let before = self.settings();
+        let needs_restart = before.instance != settings.instance
+            || before.listen != settings.listen
+            || before.store.addr != settings.store.addr;
+        settings.instance.clone_from(&before.instance);
+        settings.listen.clone_from(&before.listen);
+        settings.store.addr = before.store.addr;
+        self.budget
+            .borrow_mut()
+            .set_limits(budget_limits(&settings));
+        *self.settings.borrow_mut() = Rc::new(settings);
+        spdlog::info!("settings in force", kv: { needs_restart });
+    }
+
     /// Monotonic time.
     pub(crate) fn now(&self) -> Instant {
         self.clock.now()
@@ -296,5 +313,13 @@
     }
 }
 
+fn budget_limits(settings: &EntrySettings) -> BudgetLimits {
+    BudgetLimits {
+        ratio: settings.repeats.ratio,
+        extra: settings.repeats.extra,
+        window: settings.repeats.window(),
+    }
+}
+
 /// Mistakes of one configuration that are logged, at most.
 const MISTAKES_LOGGED: usize = 10;
--- a/crates/fleet/src/budget.rs
+++ b/crates/fleet/src/budget.rs
@@ -44,6 +44,11 @@
         }
     }
 
+    /// Puts other limits into force.
+    pub fn set_limits(&mut self, limits: BudgetLimits) {
+        self.limits = limits;
+    }
+
     /// Counts a request for a service.
     pub fn note_request(&mut self, service: &str, now: Instant) {
         let window = self.limits.window;
--- a/crates/http/src/upstream/answer.rs
+++ b/crates/http/src/upstream/answer.rs
@@ -106,7 +106,8 @@
         let whole = match self.framing {
             Framing::Length(length) => self.read == length,
             Framing::Chunked => !self.track.has_ended(),
-            Framing::None => true,
+            // Only the end of the connection tells that the body is whole; a reset does not.
+            Framing::None => !self.track.has_failed(),
         };
         if !whole {
             return IncompleteSnafu {
--- a/crates/http/src/upstream/tracked.rs
+++ b/crates/http/src/upstream/tracked.rs
@@ -27,6 +27,7 @@
 pub struct Track {
     written: Cell<bool>,
     ended: Cell<bool>,
+    failed: Cell<bool>,
     reusable: Cell<bool>,
 }
 
@@ -46,6 +47,11 @@
         self.ended.get()
     }
 
+    /// Whether reading failed, so that what was read is not all that was sent.
+    pub fn has_failed(&self) -> bool {
+        self.failed.get()
+    }
+
     /// Allows the connection to serve another call: its answer was read to the end.
     pub(super) fn set_reusable(&self) {
         self.reusable.set(true);
@@ -109,7 +115,10 @@
         let poll = self.pin().poll_read(cx, buf);
         match &poll {
             Poll::Ready(Ok(())) if buf.filled().len() == before => track.ended.set(true),
-            Poll::Ready(Err(_)) => track.ended.set(true),
+            Poll::Ready(Err(_)) => {
+                track.ended.set(true);
+                track.failed.set(true);
+            }
             _ => {}
         }
         poll
