--- a/crates/http/src/upstream/mod.rs
+++ b/crates/http/src/upstream/mod.rs
@@ -5,6 +5,7 @@
 //! that broke after the request was received in the same words as one that was never opened.
 
 mod answer;
+mod head;
 mod idle;
 mod tracked;
 
@@ -154,7 +155,9 @@
     {
         let addr = call.addr;
         let io = self.connect(&call).await?;
-        let stream = Tracked::new(io, addr, Rc::clone(track), Rc::downgrade(&self.idle));
+        let has_body = call.method != Method::HEAD;
+        let idle = Rc::downgrade(&self.idle);
+        let stream = Tracked::new(io, addr, Rc::clone(track), idle, has_body);
         let client = HandOver::client(stream);
         let url = format!("http://{addr}{}", call.path);
         let mut req = client.request(call.method, url);
--- a/crates/http/src/upstream/tracked.rs
+++ b/crates/http/src/upstream/tracked.rs
@@ -4,10 +4,11 @@
     cell::{Cell, RefCell},
     future::{Ready, ready},
     io,
+    mem::MaybeUninit,
     net::SocketAddr,
     pin::Pin,
     rc::{Rc, Weak},
-    task::{Context, Poll},
+    task::{Context, Poll, ready},
 };
 
 use actix_http::Uri;
@@ -20,7 +21,10 @@
     net::TcpStream,
 };
 
-use super::idle::IdleConnections;
+use super::{head::HeadFilter, idle::IdleConnections};
+
+/// Bytes that are read at once until the head of the answer is whole.
+const HEAD_READ_BYTES: usize = 4096;
 
 /// What happened on the connection of a call.
 #[derive(Debug, Default)]
@@ -65,6 +69,7 @@
     addr: SocketAddr,
     track: Rc<Track>,
     idle: Weak<RefCell<IdleConnections>>,
+    head: HeadFilter,
 }
 
 impl Tracked {
@@ -73,12 +78,14 @@
         addr: SocketAddr,
         track: Rc<Track>,
         idle: Weak<RefCell<IdleConnections>>,
+        has_body: bool,
     ) -> Self {
         Self {
             io: Some(io),
             addr,
             track,
             idle,
+            head: HeadFilter::new(has_body),
         }
     }
 
@@ -86,6 +93,21 @@
         self.io.as_ref().expect("only drop takes the stream")
     }
 
+    /// Reads from the connection and notes its end.
+    fn read(&mut self, cx: &mut Context<'_>, buf: &mut ReadBuf<'_>) -> Poll<io::Result<()>> {
+        let before = buf.filled().len();
+        let poll = Pin::new(&mut *self).pin().poll_read(cx, buf);
+        match &poll {
+            Poll::Ready(Ok(())) if buf.filled().len() == before => self.track.ended.set(true),
+            Poll::Ready(Err(_)) => {
+                self.track.ended.set(true);
+                self.track.failed.set(true);
+            }
+            _ => {}
+        }
+        poll
+    }
+
     fn pin(self: Pin<&mut Self>) -> Pin<&mut TcpStream> {
         let io = self.get_mut().io.as_mut();
         Pin::new(io.expect("only drop takes the stream"))
@@ -110,18 +132,22 @@
         cx: &mut Context<'_>,
         buf: &mut ReadBuf<'_>,
     ) -> Poll<io::Result<()>> {
-        let track = Rc::clone(&self.track);
-        let before = buf.filled().len();
-        let poll = self.pin().poll_read(cx, buf);
-        match &poll {
-            Poll::Ready(Ok(())) if buf.filled().len() == before => track.ended.set(true),
-            Poll::Ready(Err(_)) => {
-                track.ended.set(true);
-                track.failed.set(true);
+        let this = self.get_mut();
+        if this.head.is_open() {
+            return this.read(cx, buf);
+        }
+        while this.head.pull(buf) == 0 {
+            let mut space = [MaybeUninit::uninit(); HEAD_READ_BYTES];
+            let mut piece = ReadBuf::uninit(&mut space);
+            ready!(this.read(cx, &mut piece))?;
+            if piece.filled().is_empty() {
+                this.head.open();
+                this.head.pull(buf);
+                break;
             }
-            _ => {}
+            this.head.push(piece.filled());
         }
-        poll
+        Poll::Ready(Ok(()))
     }
 }
 
