Watch the configuration from the store's revision, not from the item's

An item that was last written before the store's history began made the watch answer 410 at once, and the follower read and watched in a tight loop: 1,874 of 2,300 calls came from one instance.

--- a/crates/entry/src/follow/config.rs
+++ b/crates/entry/src/follow/config.rs
@@ -41,7 +41,7 @@
 {
     let key = cx.platform.keys().config;
     let limit = cx.settings().timing.store_call();
-    let Some(item) = cx.platform.get(key, limit).await? else {
+    let Some((item, mut after)) = cx.platform.get(key, limit).await? else {
         // The operator has not written any yet.
         outage.answered(cx.now());
         sleep(RETRY_PAUSE).await;
@@ -49,11 +49,13 @@
     };
     outage.answered(cx.now());
     cx.apply_config(&item.value, "store");
-    let mut after = item.revision;
     loop {
         let limit = WATCH_WAIT + WATCH_SLACK;
         match cx.platform.watch(key, after, WATCH_WAIT, limit).await? {
-            Watched::HistoryGone => return Ok(()),
+            Watched::HistoryGone => {
+                sleep(RETRY_PAUSE).await;
+                return Ok(());
+            }
             Watched::Changes(changes) => {
                 outage.answered(cx.now());
                 after = after.max(changes.revision);
--- a/crates/entry/src/follow/members.rs
+++ b/crates/entry/src/follow/members.rs
@@ -105,7 +105,10 @@
     loop {
         let limit = WATCH_WAIT + WATCH_SLACK;
         match cx.platform.watch(own, after, WATCH_WAIT, limit).await? {
-            Watched::HistoryGone => return Ok(()),
+            Watched::HistoryGone => {
+                sleep(RETRY_PAUSE).await;
+                return Ok(());
+            }
             Watched::Changes(changes) => {
                 outage.answered(cx.now());
                 after = after.max(changes.revision);
--- a/crates/entry/src/ports.rs
+++ b/crates/entry/src/ports.rs
@@ -199,8 +199,8 @@
     /// Decodes the entry of an upstream.
     fn decode_upstream(&self, id: &str, value: &[u8]) -> Result<Upstream, DecodeError>;
 
-    /// Reads one item.
-    async fn get(&self, key: &str, limit: Duration) -> Result<Option<Item>, PlatformError>;
+    /// Reads one item, with the revision of the store.
+    async fn get(&self, key: &str, limit: Duration) -> Result<Option<(Item, u64)>, PlatformError>;
 
     /// Reads the items whose keys begin with a prefix, after a key; true if there are more.
     async fn range(
