--- /dev/null
+++ b/crates/fleet/tests/directory.rs
@@ -0,0 +1,87 @@
+//! Upstreams appear, leave and vanish.
+
+use std::time::{Duration, Instant};
+
+use comfreyweir_fleet::{
+    directory::Directory,
+    upstream::{Holding, Phase, Upstream},
+};
+
+fn upstream(id: &str, phase: Phase) -> Upstream {
+    Upstream {
+        id: id.to_owned(),
+        service: "llm".to_owned(),
+        addr: "127.0.0.1:1".parse().unwrap(),
+        zone: "a".to_owned(),
+        slots: 8,
+        phase,
+        born_ms: Some(1),
+        holds: Holding::default(),
+    }
+}
+
+fn ids(directory: &Directory) -> Vec<String> {
+    directory.ready("llm").map(|u| u.id.clone()).collect()
+}
+
+#[test]
+fn removed_upstream_gets_no_request() {
+    let start = Instant::now();
+    let mut directory = Directory::default();
+    let both = vec![upstream("a", Phase::Ready), upstream("b", Phase::Ready)];
+    directory.replace(both, 1, start);
+    let changes = directory.replace(vec![upstream("a", Phase::Ready)], 2, start);
+    assert_eq!(changes.removed, ["b"]);
+    assert_eq!(ids(&directory), ["a"]);
+}
+
+#[test]
+fn draining_upstream_gets_no_request_and_is_still_known() {
+    let start = Instant::now();
+    let mut directory = Directory::default();
+    directory.replace(vec![upstream("a", Phase::Ready)], 1, start);
+    let changes = directory.replace(vec![upstream("a", Phase::Draining(None))], 2, start);
+    assert_eq!(changes.draining, ["a"]);
+    assert_eq!(ids(&directory), Vec::<String>::new());
+    assert!(directory.get("a").is_some());
+}
+
+/// Pattern: the store was away, its leases lapsed, and upstreams write their entries again.
+#[test]
+fn entries_that_lapsed_with_the_store_are_kept_until_they_can_be_back() {
+    let start = Instant::now();
+    let mut directory = Directory::default();
+    directory.replace(vec![upstream("a", Phase::Ready)], 1, start);
+    let back = start + Duration::from_secs(6);
+    let mut kept_until = back;
+    for ms in (0..4_000).step_by(400) {
+        let now = back + Duration::from_millis(ms);
+        directory.replace(Vec::new(), 9 + ms, now);
+        if !ids(&directory).is_empty() {
+            kept_until = now;
+        }
+    }
+    let kept = kept_until.duration_since(back);
+    let promised = Duration::from_secs(2);
+    assert!(kept >= promised && kept < promised + Duration::from_millis(400), "{kept:?}");
+}
+
+#[test]
+fn older_list_is_ignored() {
+    let start = Instant::now();
+    let mut directory = Directory::default();
+    directory.replace(vec![upstream("a", Phase::Ready)], 5, start);
+    directory.replace(vec![upstream("b", Phase::Ready)], 4, start);
+    assert_eq!(ids(&directory), ["a"]);
+}
+
+#[test]
+fn upstream_that_was_started_anew_counts_as_added() {
+    let start = Instant::now();
+    let mut directory = Directory::default();
+    directory.replace(vec![upstream("a", Phase::Ready)], 1, start);
+    let mut again = upstream("a", Phase::Ready);
+    again.born_ms = Some(2);
+    let changes = directory.replace(vec![again], 2, start);
+    assert_eq!(changes.added, ["a"]);
+}
--- /dev/null
+++ b/crates/fleet/tests/support/mod.rs
@@ -0,0 +1,381 @@
+//! A small model of engines, for tests of the planner on a virtual clock.
+#![allow(dead_code)]
+
+use std::{
+    collections::{BTreeMap, HashMap},
+    rc::Rc,
+    time::{Duration, Instant},
+};
+
+use comfreyweir_fleet::{
+    config::{Engine, Model},
+    load::{Load, Loads},
+    planner::{Action, Order, OrderResult, Planner, Waiting, World},
+    request::Artifact,
+    upstream::{HeldModel, Holding, Phase, Report, Upstream},
+};
+
+pub const LARGE_MB: f64 = 30.0;
+pub const SMALL_MB: f64 = 12.0;
+pub const ROOM_MB: f64 = 64.0;
+pub const ADAPTER_SLOTS: usize = 3;
+
+pub fn artifact(text: &str) -> Artifact {
+    Artifact::parse(text)
+}
+
+pub fn model(name: &str, weights_mb: f64, adapters: u32) -> Rc<Model> {
+    Rc::new(Model {
+        name: name.to_owned(),
+        weights_mb,
+        adapter_mb: 0.1,
+        adapters,
+        store_load: Duration::from_secs(6),
+        disk_load: Duration::from_millis(500),
+        memory_load: Duration::from_millis(300),
+    })
+}
+
+pub fn spec(models: &[Rc<Model>]) -> Engine {
+    Engine {
+        slots: 8,
+        kv_tokens: 100_000,
+        weights_mb: ROOM_MB,
+        adapter_slots: u32::try_from(ADAPTER_SLOTS).unwrap(),
+        loads_per_s: 2.0,
+        models: models
+            .iter()
+            .map(|m| (m.name.clone(), Rc::clone(m)))
+            .collect(),
+    }
+}
+
+/// An engine that carries orders out as the planner's protocol promises.
+#[derive(Debug)]
+pub struct FakeEngine {
+    pub id: String,
+    pub models: BTreeMap<String, Vec<String>>,
+    pub copies: Vec<String>,
+    pub orders: u64,
+    pub loading: Option<(String, Instant)>,
+    /// Orders without an answer that are carried out later, if their condition still holds.
+    pub late: Vec<(Order, u64, Instant)>,
+    /// What was ordered beyond its room; must stay empty.
+    pub overloads: Vec<String>,
+    pub store_loads: usize,
+    /// Adapters in use, which an unload does not remove.
+    pub in_use: Vec<Artifact>,
+    pub leaving: Vec<Artifact>,
+}
+
+impl FakeEngine {
+    pub fn new(id: &str, models: &[&str]) -> Self {
+        Self {
+            id: id.to_owned(),
+            models: models
+                .iter()
+                .map(|m| ((*m).to_owned(), Vec::new()))
+                .collect(),
+            copies: models.iter().map(|m| (*m).to_owned()).collect(),
+            orders: 0,
+            loading: None,
+            late: Vec::new(),
+            overloads: Vec::new(),
+            store_loads: 0,
+            in_use: Vec::new(),
+            leaving: Vec::new(),
+        }
+    }
+
+    pub fn holds(&self) -> Holding {
+        let models = self.models.iter().map(|(name, adapters)| HeldModel {
+            name: name.clone(),
+            adapters: adapters.clone(),
+        });
+        Holding {
+            models: models.collect(),
+            in_memory: Vec::new(),
+            on_disk: self.copies.clone(),
+        }
+    }
+
+    pub fn upstream(&self) -> Rc<Upstream> {
+        Rc::new(Upstream {
+            id: self.id.clone(),
+            service: "llm".to_owned(),
+            addr: "127.0.0.1:1".parse().unwrap(),
+            zone: "a".to_owned(),
+            slots: 8,
+            phase: Phase::Ready,
+            born_ms: None,
+            holds: self.holds(),
+        })
+    }
+
+    pub fn report(&self) -> Report {
+        Report {
+            holds: self.holds(),
+            is_busy: self.loading.is_some(),
+            orders: self.orders,
+            pending_adapters: Vec::new(),
+        }
+    }
+
+    pub fn advance(&mut self, spec: &Engine, now: Instant) {
+        if let Some((model, at)) = &self.loading
+            && now >= *at
+        {
+            self.models.insert(model.clone(), Vec::new());
+            if !self.copies.contains(model) {
+                self.copies.push(model.clone());
+            }
+            self.loading = None;
+        }
+        let in_use = &self.in_use;
+        let models = &mut self.models;
+        self.leaving.retain(|a| {
+            let stays = in_use.contains(a);
+            if !stays && let Some(adapters) = models.get_mut(&a.model) {
+                adapters.retain(|name| Some(name) != a.adapter.as_ref());
+            }
+            stays
+        });
+        let (due, later) = std::mem::take(&mut self.late)
+            .into_iter()
+            .partition(|(_, _, at)| now >= *at);
+        self.late = later;
+        for (order, expected, _) in due {
+            self.order(spec, &order, expected, now);
+        }
+    }
+
+    pub fn order(
+        &mut self,
+        spec: &Engine,
+        order: &Order,
+        expected: u64,
+        now: Instant,
+    ) -> OrderResult {
+        if self.loading.is_some() || expected != self.orders {
+            return OrderResult::Conflict;
+        }
+        match order {
+            Order::Load(a) if a.adapter.is_some() => self.load_adapter(a),
+            Order::Load(a) => self.load_model(spec, a, now),
+            Order::Unload(a) if a.adapter.is_some() => self.unload_adapter(a),
+            Order::Unload(a) => {
+                if self.models.remove(&a.model).is_none() {
+                    return OrderResult::AlreadyDone;
+                }
+                self.orders += 1;
+                OrderResult::Accepted
+            }
+        }
+    }
+
+    fn load_model(&mut self, spec: &Engine, a: &Artifact, now: Instant) -> OrderResult {
+        if self.models.contains_key(&a.model) {
+            return OrderResult::AlreadyDone;
+        }
+        let Some(model) = spec.models.get(&a.model) else {
+            return OrderResult::Rejected;
+        };
+        let held: f64 = self.models.keys().map(|m| spec.models[m].weights_mb).sum();
+        if held + model.weights_mb > spec.weights_mb {
+            self.overloads.push(a.key());
+        }
+        let has_copy = self.copies.contains(&a.model);
+        let time = if has_copy {
+            model.disk_load
+        } else {
+            model.store_load
+        };
+        self.store_loads += usize::from(!has_copy);
+        self.loading = Some((a.model.clone(), now + time));
+        self.orders += 1;
+        OrderResult::Accepted
+    }
+
+    fn load_adapter(&mut self, a: &Artifact) -> OrderResult {
+        let count: usize = self.models.values().map(Vec::len).sum();
+        let Some(adapters) = self.models.get_mut(&a.model) else {
+            return OrderResult::Rejected;
+        };
+        let name = a.adapter.clone().unwrap();
+        if adapters.contains(&name) {
+            return OrderResult::AlreadyDone;
+        }
+        adapters.push(name);
+        if count + 1 > ADAPTER_SLOTS {
+            self.overloads.push(a.key());
+        }
+        self.orders += 1;
+        OrderResult::Accepted
+    }
+
+    fn unload_adapter(&mut self, a: &Artifact) -> OrderResult {
+        self.orders += 1;
+        if self.in_use.contains(a) {
+            self.leaving.push(a.clone());
+            return OrderResult::Accepted;
+        }
+        if let Some(adapters) = self.models.get_mut(&a.model) {
+            adapters.retain(|name| Some(name) != a.adapter.as_ref());
+        }
+        OrderResult::AlreadyDone
+    }
+}
+
+/// A planner with engines, on a virtual clock.
+pub struct Fleet {
+    pub planner: Planner,
+    pub engines: Vec<FakeEngine>,
+    pub spec: Engine,
+    pub now: Instant,
+    pub waiting: BTreeMap<String, u32>,
+    pub arrivals: HashMap<String, u64>,
+    pub loads: Loads,
+    /// Reports as they were some time ago, by engine: what a report call answers.
+    reports: BTreeMap<String, Vec<(Instant, Report)>>,
+    /// Fate of the next orders: answered, lost and done, or lost and done later.
+    pub fates: Vec<Fate>,
+    pub given: Vec<(String, Order)>,
+}
+
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Fate {
+    Answered,
+    LostAndDone,
+    LostAndLate(Duration),
+}
+
+pub const STEP: Duration = Duration::from_millis(50);
+const REPORT_LAG: Duration = Duration::from_millis(100);
+
+impl Fleet {
+    pub fn new(models: &[Rc<Model>], engines: Vec<FakeEngine>) -> Self {
+        Self {
+            planner: Planner::default(),
+            engines,
+            spec: spec(models),
+            now: Instant::now(),
+            waiting: BTreeMap::new(),
+            arrivals: HashMap::new(),
+            loads: Loads::new(),
+            reports: BTreeMap::new(),
+            fates: Vec::new(),
+            given: Vec::new(),
+        }
+    }
+
+    pub fn wait_for(&mut self, artifact: &str, requests: u32) {
+        self.waiting.insert(artifact.to_owned(), requests);
+        let model = Artifact::parse(artifact).model;
+        *self.arrivals.entry(model).or_default() += u64::from(requests);
+    }
+
+    pub fn load(&mut self, engine: &str, key: &str, starting: u32) {
+        let load = Load {
+            running: starting,
+            starting,
+            unread: 0,
+        };
+        let models = self.loads.entry(engine.to_owned()).or_default();
+        models.insert(key.to_owned(), load);
+    }
+
+    pub fn run_for(&mut self, time: Duration) {
+        let until = self.now + time;
+        while self.now < until {
+            self.step();
+        }
+    }
+
+    pub fn step(&mut self) {
+        self.now += STEP;
+        let now = self.now;
+        for engine in &mut self.engines {
+            engine.advance(&self.spec, now);
+            let history = self.reports.entry(engine.id.clone()).or_default();
+            history.push((now, engine.report()));
+        }
+        let placed = self.planner.placement();
+        let is_usable = |key: &String| {
+            let wanted = Artifact::parse(key);
+            placed.values().any(|models| {
+                models.get(&wanted.model).is_some_and(|adapters| {
+                    wanted.adapter.as_ref().is_none_or(|a| adapters.contains(a))
+                })
+            })
+        };
+        self.waiting.retain(|key, _| !is_usable(key));
+        let upstreams: Vec<_> = self.engines.iter().map(FakeEngine::upstream).collect();
+        let waiting: Vec<_> = self
+            .waiting
+            .iter()
+            .map(|(key, requests)| Waiting {
+                artifact: Artifact::parse(key),
+                requests: *requests,
+            })
+            .collect();
+        let world = World {
+            upstreams: &upstreams,
+            spec: &self.spec,
+            loads: &self.loads,
+            waiting: &waiting,
+            arrivals: &self.arrivals,
+        };
+        for action in self.planner.step(world, now) {
+            self.perform(action);
+        }
+    }
+
+    fn perform(&mut self, action: Action) {
+        let now = self.now;
+        match action {
+            Action::Report { upstream } => {
+                let history = &self.reports[&upstream];
+                let old = history.iter().rev().find(|(at, _)| *at + REPORT_LAG <= now);
+                match old {
+                    Some((_, report)) => self.planner.reported(&upstream, report, now),
+                    None => self.planner.report_failed(&upstream, now),
+                }
+            }
+            Action::Order {
+                upstream,
+                order,
+                expected,
+            } => {
+                self.given.push((upstream.clone(), order.clone()));
+                let fate = self.fates.pop().unwrap_or(Fate::Answered);
+                let engine = self.engines.iter_mut().find(|e| e.id == upstream).unwrap();
+                let result = match fate {
+                    Fate::Answered => engine.order(&self.spec, &order, expected, now),
+                    Fate::LostAndDone => {
+                        engine.order(&self.spec, &order, expected, now);
+                        OrderResult::Unknown
+                    }
+                    Fate::LostAndLate(after) => {
+                        engine.late.push((order.clone(), expected, now + after));
+                        OrderResult::Unknown
+                    }
+                };
+                self.planner.ordered(&upstream, &order, result, now);
+            }
+        }
+    }
+
+    pub fn overloads(&self) -> Vec<String> {
+        self.engines
+            .iter()
+            .flat_map(|e| e.overloads.clone())
+            .collect()
+    }
+
+    pub fn replicas(&self, model: &str) -> usize {
+        self.engines
+            .iter()
+            .filter(|e| e.models.contains_key(model))
+            .count()
+    }
+}
