--- a/crates/entry/src/duty/desk.rs
+++ b/crates/entry/src/duty/desk.rs
@@ -201,15 +201,12 @@
         let config = self.cx.config();
         let placement = self.placement_version();
         let mut books = self.books.borrow_mut();
-        let mut levels = HashMap::new();
+        let mut grants = HashMap::new();
         for workspace in config.workspaces.values() {
             if let Some(allowance) = workspace.allowance {
-                let level = books.levels.level(&workspace.name, allowance, now);
-                let included = asked.spent.get(&workspace.name).copied();
-                levels.insert(
-                    workspace.name.clone(),
-                    (level, included.unwrap_or_default()),
-                );
+                let name = &workspace.name;
+                let grant = books.levels.grant(&asked.process, name, allowance, now);
+                grants.insert(name.clone(), grant);
             }
         }
         let newer = config.version > asked.config;
@@ -219,7 +216,7 @@
             engines: (placement != asked.placement).then(|| books.placement()),
             ready_in_ms: books.ready_in(&asked.waiting, now),
             others: books.loads(Some(&asked.process), now),
-            levels,
+            grants,
             directory: self.directory_view(&books, asked.directory, now),
             config: newer.then(|| String::from_utf8_lossy(&value).into_owned()),
         }
@@ -242,7 +239,6 @@
     placement: (u64, u64),
     directory: u64,
     config: u64,
-    spent: HashMap<String, f64>,
     waiting: Vec<(String, Artifact)>,
 }
 
@@ -257,7 +253,6 @@
             placement: report.placement,
             directory: report.directory,
             config: report.config,
-            spent: report.spent.clone(),
             waiting: waiting.collect(),
         }
     }
--- a/crates/entry/src/exchange/client.rs
+++ b/crates/entry/src/exchange/client.rs
@@ -191,7 +191,7 @@
     if let Some(config) = view.config {
         cx.apply_config(&Bytes::from(config), "holder");
     }
-    cx.tell_levels(&view.levels, now);
+    cx.tell_grants(&view.grants, now);
     cx.loads.borrow_mut().set_others(view.others);
     let directory = view.directory;
     if let Some(age) = directory.age_ms {
--- a/crates/entry/src/exchange/message.rs
+++ b/crates/entry/src/exchange/message.rs
@@ -5,6 +5,7 @@
 use comfreyweir_fleet::{
     load::Loads,
     planner::{DemandReport, Placement},
+    quota::{Grant, Totals},
     request::Artifact,
     upstream::Upstream,
 };
@@ -19,8 +20,8 @@
     pub(crate) loads: Loads,
     /// What its requests ask for.
     pub(crate) demand: DemandReport,
-    /// Units that workspaces have spent through it.
-    pub(crate) spent: HashMap<String, f64>,
+    /// Units that workspaces have asked for and spent through it.
+    pub(crate) spent: HashMap<String, Totals>,
     /// Fencing token and version of the placement that it knows.
     pub(crate) placement: (u64, u64),
     /// Version of the holder's list of upstreams that it knows.
@@ -49,8 +50,8 @@
     pub(crate) ready_in_ms: Vec<(Artifact, u64)>,
     /// Requests that the other instances have at upstreams.
     pub(crate) others: Loads,
-    /// Level of each workspace's allowance, and what of the instance's own total it includes.
-    pub(crate) levels: HashMap<String, (f64, f64)>,
+    /// What the instance may take of each workspace's allowance.
+    pub(crate) grants: HashMap<String, Grant>,
     /// The holder's list of upstreams.
     pub(crate) directory: DirectoryView,
     /// The configuration, where the instance has an older one.
--- a/crates/entry/src/state.rs
+++ b/crates/entry/src/state.rs
@@ -19,7 +19,7 @@
     kept::KeptParts,
     load::LoadBoard,
     planner::{DemandReport, Placement, Waiting},
-    quota::Quotas,
+    quota::{Grant, Quotas},
     request::Artifact,
 };
 use comfreyweir_http::{stopping::Stopping, upstream::Upstreams};
@@ -304,11 +304,11 @@
         self.changed.notify_waiters();
     }
 
-    /// Levels of allowances that the holder told, with what each includes of the own total.
-    pub(crate) fn tell_levels(&self, levels: &HashMap<String, (f64, f64)>, now: Instant) {
+    /// Takes over what the holder grants of allowances.
+    pub(crate) fn tell_grants(&self, grants: &HashMap<String, Grant>, now: Instant) {
         let mut quotas = self.quotas.borrow_mut();
-        for (workspace, (level, included)) in levels {
-            quotas.tell(workspace, *level, *included, now);
+        for (workspace, grant) in grants {
+            quotas.tell(workspace, *grant, now);
         }
     }
 }
--- a/crates/fleet/src/quota.rs
+++ b/crates/fleet/src/quota.rs
@@ -1,21 +1,36 @@
 //! Allowances of workspaces over all instances.
 //!
-//! The holder of the planning duty adds up what all instances have spent and tells each the level
-//! of every workspace's bucket. An instance admits against that level less what it has spent
-//! since. Without a fresh level it admits against its own equal part, so that instances which
-//! cannot reach each other do not exceed the allowance together.
+//! The holder of the planning duty adds up what all instances have spent. It tells each instance
+//! how much of every workspace's bucket it may take, by how much was asked for there lately. An
+//! instance admits against that level less what it has spent since. Without a fresh level it
+//! admits against its own equal part, so that instances which cannot reach each other do not
+//! exceed the allowance together.
 
 use std::{
     collections::HashMap,
     time::{Duration, Instant},
 };
 
+use serde::{Deserialize, Serialize};
+
 use crate::config::Allowance;
 
 /// Age at which a level from the holder is no longer used.
 pub const LEVEL_LAPSE: Duration = Duration::from_millis(1_500);
 /// Part of the burst that a holder starts with: it does not know what was spent before.
 const INITIAL_PART: f64 = 0.5;
+/// Time constant of the smoothed rate at which an instance is asked for units.
+const ASKED_TIME: Duration = Duration::from_secs(1);
+/// Part of an allowance that counts as asked for at all instances together although it was not,
+/// so that an instance that was idle can admit at once.
+const IDLE_PART: f64 = 0.1;
+/// Part of the burst above which any instance may take all of a bucket: its workspace is well
+/// inside its allowance. What instances take too much together until the next exchange is repaid
+/// out of what flows in.
+const AMPLE_PART: f64 = 0.6;
+/// An instance may take its share of a bucket that is not ample times this: requests move between
+/// instances from one exchange to the next.
+const SHARE_MARGIN: f64 = 1.3;
 
 /// A token bucket whose level may be negative.
 #[derive(Clone, Copy, Debug, PartialEq)]
@@ -54,12 +69,44 @@
 struct Spent {
     /// Units spent since the start of the process.
     total: f64,
-    /// Level told by the holder, and what of `total` it includes.
-    told: Option<(Bucket, Instant, f64)>,
+    /// Units asked for since the start of the process.
+    asked: f64,
+    told: Option<Told>,
     /// Own part, for times without a fresh level.
     own: Bucket,
 }
 
+/// What the holder told of a workspace.
+#[derive(Clone, Copy, Debug)]
+struct Told {
+    bucket: Bucket,
+    at: Instant,
+    /// Part of what flows in that this instance may take.
+    share: f64,
+    /// What of the instance's total the level includes.
+    included: f64,
+}
+
+/// Units spent and asked for since the start of a process.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Serialize, Deserialize)]
+pub struct Totals {
+    /// Units spent.
+    pub spent: f64,
+    /// Units asked for.
+    pub asked: f64,
+}
+
+/// What an instance may take of a workspace's allowance.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Serialize, Deserialize)]
+pub struct Grant {
+    /// Units that it may take now; negative while too much was taken.
+    pub level: f64,
+    /// Part of what flows in that it may take.
+    pub share: f64,
+    /// What of its own total the level includes.
+    pub included: f64,
+}
+
 /// Refusal of a request beyond its workspace's allowance.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct OverQuota {
@@ -81,13 +128,24 @@
         let (cost, parts) = (cost as f64, instances.max(1) as f64);
         let Allowance { per_s, burst, .. } = allowance;
         let spent = self.spent(workspace, burst / parts, now);
-        let own = spent.own.level(per_s / parts, burst / parts, now);
-        let (level, per_s, burst) = match &mut spent.told {
-            Some((bucket, at, included)) if now.duration_since(*at) < LEVEL_LAPSE => {
-                let level = bucket.level(per_s, burst, now);
-                (level - (spent.total - *included), per_s, burst)
+        spent.asked += cost;
+        let told = spent.told.as_mut();
+        let fresh = told.filter(|t| now.saturating_duration_since(t.at) < LEVEL_LAPSE);
+        let (level, per_s, burst) = match fresh {
+            Some(told) => {
+                let level = told.bucket.level(per_s * told.share, burst, now);
+                // Its own part begins when the holder falls silent.
+                spent.own = Bucket::new(0.0, now);
+                (
+                    level - (spent.total - told.included),
+                    per_s * told.share,
+                    burst,
+                )
+            }
+            None => {
+                let level = spent.own.level(per_s / parts, burst / parts, now);
+                (level, per_s / parts, burst / parts)
             }
-            _ => (own, per_s / parts, burst / parts),
         };
         // A request larger than the burst can only ever run from a full bucket.
         let wanted = cost.min(burst);
@@ -112,22 +170,34 @@
         }
     }
 
-    /// Units spent since the start of the process, by workspace.
-    pub fn totals(&self) -> HashMap<String, f64> {
-        let totals = self.workspaces.iter();
-        totals.map(|(name, s)| (name.clone(), s.total)).collect()
+    /// Units spent and asked for since the start of the process, by workspace.
+    pub fn totals(&self) -> HashMap<String, Totals> {
+        let totals = self.workspaces.iter().map(|(name, s)| {
+            let totals = Totals {
+                spent: s.total,
+                asked: s.asked,
+            };
+            (name.clone(), totals)
+        });
+        totals.collect()
     }
 
-    /// Takes over a level from the holder that includes `included` of this instance's total.
-    pub fn tell(&mut self, workspace: &str, level: f64, included: f64, now: Instant) {
+    /// Takes over what the holder grants.
+    pub fn tell(&mut self, workspace: &str, grant: Grant, now: Instant) {
         let spent = self.spent(workspace, 0.0, now);
-        spent.told = Some((Bucket::new(level, now), now, included));
+        spent.told = Some(Told {
+            bucket: Bucket::new(grant.level, now),
+            at: now,
+            share: grant.share,
+            included: grant.included,
+        });
     }
 
     fn spent(&mut self, workspace: &str, own: f64, now: Instant) -> &mut Spent {
         if !self.workspaces.contains_key(workspace) {
             let spent = Spent {
                 total: 0.0,
+                asked: 0.0,
                 told: None,
                 own: Bucket::new(own, now),
             };
@@ -141,8 +211,17 @@
 #[derive(Debug, Default)]
 pub struct Levels {
     buckets: HashMap<String, Bucket>,
-    /// Totals of each instance's process that were subtracted.
-    counted: HashMap<String, HashMap<String, f64>>,
+    /// What each process reported last, by workspace.
+    reported: HashMap<String, HashMap<String, Reported>>,
+}
+
+/// What a process reported of a workspace.
+#[derive(Clone, Copy, Debug)]
+struct Reported {
+    totals: Totals,
+    at: Instant,
+    /// Smoothed units asked for each second.
+    asked_per_s: f64,
 }
 
 impl Levels {
@@ -150,35 +229,90 @@
     pub fn note<F>(
         &mut self,
         process: &str,
-        totals: &HashMap<String, f64>,
+        totals: &HashMap<String, Totals>,
         allowance: F,
         now: Instant,
     ) where
         F: Fn(&str) -> Option<Allowance>,
     {
-        let is_known = self.counted.contains_key(process);
-        let counted = self.counted.entry(process.to_owned()).or_default();
-        for (workspace, total) in totals {
+        let is_known = self.reported.contains_key(process);
+        let reported = self.reported.entry(process.to_owned()).or_default();
+        for (workspace, totals) in totals {
             let Some(Allowance { per_s, burst, .. }) = allowance(workspace) else {
                 continue;
             };
-            let before = counted.insert(workspace.clone(), *total);
+            let before = reported.get(workspace).copied();
             // What a process spent before its first report to this holder is in the initial part.
             let spent = match before {
-                Some(before) => total - before,
-                None if is_known => *total,
+                Some(before) => totals.spent - before.totals.spent,
+                None if is_known => totals.spent,
                 None => 0.0,
             };
+            let now_reported = Reported::after(before, *totals, now);
+            reported.insert(workspace.clone(), now_reported);
             let bucket = bucket(&mut self.buckets, workspace, burst, now);
             bucket.level(per_s, burst, now);
             bucket.take(spent);
         }
     }
 
-    /// Level of a workspace.
-    pub fn level(&mut self, workspace: &str, allowance: Allowance, now: Instant) -> f64 {
+    /// What a process may take of a workspace's allowance.
+    pub fn grant(
+        &mut self,
+        process: &str,
+        workspace: &str,
+        allowance: Allowance,
+        now: Instant,
+    ) -> Grant {
         let Allowance { per_s, burst, .. } = allowance;
-        bucket(&mut self.buckets, workspace, burst, now).level(per_s, burst, now)
+        let level = bucket(&mut self.buckets, workspace, burst, now).level(per_s, burst, now);
+        let share = self.share(process, workspace, per_s, now);
+        let part = if level > burst * AMPLE_PART {
+            1.0
+        } else {
+            (share * SHARE_MARGIN).min(1.0)
+        };
+        let own = self.reported.get(process).and_then(|r| r.get(workspace));
+        Grant {
+            level: if level > 0.0 { level * part } else { level },
+            share,
+            included: own.map_or(0.0, |r| r.totals.spent),
+        }
+    }
+
+    /// Part of what is asked of a workspace that is asked through a process.
+    fn share(&self, process: &str, workspace: &str, per_s: f64, now: Instant) -> f64 {
+        #[allow(clippy::cast_precision_loss)]
+        let idle = per_s * IDLE_PART / self.reported.len().max(1) as f64;
+        let asked = |reported: &HashMap<String, Reported>| {
+            idle + reported.get(workspace).map_or(0.0, |r| r.asked_now(now))
+        };
+        let all: f64 = self.reported.values().map(asked).sum();
+        let own = self.reported.get(process).map_or(idle, asked);
+        (own / all.max(own)).min(1.0)
+    }
+}
+
+impl Reported {
+    fn after(before: Option<Self>, totals: Totals, now: Instant) -> Self {
+        let Some(before) = before else {
+            return Self {
+                totals,
+                at: now,
+                asked_per_s: 0.0,
+            };
+        };
+        let asked = (totals.asked - before.totals.asked).max(0.0);
+        Self {
+            totals,
+            at: now,
+            asked_per_s: before.asked_now(now) + asked / ASKED_TIME.as_secs_f64(),
+        }
+    }
+
+    fn asked_now(&self, now: Instant) -> f64 {
+        let passed = now.saturating_duration_since(self.at);
+        self.asked_per_s * (-passed.as_secs_f64() / ASKED_TIME.as_secs_f64()).exp()
     }
 }
 
--- a/crates/fleet/tests/directory.rs
+++ b/crates/fleet/tests/directory.rs
@@ -63,7 +63,10 @@
     }
     let kept = kept_until.duration_since(back);
     let promised = Duration::from_secs(2);
-    assert!(kept >= promised && kept < promised + Duration::from_millis(400), "{kept:?}");
+    assert!(
+        kept >= promised && kept < promised + Duration::from_millis(400),
+        "{kept:?}"
+    );
 }
 
 #[test]
--- a/crates/fleet/tests/quota.rs
+++ b/crates/fleet/tests/quota.rs
@@ -7,7 +7,7 @@
 
 use comfreyweir_fleet::{
     config::{Allowance, Unit},
-    quota::{LEVEL_LAPSE, Levels, Quotas},
+    quota::{LEVEL_LAPSE, Levels, Quotas, Totals},
 };
 
 const PER_S: f64 = 10_000.0;
@@ -45,9 +45,9 @@
         let known = |name: &str| (name == "w").then(allowance);
         self.levels
             .note(&format!("p{at}"), &totals, known, self.now);
-        let level = self.levels.level("w", allowance(), self.now);
-        let included = totals.get("w").copied().unwrap_or_default();
-        self.instances[at].tell("w", level, included, self.now);
+        let process = format!("p{at}");
+        let grant = self.levels.grant(&process, "w", allowance(), self.now);
+        self.instances[at].tell("w", grant, self.now);
     }
 
     /// Sends requests of `cost` to one instance after the other for `time`.
@@ -81,8 +81,8 @@
     let mut fleet = Fleet::new(6);
     fleet.press(500, Duration::from_secs(1), |_| true);
     fleet.admitted = 0.0;
-    fleet.press(500, Duration::from_secs(8), |_| true);
-    let due = PER_S * 8.0;
+    fleet.press(500, Duration::from_secs(20), |_| true);
+    let due = PER_S * 20.0;
     // What all instances admit between two exchanges is repaid, so that it counts once.
     let overshoot = 6.0 * 500.0 * EXCHANGE.as_secs_f64() / STEP.as_secs_f64();
     assert!(
@@ -139,7 +139,11 @@
 fn usage_before_a_new_holder_is_not_charged_again() {
     let mut levels = Levels::default();
     let now = Instant::now();
-    let totals = HashMap::from([("w".to_owned(), 1e9)]);
+    let totals = Totals {
+        spent: 1e9,
+        asked: 1e9,
+    };
+    let totals = HashMap::from([("w".to_owned(), totals)]);
     levels.note("p", &totals, |_| Some(allowance()), now);
-    assert!(levels.level("w", allowance(), now) > 0.0);
+    assert!(levels.grant("p", "w", allowance(), now).level > 0.0);
 }
