Do not take an old report for a newer one

An engine's report lags. Lost answers are answered by the same order again at once. Streams that nobody waits for any longer are refused before their callers give up.

--- a/crates/core/src/bin/comfreyweir-entry.rs
+++ b/crates/core/src/bin/comfreyweir-entry.rs
@@ -20,7 +20,7 @@
             let platform = UsersPlatform::new(settings.store.addr);
             comfreyweir_entry::spawn(settings, platform).await
         },
-        |entry, settings| entry.reload(settings),
+        comfreyweir_entry::Entry::reload,
         async |entry| entry.stop().await,
     )
 }
--- a/crates/entry/src/duty/desk.rs
+++ b/crates/entry/src/duty/desk.rs
@@ -324,7 +324,7 @@
             .into_iter()
             .map(|(artifact, requests)| Waiting { artifact, requests })
             .collect();
-        sum.sort_by(|a, b| b.requests.cmp(&a.requests));
+        sum.sort_by_key(|waiting| std::cmp::Reverse(waiting.requests));
         sum
     }
 
--- a/crates/entry/src/duty/tenure.rs
+++ b/crates/entry/src/duty/tenure.rs
@@ -18,7 +18,7 @@
 
 /// Lifetime of the duty after its last renewal. Short, so that a successor is there soon; a slow
 /// store answers within some hundred ms.
-const DUTY_TTL: Duration = Duration::from_millis(2_000);
+const DUTY_TTL: Duration = Duration::from_secs(2);
 /// Period of renewals: two may fail before orders stop.
 const RENEW_PERIOD: Duration = Duration::from_millis(400);
 /// Longest random wait before the duty is taken, so that not all instances try at once.
--- a/crates/entry/src/exchange/client.rs
+++ b/crates/entry/src/exchange/client.rs
@@ -195,7 +195,7 @@
     cx.loads.borrow_mut().set_others(view.others);
     let directory = view.directory;
     if let Some(age) = directory.age_ms {
-        let read_at = now - Duration::from_millis(age);
+        let read_at = now.checked_sub(Duration::from_millis(age)).unwrap_or(now);
         match directory.list {
             Some(list) => cx.replace_directory(list, directory.revision, read_at, "holder"),
             None => cx
--- a/crates/entry/src/follow/config.rs
+++ b/crates/entry/src/follow/config.rs
@@ -12,7 +12,7 @@
 
 /// Longest time that one watch waits at the store. Connections may fall silent for good, so that
 /// each wait is bounded well below the time within which a configuration must be in force.
-const WATCH_WAIT: Duration = Duration::from_millis(1_000);
+const WATCH_WAIT: Duration = Duration::from_secs(1);
 /// Time that an answer of the store may take beyond the wait.
 const WATCH_SLACK: Duration = Duration::from_millis(500);
 /// Pause between two watches, so that a series of changes is taken a few at a time.
--- a/crates/entry/src/follow/members.rs
+++ b/crates/entry/src/follow/members.rs
@@ -101,7 +101,7 @@
         items = read_all(cx, own, limit).await?;
     }
     let mut after = items.revision;
-    take_over(cx, own, items);
+    take_over(cx, own, &items);
     loop {
         let limit = WATCH_WAIT + WATCH_SLACK;
         match cx.platform.watch(own, after, WATCH_WAIT, limit).await? {
@@ -147,7 +147,7 @@
     cx.platform.commit(&tx, limit).await.map(|_| ())
 }
 
-fn take_over<P>(cx: &Cx<P>, own: &str, items: Items)
+fn take_over<P>(cx: &Cx<P>, own: &str, items: &Items)
 where
     P: Platform,
 {
--- a/crates/entry/src/serve/attempt.rs
+++ b/crates/entry/src/serve/attempt.rs
@@ -12,7 +12,7 @@
 };
 use comfreyweir_clock::whole_millis;
 use comfreyweir_fleet::{health::Outcome, upstream::Upstream};
-use comfreyweir_http::upstream::{Answer, Call, CallError, Connection, Echo, Track};
+use comfreyweir_http::upstream::{Answer, Call, Connection, Echo, Track};
 use tokio::time::timeout;
 
 use super::{pick::Picked, ticket::Ticket};
@@ -130,7 +130,6 @@
             sent.judge(Outcome::Unreachable);
             return logged(ticket, &sent, Attempt::NotSent(e.to_string()));
         }
-        Ok(Err(e @ CallError::Crossed { .. })) => Judged::Failed(e.to_string()),
         Ok(Err(e)) => Judged::Failed(e.to_string()),
         Err(_) if track.is_written() => Judged::Silent,
         Err(_) => {
@@ -256,9 +255,10 @@
         Attempt::Silent => ("silent", String::new()),
     };
     let ms = whole_millis(sent.age());
+    let artifact = ticket.load_key();
     spdlog::info!("upstream did not serve the request", kv: {
         request_id = ticket.id.as_str(), upstream = sent.upstream.id.as_str(), outcome,
-        reason = reason.as_str(), ms
+        artifact = artifact.as_str(), reason = reason.as_str(), ms
     });
     attempt
 }
--- a/crates/entry/src/serve/pick.rs
+++ b/crates/entry/src/serve/pick.rs
@@ -94,7 +94,7 @@
 where
     P: Platform,
 {
-    let left = ticket.left(now);
+    let left = ticket.left_to_start(now);
     if left <= LEAST_RUN {
         return Err(Refusal::not_run(
             "nothing could serve the request in time",
--- a/crates/entry/src/serve/send.rs
+++ b/crates/entry/src/serve/send.rs
@@ -56,9 +56,9 @@
         let last_event = ticket.declared.last_event;
         match attempt::send(cx, ticket, &picked, last_event, limit).await {
             Attempt::Answered(answer, sent) => {
-                match answered(cx, ticket, &mut tries, answer, sent).await? {
-                    Some(res) => return Ok(res),
-                    None => continue,
+                let answered = answered(cx, ticket, &mut tries, answer, sent).await?;
+                if let Some(res) = answered {
+                    return Ok(res);
                 }
             }
             Attempt::NotSent(reason) => {
--- a/crates/entry/src/serve/ticket.rs
+++ b/crates/entry/src/serve/ticket.rs
@@ -68,6 +68,15 @@
         self.until.saturating_duration_since(now)
     }
 
+    /// Time that is left until its caller gives up for want of a first byte.
+    pub(crate) fn left_to_start(&self, now: Instant) -> Duration {
+        if !self.is_stream() {
+            return self.left(now);
+        }
+        let patience = (self.arrived + self.route.patience).saturating_duration_since(now);
+        self.left(now).min(patience)
+    }
+
     /// Whether it may run more than once.
     pub(crate) fn may_repeat(&self) -> bool {
         self.route.may_repeat()
--- a/crates/fleet/src/config.rs
+++ b/crates/fleet/src/config.rs
@@ -58,6 +58,8 @@
     pub time_limit: Duration,
     /// Time to the first byte of the answer within which callers are served well.
     pub goal: Duration,
+    /// Time without an event after which callers give a stream up, also before its first event.
+    pub patience: Duration,
     /// Urgency; 0 is the most urgent.
     pub rank: u8,
     /// Upstreams that may run one request, at most.
--- a/crates/fleet/src/events.rs
+++ b/crates/fleet/src/events.rs
@@ -63,7 +63,7 @@
 
 fn last_id(events: &[u8]) -> Option<u64> {
     let lines = events.split(|byte| *byte == b'\n');
-    let ids = lines.filter_map(|line| line.strip_prefix(b"id:"));
-    let id = std::str::from_utf8(ids.last()?).ok()?;
+    let mut ids = lines.filter_map(|line| line.strip_prefix(b"id:"));
+    let id = std::str::from_utf8(ids.next_back()?).ok()?;
     id.trim().parse().ok()
 }
--- a/crates/fleet/src/planner/engine.rs
+++ b/crates/fleet/src/planner/engine.rs
@@ -20,6 +20,12 @@
 const ADAPTER_LOAD: Duration = Duration::from_millis(15);
 /// Pause before an order that met another one under way is given again.
 const BUSY_PAUSE: Duration = Duration::from_millis(60);
+/// Conflicts in a row after which a report is asked for.
+const MAX_CONFLICTS: u32 = 3;
+/// Lost answers in a row after which a report is asked for.
+const MAX_UNKNOWN: u32 = 2;
+/// Time for which reports may count fewer orders than were accepted: they are some hundred ms old.
+const BEHIND_LIMIT: Duration = Duration::from_millis(800);
 /// Pause after an unload was accepted before the next order.
 const UNLOAD_PAUSE: Duration = Duration::from_millis(15);
 /// Time after which a load that does not show in reports is given up.
@@ -57,7 +63,13 @@
     asked_at: Option<Instant>,
     pause_until: Option<Instant>,
     changed_at: Option<Instant>,
+    /// Whether a report has to be seen before the next order.
     doubted: bool,
+    /// Conflicts and lost answers since the last order that was accepted.
+    conflicts: u32,
+    unknown: u32,
+    /// Since when reports have counted fewer orders than were accepted.
+    behind_since: Option<Instant>,
 }
 
 #[derive(Debug)]
@@ -91,6 +103,9 @@
             pause_until: None,
             changed_at: None,
             doubted: false,
+            conflicts: 0,
+            unknown: 0,
+            behind_since: None,
         }
     }
 
@@ -273,6 +288,8 @@
         self.changed_at = Some(now);
         match result {
             OrderResult::Accepted => {
+                self.conflicts = 0;
+                self.unknown = 0;
                 self.orders = self.orders.map(|n| n + 1);
                 self.carried_out(order, now);
             }
@@ -290,8 +307,11 @@
                 self.loading = None;
             }
             OrderResult::Conflict => {
-                self.doubted = true;
-                self.pause_until = Some(now + BUSY_PAUSE);
+                // Most likely the order before is still being carried out.
+                self.conflicts += 1;
+                let pause = BUSY_PAUSE * 2_u32.pow(self.conflicts.min(3) - 1);
+                self.pause_until = Some(now + pause);
+                self.doubted = self.conflicts > MAX_CONFLICTS || self.unknown > 0;
             }
             OrderResult::Rejected => {
                 self.plan.clear();
@@ -299,8 +319,10 @@
                 self.doubted = true;
             }
             OrderResult::Unknown => {
-                self.doubted = true;
-                self.pause_until = Some(now + REPORT_LAG);
+                // Given again at once: whichever of the two the engine accepts first, the other
+                // then fails for the number of orders.
+                self.unknown += 1;
+                self.doubted = self.unknown > MAX_UNKNOWN;
             }
         }
     }
@@ -338,8 +360,7 @@
     pub(super) fn reported(&mut self, report: &Report, now: Instant) {
         self.in_call = false;
         self.fresh_adapters.retain(|(_, at)| now < *at + REPORT_LAG);
-        let is_lagging = self.orders.is_some_and(|n| report.orders < n);
-        if is_lagging && !self.doubted {
+        if self.is_lagging(report, now) {
             return;
         }
         if let Some(loading) = &self.loading {
@@ -357,6 +378,8 @@
             return;
         }
         self.doubted = false;
+        self.conflicts = 0;
+        self.unknown = 0;
         self.changed_at = Some(now);
         self.orders = Some(report.orders);
         self.holds = report.holds.clone();
@@ -366,6 +389,21 @@
         self.drop_done();
     }
 
+    /// Whether a report is from before orders that the engine has accepted. Only one that stays
+    /// behind for longer than reports lag tells that the count was wrong.
+    fn is_lagging(&mut self, report: &Report, now: Instant) -> bool {
+        if self.orders.is_none_or(|n| report.orders >= n) {
+            self.behind_since = None;
+            return false;
+        }
+        let since = *self.behind_since.get_or_insert(now);
+        let is_lagging = now.saturating_duration_since(since) < BEHIND_LIMIT;
+        if !is_lagging {
+            self.behind_since = None;
+        }
+        is_lagging
+    }
+
     /// Notes that a report did not come.
     pub(super) fn report_failed(&mut self, now: Instant) {
         self.in_call = false;
--- a/crates/fleet/src/planner/mod.rs
+++ b/crates/fleet/src/planner/mod.rs
@@ -166,12 +166,11 @@
         self.engines
             .retain(|id, _| upstreams.iter().any(|u| u.id == *id));
         for upstream in upstreams {
-            match self.engines.get_mut(&upstream.id) {
-                Some(engine) => engine.listed(upstream, now),
-                None => {
-                    let engine = EngineState::new(upstream);
-                    self.engines.insert(upstream.id.clone(), engine);
-                }
+            if let Some(engine) = self.engines.get_mut(&upstream.id) {
+                engine.listed(upstream, now);
+            } else {
+                let engine = EngineState::new(upstream);
+                self.engines.insert(upstream.id.clone(), engine);
             }
         }
     }
--- a/crates/fleet/src/quota.rs
+++ b/crates/fleet/src/quota.rs
@@ -131,21 +131,15 @@
         spent.asked += cost;
         let told = spent.told.as_mut();
         let fresh = told.filter(|t| now.saturating_duration_since(t.at) < LEVEL_LAPSE);
-        let (level, per_s, burst) = match fresh {
-            Some(told) => {
-                let level = told.bucket.level(per_s * told.share, burst, now);
-                // Its own part begins when the holder falls silent.
-                spent.own = Bucket::new(0.0, now);
-                (
-                    level - (spent.total - told.included),
-                    per_s * told.share,
-                    burst,
-                )
-            }
-            None => {
-                let level = spent.own.level(per_s / parts, burst / parts, now);
-                (level, per_s / parts, burst / parts)
-            }
+        let (level, per_s, burst) = if let Some(told) = fresh {
+            // Its own part begins when the holder falls silent.
+            spent.own = Bucket::new(0.0, now);
+            let per_s = per_s * told.share;
+            let level = told.bucket.level(per_s, burst, now);
+            (level - (spent.total - told.included), per_s, burst)
+        } else {
+            let (per_s, burst) = (per_s / parts, burst / parts);
+            (spent.own.level(per_s, burst, now), per_s, burst)
         };
         // A request larger than the burst can only ever run from a full bucket.
         let wanted = cost.min(burst);
--- a/crates/fleet/src/request.rs
+++ b/crates/fleet/src/request.rs
@@ -35,14 +35,6 @@
             None => self.model.clone(),
         }
     }
-
-    /// The model without an adapter.
-    pub fn base(&self) -> Self {
-        Self {
-            model: self.model.clone(),
-            adapter: None,
-        }
-    }
 }
 
 /// A part of a prompt. Requests with equal first parts can share what engines keep of them.
--- a/crates/fleet/tests/decisions.rs
+++ b/crates/fleet/tests/decisions.rs
@@ -29,6 +29,7 @@
         }],
         time_limit: Duration::from_secs(1),
         goal: Duration::from_millis(100),
+        patience: Duration::from_secs(2),
         rank: 0,
         max_upstreams: 2,
         is_public: false,
@@ -222,7 +223,8 @@
     /// However a stream is cut into pieces, only whole events are handed out, and none is lost.
     #[test]
     fn events_are_split_at_their_ends(cuts in prop::collection::vec(1_usize..40, 1..40)) {
-        let stream: String = (0..12).map(|i| format!("id: {i}\ndata: tok{i}\n\n")).collect();
+        let events: Vec<_> = (0..12).map(|i| format!("id: {i}\ndata: tok{i}\n\n")).collect();
+        let stream = events.concat();
         let mut splitter = EventSplitter::after(None);
         let mut rest = stream.as_bytes();
         let mut out = Vec::new();
--- a/crates/fleet/tests/placement_under_load.rs
+++ b/crates/fleet/tests/placement_under_load.rs
@@ -162,6 +162,37 @@
     assert_eq!(fleet.overloads(), Vec::<String>::new());
 }
 
+/// Pattern: models are swapped while reports are a little old.
+///
+/// Regression: a report from before an accepted unload brought the model back into the placement,
+/// and requests went to an engine that had dropped it.
+#[test]
+fn old_report_does_not_bring_a_dropped_model_back() {
+    let models = [
+        model("a", LARGE_MB, 0),
+        model("b", LARGE_MB, 0),
+        model("c", LARGE_MB, 0),
+        model("d", LARGE_MB, 0),
+    ];
+    let mut engine = FakeEngine::new("e1", &["a", "b"]);
+    engine.copies.extend(["c".to_owned(), "d".to_owned()]);
+    engine.unload_time = Duration::from_millis(150);
+    let mut fleet = Fleet::new(&models, vec![engine]);
+    for name in ["c", "d", "a", "b", "c"] {
+        fleet.wait_for(name, 1);
+        for _ in 0..60 {
+            fleet.step();
+            for told in fleet.planner.placement()["e1"].keys() {
+                assert!(
+                    fleet.engines[0].models.contains_key(told),
+                    "{told} was dropped"
+                );
+            }
+        }
+        assert!(fleet.waiting.is_empty(), "{name}: {:?}", fleet.given);
+    }
+}
+
 fn fate() -> impl Strategy<Value = Fate> {
     prop_oneof![
         4 => Just(Fate::Answered),
--- a/crates/fleet/tests/support/mod.rs
+++ b/crates/fleet/tests/support/mod.rs
@@ -66,6 +66,9 @@
     /// Adapters in use, which an unload does not remove.
     pub in_use: Vec<Artifact>,
     pub leaving: Vec<Artifact>,
+    /// Time that an unload of a model takes, in which other orders meet a conflict.
+    pub unload_time: Duration,
+    busy_until: Option<Instant>,
 }
 
 impl FakeEngine {
@@ -84,6 +87,8 @@
             store_loads: 0,
             in_use: Vec::new(),
             leaving: Vec::new(),
+            unload_time: Duration::ZERO,
+            busy_until: None,
         }
     }
 
@@ -156,7 +161,8 @@
         expected: u64,
         now: Instant,
     ) -> OrderResult {
-        if self.loading.is_some() || expected != self.orders {
+        let is_busy = self.loading.is_some() || self.busy_until.is_some_and(|at| now < at);
+        if is_busy || expected != self.orders {
             return OrderResult::Conflict;
         }
         match order {
@@ -168,6 +174,7 @@
                     return OrderResult::AlreadyDone;
                 }
                 self.orders += 1;
+                self.busy_until = Some(now + self.unload_time);
                 OrderResult::Accepted
             }
         }
@@ -250,7 +257,7 @@
 }
 
 pub const STEP: Duration = Duration::from_millis(50);
-const REPORT_LAG: Duration = Duration::from_millis(100);
+const REPORT_LAG: Duration = Duration::from_millis(300);
 
 impl Fleet {
     pub fn new(models: &[Rc<Model>], engines: Vec<FakeEngine>) -> Self {
