--- a/crates/allowance/src/lease.rs
+++ b/crates/allowance/src/lease.rs
@@ -13,7 +13,8 @@
 use crate::drift;
 
 /// Value of a lease key.
-#[derive(Clone, Debug, Eq, PartialEq, Deserialize, Serialize)]
+#[derive(Clone, Debug, Eq, PartialEq)]
+#[derive(Deserialize, Serialize)]
 pub struct LeaseRecord {
     /// Incarnation of the process that holds the lease.
     pub incarnation: String,
--- a/crates/allowance/src/shares.rs
+++ b/crates/allowance/src/shares.rs
@@ -14,7 +14,8 @@
 pub type Weight = u32;
 
 /// Share of one gate.
-#[derive(Clone, Debug, Eq, PartialEq, Deserialize, Serialize)]
+#[derive(Clone, Debug, Eq, PartialEq)]
+#[derive(Deserialize, Serialize)]
 pub struct Share {
     /// Name of the gate's instance, by which the platform lists where it can be reached.
     pub instance: String,
@@ -25,7 +26,8 @@
 }
 
 /// Shares of all gates by their peer addresses.
-#[derive(Clone, Debug, Eq, PartialEq, Deserialize, Serialize)]
+#[derive(Clone, Debug, Eq, PartialEq)]
+#[derive(Deserialize, Serialize)]
 pub struct ShareTable {
     /// Shares by peer address.
     pub shares: BTreeMap<SocketAddr, Share>,
--- a/crates/config/src/catalog.rs
+++ b/crates/config/src/catalog.rs
@@ -5,7 +5,8 @@
 use serde::{Deserialize, Serialize};
 
 /// The whole operator configuration at one revision.
-#[derive(Clone, Debug, Default, Eq, PartialEq, Deserialize, Serialize)]
+#[derive(Clone, Debug, Default, Eq, PartialEq)]
+#[derive(Deserialize, Serialize)]
 #[serde(default, deny_unknown_fields)]
 pub struct Catalog {
     /// Models by name.
@@ -23,7 +24,8 @@
 }
 
 /// A model that engines can load.
-#[derive(Clone, Debug, Eq, PartialEq, Deserialize, Serialize)]
+#[derive(Clone, Debug, Eq, PartialEq)]
+#[derive(Deserialize, Serialize)]
 #[serde(deny_unknown_fields)]
 pub struct Model {
     /// Version that requests are served with.
@@ -45,7 +47,8 @@
 }
 
 /// An adapter that is loaded beside a replica of its model.
-#[derive(Clone, Debug, Eq, PartialEq, Deserialize, Serialize)]
+#[derive(Clone, Debug, Eq, PartialEq)]
+#[derive(Deserialize, Serialize)]
 #[serde(deny_unknown_fields)]
 pub struct Adapter {
     /// Name of the model it extends.
@@ -60,7 +63,8 @@
 }
 
 /// A tenant with its allowance.
-#[derive(Clone, Debug, Eq, PartialEq, Deserialize, Serialize)]
+#[derive(Clone, Debug, Eq, PartialEq)]
+#[derive(Deserialize, Serialize)]
 #[serde(deny_unknown_fields)]
 pub struct Workspace {
     /// Tokens a second over all instances together.
@@ -73,7 +77,8 @@
 }
 
 /// A caller's key, stored as a hash.
-#[derive(Clone, Debug, Eq, PartialEq, Deserialize, Serialize)]
+#[derive(Clone, Debug, Eq, PartialEq)]
+#[derive(Deserialize, Serialize)]
 #[serde(deny_unknown_fields)]
 pub struct Key {
     /// Workspace that the key authenticates.
@@ -86,7 +91,8 @@
 }
 
 /// What an upstream is.
-#[derive(Clone, Copy, Debug, Eq, PartialEq, Deserialize, Serialize)]
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+#[derive(Deserialize, Serialize)]
 #[serde(rename_all = "lowercase")]
 pub enum UpstreamKind {
     /// A model engine.
@@ -96,7 +102,8 @@
 }
 
 /// A server behind the system.
-#[derive(Clone, Debug, Eq, PartialEq, Deserialize, Serialize)]
+#[derive(Clone, Debug, Eq, PartialEq)]
+#[derive(Deserialize, Serialize)]
 #[serde(deny_unknown_fields)]
 pub struct Upstream {
     /// Kind of the upstream.
@@ -123,7 +130,8 @@
 }
 
 /// A route from a path prefix to plain services.
-#[derive(Clone, Debug, Eq, PartialEq, Deserialize, Serialize)]
+#[derive(Clone, Debug, Eq, PartialEq)]
+#[derive(Deserialize, Serialize)]
 #[serde(deny_unknown_fields)]
 pub struct Route {
     /// Path prefix, for example `/orders`.
--- a/crates/config/src/entry_settings.rs
+++ b/crates/config/src/entry_settings.rs
@@ -10,7 +10,8 @@
 };
 
 /// Settings of the entry daemon.
-#[derive(Clone, Debug, PartialEq, Deserialize, Serialize)]
+#[derive(Clone, Debug, PartialEq)]
+#[derive(Deserialize, Serialize)]
 #[serde(deny_unknown_fields)]
 pub struct EntrySettings {
     /// The instance.
@@ -31,17 +32,33 @@
 }
 
 /// The instance that a process runs on.
-#[derive(Clone, Debug, PartialEq, Eq, Deserialize, Serialize)]
+#[derive(Clone, Debug, PartialEq)]
+#[derive(Deserialize, Serialize)]
 #[serde(deny_unknown_fields)]
 pub struct EntryInstance {
     /// Name of the instance, unique in the fleet.
     pub name: String,
     /// Availability zone of the instance.
     pub zone: String,
+    /// Processor of the instance, in cores.
+    #[serde(default = "one_core")]
+    pub cores: f64,
+    /// Bandwidth of the instance's link, in Mbit/s.
+    #[serde(default = "default_link_mbps")]
+    pub link_mbps: f64,
+}
+
+fn one_core() -> f64 {
+    1.0
+}
+
+fn default_link_mbps() -> f64 {
+    1_000.0
 }
 
 /// Where an entry instance listens.
-#[derive(Clone, Debug, PartialEq, Eq, Deserialize, Serialize)]
+#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Deserialize, Serialize)]
 #[serde(deny_unknown_fields)]
 pub struct EntryListen {
     /// Address for callers.
@@ -55,7 +72,8 @@
 }
 
 /// The platform's store.
-#[derive(Clone, Debug, PartialEq, Eq, Deserialize, Serialize)]
+#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Deserialize, Serialize)]
 #[serde(deny_unknown_fields)]
 pub struct StoreSettings {
     /// Address of the store.
@@ -70,7 +88,8 @@
 }
 
 /// Bounds that the platform sets, and periods.
-#[derive(Clone, Debug, PartialEq, Deserialize, Serialize)]
+#[derive(Clone, Debug, PartialEq)]
+#[derive(Deserialize, Serialize)]
 #[serde(default, deny_unknown_fields)]
 pub struct EntryTiming {
     /// Time between SIGTERM and SIGKILL, in seconds.
@@ -108,7 +127,8 @@
 }
 
 /// Budget of repeated sends of one service, over all instances.
-#[derive(Clone, Debug, PartialEq, Deserialize, Serialize)]
+#[derive(Clone, Debug, PartialEq)]
+#[derive(Deserialize, Serialize)]
 #[serde(default, deny_unknown_fields)]
 pub struct RepeatSettings {
     /// Repeats allowed for each request.
--- a/crates/config/src/folder.rs
+++ b/crates/config/src/folder.rs
@@ -13,7 +13,8 @@
 };
 
 /// Why a folder gives no catalog.
-#[derive(Debug, Snafu)]
+#[derive(Debug)]
+#[derive(Snafu)]
 pub enum FolderError {
     /// The folder or a file in it cannot be read.
     #[snafu(display("{} cannot be read: {source}", path.display()))]
--- a/crates/config/src/settings.rs
+++ b/crates/config/src/settings.rs
@@ -5,7 +5,8 @@
 use serde::{Deserialize, Serialize};
 
 /// What every daemon needs to know about its instance and the platform.
-#[derive(Clone, Debug, Eq, PartialEq, Deserialize, Serialize)]
+#[derive(Clone, Debug, Eq, PartialEq)]
+#[derive(Deserialize, Serialize)]
 #[serde(deny_unknown_fields)]
 pub struct Instance {
     /// Name of the instance, unique in the fleet.
@@ -21,7 +22,8 @@
 }
 
 /// Settings of the gate daemon.
-#[derive(Clone, Debug, Eq, PartialEq, Deserialize, Serialize)]
+#[derive(Clone, Debug, Eq, PartialEq)]
+#[derive(Deserialize, Serialize)]
 #[serde(deny_unknown_fields)]
 pub struct GateSettings {
     /// Instance and platform.
@@ -43,7 +45,8 @@
 }
 
 /// Settings of the planner daemon.
-#[derive(Clone, Debug, Eq, PartialEq, Deserialize, Serialize)]
+#[derive(Clone, Debug, Eq, PartialEq)]
+#[derive(Deserialize, Serialize)]
 #[serde(deny_unknown_fields)]
 pub struct PlannerSettings {
     /// Instance and platform.
@@ -58,7 +61,8 @@
 }
 
 /// Limits of requests at a gate.
-#[derive(Clone, Debug, Eq, PartialEq, Deserialize, Serialize)]
+#[derive(Clone, Debug, Eq, PartialEq)]
+#[derive(Deserialize, Serialize)]
 #[serde(default, deny_unknown_fields)]
 pub struct Limits {
     /// Largest request body, in bytes.
@@ -95,7 +99,8 @@
 }
 
 /// Periods and lapses of a gate.
-#[derive(Clone, Debug, Eq, PartialEq, Deserialize, Serialize)]
+#[derive(Clone, Debug, Eq, PartialEq)]
+#[derive(Deserialize, Serialize)]
 #[serde(default, deny_unknown_fields)]
 pub struct GateTiming {
     /// Period of contact with peers and with the planner, in ms.
@@ -128,7 +133,8 @@
 }
 
 /// Periods and lapses of a planner.
-#[derive(Clone, Debug, Eq, PartialEq, Deserialize, Serialize)]
+#[derive(Clone, Debug, Eq, PartialEq)]
+#[derive(Deserialize, Serialize)]
 #[serde(default, deny_unknown_fields)]
 pub struct PlannerTiming {
     /// Time that a cell's holder may decide after its last confirmed renewal, in ms.
--- a/crates/config/src/settings_file.rs
+++ b/crates/config/src/settings_file.rs
@@ -15,7 +15,8 @@
 };
 
 /// Why the settings of a daemon cannot be used.
-#[derive(Debug, Snafu)]
+#[derive(Debug)]
+#[derive(Snafu)]
 pub enum SettingsError {
     /// The file cannot be read.
     #[snafu(display("settings file {} cannot be read: {source}", path.display()))]
--- a/crates/core/src/client/args.rs
+++ b/crates/core/src/client/args.rs
@@ -95,7 +95,8 @@
 }
 
 /// Why the arguments cannot be read.
-#[derive(Debug, Snafu)]
+#[derive(Debug)]
+#[derive(Snafu)]
 pub enum ArgsError {
     /// A flag is unknown or lacks its value.
     #[snafu(display("{source}; see `comfreyweir {command} --help`"))]
--- a/crates/core/src/client/changes.rs
+++ b/crates/core/src/client/changes.rs
@@ -7,7 +7,8 @@
 use serde_json::{Map, Value};
 
 /// What happened to an item.
-#[derive(Clone, Copy, Debug, Eq, PartialEq, Serialize)]
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+#[derive(Serialize)]
 #[serde(rename_all = "lowercase")]
 pub enum Kind {
     /// It is only in the later catalog.
@@ -19,7 +20,8 @@
 }
 
 /// A difference of one item.
-#[derive(Clone, Debug, Eq, PartialEq, Serialize)]
+#[derive(Clone, Debug, Eq, PartialEq)]
+#[derive(Serialize)]
 pub struct Change {
     /// What happened.
     pub kind: Kind,
@@ -30,7 +32,8 @@
 }
 
 /// A setting that differs.
-#[derive(Clone, Debug, Eq, PartialEq, Serialize)]
+#[derive(Clone, Debug, Eq, PartialEq)]
+#[derive(Serialize)]
 pub struct Setting {
     /// Name of the setting.
     pub name: String,
--- a/crates/core/src/client/error.rs
+++ b/crates/core/src/client/error.rs
@@ -23,7 +23,8 @@
 pub const EXIT_DIFFERENT: u8 = 6;
 
 /// Why a command failed.
-#[derive(Debug, Snafu)]
+#[derive(Debug)]
+#[derive(Snafu)]
 #[snafu(visibility(pub(super)))]
 pub enum ClientError {
     /// The arguments do not fit together.
--- a/crates/core/src/client/state.rs
+++ b/crates/core/src/client/state.rs
@@ -21,7 +21,8 @@
 const LOCK_FILE: &str = ".comfreyweir-lock";
 
 /// State of a folder.
-#[derive(Clone, Debug, Default, Deserialize, Serialize)]
+#[derive(Clone, Debug, Default)]
+#[derive(Deserialize, Serialize)]
 #[serde(default)]
 pub struct State {
     /// Last revision that the folder has seen; zero when none.
@@ -33,7 +34,8 @@
 }
 
 /// A write that was begun.
-#[derive(Clone, Debug, Deserialize, Serialize)]
+#[derive(Clone, Debug)]
+#[derive(Deserialize, Serialize)]
 pub struct Pending {
     /// Identifier of the write.
     pub write_id: String,
--- a/crates/core/src/daemon.rs
+++ b/crates/core/src/daemon.rs
@@ -44,7 +44,8 @@
 }
 
 /// Why the command line cannot be used.
-#[derive(Debug, Snafu)]
+#[derive(Debug)]
+#[derive(Snafu)]
 enum UsageError {
     #[snafu(display("{source}; try --help"))]
     Arguments { source: lexopt::Error },
--- a/crates/core/src/dev.rs
+++ b/crates/core/src/dev.rs
@@ -84,7 +84,8 @@
 }
 
 /// Why it cannot run.
-#[derive(Debug, Snafu)]
+#[derive(Debug)]
+#[derive(Snafu)]
 enum DevError {
     #[snafu(display("no free port on the loopback address: {source}"))]
     Port { source: io::Error },
--- a/crates/entry/src/assembly.rs
+++ b/crates/entry/src/assembly.rs
@@ -18,7 +18,8 @@
 const STOP_MARGIN: Duration = Duration::from_millis(400);
 
 /// Why an entry instance cannot be started.
-#[derive(Debug, Snafu)]
+#[derive(Debug)]
+#[derive(Snafu)]
 pub enum EntryError {
     /// An address cannot be listened on.
     #[snafu(display("cannot listen on {addr}: {source}"))]
--- a/crates/entry/src/duty/desk.rs
+++ b/crates/entry/src/duty/desk.rs
@@ -11,7 +11,7 @@
 use comfreyweir_fleet::{
     config::Service,
     duty::Tenure,
-    load::Loads,
+    load::{self, Load, Loads},
     planner::{Action, Placement, Planner, Waiting, World},
     quota::Levels,
     request::Artifact,
@@ -47,6 +47,11 @@
     actions: Vec<(String, Action)>,
     reports: HashMap<String, (Report, Instant)>,
     levels: Levels,
+    /// Requests at upstreams, from all instances, as of the last decision.
+    totals: HashMap<String, Load>,
+    placement: Placement,
+    /// Version at which an engine's part of the placement changed last.
+    engine_versions: HashMap<String, u64>,
     version: u64,
     directory: Vec<Upstream>,
     directory_version: u64,
@@ -133,13 +138,12 @@
         let directory: Vec<_> = self.cx.directory.borrow().iter().cloned().collect();
         let mut books = self.books.borrow_mut();
         books.note_directory(&directory);
-        let loads = books.loads(None, now);
+        let loads = books.loads(now);
         for service in config.services.values() {
             books.plan(service, &directory, &loads, now);
         }
-        let version = books.planners.values().map(Planner::version).sum();
-        if version != books.version {
-            books.version = version;
+        books.note_totals(&loads);
+        if books.note_placement() {
             self.placed.notify_waiters();
         }
     }
@@ -213,12 +217,15 @@
         let value = self.cx.config_value();
         View {
             placement,
-            engines: (placement != asked.placement).then(|| books.placement()),
+            is_whole: asked.placement.0 != placement.0,
+            engines: books.engines_since(placement.0, asked.placement),
             ready_in_ms: books.ready_in(&asked.waiting, now),
-            others: books.loads(Some(&asked.process), now),
+            others: books.others(&asked.process, now),
             grants,
             directory: self.directory_view(&books, asked.directory, now),
             config: newer.then(|| String::from_utf8_lossy(&value).into_owned()),
+            config_age_ms: self.cx.config_age(now).map_or(u64::MAX, whole_millis),
+            instances: self.cx.members.borrow().instances.len(),
         }
     }
 
@@ -296,23 +303,78 @@
         reports.filter(move |(_, at)| fresh(*at)).map(|(r, _)| r)
     }
 
-    /// Requests at upstreams from all instances but one.
-    fn loads(&self, except: Option<&str>, now: Instant) -> Loads {
+    /// Requests at upstreams from all instances.
+    fn loads(&self, now: Instant) -> Loads {
         let mut sum = Loads::new();
         for report in self.fresh(now) {
-            if Some(report.process.as_str()) == except {
-                continue;
-            }
-            for (upstream, models) in &report.loads {
+            for (upstream, loads) in &report.loads {
                 let total = sum.entry(upstream.clone()).or_default();
-                for (model, load) in models {
-                    total.entry(model.clone()).or_default().add(*load);
+                for (key, load) in loads {
+                    total.entry(key.clone()).or_default().add(*load);
                 }
             }
         }
         sum
     }
 
+    fn note_totals(&mut self, loads: &Loads) {
+        let totals = loads.keys();
+        self.totals = totals
+            .map(|id| (id.clone(), load::of_upstream(loads, id)))
+            .collect();
+    }
+
+    /// Requests at upstreams from all instances but one.
+    fn others(&self, process: &str, now: Instant) -> HashMap<String, Load> {
+        let fresh = |at: Instant| now.saturating_duration_since(at) < REPORT_LAPSE;
+        let own = self.reports.get(process).filter(|(_, at)| fresh(*at));
+        let others = self.totals.iter().map(|(id, total)| {
+            let own = own.map_or_else(Load::default, |(r, _)| load::of_upstream(&r.loads, id));
+            (id.clone(), total.without(own))
+        });
+        others
+            .filter(|(_, load)| *load != Load::default())
+            .collect()
+    }
+
+    /// Takes over what the planners believe; true if anything changed.
+    fn note_placement(&mut self) -> bool {
+        let planners = self.planners.values();
+        let placement: Placement = planners.flat_map(|p| p.placement().clone()).collect();
+        if placement == self.placement {
+            return false;
+        }
+        self.version += 1;
+        // An engine that has gone is told as one that holds nothing.
+        let gone = self
+            .placement
+            .keys()
+            .filter(|id| !placement.contains_key(*id));
+        let gone: Vec<_> = gone.cloned().collect();
+        let changed = placement
+            .iter()
+            .filter(|(id, models)| self.placement.get(*id) != Some(models));
+        for id in changed.map(|(id, _)| id).chain(&gone) {
+            self.engine_versions.insert(id.clone(), self.version);
+        }
+        self.placement = placement;
+        true
+    }
+
+    /// Engines that changed since a placement that an instance knows; all for another holder's.
+    fn engines_since(&self, fence: u64, (known_fence, known): (u64, u64)) -> Placement {
+        let is_new = |id: &String| known_fence != fence || self.engine_versions[id] > known;
+        let changed = self.engine_versions.keys().filter(|id| is_new(id));
+        changed
+            .map(|id| {
+                (
+                    id.clone(),
+                    self.placement.get(id).cloned().unwrap_or_default(),
+                )
+            })
+            .collect()
+    }
+
     fn waiting(&self, service: &str, now: Instant) -> Vec<Waiting> {
         let mut sum: BTreeMap<Artifact, u32> = BTreeMap::new();
         for report in self.fresh(now) {
@@ -338,11 +400,6 @@
         sum
     }
 
-    fn placement(&self) -> Placement {
-        let planners = self.planners.values();
-        planners.flat_map(|p| p.placement().clone()).collect()
-    }
-
     fn ready_in(&self, waiting: &[(String, Artifact)], now: Instant) -> Vec<(Artifact, u64)> {
         let times = waiting.iter().filter_map(|(service, artifact)| {
             let time = self.planners.get(service)?.ready_in(artifact, now)?;
--- a/crates/entry/src/duty/tenure.rs
+++ b/crates/entry/src/duty/tenure.rs
@@ -22,7 +22,14 @@
 /// Period of renewals: two may fail before orders stop.
 const RENEW_PERIOD: Duration = Duration::from_millis(400);
 /// Longest random wait before the duty is taken, so that not all instances try at once.
-const TAKE_JITTER: Duration = Duration::from_millis(200);
+const TAKE_JITTER: Duration = Duration::from_millis(100);
+/// What each instance adds to that.
+const TAKE_JITTER_EACH: Duration = Duration::from_millis(3);
+/// Processor below which an instance leaves the duty to others, in cores: the work of a holder of
+/// a hundred instances is a few hundredths of a core.
+const SMALL_CORES: f64 = 0.2;
+/// Bandwidth below which it does, in Mbit/s: the exchange of a hundred instances takes a few.
+const SMALL_LINK_MBPS: f64 = 50.0;
 /// Pause after a failed attempt to take the duty.
 const RETRY_PAUSE: Duration = Duration::from_millis(400);
 /// Longest pause between two decisions while the duty is held.
@@ -79,8 +86,7 @@
         };
         let is_serving = cx.stopping.phase() == comfreyweir_http::stopping::Phase::Serving;
         if is_known && !has_holder && is_serving && cx.config().version > 0 {
-            let jitter = rand::rng().random_range(Duration::ZERO..TAKE_JITTER);
-            sleep(jitter).await;
+            sleep(take_delay(cx)).await;
             if cx.members.borrow().holder.is_none() {
                 return;
             }
@@ -90,6 +96,20 @@
     }
 }
 
+/// Time to wait before the duty is taken. Instances with little processor or bandwidth leave it to
+/// others, if there are any: the holder hears from all.
+fn take_delay<P>(cx: &Cx<P>) -> Duration
+where
+    P: Platform,
+{
+    let instances = u32::try_from(cx.instance_count()).unwrap_or(u32::MAX);
+    let longest = TAKE_JITTER + TAKE_JITTER_EACH * instances;
+    let jitter = rand::rng().random_range(Duration::ZERO..longest);
+    let instance = &cx.settings().instance;
+    let is_small = instance.cores < SMALL_CORES || instance.link_mbps < SMALL_LINK_MBPS;
+    if is_small { longest + jitter } else { jitter }
+}
+
 async fn take<P>(cx: &Rc<Cx<P>>) -> Result<Option<Tenure>, PlatformError>
 where
     P: Platform,
--- a/crates/entry/src/exchange/client.rs
+++ b/crates/entry/src/exchange/client.rs
@@ -15,20 +15,24 @@
 const CHANGE_WAIT: Duration = Duration::from_millis(100);
 /// Time beyond that wait after which the holder is taken for unreachable.
 const ANSWER_SLACK: Duration = Duration::from_millis(500);
+/// Time that the holder spends on one instance, at most. In large fleets the period grows, so that
+/// the exchange takes a small part of the holder's processor and link.
+const HOLDER_TIME: Duration = Duration::from_millis(5);
 /// Pause before a holder is asked for again.
 const RETRY_PAUSE: Duration = Duration::from_millis(150);
 /// Least time between two reports.
 const LEAST_PERIOD: Duration = Duration::from_millis(10);
 
 /// Why an exchange failed.
-#[derive(Debug, Snafu)]
+#[derive(Debug)]
+#[derive(Snafu)]
 enum ExchangeError {
     #[snafu(display("{source}"))]
     Link { source: LinkError },
     #[snafu(display("view of {addr} cannot be decoded: {source}"))]
     Decode {
         addr: SocketAddr,
-        source: serde_json::Error,
+        source: postcard::Error,
     },
     #[snafu(display("nobody has the planning duty, as far as known"))]
     NoHolder,
@@ -64,7 +68,8 @@
     if cx.demand.borrow().has_waiting() {
         return;
     }
-    let period = cx.settings().timing.exchange();
+    let instances = u32::try_from(cx.instance_count()).unwrap_or(u32::MAX);
+    let period = cx.settings().timing.exchange().max(HOLDER_TIME * instances);
     let _ = timeout(period, cx.demand_changed.notified()).await;
 }
 
@@ -153,7 +158,7 @@
         let Some(link) = &self.link else {
             return Err(ExchangeError::NoHolder);
         };
-        let report = serde_json::to_vec(report).context(DecodeSnafu { addr })?;
+        let report = postcard::to_allocvec(report).context(DecodeSnafu { addr })?;
         let mut req = link.client().exchange_request();
         req.get().set_report(&report);
         req.get().set_wait_ms(wire_millis(wait));
@@ -162,7 +167,7 @@
             .call(wait + ANSWER_SLACK, call)
             .await
             .context(LinkSnafu)?;
-        serde_json::from_slice(&answer).context(DecodeSnafu { addr })
+        postcard::from_bytes(&answer).context(DecodeSnafu { addr })
     }
 }
 
@@ -212,9 +217,13 @@
     placement.ready_in = ready_in
         .map(|(artifact, ms)| (artifact, Duration::from_millis(ms)))
         .collect();
-    if let Some(engines) = view.engines {
-        placement.engines = engines;
+    if view.is_whole {
+        placement.engines = view.engines;
+    } else {
+        placement.engines.extend(view.engines);
     }
     drop(placement);
+    cx.instances_told.set(view.instances);
+    cx.confirm_config(now.checked_sub(Duration::from_millis(view.config_age_ms)));
     cx.changed.notify_waiters();
 }
--- a/crates/entry/src/exchange/message.rs
+++ b/crates/entry/src/exchange/message.rs
@@ -3,7 +3,7 @@
 use std::{collections::HashMap, net::SocketAddr};
 
 use comfreyweir_fleet::{
-    load::Loads,
+    load::{Load, Loads},
     planner::{DemandReport, Placement},
     quota::{Grant, Totals},
     request::Artifact,
@@ -12,7 +12,8 @@
 use serde::{Deserialize, Serialize};
 
 /// What an instance sees.
-#[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
+#[derive(Clone, Debug, Default, PartialEq)]
+#[derive(Serialize, Deserialize)]
 pub(crate) struct Report {
     /// Process that reports.
     pub(crate) process: String,
@@ -31,7 +32,8 @@
 }
 
 /// Answer to a report.
-#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+#[derive(Clone, Debug, PartialEq)]
+#[derive(Serialize, Deserialize)]
 pub(crate) enum Answer {
     /// What all instances see.
     View(Box<View>),
@@ -40,26 +42,34 @@
 }
 
 /// What all instances see together.
-#[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
+#[derive(Clone, Debug, Default, PartialEq)]
+#[derive(Serialize, Deserialize)]
 pub(crate) struct View {
     /// Fencing token of the holder and version of the placement.
     pub(crate) placement: (u64, u64),
-    /// Models and adapters by engine, where the instance knows another version.
-    pub(crate) engines: Option<Placement>,
+    /// Engines whose models or adapters changed since the version that the instance knows.
+    pub(crate) engines: Placement,
+    /// Whether the engines are all there are, and not only those that changed.
+    pub(crate) is_whole: bool,
     /// Time in ms until artifacts can be used that its requests wait for.
     pub(crate) ready_in_ms: Vec<(Artifact, u64)>,
     /// Requests that the other instances have at upstreams.
-    pub(crate) others: Loads,
+    pub(crate) others: HashMap<String, Load>,
     /// What the instance may take of each workspace's allowance.
     pub(crate) grants: HashMap<String, Grant>,
     /// The holder's list of upstreams.
     pub(crate) directory: DirectoryView,
     /// The configuration, where the instance has an older one.
     pub(crate) config: Option<String>,
+    /// Time in ms since the holder knew that its configuration is the newest.
+    pub(crate) config_age_ms: u64,
+    /// Instances of the system.
+    pub(crate) instances: usize,
 }
 
 /// The holder's list of upstreams.
-#[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
+#[derive(Clone, Debug, Default, PartialEq)]
+#[derive(Serialize, Deserialize)]
 pub(crate) struct DirectoryView {
     /// Version of the list's content at this holder.
     pub(crate) version: u64,
--- a/crates/entry/src/exchange/server.rs
+++ b/crates/entry/src/exchange/server.rs
@@ -63,10 +63,10 @@
     ) -> Result<(), capnp::Error> {
         let params = params.get()?;
         let wait = Duration::from_millis(params.get_wait_ms().into());
-        let report: Report = serde_json::from_slice(params.get_report()?)
+        let report: Report = postcard::from_bytes(params.get_report()?)
             .map_err(|e| capnp::Error::failed(format!("report cannot be decoded: {e}")))?;
         let answer = self.desk.exchange(report, wait).await;
-        let view = serde_json::to_vec(&answer)
+        let view = postcard::to_allocvec(&answer)
             .map_err(|e| capnp::Error::failed(format!("view cannot be encoded: {e}")))?;
         results.get().set_view(&view);
         Ok(())
--- a/crates/entry/src/follow/members.rs
+++ b/crates/entry/src/follow/members.rs
@@ -17,9 +17,11 @@
 /// Period of renewals: two may fail before the entry ends.
 const RENEW_PERIOD: Duration = Duration::from_millis(1_200);
 /// Longest time that one watch waits at the store.
-const WATCH_WAIT: Duration = Duration::from_secs(3);
+const WATCH_WAIT: Duration = Duration::from_secs(2);
 /// Time that an answer of the store may take beyond the wait.
 const WATCH_SLACK: Duration = Duration::from_millis(500);
+/// Pause between looks at whether the holder is heard.
+const LOOK_PAUSE: Duration = Duration::from_millis(100);
 /// Length of the secret that instances authenticate each other with, in bytes.
 const SECRET_BYTES: usize = 32;
 
@@ -103,6 +105,10 @@
     let mut after = items.revision;
     take_over(cx, own, &items);
     loop {
+        // The instances matter to the holder; the others only have to find the holder.
+        while cx.hears_holder() && !cx.is_holder() {
+            sleep(LOOK_PAUSE).await;
+        }
         let limit = WATCH_WAIT + WATCH_SLACK;
         match cx.platform.watch(own, after, WATCH_WAIT, limit).await? {
             Watched::HistoryGone => {
--- a/crates/entry/src/metrics.rs
+++ b/crates/entry/src/metrics.rs
@@ -13,25 +13,29 @@
     0.01, 0.025, 0.05, 0.1, 0.25, 0.5, 1.0, 2.0, 4.0, 8.0, 16.0, 60.0,
 ];
 
-#[derive(Clone, Debug, PartialEq, Eq, Hash, EncodeLabelSet)]
+#[derive(Clone, Debug, PartialEq, Eq, Hash)]
+#[derive(EncodeLabelSet)]
 struct AnswerLabels {
     workspace: String,
     status: u16,
     outcome: String,
 }
 
-#[derive(Clone, Debug, PartialEq, Eq, Hash, EncodeLabelSet)]
+#[derive(Clone, Debug, PartialEq, Eq, Hash)]
+#[derive(EncodeLabelSet)]
 struct StatusLabel {
     status: u16,
 }
 
-#[derive(Clone, Debug, PartialEq, Eq, Hash, EncodeLabelSet)]
+#[derive(Clone, Debug, PartialEq, Eq, Hash)]
+#[derive(EncodeLabelSet)]
 struct OrderLabels {
     op: String,
     outcome: String,
 }
 
-#[derive(Clone, Debug, PartialEq, Eq, Hash, EncodeLabelSet)]
+#[derive(Clone, Debug, PartialEq, Eq, Hash)]
+#[derive(EncodeLabelSet)]
 struct WorkspaceLabel {
     workspace: String,
 }
--- a/crates/entry/src/ports.rs
+++ b/crates/entry/src/ports.rs
@@ -80,7 +80,8 @@
 }
 
 /// Why a call to the platform failed.
-#[derive(Debug, Snafu)]
+#[derive(Debug)]
+#[derive(Snafu)]
 #[snafu(visibility(pub))]
 pub enum PlatformError {
     /// No answer came: what was asked for may have been done, or may be done later.
@@ -110,7 +111,8 @@
 }
 
 /// Something that others wrote and that cannot be used.
-#[derive(Debug, Snafu)]
+#[derive(Debug)]
+#[derive(Snafu)]
 #[snafu(visibility(pub))]
 #[snafu(display("{what}: {reason}"))]
 pub struct DecodeError {
--- a/crates/entry/src/state.rs
+++ b/crates/entry/src/state.rs
@@ -61,6 +61,10 @@
     pub(crate) upstreams: Upstreams,
     pub(crate) stopping: Rc<Stopping>,
     pub(crate) metrics: Metrics,
+    /// When the configuration in force was last known to be the newest.
+    config_confirmed: Cell<Option<Instant>>,
+    /// Instances that the holder knows of; 0 until it told.
+    pub(crate) instances_told: Cell<usize>,
     /// Bytes of request bodies in memory.
     pub(crate) body_bytes: Rc<Cell<usize>>,
 }
@@ -81,7 +85,8 @@
 }
 
 /// The holder of the planning duty.
-#[derive(Clone, Debug, PartialEq, Eq, serde::Serialize, serde::Deserialize)]
+#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(serde::Serialize, serde::Deserialize)]
 pub(crate) struct Holder {
     /// Its process.
     pub(crate) process: String,
@@ -199,6 +204,8 @@
             upstreams: Upstreams::new(CONNECT_LIMIT),
             stopping: Rc::default(),
             metrics: Metrics::new(),
+            config_confirmed: Cell::default(),
+            instances_told: Cell::default(),
             body_bytes: Rc::default(),
             settings: RefCell::new(Rc::new(settings)),
         }
@@ -274,9 +281,27 @@
         self.changed.notify_waiters();
     }
 
+    /// Notes that the configuration in force was the newest at a time.
+    pub(crate) fn confirm_config(&self, at: Option<Instant>) {
+        let known = self.config_confirmed.get();
+        self.config_confirmed.set(known.max(at));
+    }
+
+    /// Time since the configuration in force was known to be the newest.
+    pub(crate) fn config_age(&self, now: Instant) -> Option<Duration> {
+        let at = self.config_confirmed.get()?;
+        Some(now.saturating_duration_since(at))
+    }
+
+    /// Whether the holder of the planning duty answered lately.
+    pub(crate) fn hears_holder(&self) -> bool {
+        self.placement.borrow().is_fresh(self.now())
+    }
+
     /// Instances that share what is bounded over all of them.
     pub(crate) fn instance_count(&self) -> usize {
-        self.members.borrow().instances.len().max(1)
+        let listed = self.members.borrow().instances.len();
+        self.instances_told.get().max(listed).max(1)
     }
 
     /// Takes over an answered list of upstreams.
--- a/crates/external/src/engine.rs
+++ b/crates/external/src/engine.rs
@@ -22,7 +22,8 @@
 pub const PRIORITY_HEADER: &str = "x-priority";
 
 /// A model or an adapter at one version.
-#[derive(Clone, Debug, Eq, Hash, Ord, PartialEq, PartialOrd, Deserialize, Serialize)]
+#[derive(Clone, Debug, Eq, Hash, Ord, PartialEq, PartialOrd)]
+#[derive(Deserialize, Serialize)]
 pub struct Artifact {
     /// Name of the model or adapter.
     pub name: String,
@@ -47,7 +48,8 @@
 }
 
 /// What an order asks for.
-#[derive(Clone, Debug, Eq, PartialEq, Deserialize, Serialize)]
+#[derive(Clone, Debug, Eq, PartialEq)]
+#[derive(Deserialize, Serialize)]
 #[serde(rename_all = "lowercase", tag = "action")]
 pub enum Action {
     /// Load an artifact. Loading what is loaded already changes nothing.
@@ -67,7 +69,8 @@
 }
 
 /// An order of a planner.
-#[derive(Clone, Debug, Eq, PartialEq, Deserialize, Serialize)]
+#[derive(Clone, Debug, Eq, PartialEq)]
+#[derive(Deserialize, Serialize)]
 pub struct Order {
     /// Fencing number: the term of the planner that decided.
     pub term: u64,
@@ -76,7 +79,8 @@
 }
 
 /// Refusal of an order with an old fencing number.
-#[derive(Clone, Debug, Eq, PartialEq, Deserialize, Serialize)]
+#[derive(Clone, Debug, Eq, PartialEq)]
+#[derive(Deserialize, Serialize)]
 pub struct OrderRefusal {
     /// Highest fencing number that the engine has seen.
     pub term: u64,
@@ -85,7 +89,8 @@
 }
 
 /// State of an artifact on an engine.
-#[derive(Clone, Copy, Debug, Eq, PartialEq, Deserialize, Serialize)]
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+#[derive(Deserialize, Serialize)]
 #[serde(rename_all = "lowercase")]
 pub enum LoadState {
     /// Memory is reserved and weights are on their way.
@@ -97,7 +102,8 @@
 }
 
 /// Where an engine has a checkpoint. The order is from fast to slow.
-#[derive(Clone, Copy, Debug, Eq, Hash, Ord, PartialEq, PartialOrd, Deserialize, Serialize)]
+#[derive(Clone, Copy, Debug, Eq, Hash, Ord, PartialEq, PartialOrd)]
+#[derive(Deserialize, Serialize)]
 #[serde(rename_all = "lowercase")]
 pub enum CheckpointTier {
     /// In the server's memory.
@@ -109,7 +115,8 @@
 }
 
 /// An artifact on an engine.
-#[derive(Clone, Debug, Eq, PartialEq, Deserialize, Serialize)]
+#[derive(Clone, Debug, Eq, PartialEq)]
+#[derive(Deserialize, Serialize)]
 pub struct Loaded {
     /// What it is.
     pub artifact: Artifact,
@@ -120,7 +127,8 @@
 }
 
 /// What an engine reports of itself.
-#[derive(Clone, Debug, Default, Eq, PartialEq, Deserialize, Serialize)]
+#[derive(Clone, Debug, Default, Eq, PartialEq)]
+#[derive(Deserialize, Serialize)]
 pub struct Report {
     /// Identifier of the engine process; a restarted engine has another one.
     pub incarnation: u64,
@@ -141,7 +149,8 @@
 }
 
 /// Why an engine did not take an order or give a report.
-#[derive(Debug, Snafu)]
+#[derive(Debug)]
+#[derive(Snafu)]
 pub enum EngineError {
     /// The engine did not answer. An order may have taken effect.
     #[snafu(display("engine {addr} did not answer: {reason}"))]
--- a/crates/external/src/instances.rs
+++ b/crates/external/src/instances.rs
@@ -6,7 +6,8 @@
 use snafu::Snafu;
 
 /// What runs on an instance.
-#[derive(Clone, Copy, Debug, Eq, PartialEq, Deserialize, Serialize)]
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+#[derive(Deserialize, Serialize)]
 #[serde(rename_all = "lowercase")]
 pub enum Role {
     /// An instance of the system.
@@ -16,7 +17,8 @@
 }
 
 /// State of an instance as the platform sees it.
-#[derive(Clone, Copy, Debug, Eq, PartialEq, Deserialize, Serialize)]
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+#[derive(Deserialize, Serialize)]
 #[serde(rename_all = "lowercase")]
 pub enum State {
     /// In service.
@@ -26,7 +28,8 @@
 }
 
 /// One entry of the list.
-#[derive(Clone, Debug, Eq, PartialEq, Deserialize, Serialize)]
+#[derive(Clone, Debug, Eq, PartialEq)]
+#[derive(Deserialize, Serialize)]
 pub struct InstanceInfo {
     /// Name of the instance; for an upstream, its name in the catalog.
     pub name: String,
@@ -45,14 +48,16 @@
 }
 
 /// The list as it is sent.
-#[derive(Clone, Debug, Default, Eq, PartialEq, Deserialize, Serialize)]
+#[derive(Clone, Debug, Default, Eq, PartialEq)]
+#[derive(Deserialize, Serialize)]
 pub struct InstanceList {
     /// All instances.
     pub instances: Vec<InstanceInfo>,
 }
 
 /// Why the list could not be read.
-#[derive(Debug, Snafu)]
+#[derive(Debug)]
+#[derive(Snafu)]
 #[snafu(display("list of instances at {addr} cannot be read: {reason}"))]
 pub struct InstancesError {
     addr: SocketAddr,
--- a/crates/external/src/kv.rs
+++ b/crates/external/src/kv.rs
@@ -32,7 +32,8 @@
 }
 
 /// Why a call to the key-value service failed.
-#[derive(Debug, Snafu)]
+#[derive(Debug)]
+#[derive(Snafu)]
 #[snafu(visibility(pub))]
 pub enum KvError {
     /// The service did not answer, or answered that it is unavailable. A write may have taken
@@ -101,7 +102,8 @@
 }
 
 /// A body with the identifier of the write that stored it.
-#[derive(Clone, Debug, Eq, PartialEq, Deserialize, Serialize)]
+#[derive(Clone, Debug, Eq, PartialEq)]
+#[derive(Deserialize, Serialize)]
 pub struct Recorded<T> {
     /// Identifier of the write, unique over all writers.
     pub write_id: String,
--- a/crates/external/src/kv_counted.rs
+++ b/crates/external/src/kv_counted.rs
@@ -14,7 +14,8 @@
 
 use crate::kv::{Kv, KvError, LeaseId, LeasedKv, Swap, Version, Versioned};
 
-#[derive(Clone, Copy, Debug, Eq, Hash, PartialEq, EncodeLabelValue)]
+#[derive(Clone, Copy, Debug, Eq, Hash, PartialEq)]
+#[derive(EncodeLabelValue)]
 enum Call {
     Get,
     Swap,
@@ -22,14 +23,16 @@
     Grant,
 }
 
-#[derive(Clone, Copy, Debug, Eq, Hash, PartialEq, EncodeLabelValue)]
+#[derive(Clone, Copy, Debug, Eq, Hash, PartialEq)]
+#[derive(EncodeLabelValue)]
 enum Outcome {
     Answered,
     RateLimited,
     Failed,
 }
 
-#[derive(Clone, Debug, Eq, Hash, PartialEq, EncodeLabelSet)]
+#[derive(Clone, Debug, Eq, Hash, PartialEq)]
+#[derive(EncodeLabelSet)]
 struct Labels {
     call: Call,
     outcome: Outcome,
--- a/crates/fleet/src/load.rs
+++ b/crates/fleet/src/load.rs
@@ -5,7 +5,8 @@
 use serde::{Deserialize, Serialize};
 
 /// Requests at one upstream.
-#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 pub struct Load {
     /// Requests that were sent and have not ended.
     pub running: u32,
@@ -16,6 +17,16 @@
 }
 
 impl Load {
+    /// This load without a part of it.
+    #[must_use]
+    pub fn without(self, part: Self) -> Self {
+        Self {
+            running: self.running.saturating_sub(part.running),
+            starting: self.starting.saturating_sub(part.starting),
+            unread: self.unread.saturating_sub(part.unread),
+        }
+    }
+
     /// Adds another load.
     pub fn add(&mut self, other: Self) {
         self.running += other.running;
@@ -28,6 +39,15 @@
 /// plain services.
 pub type Loads = HashMap<String, BTreeMap<String, Load>>;
 
+/// Load of an upstream by all requests.
+pub fn of_upstream(loads: &Loads, upstream: &str) -> Load {
+    let mut total = Load::default();
+    for load in loads.get(upstream).into_iter().flat_map(BTreeMap::values) {
+        total.add(*load);
+    }
+    total
+}
+
 /// Load of an upstream by requests for a model, with or without an adapter.
 pub fn of_model(loads: &Loads, upstream: &str, model: &str) -> Load {
     let mut total = Load::default();
@@ -48,7 +68,7 @@
 #[derive(Debug, Default)]
 pub struct LoadBoard {
     own: Loads,
-    others: Loads,
+    others: HashMap<String, Load>,
 }
 
 impl LoadBoard {
@@ -87,18 +107,14 @@
     }
 
     /// Takes over what the other instances have sent.
-    pub fn set_others(&mut self, others: Loads) {
+    pub fn set_others(&mut self, others: HashMap<String, Load>) {
         self.others = others;
     }
 
     /// Load of an upstream from all instances.
     pub fn total(&self, upstream: &str) -> Load {
-        let mut total = Load::default();
-        for loads in [&self.own, &self.others] {
-            for load in loads.get(upstream).into_iter().flat_map(BTreeMap::values) {
-                total.add(*load);
-            }
-        }
+        let mut total = self.others.get(upstream).copied().unwrap_or_default();
+        total.add(of_upstream(&self.own, upstream));
         total
     }
 
--- a/crates/fleet/src/planner/adapters.rs
+++ b/crates/fleet/src/planner/adapters.rs
@@ -3,7 +3,7 @@
 use std::time::{Duration, Instant};
 
 use super::{Planner, World};
-use crate::{load::Load, request::Artifact, upstream::HeldModel};
+use crate::{load, request::Artifact, upstream::HeldModel};
 
 /// Cost of dropping another adapter, in requests that run at the engine.
 const DISPLACES: f64 = 4.0;
@@ -109,14 +109,6 @@
 }
 
 fn busyness(world: &World<'_>, id: &str) -> f64 {
-    let mut total = Load::default();
-    for load in world
-        .loads
-        .get(id)
-        .into_iter()
-        .flat_map(|loads| loads.values())
-    {
-        total.add(*load);
-    }
+    let total = load::of_upstream(world.loads, id);
     f64::from(total.running) + f64::from(total.starting) * STARTING
 }
--- a/crates/fleet/src/planner/demand.rs
+++ b/crates/fleet/src/planner/demand.rs
@@ -17,7 +17,8 @@
 const RATE_TIME: Duration = Duration::from_secs(20);
 
 /// Requests that wait for an artifact that no engine can run.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 pub struct Waiting {
     /// What they wait for.
     pub artifact: Artifact,
--- a/crates/fleet/src/planner/mod.rs
+++ b/crates/fleet/src/planner/mod.rs
@@ -294,7 +294,8 @@
 }
 
 /// One of the instances' sums of requests that wait, as instances send it to the planner.
-#[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
+#[derive(Clone, Debug, Default, PartialEq)]
+#[derive(Serialize, Deserialize)]
 pub struct DemandReport {
     /// Requests that wait, by service.
     pub waiting: BTreeMap<String, Vec<Waiting>>,
--- a/crates/fleet/src/quota.rs
+++ b/crates/fleet/src/quota.rs
@@ -88,7 +88,8 @@
 }
 
 /// Units spent and asked for since the start of a process.
-#[derive(Clone, Copy, Debug, Default, PartialEq, Serialize, Deserialize)]
+#[derive(Clone, Copy, Debug, Default, PartialEq)]
+#[derive(Serialize, Deserialize)]
 pub struct Totals {
     /// Units spent.
     pub spent: f64,
@@ -97,7 +98,8 @@
 }
 
 /// What an instance may take of a workspace's allowance.
-#[derive(Clone, Copy, Debug, Default, PartialEq, Serialize, Deserialize)]
+#[derive(Clone, Copy, Debug, Default, PartialEq)]
+#[derive(Serialize, Deserialize)]
 pub struct Grant {
     /// Units that it may take now; negative while too much was taken.
     pub level: f64,
--- a/crates/fleet/src/request.rs
+++ b/crates/fleet/src/request.rs
@@ -3,9 +3,8 @@
 use std::time::Duration;
 
 /// Model and adapter that a request asks for.
-#[derive(
-    Clone, Debug, PartialEq, Eq, Hash, PartialOrd, Ord, serde::Serialize, serde::Deserialize,
-)]
+#[derive(Clone, Debug, PartialEq, Eq, Hash, PartialOrd, Ord)]
+#[derive(serde::Serialize, serde::Deserialize)]
 pub struct Artifact {
     /// Name of the model.
     pub model: String,
--- a/crates/fleet/src/upstream.rs
+++ b/crates/fleet/src/upstream.rs
@@ -5,7 +5,8 @@
 use crate::request::Artifact;
 
 /// An upstream in the platform's list.
-#[derive(Clone, Debug, PartialEq, serde::Serialize, serde::Deserialize)]
+#[derive(Clone, Debug, PartialEq)]
+#[derive(serde::Serialize, serde::Deserialize)]
 pub struct Upstream {
     /// Identifier of this start of the upstream.
     pub id: String,
@@ -26,7 +27,8 @@
 }
 
 /// Whether an upstream takes new requests.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, serde::Serialize, serde::Deserialize)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(serde::Serialize, serde::Deserialize)]
 pub enum Phase {
     /// It does.
     Ready,
@@ -35,7 +37,8 @@
 }
 
 /// Models and adapters in the memory of an engine, and copies from which it loads fast.
-#[derive(Clone, Debug, Default, PartialEq, serde::Serialize, serde::Deserialize)]
+#[derive(Clone, Debug, Default, PartialEq)]
+#[derive(serde::Serialize, serde::Deserialize)]
 pub struct Holding {
     /// Loaded models.
     pub models: Vec<HeldModel>,
@@ -46,7 +49,8 @@
 }
 
 /// A loaded model.
-#[derive(Clone, Debug, PartialEq, serde::Serialize, serde::Deserialize)]
+#[derive(Clone, Debug, PartialEq)]
+#[derive(serde::Serialize, serde::Deserialize)]
 pub struct HeldModel {
     /// Name of the model.
     pub name: String,
--- a/crates/gate/src/allowances/metrics.rs
+++ b/crates/gate/src/allowances/metrics.rs
@@ -9,7 +9,8 @@
 use comfreyweir_allowance::ledger::Levels;
 
 /// Why tokens could not be had.
-#[derive(Clone, Copy, Debug, Eq, Hash, PartialEq, EncodeLabelValue)]
+#[derive(Clone, Copy, Debug, Eq, Hash, PartialEq)]
+#[derive(EncodeLabelValue)]
 pub(super) enum Cause {
     /// All gates were asked, or are believed to be empty: the workspace is over its rate.
     OverRate,
@@ -21,19 +22,22 @@
     ShareLapsed,
 }
 
-#[derive(Clone, Debug, Eq, Hash, PartialEq, EncodeLabelSet)]
+#[derive(Clone, Debug, Eq, Hash, PartialEq)]
+#[derive(EncodeLabelSet)]
 struct RefusalLabel {
     workspace: String,
     cause: Cause,
 }
 
-#[derive(Clone, Debug, Eq, Hash, PartialEq, EncodeLabelSet)]
+#[derive(Clone, Debug, Eq, Hash, PartialEq)]
+#[derive(EncodeLabelSet)]
 struct LevelLabel {
     workspace: String,
     kind: Kind,
 }
 
-#[derive(Clone, Copy, Debug, Eq, Hash, PartialEq, EncodeLabelValue)]
+#[derive(Clone, Copy, Debug, Eq, Hash, PartialEq)]
+#[derive(EncodeLabelValue)]
 enum Kind {
     Cap,
     Free,
--- a/crates/gate/src/error.rs
+++ b/crates/gate/src/error.rs
@@ -10,7 +10,8 @@
 use serde::Serialize;
 
 /// Whether a request that was refused may have run.
-#[derive(Clone, Copy, Debug, Eq, PartialEq, Serialize)]
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+#[derive(Serialize)]
 #[serde(rename_all = "lowercase")]
 pub enum Run {
     /// Not one byte of the request has reached an upstream.
@@ -20,7 +21,8 @@
 }
 
 /// Stable code of a refusal.
-#[derive(Clone, Copy, Debug, Eq, Hash, PartialEq, Serialize)]
+#[derive(Clone, Copy, Debug, Eq, Hash, PartialEq)]
+#[derive(Serialize)]
 #[serde(rename_all = "snake_case")]
 pub enum Code {
     /// The request cannot be understood.
--- a/crates/gate/src/gate.rs
+++ b/crates/gate/src/gate.rs
@@ -35,7 +35,8 @@
 };
 
 /// Why a gate cannot be started.
-#[derive(Debug, Snafu)]
+#[derive(Debug)]
+#[derive(Snafu)]
 #[snafu(visibility(pub(crate)))]
 pub enum GateError {
     /// The secret cannot be used.
--- a/crates/gate/src/metrics.rs
+++ b/crates/gate/src/metrics.rs
@@ -24,13 +24,15 @@
 type WaitFamily = Family<WorkspaceLabel, Histogram, fn() -> Histogram>;
 
 /// Labels of a metric of one workspace.
-#[derive(Clone, Debug, Eq, Hash, PartialEq, EncodeLabelSet)]
+#[derive(Clone, Debug, Eq, Hash, PartialEq)]
+#[derive(EncodeLabelSet)]
 pub struct WorkspaceLabel {
     workspace: String,
 }
 
 /// Labels of refusals.
-#[derive(Clone, Debug, Eq, Hash, PartialEq, EncodeLabelSet)]
+#[derive(Clone, Debug, Eq, Hash, PartialEq)]
+#[derive(EncodeLabelSet)]
 pub struct RefusalLabel {
     workspace: String,
     code: String,
@@ -38,7 +40,8 @@
 }
 
 /// Labels of answers.
-#[derive(Clone, Debug, Eq, Hash, PartialEq, EncodeLabelSet)]
+#[derive(Clone, Debug, Eq, Hash, PartialEq)]
+#[derive(EncodeLabelSet)]
 pub struct AnswerLabel {
     workspace: String,
     outcome: String,
--- a/crates/gate/src/peers/peer.rs
+++ b/crates/gate/src/peers/peer.rs
@@ -19,7 +19,8 @@
 const STALL_LIMIT: Duration = Duration::from_millis(200);
 
 /// Why a gate did not answer.
-#[derive(Debug, Snafu)]
+#[derive(Debug)]
+#[derive(Snafu)]
 #[snafu(visibility(pub(super)))]
 pub enum PeerError {
     /// The platform does not list the gate.
--- a/crates/gate/src/services/claim.rs
+++ b/crates/gate/src/services/claim.rs
@@ -10,7 +10,8 @@
 pub const MAX_RECORDED_BYTES: usize = 256 << 10;
 
 /// Record of one idempotency key.
-#[derive(Clone, Debug, Eq, PartialEq, Deserialize, Serialize)]
+#[derive(Clone, Debug, Eq, PartialEq)]
+#[derive(Deserialize, Serialize)]
 pub struct Claim {
     /// Digest of method, path and body of the call.
     pub call: String,
@@ -24,7 +25,8 @@
 }
 
 /// How far a call got.
-#[derive(Clone, Debug, Eq, PartialEq, Deserialize, Serialize)]
+#[derive(Clone, Debug, Eq, PartialEq)]
+#[derive(Deserialize, Serialize)]
 #[serde(rename_all = "lowercase")]
 pub enum ClaimState {
     /// The call did not run. The key can be claimed again.
@@ -38,7 +40,8 @@
 }
 
 /// Answer of a call that ran.
-#[derive(Clone, Debug, Eq, PartialEq, Deserialize, Serialize)]
+#[derive(Clone, Debug, Eq, PartialEq)]
+#[derive(Deserialize, Serialize)]
 pub struct RecordedAnswer {
     /// HTTP status.
     pub status: u16,
--- a/crates/gate/src/services/claims.rs
+++ b/crates/gate/src/services/claims.rs
@@ -34,7 +34,8 @@
 const RETRY_MAX: Duration = Duration::from_secs(5);
 
 /// Why a call with an idempotency key is not sent.
-#[derive(Debug, Snafu)]
+#[derive(Debug)]
+#[derive(Snafu)]
 pub enum ClaimError {
     /// Whether the key is claimed cannot be known now. Nothing was sent.
     #[snafu(display("idempotency key cannot be claimed: {source}"))]
--- a/crates/http/src/body.rs
+++ b/crates/http/src/body.rs
@@ -110,7 +110,8 @@
 }
 
 /// Why the body of a request could not be read.
-#[derive(Debug, Snafu)]
+#[derive(Debug)]
+#[derive(Snafu)]
 pub enum ReadError {
     /// It is larger than is taken.
     #[snafu(display("the body is larger than {limit} bytes"))]
--- a/crates/http/src/upstream/mod.rs
+++ b/crates/http/src/upstream/mod.rs
@@ -51,7 +51,8 @@
 
 /// Why a call did not bring a whole answer. [`Track::is_written`] tells whether the upstream may
 /// have received any of the request.
-#[derive(Debug, Snafu)]
+#[derive(Debug)]
+#[derive(Snafu)]
 #[snafu(visibility(pub(crate)))]
 pub enum CallError {
     /// No connection could be opened.
--- a/crates/load/src/allowances/outcome.rs
+++ b/crates/load/src/allowances/outcome.rs
@@ -11,7 +11,8 @@
 };
 
 /// Figures of one trial.
-#[derive(Clone, Debug, Serialize)]
+#[derive(Clone, Debug)]
+#[derive(Serialize)]
 pub struct Row {
     load: f64,
     fault: &'static str,
@@ -31,7 +32,8 @@
 }
 
 /// Figures of all trials.
-#[derive(Clone, Debug, Serialize)]
+#[derive(Clone, Debug)]
+#[derive(Serialize)]
 pub struct Outcome {
     /// Seed of the arrivals.
     pub seed: u64,
--- a/crates/load/src/arrivals.rs
+++ b/crates/load/src/arrivals.rs
@@ -38,7 +38,8 @@
 }
 
 /// One request to come.
-#[derive(Clone, Debug, PartialEq, Deserialize, Serialize)]
+#[derive(Clone, Debug, PartialEq)]
+#[derive(Deserialize, Serialize)]
 pub struct Arrival {
     /// Time since the start of the run, in µs.
     pub at_us: u64,
--- a/crates/load/src/cold_starts.rs
+++ b/crates/load/src/cold_starts.rs
@@ -34,7 +34,8 @@
 const FULL_SPEED: usize = 4;
 
 /// Which way of each choice is run.
-#[derive(Clone, Copy, Debug, Eq, PartialEq, Serialize)]
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+#[derive(Serialize)]
 pub struct Way {
     /// Order of loads.
     pub order: &'static str,
--- a/crates/load/src/cold_starts/figures.rs
+++ b/crates/load/src/cold_starts/figures.rs
@@ -8,7 +8,8 @@
 use crate::report::{Percentiles, percentiles};
 
 /// Figures of one way.
-#[derive(Clone, Debug, Serialize)]
+#[derive(Clone, Debug)]
+#[derive(Serialize)]
 pub struct Figures {
     /// First requests that found their artifact not ready, by waiting time in ms.
     pub cold: Percentiles,
@@ -93,7 +94,8 @@
 }
 
 /// Figures of all ways.
-#[derive(Clone, Debug, Serialize)]
+#[derive(Clone, Debug)]
+#[derive(Serialize)]
 pub struct Table {
     /// Deployment.
     pub deployment: String,
--- a/crates/load/src/cost.rs
+++ b/crates/load/src/cost.rs
@@ -29,7 +29,8 @@
 const PROMPT: &str = "A short question of a technician in the van.";
 
 /// Times of the same calls at one load.
-#[derive(Clone, Copy, Debug, Deserialize, Serialize)]
+#[derive(Clone, Copy, Debug)]
+#[derive(Deserialize, Serialize)]
 pub struct Row {
     /// Requests a second of other callers.
     pub rate: u32,
@@ -42,7 +43,8 @@
 }
 
 /// Times at all loads.
-#[derive(Clone, Debug, Deserialize, Serialize)]
+#[derive(Clone, Debug)]
+#[derive(Deserialize, Serialize)]
 pub struct Cost {
     /// One row a load.
     pub rows: Vec<Row>,
--- a/crates/load/src/error.rs
+++ b/crates/load/src/error.rs
@@ -6,7 +6,8 @@
 use snafu::Snafu;
 
 /// Why a run did not give a result.
-#[derive(Debug, Snafu)]
+#[derive(Debug)]
+#[derive(Snafu)]
 #[snafu(visibility(pub(crate)))]
 pub enum LoadError {
     /// The command line is not understood.
--- a/crates/load/src/fit.rs
+++ b/crates/load/src/fit.rs
@@ -3,7 +3,8 @@
 use serde::{Deserialize, Serialize};
 
 /// A least-squares line with its points.
-#[derive(Clone, Debug, Default, Deserialize, Serialize)]
+#[derive(Clone, Debug, Default)]
+#[derive(Deserialize, Serialize)]
 pub struct Line {
     /// Measured points: size and value.
     pub points: Vec<(f64, f64)>,
--- a/crates/load/src/report.rs
+++ b/crates/load/src/report.rs
@@ -17,7 +17,8 @@
 const LONGEST_US: u64 = 600_000_000;
 
 /// How a request went.
-#[derive(Clone, Debug, Deserialize, Serialize)]
+#[derive(Clone, Debug)]
+#[derive(Deserialize, Serialize)]
 pub struct Outcome {
     /// The request.
     pub arrival: Arrival,
@@ -36,7 +37,8 @@
 }
 
 /// Percentiles of a time, in ms.
-#[derive(Clone, Copy, Debug, Default, Deserialize, Serialize)]
+#[derive(Clone, Copy, Debug, Default)]
+#[derive(Deserialize, Serialize)]
 pub struct Percentiles {
     /// Number of values.
     pub count: u64,
@@ -49,7 +51,8 @@
 }
 
 /// Result of a run.
-#[derive(Clone, Debug, Default, Deserialize, Serialize)]
+#[derive(Clone, Debug, Default)]
+#[derive(Deserialize, Serialize)]
 pub struct Report {
     /// Deployment.
     pub deployment: String,
@@ -91,7 +94,8 @@
 }
 
 /// What a workspace saw.
-#[derive(Clone, Debug, Default, Deserialize, Serialize)]
+#[derive(Clone, Debug, Default)]
+#[derive(Deserialize, Serialize)]
 pub struct Seen {
     /// Requests inside the rate, by an ideal bucket that knows all arrivals.
     pub inside: usize,
--- a/crates/load/src/slopes/mod.rs
+++ b/crates/load/src/slopes/mod.rs
@@ -30,7 +30,8 @@
     "A prompt of eighty bytes, which is twenty tokens by the count of the stand-ins..";
 
 /// One varied size with all that was measured.
-#[derive(Clone, Debug, Deserialize, Serialize)]
+#[derive(Clone, Debug)]
+#[derive(Deserialize, Serialize)]
 pub struct Series {
     /// Name, as `--only` takes it.
     pub name: String,
@@ -41,7 +42,8 @@
 }
 
 /// All series.
-#[derive(Clone, Debug, Default, Deserialize, Serialize)]
+#[derive(Clone, Debug, Default)]
+#[derive(Deserialize, Serialize)]
 pub struct Slopes {
     /// The series.
     pub series: Vec<Series>,
--- a/crates/peer/src/auth.rs
+++ b/crates/peer/src/auth.rs
@@ -26,7 +26,8 @@
 pub struct Secret(Vec<u8>);
 
 /// Why a secret cannot be used.
-#[derive(Debug, Snafu)]
+#[derive(Debug)]
+#[derive(Snafu)]
 pub enum SecretError {
     /// The file cannot be read.
     #[snafu(display("peer secret {} cannot be read: {source}", path.display()))]
@@ -45,7 +46,8 @@
 }
 
 /// Why the other side was not let in.
-#[derive(Debug, Snafu)]
+#[derive(Debug)]
+#[derive(Snafu)]
 pub enum AuthError {
     /// The connection failed.
     #[snafu(display("connection failed while authenticating: {source}"))]
--- a/crates/peer/src/link.rs
+++ b/crates/peer/src/link.rs
@@ -20,7 +20,8 @@
 const OPEN_TIMEOUT: Duration = Duration::from_secs(1);
 
 /// Why a link cannot be opened or used.
-#[derive(Debug, Snafu)]
+#[derive(Debug)]
+#[derive(Snafu)]
 pub enum LinkError {
     /// The address cannot be listened on.
     #[snafu(display("cannot listen for peers on {addr}: {source}"))]
--- a/crates/placement/src/record.rs
+++ b/crates/placement/src/record.rs
@@ -9,7 +9,8 @@
 use serde::{Deserialize, Serialize};
 
 /// Value of the key `cell/NAME`.
-#[derive(Clone, Debug, Default, Eq, PartialEq, Deserialize, Serialize)]
+#[derive(Clone, Debug, Default, Eq, PartialEq)]
+#[derive(Deserialize, Serialize)]
 pub struct CellRecord {
     /// Name of the holder's instance.
     pub holder: String,
@@ -26,14 +27,16 @@
 }
 
 /// Everything that may occupy an engine by decision of a holder.
-#[derive(Clone, Debug, Default, Eq, PartialEq, Deserialize, Serialize)]
+#[derive(Clone, Debug, Default, Eq, PartialEq)]
+#[derive(Deserialize, Serialize)]
 pub struct Plan {
     /// One entry for each artifact on each engine.
     pub reservations: Vec<Reservation>,
 }
 
 /// Memory and replica count that a decision has taken on an engine.
-#[derive(Clone, Debug, Eq, PartialEq, Deserialize, Serialize)]
+#[derive(Clone, Debug, Eq, PartialEq)]
+#[derive(Deserialize, Serialize)]
 pub struct Reservation {
     /// Name of the upstream.
     pub upstream: String,
@@ -53,7 +56,8 @@
 }
 
 /// How far a decision has been carried out.
-#[derive(Clone, Copy, Debug, Eq, PartialEq, Deserialize, Serialize)]
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+#[derive(Deserialize, Serialize)]
 #[serde(rename_all = "lowercase")]
 pub enum Stage {
     /// Decided; the engine is not known to have taken the order.
--- a/crates/planner/src/error.rs
+++ b/crates/planner/src/error.rs
@@ -6,7 +6,8 @@
 use snafu::Snafu;
 
 /// Why a planner cannot be started.
-#[derive(Debug, Snafu)]
+#[derive(Debug)]
+#[derive(Snafu)]
 #[snafu(visibility(pub(crate)))]
 pub enum PlannerError {
     /// The peer secret cannot be used.
--- a/crates/planner/src/metrics.rs
+++ b/crates/planner/src/metrics.rs
@@ -26,25 +26,29 @@
 /// Buckets of load times; each is twice the one before.
 const LOAD_BUCKETS: u16 = 16;
 
-#[derive(Clone, Copy, Debug, Eq, Hash, PartialEq, EncodeLabelValue)]
+#[derive(Clone, Copy, Debug, Eq, Hash, PartialEq)]
+#[derive(EncodeLabelValue)]
 enum Source {
     Memory,
     Disk,
     Remote,
 }
 
-#[derive(Clone, Debug, Eq, Hash, PartialEq, EncodeLabelSet)]
+#[derive(Clone, Debug, Eq, Hash, PartialEq)]
+#[derive(EncodeLabelSet)]
 struct SourceLabels {
     source: Source,
 }
 
-#[derive(Clone, Debug, Eq, Hash, PartialEq, EncodeLabelSet)]
+#[derive(Clone, Debug, Eq, Hash, PartialEq)]
+#[derive(EncodeLabelSet)]
 struct OrderLabels {
     action: &'static str,
     outcome: &'static str,
 }
 
-#[derive(Clone, Debug, Eq, Hash, PartialEq, EncodeLabelSet)]
+#[derive(Clone, Debug, Eq, Hash, PartialEq)]
+#[derive(EncodeLabelSet)]
 struct CellLabels {
     cell: String,
 }
--- a/crates/standins/src/engine/cache.rs
+++ b/crates/standins/src/engine/cache.rs
@@ -16,7 +16,8 @@
 const EVENTS_KEPT: usize = 10_000;
 
 /// What happened to a block.
-#[derive(Clone, Copy, Debug, Eq, PartialEq, Deserialize, Serialize)]
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+#[derive(Deserialize, Serialize)]
 #[serde(rename_all = "snake_case")]
 pub enum CacheChange {
     /// It was stored.
@@ -26,7 +27,8 @@
 }
 
 /// An event of the cache. Numbers that are left out are gaps.
-#[derive(Clone, Debug, Deserialize, Serialize)]
+#[derive(Clone, Debug)]
+#[derive(Deserialize, Serialize)]
 pub struct CacheEvent {
     /// Number of the event; rises by one with each.
     pub number: u64,
@@ -39,7 +41,8 @@
 }
 
 /// Answer to a reading of events.
-#[derive(Clone, Debug, Default, Deserialize, Serialize)]
+#[derive(Clone, Debug, Default)]
+#[derive(Deserialize, Serialize)]
 pub struct CacheEvents {
     /// Events in the order of their numbers.
     pub events: Vec<CacheEvent>,
--- a/crates/standins/src/engine/record.rs
+++ b/crates/standins/src/engine/record.rs
@@ -8,7 +8,8 @@
 use crate::timeline;
 
 /// What happened to a replica.
-#[derive(Clone, Copy, Debug, Eq, PartialEq, Deserialize, Serialize)]
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+#[derive(Deserialize, Serialize)]
 #[serde(rename_all = "snake_case")]
 pub enum Change {
     /// A load was ordered and began; memory is taken from now on.
@@ -26,7 +27,8 @@
 }
 
 /// A change of a replica.
-#[derive(Clone, Debug, Deserialize, Serialize)]
+#[derive(Clone, Debug)]
+#[derive(Deserialize, Serialize)]
 pub struct ReplicaChange {
     /// When, in µs since the Unix epoch.
     pub at_us: u64,
@@ -45,7 +47,8 @@
 }
 
 /// An invariant that the engine saw broken.
-#[derive(Clone, Copy, Debug, Eq, PartialEq, Deserialize, Serialize)]
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+#[derive(Deserialize, Serialize)]
 #[serde(rename_all = "snake_case")]
 pub enum BreakKind {
     /// A load was ordered that does not fit into the memory left.
@@ -57,7 +60,8 @@
 }
 
 /// A broken invariant.
-#[derive(Clone, Debug, Deserialize, Serialize)]
+#[derive(Clone, Debug)]
+#[derive(Deserialize, Serialize)]
 pub struct Break {
     /// When, in µs since the Unix epoch.
     pub at_us: u64,
@@ -72,7 +76,8 @@
 }
 
 /// Kind of tokens that a workspace received.
-#[derive(Clone, Copy, Debug, Eq, PartialEq, Deserialize, Serialize)]
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+#[derive(Deserialize, Serialize)]
 #[serde(rename_all = "snake_case")]
 pub enum TokenKind {
     /// Prompt, received at the start of a run.
@@ -82,7 +87,8 @@
 }
 
 /// Tokens that a workspace received.
-#[derive(Clone, Debug, Deserialize, Serialize)]
+#[derive(Clone, Debug)]
+#[derive(Deserialize, Serialize)]
 pub struct Receipt {
     /// When, in µs since the Unix epoch.
     pub at_us: u64,
@@ -97,7 +103,8 @@
 }
 
 /// How a request ended.
-#[derive(Clone, Copy, Debug, Eq, PartialEq, Deserialize, Serialize)]
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+#[derive(Deserialize, Serialize)]
 #[serde(rename_all = "snake_case")]
 pub enum Outcome {
     /// Read, or waiting for a slot.
@@ -115,7 +122,8 @@
 }
 
 /// A request for inference.
-#[derive(Clone, Debug, Deserialize, Serialize)]
+#[derive(Clone, Debug)]
+#[derive(Deserialize, Serialize)]
 pub struct RequestRecord {
     /// When its head was read, in µs since the Unix epoch.
     pub at_us: u64,
@@ -144,7 +152,8 @@
 }
 
 /// Record of an engine since its stand-in started, crashes included.
-#[derive(Clone, Debug, Default, Deserialize, Serialize)]
+#[derive(Clone, Debug, Default)]
+#[derive(Deserialize, Serialize)]
 pub struct Record {
     /// Name of the upstream.
     pub name: String,
--- a/crates/standins/src/engine/settings.rs
+++ b/crates/standins/src/engine/settings.rs
@@ -6,7 +6,8 @@
 use serde::{Deserialize, Serialize};
 
 /// Settings of an engine.
-#[derive(Clone, Debug, Deserialize, Serialize)]
+#[derive(Clone, Debug)]
+#[derive(Deserialize, Serialize)]
 #[serde(deny_unknown_fields)]
 pub struct Settings {
     /// Name of the upstream.
@@ -77,7 +78,8 @@
 }
 
 /// Times of an engine.
-#[derive(Clone, Copy, Debug, Deserialize, Serialize)]
+#[derive(Clone, Copy, Debug)]
+#[derive(Deserialize, Serialize)]
 #[serde(default, deny_unknown_fields)]
 pub struct Times {
     /// Load from the server's memory, in ms.
@@ -117,7 +119,8 @@
 }
 
 /// Faults of an engine.
-#[derive(Clone, Copy, Debug, Default, Deserialize, Serialize)]
+#[derive(Clone, Copy, Debug, Default)]
+#[derive(Deserialize, Serialize)]
 #[serde(default, deny_unknown_fields)]
 pub struct Faults {
     /// Number of coming runs that fail as said below.
--- a/crates/standins/src/error.rs
+++ b/crates/standins/src/error.rs
@@ -5,7 +5,8 @@
 use snafu::Snafu;
 
 /// Why a stand-in cannot run.
-#[derive(Debug, Snafu)]
+#[derive(Debug)]
+#[derive(Snafu)]
 #[snafu(visibility(pub(crate)))]
 pub enum StandinError {
     /// The address cannot be listened on.
--- a/crates/standins/src/instances.rs
+++ b/crates/standins/src/instances.rs
@@ -13,7 +13,8 @@
 };
 
 /// Settings of a list.
-#[derive(Clone, Debug, Deserialize, Serialize)]
+#[derive(Clone, Debug)]
+#[derive(Deserialize, Serialize)]
 #[serde(deny_unknown_fields)]
 pub struct Settings {
     /// Address of the list.
@@ -46,7 +47,8 @@
 }
 
 /// Faults and lag of a list.
-#[derive(Clone, Copy, Debug, Default, Deserialize, Serialize)]
+#[derive(Clone, Copy, Debug, Default)]
+#[derive(Deserialize, Serialize)]
 #[serde(default, deny_unknown_fields)]
 pub struct Faults {
     /// Whether the list answers 503.
--- a/crates/standins/src/kv/faults.rs
+++ b/crates/standins/src/kv/faults.rs
@@ -4,7 +4,8 @@
 use tokio::time::Instant;
 
 /// How the service fails.
-#[derive(Clone, Copy, Debug, Default, Eq, PartialEq, Deserialize, Serialize)]
+#[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
+#[derive(Deserialize, Serialize)]
 #[serde(rename_all = "lowercase")]
 pub enum Outage {
     /// It does not.
@@ -17,7 +18,8 @@
 }
 
 /// Reads that are answered with an older version.
-#[derive(Clone, Debug, Default, Eq, PartialEq, Deserialize, Serialize)]
+#[derive(Clone, Debug, Default, Eq, PartialEq)]
+#[derive(Deserialize, Serialize)]
 #[serde(deny_unknown_fields)]
 pub struct StaleReads {
     /// Keys that start with this are concerned.
@@ -27,7 +29,8 @@
 }
 
 /// Faults and limits in force.
-#[derive(Clone, Debug, Default, Deserialize, Serialize)]
+#[derive(Clone, Debug, Default)]
+#[derive(Deserialize, Serialize)]
 #[serde(default, deny_unknown_fields)]
 pub struct Faults {
     /// Outage.
--- a/crates/standins/src/kv/mod.rs
+++ b/crates/standins/src/kv/mod.rs
@@ -25,7 +25,8 @@
 };
 
 /// Settings of a service.
-#[derive(Clone, Debug, Deserialize, Serialize)]
+#[derive(Clone, Debug)]
+#[derive(Deserialize, Serialize)]
 #[serde(deny_unknown_fields)]
 pub struct Settings {
     /// Address of the service.
--- a/crates/standins/src/kv/state.rs
+++ b/crates/standins/src/kv/state.rs
@@ -14,7 +14,8 @@
 const HISTORY: usize = 64;
 
 /// What was called so far.
-#[derive(Clone, Debug, Default, Deserialize, Serialize)]
+#[derive(Clone, Debug, Default)]
+#[derive(Deserialize, Serialize)]
 pub struct Counts {
     /// Reads.
     pub reads: u64,
--- a/crates/standins/src/program.rs
+++ b/crates/standins/src/program.rs
@@ -45,7 +45,8 @@
 ";
 
 /// Settings of many stand-ins.
-#[derive(Clone, Debug, Default, Deserialize, Serialize)]
+#[derive(Clone, Debug, Default)]
+#[derive(Deserialize, Serialize)]
 #[serde(default, deny_unknown_fields)]
 pub struct Settings {
     /// Key-value service.
--- a/crates/standins/src/proxy.rs
+++ b/crates/standins/src/proxy.rs
@@ -37,7 +37,8 @@
 const ACCEPT_PAUSE: Duration = Duration::from_millis(100);
 
 /// What the proxy does to its connections.
-#[derive(Clone, Copy, Debug, Default, Eq, PartialEq, Deserialize, Serialize)]
+#[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
+#[derive(Deserialize, Serialize)]
 #[serde(rename_all = "snake_case")]
 pub enum Mode {
     /// Passes everything.
@@ -54,7 +55,8 @@
 }
 
 /// Faults in force.
-#[derive(Clone, Copy, Debug, Default, Deserialize, Serialize)]
+#[derive(Clone, Copy, Debug, Default)]
+#[derive(Deserialize, Serialize)]
 #[serde(default, deny_unknown_fields)]
 pub struct Faults {
     /// What happens to connections.
@@ -68,7 +70,8 @@
 }
 
 /// What passed so far.
-#[derive(Clone, Copy, Debug, Default, Deserialize, Serialize)]
+#[derive(Clone, Copy, Debug, Default)]
+#[derive(Deserialize, Serialize)]
 pub struct Counts {
     /// Connections accepted.
     pub connections: u64,
@@ -85,7 +88,8 @@
 }
 
 /// Settings of a proxy.
-#[derive(Clone, Debug, Deserialize, Serialize)]
+#[derive(Clone, Debug)]
+#[derive(Deserialize, Serialize)]
 #[serde(deny_unknown_fields)]
 pub struct Settings {
     /// Address to listen on.
--- a/crates/standins/src/service.rs
+++ b/crates/standins/src/service.rs
@@ -33,7 +33,8 @@
 pub const ANSWER_BYTES_HEADER: &str = "x-test-answer-bytes";
 
 /// Where the service closes the connection.
-#[derive(Clone, Copy, Debug, Eq, PartialEq, Deserialize, Serialize)]
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+#[derive(Deserialize, Serialize)]
 #[serde(rename_all = "snake_case")]
 pub enum Stage {
     /// Before anything is read.
@@ -49,7 +50,8 @@
 }
 
 /// Faults of coming calls.
-#[derive(Clone, Copy, Debug, Default, Deserialize, Serialize)]
+#[derive(Clone, Copy, Debug, Default)]
+#[derive(Deserialize, Serialize)]
 #[serde(default, deny_unknown_fields)]
 pub struct Faults {
     /// Where connections are closed.
@@ -65,7 +67,8 @@
 }
 
 /// Settings of a plain service.
-#[derive(Clone, Debug, Deserialize, Serialize)]
+#[derive(Clone, Debug)]
+#[derive(Deserialize, Serialize)]
 #[serde(deny_unknown_fields)]
 pub struct Settings {
     /// Name, shown in answers.
@@ -81,7 +84,8 @@
 }
 
 /// How far a call came.
-#[derive(Clone, Copy, Debug, Eq, PartialEq, Deserialize, Serialize)]
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+#[derive(Deserialize, Serialize)]
 #[serde(rename_all = "snake_case")]
 pub enum Reached {
     /// The head was read; the call did not run.
@@ -93,7 +97,8 @@
 }
 
 /// One call.
-#[derive(Clone, Debug, Deserialize, Serialize)]
+#[derive(Clone, Debug)]
+#[derive(Deserialize, Serialize)]
 pub struct Call {
     /// When its head was read, in µs since the Unix epoch.
     pub at_us: u64,
@@ -114,7 +119,8 @@
 }
 
 /// Record of a plain service.
-#[derive(Clone, Debug, Default, Deserialize, Serialize)]
+#[derive(Clone, Debug, Default)]
+#[derive(Deserialize, Serialize)]
 pub struct Record {
     /// All calls.
     pub calls: Vec<Call>,
--- a/crates/standins/src/weights.rs
+++ b/crates/standins/src/weights.rs
@@ -14,7 +14,8 @@
 const STEP: Duration = Duration::from_millis(10);
 
 /// Settings of a weight store.
-#[derive(Clone, Copy, Debug, Deserialize, Serialize)]
+#[derive(Clone, Copy, Debug)]
+#[derive(Deserialize, Serialize)]
 #[serde(default, deny_unknown_fields)]
 pub struct Settings {
     /// Loads of models that may start in a second.
--- a/crates/store/src/chunk.rs
+++ b/crates/store/src/chunk.rs
@@ -23,7 +23,8 @@
 pub(crate) const REMEMBERED_WRITES: usize = 32;
 
 /// The root record: one revision of the configuration.
-#[derive(Clone, Debug, Default, Eq, PartialEq, Deserialize, Serialize)]
+#[derive(Clone, Debug, Default, Eq, PartialEq)]
+#[derive(Deserialize, Serialize)]
 pub struct Root {
     /// Revision; only rises.
     pub revision: u64,
@@ -38,7 +39,8 @@
 }
 
 /// A write of the root record.
-#[derive(Clone, Debug, Eq, PartialEq, Deserialize, Serialize)]
+#[derive(Clone, Debug, Eq, PartialEq)]
+#[derive(Deserialize, Serialize)]
 pub struct Write {
     /// Identifier of the write.
     pub id: String,
--- a/crates/store/src/error.rs
+++ b/crates/store/src/error.rs
@@ -4,7 +4,8 @@
 use snafu::Snafu;
 
 /// Why a revision cannot be read.
-#[derive(Debug, Snafu)]
+#[derive(Debug)]
+#[derive(Snafu)]
 #[snafu(visibility(pub(crate)))]
 pub enum ReadError {
     /// The key-value service failed.
@@ -38,7 +39,8 @@
 }
 
 /// Why a catalog was not published.
-#[derive(Debug, Snafu)]
+#[derive(Debug)]
+#[derive(Snafu)]
 #[snafu(visibility(pub(crate)))]
 pub enum PublishError {
     /// Another revision than the expected one is in force. Nothing was changed.
--- a/crates/testbed/src/error.rs
+++ b/crates/testbed/src/error.rs
@@ -6,7 +6,8 @@
 use snafu::Snafu;
 
 /// Why a test cluster does not work.
-#[derive(Debug, Snafu)]
+#[derive(Debug)]
+#[derive(Snafu)]
 #[snafu(visibility(pub(crate)))]
 pub enum TestbedError {
     /// All loopback blocks are taken.
