Test entry instances and the platform's decoding; the holder notes its own duty

The test of a change of holder found that a new holder did not see itself as one while it still took the placement of its predecessor for fresh: it neither watched the instances nor the configuration.

--- a/crates/core/tests/promises.rs
+++ b/crates/core/tests/promises.rs
@@ -63,7 +63,7 @@
     for name in named {
         assert!(functions.contains(*name), "no test is called {name}");
     }
-    let is_path = |text: &&&str| text.starts_with("crates/") || text.starts_with("docs/");
+    let is_path = |text: &&&str| ["crates/", "docs/", "platform/"].iter().any(|start| text.starts_with(start));
     for path in texts.iter().filter(is_path) {
         assert!(root().join(path).exists(), "no file {path}");
     }
--- a/crates/entry/src/duty/desk.rs
+++ b/crates/entry/src/duty/desk.rs
@@ -82,6 +82,9 @@
     pub(super) fn end(&self) {
         if let Some(tenure) = self.tenure.take() {
             spdlog::info!("planning duty ended", kv: { fence = tenure.fence });
+            if self.cx.is_holder() {
+                self.cx.members.borrow_mut().holder = None;
+            }
         }
         self.wake.notify_one();
     }
@@ -226,6 +229,7 @@
             config: newer.then(|| String::from_utf8_lossy(&value).into_owned()),
             config_age_ms: self.cx.config_age(now).map_or(u64::MAX, whole_millis),
             instances: self.cx.members.borrow().instances.len(),
+            holder: self.cx.members.borrow().holder.clone(),
         }
     }
 
--- a/crates/entry/src/duty/tenure.rs
+++ b/crates/entry/src/duty/tenure.rs
@@ -135,6 +135,8 @@
         end_lease(cx, lease.id).await;
         return committed.map(|_| None);
     };
+    // Not left to the watch: only the holder watches the instances and the configuration.
+    cx.members.borrow_mut().holder = Some(holder);
     let rest = Duration::from_millis(cx.settings().timing.order_rest_ms);
     let now = cx.clock.since_boot();
     let rest_ms = whole_millis(rest);
--- a/crates/entry/src/exchange/client.rs
+++ b/crates/entry/src/exchange/client.rs
@@ -224,6 +224,7 @@
     }
     drop(placement);
     cx.instances_told.set(view.instances);
+    cx.members.borrow_mut().holder = view.holder;
     cx.confirm_config(now.checked_sub(Duration::from_millis(view.config_age_ms)));
     cx.changed.notify_waiters();
 }
--- a/crates/entry/src/exchange/message.rs
+++ b/crates/entry/src/exchange/message.rs
@@ -11,6 +11,8 @@
 };
 use serde::{Deserialize, Serialize};
 
+use crate::state::Holder;
+
 /// What an instance sees.
 #[derive(Clone, Debug, Default, PartialEq)]
 #[derive(Serialize, Deserialize)]
@@ -65,6 +67,8 @@
     pub(crate) config_age_ms: u64,
     /// Instances of the system.
     pub(crate) instances: usize,
+    /// Who has the planning duty.
+    pub(crate) holder: Option<Holder>,
 }
 
 /// The holder's list of upstreams.
--- /dev/null
+++ b/crates/entry/tests/support/mod.rs
@@ -0,0 +1,194 @@
+//! A platform in memory, upstreams that play scripts, and a raw caller.
+#![allow(dead_code)]
+
+pub mod platform;
+pub mod upstream;
+
+use std::{
+    net::{Ipv4Addr, SocketAddr},
+    rc::Rc,
+    sync::atomic::{AtomicU16, Ordering},
+    time::Duration,
+};
+
+use comfreyweir_config::{
+    entry_settings::{
+        EntryInstance, EntryListen, EntrySettings, EntryTiming, RepeatSettings, StoreSettings,
+    },
+    settings::Limits,
+};
+use comfreyweir_entry::{Entry, spawn};
+use tokio::{
+    io::{AsyncReadExt, AsyncWriteExt},
+    net::TcpStream,
+    time::{Instant, sleep, timeout},
+};
+
+pub use self::{
+    platform::{MemoryPlatform, Shared},
+    upstream::{FakeUpstream, Play},
+};
+
+/// Longest time that a test waits for a condition.
+const PATIENCE: Duration = Duration::from_secs(10);
+
+/// An address that no other instance of any test has: a loopback address of its own, by the
+/// process and a counter.
+pub fn free_addr() -> SocketAddr {
+    static COUNT: AtomicU16 = AtomicU16::new(0);
+    let [_, _, high, low] = std::process::id().to_be_bytes();
+    let [block, at] = COUNT.fetch_add(1, Ordering::Relaxed).to_be_bytes();
+    let ip = Ipv4Addr::new(127, high, low, at);
+    SocketAddr::from((ip, 20_000 + u16::from(block)))
+}
+
+pub fn settings(name: &str) -> EntrySettings {
+    EntrySettings {
+        instance: EntryInstance {
+            name: name.to_owned(),
+            zone: "a".to_owned(),
+            cores: 1.0,
+            link_mbps: 1_000.0,
+        },
+        listen: EntryListen {
+            callers: free_addr(),
+            ready: free_addr(),
+            peer: free_addr(),
+            admin: free_addr(),
+        },
+        store: StoreSettings {
+            addr: free_addr(),
+            min_lease_ms: 1_000,
+        },
+        limits: Limits::default(),
+        timing: EntryTiming {
+            order_rest_ms: 100,
+            stop_notice_ms: 200,
+            ..EntryTiming::default()
+        },
+        repeats: RepeatSettings::default(),
+    }
+}
+
+pub struct Bench {
+    pub entry: Entry<MemoryPlatform>,
+    pub shared: Rc<Shared>,
+    pub ready: SocketAddr,
+}
+
+/// Starts an instance over a shared platform, and waits until it is ready.
+pub async fn start(shared: &Rc<Shared>, name: &str) -> Bench {
+    let settings = settings(name);
+    let ready = settings.listen.ready;
+    let platform = MemoryPlatform::new(Rc::clone(shared));
+    let entry = spawn(settings, platform).await.unwrap();
+    until("ready", async || get(ready, "/-/ready").await.status == 200).await;
+    Bench {
+        entry,
+        shared: Rc::clone(shared),
+        ready,
+    }
+}
+
+pub async fn until<F>(what: &str, mut holds: F)
+where
+    F: AsyncFnMut() -> bool,
+{
+    let deadline = Instant::now() + PATIENCE;
+    while !holds().await {
+        assert!(Instant::now() < deadline, "waited in vain: {what}");
+        sleep(Duration::from_millis(10)).await;
+    }
+}
+
+#[derive(Clone, Debug)]
+pub struct Got {
+    pub status: u16,
+    pub head: String,
+    pub body: String,
+    /// Whether the framing says that the body is whole.
+    pub whole: bool,
+}
+
+impl Got {
+    pub fn header(&self, name: &str) -> Option<String> {
+        upstream::header(&self.head, name)
+    }
+}
+
+pub async fn get(addr: SocketAddr, path: &str) -> Got {
+    send(addr, &format!("GET {path} HTTP/1.1\r\nhost: h\r\n\r\n")).await
+}
+
+/// Sends a request with the usual headers.
+pub async fn ask(addr: SocketAddr, path: &str, id: &str, extra: &str) -> Got {
+    send(addr, &request(path, id, extra)).await
+}
+
+pub fn request(path: &str, id: &str, extra: &str) -> String {
+    format!(
+        "POST {path} HTTP/1.1\r\nhost: h\r\nx-id: {id}\r\nx-key: secret-key\r\n\
+         x-deadline: 3000\r\n{extra}content-length: 4\r\n\r\nbody"
+    )
+}
+
+pub async fn send(addr: SocketAddr, request: &str) -> Got {
+    let mut io = TcpStream::connect(addr).await.unwrap();
+    io.write_all(request.as_bytes()).await.unwrap();
+    read(&mut io).await
+}
+
+/// Reads one answer to its end.
+pub async fn read(io: &mut TcpStream) -> Got {
+    let mut buf = Vec::new();
+    let read = timeout(PATIENCE, async {
+        while !is_whole(&buf) {
+            let mut piece = [0; 4096];
+            match io.read(&mut piece).await {
+                Ok(0) | Err(_) => return false,
+                Ok(n) => buf.extend_from_slice(&piece[..n]),
+            }
+        }
+        true
+    });
+    let whole = read.await.expect("no end of the answer in time");
+    let text = String::from_utf8_lossy(&buf).into_owned();
+    let (head, body) = text.split_once("\r\n\r\n").unwrap_or((&text, ""));
+    let status = head.split(' ').nth(1).and_then(|s| s.parse().ok());
+    let body = if head.to_lowercase().contains("transfer-encoding: chunked") {
+        dechunk(body)
+    } else {
+        body.to_owned()
+    };
+    Got {
+        status: status.unwrap_or(0),
+        head: head.to_owned(),
+        body,
+        whole,
+    }
+}
+
+fn is_whole(buf: &[u8]) -> bool {
+    let text = String::from_utf8_lossy(buf);
+    let Some((head, body)) = text.split_once("\r\n\r\n") else {
+        return false;
+    };
+    if head.to_lowercase().contains("transfer-encoding: chunked") {
+        return body.ends_with("0\r\n\r\n");
+    }
+    let length = upstream::header(head, "content-length").and_then(|l| l.parse().ok());
+    length.is_some_and(|length: usize| body.len() >= length)
+}
+
+fn dechunk(mut body: &str) -> String {
+    let mut out = String::new();
+    while let Some((size, rest)) = body.split_once("\r\n") {
+        let size = usize::from_str_radix(size, 16).unwrap_or(0);
+        if size == 0 || rest.len() < size {
+            break;
+        }
+        out.push_str(&rest[..size]);
+        body = rest[size..].trim_start_matches("\r\n");
+    }
+    out
+}
--- /dev/null
+++ b/crates/entry/tests/support/platform.rs
@@ -0,0 +1,406 @@
+//! A platform in memory. Instances that share it see the same store, and it can fail.
+
+use std::{
+    cell::{Cell, RefCell},
+    collections::BTreeMap,
+    net::SocketAddr,
+    rc::Rc,
+    time::Duration,
+};
+
+use actix_http::header::{HeaderMap, HeaderName};
+use bytes::Bytes;
+use comfreyweir_entry::ports::{
+    Committed, DecodeError, Headers, Item, Items, Keys, Lease, OrderAnswer, OrderCall, Platform,
+    PlatformError, Transaction, Watched,
+};
+use comfreyweir_fleet::{
+    config::{Config, Engine, Model, Route, RouteKind, Service, Target, Workspace},
+    planner::{Order, OrderResult},
+    request::{Artifact, Declared},
+    upstream::{HeldModel, Report, Upstream},
+};
+use tokio::{
+    sync::Notify,
+    time::{sleep, timeout},
+};
+
+/// What instances share.
+#[derive(Default)]
+pub struct Shared {
+    items: RefCell<BTreeMap<String, (Item, u64)>>,
+    removed: RefCell<BTreeMap<String, u64>>,
+    revision: Cell<u64>,
+    leases: Cell<u64>,
+    changed: Notify,
+    /// Configurations by version: the stored value is the version.
+    configs: RefCell<BTreeMap<u64, Config>>,
+    upstreams: RefCell<BTreeMap<String, Upstream>>,
+    /// Orders accepted, by engine.
+    pub orders: RefCell<Vec<(String, OrderCall)>>,
+    counts: RefCell<BTreeMap<String, u64>>,
+    /// While set, every call to the store fails.
+    pub is_down: Cell<bool>,
+}
+
+impl Shared {
+    pub fn new() -> Rc<Self> {
+        Rc::default()
+    }
+
+    fn write(&self, key: &str, value: Bytes, lease: u64) -> u64 {
+        let revision = self.revision.get() + 1;
+        self.revision.set(revision);
+        let mut items = self.items.borrow_mut();
+        let created = items.get(key).map_or(revision, |(item, _)| item.created);
+        let item = Item {
+            key: key.to_owned(),
+            value,
+            revision,
+            created,
+        };
+        items.insert(key.to_owned(), (item, lease));
+        self.changed.notify_waiters();
+        revision
+    }
+
+    fn remove(&self, key: &str) {
+        if self.items.borrow_mut().remove(key).is_some() {
+            let revision = self.revision.get() + 1;
+            self.revision.set(revision);
+            self.removed.borrow_mut().insert(key.to_owned(), revision);
+            self.changed.notify_waiters();
+        }
+    }
+
+    pub fn configure(&self, config: Config) {
+        let version = config.version;
+        self.configs.borrow_mut().insert(version, config);
+        self.write("op/config", Bytes::from(version.to_string()), 0);
+    }
+
+    pub fn list(&self, upstream: Upstream) {
+        let key = format!("servers/{}", upstream.id);
+        self.upstreams
+            .borrow_mut()
+            .insert(upstream.id.clone(), upstream);
+        self.write(&key, Bytes::from_static(b"entry"), 0);
+    }
+
+    pub fn unlist(&self, id: &str) {
+        self.upstreams.borrow_mut().remove(id);
+        self.remove(&format!("servers/{id}"));
+    }
+
+    fn check(&self) -> Result<(), PlatformError> {
+        if self.is_down.get() {
+            return Err(PlatformError::Refused {
+                addr: addr(),
+                status: 503,
+            });
+        }
+        Ok(())
+    }
+
+    fn items(&self, prefix: &str, after: u64) -> Items {
+        let items = self.items.borrow();
+        let items = items.values().filter(|(i, _)| i.key.starts_with(prefix));
+        let removed = self.removed.borrow();
+        let removed = removed.iter().filter(|(key, at)| {
+            key.starts_with(prefix) && **at > after && !self.items.borrow().contains_key(*key)
+        });
+        Items {
+            items: items
+                .filter(|(i, _)| i.revision > after)
+                .map(|(i, _)| i.clone())
+                .collect(),
+            removed: removed.map(|(key, _)| key.clone()).collect(),
+            revision: self.revision.get(),
+        }
+    }
+}
+
+fn addr() -> SocketAddr {
+    "127.0.0.1:1".parse().unwrap()
+}
+
+pub struct MemoryPlatform {
+    shared: Rc<Shared>,
+    headers: Headers,
+}
+
+impl MemoryPlatform {
+    pub fn new(shared: Rc<Shared>) -> Self {
+        let name = HeaderName::from_static;
+        Self {
+            shared,
+            headers: Headers {
+                request_id: name("x-id"),
+                deadline: name("x-deadline"),
+                key: name("x-key"),
+                workspace: name("x-workspace"),
+                expect_upstream: name("x-expect"),
+                priority: name("x-priority"),
+                last_event: name("x-last"),
+                seal: name("x-seal"),
+                not_run: name("x-not-run"),
+                reserved: vec![name("x-workspace"), name("x-expect"), name("x-priority")],
+            },
+        }
+    }
+}
+
+impl Platform for MemoryPlatform {
+    fn keys(&self) -> Keys {
+        Keys {
+            config: "op/config",
+            upstreams: "servers/",
+            own: "own/",
+        }
+    }
+
+    fn headers(&self) -> &Headers {
+        &self.headers
+    }
+
+    fn declared(&self, headers: &HeaderMap) -> Declared {
+        let text = |name: &str| Some(headers.get(name)?.to_str().ok()?.to_owned());
+        let millis = text("x-deadline").and_then(|ms| ms.parse().ok());
+        Declared {
+            id: text("x-id"),
+            deadline: millis.map(Duration::from_millis),
+            key: text("x-key"),
+            artifact: text("x-model").map(|m| Artifact::parse(&m)),
+            last_event: text("x-last").and_then(|n| n.parse().ok()),
+            ..Declared::default()
+        }
+    }
+
+    fn ready_path(&self) -> &'static str {
+        "/-/ready"
+    }
+
+    fn decode_config(&self, value: &[u8]) -> Result<(Config, Vec<DecodeError>), DecodeError> {
+        let version: u64 = std::str::from_utf8(value).unwrap().parse().unwrap();
+        Ok((self.shared.configs.borrow()[&version].clone(), Vec::new()))
+    }
+
+    fn decode_upstream(&self, id: &str, _: &[u8]) -> Result<Upstream, DecodeError> {
+        Ok(self.shared.upstreams.borrow()[id].clone())
+    }
+
+    async fn get(&self, key: &str, _: Duration) -> Result<Option<(Item, u64)>, PlatformError> {
+        self.shared.check()?;
+        let item = self
+            .shared
+            .items
+            .borrow()
+            .get(key)
+            .map(|(item, _)| item.clone());
+        Ok(item.map(|item| (item, self.shared.revision.get())))
+    }
+
+    async fn range(
+        &self,
+        prefix: &str,
+        _: Option<&str>,
+        _: Duration,
+    ) -> Result<(Items, bool), PlatformError> {
+        self.shared.check()?;
+        Ok((self.shared.items(prefix, 0), false))
+    }
+
+    async fn watch(
+        &self,
+        prefix: &str,
+        after: u64,
+        wait: Duration,
+        _: Duration,
+    ) -> Result<Watched, PlatformError> {
+        let watched = async {
+            loop {
+                let changed = self.shared.changed.notified();
+                self.shared.check()?;
+                let items = self.shared.items(prefix, after);
+                if !items.items.is_empty() || !items.removed.is_empty() {
+                    return Ok(Watched::Changes(items));
+                }
+                changed.await;
+            }
+        };
+        match timeout(wait, watched).await {
+            Ok(watched) => watched,
+            Err(_) => Ok(Watched::Changes(Items {
+                items: Vec::new(),
+                removed: Vec::new(),
+                revision: self.shared.revision.get(),
+            })),
+        }
+    }
+
+    async fn commit(&self, tx: &Transaction, _: Duration) -> Result<Committed, PlatformError> {
+        self.shared.check()?;
+        for (key, revision) in &tx.expected {
+            let item = self
+                .shared
+                .items
+                .borrow()
+                .get(key)
+                .map(|(item, _)| item.clone());
+            if item.as_ref().map_or(0, |item| item.revision) != *revision {
+                return Ok(Committed::Conflict(item.into_iter().collect()));
+            }
+        }
+        for (key, value, lease) in &tx.puts {
+            self.shared.write(key, value.clone(), *lease);
+        }
+        Ok(Committed::Done(self.shared.revision.get()))
+    }
+
+    async fn grant(&self, ttl: Duration, _: Duration) -> Result<Lease, PlatformError> {
+        self.shared.check()?;
+        self.shared.leases.set(self.shared.leases.get() + 1);
+        Ok(Lease {
+            id: self.shared.leases.get(),
+            ttl,
+        })
+    }
+
+    async fn renew(&self, _: u64, _: Duration) -> Result<bool, PlatformError> {
+        self.shared.check()?;
+        Ok(true)
+    }
+
+    async fn end(&self, lease: u64, _: Duration) -> Result<(), PlatformError> {
+        self.shared.check()?;
+        let items = self.shared.items.borrow().clone();
+        for (key, _) in items.iter().filter(|(_, (_, l))| *l == lease) {
+            self.shared.remove(key);
+        }
+        Ok(())
+    }
+
+    async fn order(
+        &self,
+        upstream: &Upstream,
+        call: &OrderCall,
+        _: Duration,
+    ) -> Result<OrderAnswer, PlatformError> {
+        sleep(Duration::from_millis(2)).await;
+        let orders = &self.shared.orders;
+        orders
+            .borrow_mut()
+            .push((upstream.id.clone(), call.clone()));
+        *self
+            .shared
+            .counts
+            .borrow_mut()
+            .entry(upstream.id.clone())
+            .or_default() += 1;
+        let mut upstreams = self.shared.upstreams.borrow_mut();
+        let models = &mut upstreams.get_mut(&upstream.id).unwrap().holds.models;
+        match &call.order {
+            Order::Load(a) => match &a.adapter {
+                None => models.push(HeldModel {
+                    name: a.model.clone(),
+                    adapters: Vec::new(),
+                }),
+                Some(adapter) => {
+                    let model = models.iter_mut().find(|m| m.name == a.model).unwrap();
+                    model.adapters.push(adapter.clone());
+                }
+            },
+            Order::Unload(a) => models.retain(|m| m.name != a.model),
+        }
+        Ok(OrderAnswer::Result(OrderResult::Accepted))
+    }
+
+    async fn report(&self, upstream: &Upstream, _: Duration) -> Result<Report, PlatformError> {
+        let upstreams = self.shared.upstreams.borrow();
+        Ok(Report {
+            holds: upstreams[&upstream.id].holds.clone(),
+            orders: self
+                .shared
+                .counts
+                .borrow()
+                .get(&upstream.id)
+                .copied()
+                .unwrap_or(0),
+            ..Report::default()
+        })
+    }
+}
+
+pub fn route(prefix: &str, kind: RouteKind, service: &str) -> Route {
+    Route {
+        name: prefix.trim_matches('/').to_owned(),
+        prefix: prefix.to_owned(),
+        kind,
+        targets: vec![Target {
+            service: service.to_owned(),
+            weight: 1.0,
+        }],
+        time_limit: Duration::from_secs(2),
+        goal: Duration::from_millis(100),
+        patience: Duration::from_secs(2),
+        rank: 1,
+        max_upstreams: 2,
+        is_public: false,
+        is_resumable: kind == RouteKind::Stream,
+    }
+}
+
+/// A configuration with a route of each kind to a plain service, and one to engines.
+pub fn config(version: u64) -> Config {
+    let mut config = Config {
+        version,
+        ..Config::default()
+    };
+    let routes = [
+        route("/read/", RouteKind::Idempotent, "plain"),
+        route("/book/", RouteKind::NonIdempotent, "plain"),
+        route("/tell/", RouteKind::Stream, "llm"),
+    ];
+    let routes = routes.into_iter().map(Rc::new).collect();
+    config.routes.insert("h".to_owned(), routes);
+    let model = |name: &str| {
+        let model = Model {
+            name: name.to_owned(),
+            weights_mb: 10.0,
+            adapter_mb: 0.0,
+            adapters: 0,
+            store_load: Duration::from_millis(100),
+            disk_load: Duration::from_millis(50),
+            memory_load: Duration::from_millis(50),
+        };
+        (name.to_owned(), Rc::new(model))
+    };
+    let engine = Engine {
+        slots: 8,
+        kv_tokens: 1_000,
+        weights_mb: 15.0,
+        adapter_slots: 2,
+        loads_per_s: 10.0,
+        models: ["m1", "m2"].into_iter().map(model).collect(),
+    };
+    for (name, engine) in [("plain", None), ("llm", Some(engine))] {
+        let service = Service {
+            name: name.to_owned(),
+            max_connections: 10,
+            engine,
+        };
+        config.services.insert(name.to_owned(), Rc::new(service));
+    }
+    let workspace = Workspace {
+        name: "vans".to_owned(),
+        rank: None,
+        allowance: None,
+    };
+    config
+        .workspaces
+        .insert("vans".to_owned(), Rc::new(workspace));
+    config
+        .keys
+        .insert("secret-key".to_owned(), "vans".to_owned());
+    config
+}
