--- a/crates/core/tests/promises.rs
+++ b/crates/core/tests/promises.rs
@@ -34,8 +34,12 @@
 /// Names of the functions in all test files.
 fn test_functions() -> BTreeSet<String> {
     let mut names = BTreeSet::new();
-    for entry in fs::read_dir(root().join("crates")).unwrap() {
-        let tests = entry.unwrap().path().join("tests");
+    let crates = fs::read_dir(root().join("crates")).unwrap();
+    let crates = crates.map(|entry| entry.unwrap().path());
+    for tests in crates
+        .chain([root().join("platform")])
+        .map(|c| c.join("tests"))
+    {
         let mut files = Vec::new();
         if tests.is_dir() {
             rust_files(&tests, &mut files);
@@ -63,7 +67,11 @@
     for name in named {
         assert!(functions.contains(*name), "no test is called {name}");
     }
-    let is_path = |text: &&&str| ["crates/", "docs/", "platform/"].iter().any(|start| text.starts_with(start));
+    let is_path = |text: &&&str| {
+        ["crates/", "docs/", "platform/"]
+            .iter()
+            .any(|start| text.starts_with(start))
+    };
     for path in texts.iter().filter(is_path) {
         assert!(root().join(path).exists(), "no file {path}");
     }
