Refuse dot segments in paths, and give streamed chunks their time

A path such as /orders/../v1/models reached what lies outside its route's prefix at upstreams that resolve it, also from open routes. Chunks had `created: null`, where clients expect seconds. Both tests failed before.

--- a/crates/gate/src/completion/chunk.rs
+++ b/crates/gate/src/completion/chunk.rs
@@ -1,5 +1,7 @@
 //! Chunks of a streamed completion: what was delivered, and what the caller may see.
 
+use std::time::{SystemTime, UNIX_EPOCH};
+
 use serde_json::{Value, json};
 
 use super::attempt;
@@ -8,6 +10,8 @@
 #[derive(Debug, Default)]
 pub(crate) struct Progress {
     wants_usage: bool,
+    /// Beginning of the answer, in seconds of Unix time.
+    begun: u64,
     tokens: u64,
     source_tokens: u64,
     sources: u32,
@@ -18,9 +22,11 @@
 
 impl Progress {
     /// A stream that has not begun. The caller sees usage figures only if it asked for them.
-    pub(crate) fn new(wants_usage: bool) -> Self {
+    pub(crate) fn new(wants_usage: bool, begun: SystemTime) -> Self {
+        let begun = begun.duration_since(UNIX_EPOCH).unwrap_or_default();
         Self {
             wants_usage,
+            begun: begun.as_secs(),
             ..Self::default()
         }
     }
@@ -94,11 +100,13 @@
         chunk["usage"]["total_tokens"] = json!(prompt.unwrap_or_default() + self.tokens);
     }
 
-    /// Gives the chunks of all engines the identity of the first.
+    /// Gives the chunks of all engines the identity of the first, with a time if it sent none.
     fn unify(&mut self, chunk: &mut Value) {
-        let (id, created) = self
-            .identity
-            .get_or_insert_with(|| (chunk["id"].clone(), chunk["created"].clone()));
+        let begun = self.begun;
+        let (id, created) = self.identity.get_or_insert_with(|| {
+            let sent = chunk["created"].as_u64();
+            (chunk["id"].clone(), json!(sent.unwrap_or(begun)))
+        });
         chunk["id"] = id.clone();
         chunk["created"] = created.clone();
     }
--- a/crates/gate/src/completion/stream.rs
+++ b/crates/gate/src/completion/stream.rs
@@ -16,6 +16,7 @@
     header::{self, HeaderValue},
 };
 use bytes::Bytes;
+use comfreyweir_clock::{Clock, SystemClock};
 use futures_util::stream;
 use serde_json::Value;
 use tokio::time::timeout_at;
@@ -68,7 +69,7 @@
     A: Allowances,
     V: PlacementView,
 {
-    let progress = Progress::new(job.ask.wants_usage);
+    let progress = Progress::new(job.ask.wants_usage, SystemClock.wall());
     let mut streamer = Streamer {
         cx: Rc::clone(cx),
         job,
--- a/crates/gate/src/handler.rs
+++ b/crates/gate/src/handler.rs
@@ -10,6 +10,7 @@
 use comfreyweir_clock::{Clock, SystemClock};
 use comfreyweir_external::engine::REQUEST_ID_HEADER;
 use comfreyweir_store::Freshness;
+use percent_encoding::percent_decode_str;
 
 use crate::{
     Code, Refusal, allowances::Allowances, caller::Caller, completion, context::Cx, models,
@@ -73,6 +74,7 @@
     V: PlacementView,
 {
     check_fresh(cx)?;
+    check_path(req.path())?;
     match req.path() {
         "/v1/chat/completions" | "/v1/completions" => {
             check_method(req, &Method::POST)?;
@@ -100,6 +102,22 @@
     Err(refusal.retry_after(Duration::from_secs(1)))
 }
 
+/// An upstream that resolves dot segments would serve what lies outside the route's prefix.
+fn check_path(path: &str) -> Result<(), Refusal> {
+    let is_dots = |segment: &str| {
+        let decoded: Vec<u8> = percent_decode_str(segment).collect();
+        decoded == b"." || decoded == b".."
+    };
+    if !path.split('/').any(is_dots) {
+        return Ok(());
+    }
+    Err(Refusal::not_run(
+        StatusCode::BAD_REQUEST,
+        Code::InvalidRequest,
+        "the path must not contain the segments `.` and `..`",
+    ))
+}
+
 fn check_method(req: &Request, method: &Method) -> Result<(), Refusal> {
     if req.method() == method {
         return Ok(());
--- a/crates/gate/tests/answers.rs
+++ b/crates/gate/tests/answers.rs
@@ -124,3 +124,41 @@
     until("the end of the run", || *engine.cancelled.borrow() == 1).await;
     assert!(*engine.sent.borrow() < MOST_BYTES);
 }
+
+/// Regression: chunks of engines that send no time had `created: null`, which clients reject.
+#[actix_rt::test]
+async fn streamed_chunks_carry_their_time() {
+    let engine = Engine::start(vec![Play::Answer { tokens: 2 }]).await;
+    let bench = bench(&[&engine], Limits::default()).await;
+    let got = ask(bench.gate.addr(), true, "").await;
+    let chunks = got.body.lines().filter_map(|l| l.strip_prefix("data: "));
+    let chunks: Vec<serde_json::Value> = chunks
+        .filter_map(|c| serde_json::from_str(c).ok())
+        .collect();
+    assert!(!chunks.is_empty(), "{got:?}");
+    let times: Vec<_> = chunks.iter().map(|c| c["created"].as_u64()).collect();
+    assert!(times[0].is_some_and(|t| t > 1_700_000_000), "{times:?}");
+    assert!(times.iter().all(|t| *t == times[0]), "{times:?}");
+}
+
+/// Regression: a path with dot segments reached what lies outside its route's prefix at upstreams
+/// that resolve them, also on routes that need no key.
+#[actix_rt::test]
+async fn paths_with_dot_segments_are_refused() {
+    let bench = bench(&[], Limits::default()).await;
+    let auth = format!("authorization: Bearer {KEY}\r\n");
+    for path in [
+        "/orders/../v1/models",
+        "/orders/%2e%2e/v1/models",
+        "/orders/.%2E/x",
+        "/orders/a/./b",
+        "/orders/..",
+    ] {
+        let got = call(bench.gate.addr(), "GET", path, &auth, "").await;
+        assert_eq!(got.status, 400, "{path}: {got:?}");
+    }
+    for path in ["/orders/a..b", "/orders/.hidden", "/orders/x?to=../y"] {
+        let got = call(bench.gate.addr(), "GET", path, &auth, "").await;
+        assert_eq!(got.status, 404, "{path}: {got:?}");
+    }
+}
