Answer requests that still wait at the end of a planned stop

A request that came 1.3 s after SIGTERM waited for its model until the process ended 7.6 s after it, and its connection was closed without an answer. It is now refused as not run, 0.3 s before the end; a request that was sent gets 504. The test failed before.

--- a/crates/entry/src/assembly.rs
+++ b/crates/entry/src/assembly.rs
@@ -130,6 +130,7 @@
         let timing = &settings.timing;
         let grace = timing.grace().saturating_sub(STOP_MARGIN);
         let notice = Duration::from_millis(timing.stop_notice_ms);
+        self.cx.stops_at.set(Some(self.cx.now() + grace));
         self.cx.stopping.set_phase(Phase::Noticing);
         duty::release(&self.cx, &self.desk).await;
         let cx = Rc::clone(&self.cx);
--- a/crates/entry/src/serve/pick.rs
+++ b/crates/entry/src/serve/pick.rs
@@ -94,6 +94,11 @@
 where
     P: Platform,
 {
+    let stopping = cx.time_to_answer(now);
+    if stopping <= LEAST_RUN {
+        let reason = "this instance stops: send the request again, so that another takes it";
+        return Err(Refusal::not_run(reason, RETRY_AFTER));
+    }
     let left = ticket.left_to_start(now);
     if left <= LEAST_RUN {
         return Err(Refusal::not_run(
--- a/crates/entry/src/serve/relay.rs
+++ b/crates/entry/src/serve/relay.rs
@@ -45,7 +45,8 @@
     P: Platform,
 {
     sent.started();
-    let left = ticket.left(cx.now());
+    let now = cx.now();
+    let left = ticket.left(now).min(cx.time_to_answer(now));
     let is_head = ticket.method == Method::HEAD;
     let body = if is_head {
         Bytes::new()
--- a/crates/entry/src/serve/send.rs
+++ b/crates/entry/src/serve/send.rs
@@ -124,7 +124,8 @@
 where
     P: Platform,
 {
-    let left = ticket.left(cx.now());
+    let now = cx.now();
+    let left = ticket.left(now).min(cx.time_to_answer(now));
     let is_last = tries.ran + 1 >= ticket.route.max_upstreams;
     if !ticket.may_repeat() || is_last {
         return left;
--- a/crates/entry/src/state.rs
+++ b/crates/entry/src/state.rs
@@ -31,6 +31,8 @@
 /// Longest time for opening a connection to an upstream. Far above the time between availability
 /// zones; an upstream that has vanished must not take much of a request's time.
 const CONNECT_LIMIT: Duration = Duration::from_millis(350);
+/// Time before the end of a stop at which requests get their final answer.
+const ANSWER_MARGIN: Duration = Duration::from_millis(300);
 /// Age at which the placement that the holder told is no longer used.
 const PLACEMENT_LAPSE: Duration = Duration::from_millis(2_500);
 
@@ -65,6 +67,8 @@
     config_confirmed: Cell<Option<Instant>>,
     /// Instances that the holder knows of; 0 until it told.
     pub(crate) instances_told: Cell<usize>,
+    /// When the process ends, once it stops.
+    pub(crate) stops_at: Cell<Option<Instant>>,
     /// Bytes of request bodies in memory.
     pub(crate) body_bytes: Rc<Cell<usize>>,
 }
@@ -206,6 +210,7 @@
             metrics: Metrics::new(),
             config_confirmed: Cell::default(),
             instances_told: Cell::default(),
+            stops_at: Cell::default(),
             body_bytes: Rc::default(),
             settings: RefCell::new(Rc::new(settings)),
         }
@@ -298,6 +303,14 @@
         self.placement.borrow().is_fresh(self.now())
     }
 
+    /// Time in which a request that is under way has to be answered, at a stop.
+    pub(crate) fn time_to_answer(&self, now: Instant) -> Duration {
+        self.stops_at.get().map_or(Duration::MAX, |at| {
+            at.saturating_duration_since(now)
+                .saturating_sub(ANSWER_MARGIN)
+        })
+    }
+
     /// Instances that share what is bounded over all of them.
     pub(crate) fn instance_count(&self) -> usize {
         let listed = self.members.borrow().instances.len();
--- a/crates/entry/tests/requests.rs
+++ b/crates/entry/tests/requests.rs
@@ -4,7 +4,10 @@
 
 use std::{rc::Rc, time::Duration};
 
-use comfreyweir_fleet::upstream::{HeldModel, Holding, Phase, Upstream};
+use comfreyweir_fleet::{
+    config::RouteKind,
+    upstream::{HeldModel, Holding, Phase, Upstream},
+};
 use support::{
     Bench, FakeUpstream, Play, Shared, ask, get, platform::config, read, request, send, start,
     until,
@@ -404,3 +407,34 @@
     }
     assert_eq!(up.arrivals(), 3);
 }
+
+/// Regression: a request that still waited at the end of a planned stop got no answer.
+#[actix_rt::test]
+async fn request_that_waits_at_the_end_of_a_stop_is_refused() {
+    let up = fake("u1", &[Play::Answer(200, "served")]).await;
+    let shared = Shared::new();
+    let mut routes = config(1);
+    let patient = std::rc::Rc::new(comfreyweir_fleet::config::Route {
+        patience: Duration::from_secs(20),
+        time_limit: Duration::from_secs(20),
+        ..support::platform::route("/tell/", RouteKind::Stream, "llm")
+    });
+    routes.routes.insert("h".to_owned(), vec![patient]);
+    shared.configure(routes);
+    shared.list(entry_of(&up, "llm", &["m1"]));
+    let bench = support::start_with(&shared, "e1", |s| s.timing.grace_s = 2.0).await;
+    let addr = bench.entry.addr();
+    let extra = "x-model: unknown\r\nx-deadline: 20000\r\n";
+    let caller = actix_rt::spawn(async move { ask(addr, "/tell/", "r1", extra).await });
+    until("the request waits", async || {
+        get(bench.entry.admin_addr(), "/status")
+            .await
+            .body
+            .contains("\"in_flight\": 1")
+    })
+    .await;
+    bench.entry.stop().await;
+    let got = caller.await.unwrap();
+    assert_eq!(got.status, 503, "{got:?}");
+    assert!(got.header("retry-after").is_some());
+}
--- a/crates/entry/tests/support/mod.rs
+++ b/crates/entry/tests/support/mod.rs
@@ -1,5 +1,5 @@
 //! A platform in memory, upstreams that play scripts, and a raw caller.
-#![allow(dead_code)]
+#![allow(dead_code, unused_imports)]
 
 pub mod platform;
 pub mod upstream;
@@ -78,7 +78,16 @@
 
 /// Starts an instance over a shared platform, and waits until it is ready.
 pub async fn start(shared: &Rc<Shared>, name: &str) -> Bench {
-    let settings = settings(name);
+    start_with(shared, name, |_| {}).await
+}
+
+/// Does the same with other settings.
+pub async fn start_with<F>(shared: &Rc<Shared>, name: &str, change: F) -> Bench
+where
+    F: FnOnce(&mut EntrySettings),
+{
+    let mut settings = settings(name);
+    change(&mut settings);
     let ready = settings.listen.ready;
     let platform = MemoryPlatform::new(Rc::clone(shared));
     let entry = spawn(settings, platform).await.unwrap();
