Ask an engine that an instance cannot reach for a report at once

Crashed engines stay in the list for three heartbeats. The log line of an answer tells the first byte and the longest gap.

--- a/crates/entry/src/duty/actions.rs
+++ b/crates/entry/src/duty/actions.rs
@@ -17,7 +17,7 @@
 };
 
 /// Longest time of a call to an engine. Engines answer before they carry an order out.
-const ENGINE_CALL: Duration = Duration::from_millis(300);
+const ENGINE_CALL: Duration = Duration::from_millis(150);
 /// Pause before a reported failure is told to the planner, so that it does not ask at once.
 const FAILURE_PAUSE: Duration = Duration::from_millis(100);
 
--- a/crates/entry/src/duty/desk.rs
+++ b/crates/entry/src/duty/desk.rs
@@ -2,7 +2,7 @@
 
 use std::{
     cell::{Cell, RefCell},
-    collections::{BTreeMap, HashMap},
+    collections::{BTreeMap, BTreeSet, HashMap},
     rc::Rc,
     time::{Duration, Instant},
 };
@@ -287,12 +287,14 @@
         let upstreams: Vec<_> = of_service.cloned().collect();
         let waiting = self.waiting(&service.name, now);
         let arrivals = self.arrivals(&service.name);
+        let suspects = self.suspects(now);
         let planner = self.planners.entry(service.name.clone()).or_default();
         let world = World {
             upstreams: &upstreams,
             spec,
             loads,
             waiting: &waiting,
+            suspects: &suspects,
             arrivals: &arrivals,
         };
         let actions = planner.step(world, now);
@@ -394,6 +396,14 @@
         sum
     }
 
+    /// Upstreams that an instance could not reach lately.
+    fn suspects(&self, now: Instant) -> BTreeSet<String> {
+        let reports = self.fresh(now);
+        reports
+            .flat_map(|r| r.unreachable.iter().cloned())
+            .collect()
+    }
+
     fn arrivals(&self, service: &str) -> HashMap<String, u64> {
         let mut sum: HashMap<String, u64> = HashMap::new();
         for (report, _) in self.reports.values() {
--- a/crates/entry/src/exchange/client.rs
+++ b/crates/entry/src/exchange/client.rs
@@ -182,6 +182,7 @@
         loads: cx.loads.borrow().own().clone(),
         demand: cx.demand.borrow().report(),
         spent: cx.quotas.borrow().totals(),
+        unreachable: cx.health.borrow().resting(cx.now()),
         placement: placement.known,
         directory: placement.directory,
         config: cx.config().version,
--- a/crates/entry/src/exchange/message.rs
+++ b/crates/entry/src/exchange/message.rs
@@ -25,6 +25,8 @@
     pub(crate) demand: DemandReport,
     /// Units that workspaces have asked for and spent through it.
     pub(crate) spent: HashMap<String, Totals>,
+    /// Upstreams that it could not reach lately.
+    pub(crate) unreachable: Vec<String>,
     /// Fencing token and version of the placement that it knows.
     pub(crate) placement: (u64, u64),
     /// Version of the holder's list of upstreams that it knows.
--- a/crates/entry/src/serve/attempt.rs
+++ b/crates/entry/src/serve/attempt.rs
@@ -87,6 +87,11 @@
         }
     }
 
+    /// Prompt tokens that the upstream had to read anew, as far as known.
+    pub(super) fn unread(&self) -> u64 {
+        self.unread
+    }
+
     /// Time since it was sent.
     pub(super) fn age(&self) -> Duration {
         self.cx.now().saturating_duration_since(self.at)
--- a/crates/entry/src/serve/relay.rs
+++ b/crates/entry/src/serve/relay.rs
@@ -4,7 +4,10 @@
 //! the caller gets any of it. A stream is passed on as it arrives; one that may be resumed goes on
 //! at another upstream when the first fails.
 
-use std::{rc::Rc, time::Duration};
+use std::{
+    rc::Rc,
+    time::{Duration, Instant},
+};
 
 use actix_http::{Method, Response, body::BoxBody};
 use bytes::Bytes;
@@ -67,7 +70,8 @@
     if !answer.status.is_server_error() {
         sent.judge(Outcome::Good);
     }
-    log_answered(cx, ticket, &sent, answer.status.as_u16(), "whole");
+    let status = answer.status.as_u16();
+    log_answered(cx, ticket, &sent, status, "whole", &Pieces::default());
     let mut res = Response::build(answer.status);
     for (name, value) in &Ticket::answer_headers(&answer.headers) {
         res.append_header((name.clone(), value.clone()));
@@ -108,7 +112,7 @@
         body: answer.body,
         events: is_resumable.then(|| EventSplitter::after(ticket.declared.last_event)),
         ran,
-        has_begun: false,
+        pieces: Pieces::default(),
     };
     actix_rt::spawn(relay.run());
     finish(res, BoxBody::new(RelayedBody::new(rx, length)))
@@ -133,7 +137,28 @@
     events: Option<EventSplitter>,
     /// Upstreams that may have run the request.
     ran: u32,
-    has_begun: bool,
+    pieces: Pieces,
+}
+
+/// When pieces of a stream came.
+#[derive(Default)]
+struct Pieces {
+    first: Option<Instant>,
+    last: Option<Instant>,
+    longest_gap: Duration,
+}
+
+impl Pieces {
+    /// Notes a piece; true for the first.
+    fn note(&mut self, now: Instant) -> bool {
+        if let Some(last) = self.last.replace(now) {
+            let gap = now.saturating_duration_since(last);
+            self.longest_gap = self.longest_gap.max(gap);
+            return false;
+        }
+        self.first = Some(now);
+        true
+    }
 }
 
 /// How a stream ended.
@@ -162,7 +187,14 @@
                 End::Failed(_) | End::OutOfTime => self.sent.judge(Outcome::Bad),
                 End::CallerLeft => {}
             }
-            log_answered(&self.cx, &self.ticket, &self.sent, 200, outcome);
+            log_answered(
+                &self.cx,
+                &self.ticket,
+                &self.sent,
+                200,
+                outcome,
+                &self.pieces,
+            );
             match end {
                 End::Complete => {
                     let _ = self.tx.send(Piece::End).await;
@@ -188,7 +220,7 @@
             if left.is_zero() {
                 return End::OutOfTime;
             }
-            let stall = if self.events.is_some() && self.has_begun {
+            let stall = if self.events.is_some() && self.pieces.first.is_some() {
                 STALL.min(left)
             } else {
                 left
@@ -206,8 +238,7 @@
                 }
                 Err(e) => return End::Failed(e),
             };
-            if !self.has_begun {
-                self.has_begun = true;
+            if self.pieces.note(self.cx.now()) {
                 self.cx.metrics.first_byte(
                     self.ticket
                         .workspace
@@ -293,16 +324,27 @@
     }
 }
 
-fn log_answered<P>(cx: &Cx<P>, ticket: &Ticket, sent: &Sent<P>, status: u16, outcome: &str)
-where
+fn log_answered<P>(
+    cx: &Cx<P>,
+    ticket: &Ticket,
+    sent: &Sent<P>,
+    status: u16,
+    outcome: &str,
+    pieces: &Pieces,
+) where
     P: Platform,
 {
     let ms = whole_millis(cx.now().saturating_duration_since(ticket.arrived));
     let workspace = ticket.workspace.as_ref().map_or("", |w| w.name.as_str());
+    let first = pieces
+        .first
+        .map(|at| at.saturating_duration_since(ticket.arrived));
+    let artifact = ticket.load_key();
     spdlog::info!("request answered", kv: {
         request_id = ticket.id.as_str(), route = ticket.route.name.as_str(), workspace,
-        upstream = sent.upstream.id.as_str(), model = ticket.model(), status, outcome, ms,
-        upstream_ms = whole_millis(sent.age())
+        upstream = sent.upstream.id.as_str(), artifact = artifact.as_str(), status, outcome, ms,
+        upstream_ms = whole_millis(sent.age()), unread = sent.unread(),
+        first_ms = first.map_or(ms, whole_millis), gap_ms = whole_millis(pieces.longest_gap)
     });
     cx.metrics.answered(workspace, status, outcome);
 }
--- a/crates/entry/src/serve/ticket.rs
+++ b/crates/entry/src/serve/ticket.rs
@@ -58,11 +58,6 @@
         self.artifact().map_or_else(String::new, Artifact::key)
     }
 
-    /// Name of the model, or nothing for plain services.
-    pub(crate) fn model(&self) -> &str {
-        self.artifact().map_or("", |a| a.model.as_str())
-    }
-
     /// Time that is left.
     pub(crate) fn left(&self, now: Instant) -> Duration {
         self.until.saturating_duration_since(now)
--- a/crates/fleet/src/health.rs
+++ b/crates/fleet/src/health.rs
@@ -74,6 +74,12 @@
         until.is_some_and(|until| now < until)
     }
 
+    /// Upstreams that rest because they could not be reached.
+    pub fn resting(&self, now: Instant) -> Vec<String> {
+        let ids = self.upstreams.keys();
+        ids.filter(|id| self.is_resting(id, now)).cloned().collect()
+    }
+
     /// Part of the requests that an upstream fails, from 0 to 1; 0 while too little is known.
     pub fn failing(&self, upstream: &str, now: Instant) -> f64 {
         let Some(record) = self.upstreams.get(upstream) else {
--- a/crates/fleet/src/planner/engine.rs
+++ b/crates/fleet/src/planner/engine.rs
@@ -20,6 +20,8 @@
 const ADAPTER_LOAD: Duration = Duration::from_millis(15);
 /// Pause before an order that met another one under way is given again.
 const BUSY_PAUSE: Duration = Duration::from_millis(60);
+/// Reports that do not come, in a row, after which an engine counts as unreachable.
+const MAX_SILENT: u32 = 2;
 /// Conflicts in a row after which a report is asked for.
 const MAX_CONFLICTS: u32 = 3;
 /// Lost answers in a row after which a report is asked for.
@@ -49,7 +51,12 @@
 /// What the planner believes of one engine.
 #[derive(Debug)]
 pub(super) struct EngineState {
-    takes_requests: bool,
+    /// What its entry says.
+    phase: Phase,
+    /// Reports that did not come, in a row.
+    silent: u32,
+    /// Whether an instance could not reach it since its last report.
+    is_suspect: bool,
     born_ms: Option<u64>,
     holds: Holding,
     /// Orders accepted by the engine, as far as known.
@@ -91,7 +98,9 @@
 impl EngineState {
     pub(super) fn new(upstream: &Upstream) -> Self {
         Self {
-            takes_requests: upstream.phase == Phase::Ready,
+            phase: upstream.phase,
+            silent: 0,
+            is_suspect: false,
             born_ms: upstream.born_ms,
             holds: upstream.holds.clone(),
             orders: None,
@@ -115,8 +124,8 @@
             *self = Self::new(upstream);
             return;
         }
-        self.takes_requests = upstream.phase == Phase::Ready;
-        if !self.takes_requests {
+        self.phase = upstream.phase;
+        if self.phase != Phase::Ready {
             self.plan.clear();
         }
         let has_settled = self
@@ -128,8 +137,14 @@
         }
     }
 
+    /// Whether requests can be sent to it. A crashed engine stays in the list for a while.
     pub(super) fn takes_requests(&self) -> bool {
-        self.takes_requests
+        self.phase == Phase::Ready && self.silent < MAX_SILENT
+    }
+
+    /// Notes that an instance could not reach it: the next report decides.
+    pub(super) fn suspect(&mut self) {
+        self.is_suspect = true;
     }
 
     pub(super) fn holds(&self) -> &Holding {
@@ -138,7 +153,7 @@
 
     /// Whether the engine has nothing to do but what it is about to be told.
     pub(super) fn is_free(&self, now: Instant) -> bool {
-        self.takes_requests
+        self.takes_requests()
             && self.orders.is_some()
             && self.plan.is_empty()
             && self.loading.is_none()
@@ -152,7 +167,7 @@
             .plan
             .iter()
             .all(|p| p.order.artifact().adapter.is_some());
-        self.takes_requests && self.loading.is_none() && no_model
+        self.takes_requests() && self.loading.is_none() && no_model
     }
 
     /// Whether it holds a model, or will after what is planned.
@@ -236,7 +251,7 @@
     pub(super) fn wants_report(&mut self, now: Instant) -> bool {
         let is_due = match &self.loading {
             Some(loading) => now >= loading.due,
-            None => self.takes_requests && (self.orders.is_none() || self.doubted),
+            None => self.phase == Phase::Ready && self.needs_report(),
         };
         let rested = self
             .asked_at
@@ -250,6 +265,10 @@
         true
     }
 
+    fn needs_report(&self) -> bool {
+        self.orders.is_none() || self.doubted || self.is_suspect || self.silent > 0
+    }
+
     /// The next order, with the number of orders accepted before; notes that it is given.
     ///
     /// An engine that is told to load more adapters than `adapter_slots` fails, so that a plan
@@ -259,7 +278,7 @@
         adapter_slots: usize,
         now: Instant,
     ) -> Option<(Order, u64)> {
-        if self.in_call || self.loading.is_some() || self.doubted || !self.takes_requests {
+        if self.in_call || self.loading.is_some() || self.doubted || !self.takes_requests() {
             return None;
         }
         if self.pause_until.is_some_and(|until| now < until) {
@@ -359,6 +378,8 @@
     /// Takes over the engine's report of itself.
     pub(super) fn reported(&mut self, report: &Report, now: Instant) {
         self.in_call = false;
+        self.silent = 0;
+        self.is_suspect = false;
         self.fresh_adapters.retain(|(_, at)| now < *at + REPORT_LAG);
         if self.is_lagging(report, now) {
             return;
@@ -407,7 +428,8 @@
     /// Notes that a report did not come.
     pub(super) fn report_failed(&mut self, now: Instant) {
         self.in_call = false;
-        self.pause_until = Some(now + REPORT_PERIOD * 3);
+        self.silent += 1;
+        self.pause_until = Some(now + REPORT_PERIOD * self.silent.min(3));
     }
 
     /// Drops planned orders that hold already: one without an answer may have been carried out.
@@ -427,7 +449,7 @@
 
     /// Models and adapters that requests can be sent to.
     pub(super) fn usable(&self, now: Instant) -> BTreeMap<String, Vec<String>> {
-        if !self.takes_requests {
+        if !self.takes_requests() {
             return BTreeMap::new();
         }
         let is_fresh = |model: &str, adapter: &String| {
--- a/crates/fleet/src/planner/mod.rs
+++ b/crates/fleet/src/planner/mod.rs
@@ -13,7 +13,7 @@
 mod place;
 
 use std::{
-    collections::{BTreeMap, HashMap},
+    collections::{BTreeMap, BTreeSet, HashMap},
     rc::Rc,
     time::{Duration, Instant},
 };
@@ -108,6 +108,8 @@
     pub loads: &'a Loads,
     /// Requests that wait for an artifact, from all instances.
     pub waiting: &'a [Waiting],
+    /// Engines that an instance could not reach lately.
+    pub suspects: &'a BTreeSet<String>,
     /// Requests that arrived since the start of the day, by model, from all instances.
     pub arrivals: &'a HashMap<String, u64>,
 }
@@ -115,7 +117,7 @@
 impl Planner {
     /// Decides what to do now.
     pub fn step(&mut self, world: World<'_>, now: Instant) -> Vec<Action> {
-        self.sync(world.upstreams, now);
+        self.sync(&world, now);
         self.demands.note(&world, now);
         self.note_adapter_uses(&world, now);
         self.place_waiting(&world, now);
@@ -162,12 +164,16 @@
         engines.filter_map(|e| e.ready_in(artifact, now)).min()
     }
 
-    fn sync(&mut self, upstreams: &[Rc<Upstream>], now: Instant) {
+    fn sync(&mut self, world: &World<'_>, now: Instant) {
+        let upstreams = world.upstreams;
         self.engines
             .retain(|id, _| upstreams.iter().any(|u| u.id == *id));
         for upstream in upstreams {
             if let Some(engine) = self.engines.get_mut(&upstream.id) {
                 engine.listed(upstream, now);
+                if world.suspects.contains(&upstream.id) {
+                    engine.suspect();
+                }
             } else {
                 let engine = EngineState::new(upstream);
                 self.engines.insert(upstream.id.clone(), engine);
--- a/crates/fleet/tests/placement_under_load.rs
+++ b/crates/fleet/tests/placement_under_load.rs
@@ -193,6 +193,37 @@
     }
 }
 
+/// Pattern: an engine crashes, and requests wait for the models that only it held. Its entry stays
+/// in the list for seconds.
+#[test]
+fn models_of_a_crashed_engine_are_loaded_elsewhere_before_it_leaves_the_list() {
+    let models = [model("a", LARGE_MB, 0), model("b", LARGE_MB, 0)];
+    let mut other = FakeEngine::new("e2", &["b"]);
+    other.copies.push("a".to_owned());
+    let mut fleet = Fleet::new(&models, vec![FakeEngine::new("e1", &["a"]), other]);
+    fleet.run_for(seconds(1.0));
+    fleet.crashed.insert("e1".to_owned());
+    fleet.suspects.insert("e1".to_owned());
+    fleet.run_for(seconds(0.5));
+    fleet.wait_for("a", 1);
+    fleet.run_for(seconds(1.5));
+    assert!(fleet.waiting.is_empty(), "{:?}", fleet.given);
+    assert!(fleet.planner.placement()["e1"].is_empty());
+}
+
+/// Pattern: one instance cannot reach an engine that is sound.
+#[test]
+fn engine_that_gives_its_report_keeps_its_requests() {
+    let models = [model("a", LARGE_MB, 0)];
+    let mut fleet = Fleet::new(&models, vec![FakeEngine::new("e1", &["a"])]);
+    fleet.run_for(seconds(1.0));
+    fleet.suspects.insert("e1".to_owned());
+    for _ in 0..20 {
+        fleet.step();
+        assert!(fleet.planner.placement()["e1"].contains_key("a"));
+    }
+}
+
 fn fate() -> impl Strategy<Value = Fate> {
     prop_oneof![
         4 => Just(Fate::Answered),
--- a/crates/fleet/tests/support/mod.rs
+++ b/crates/fleet/tests/support/mod.rs
@@ -2,7 +2,7 @@
 #![allow(dead_code)]
 
 use std::{
-    collections::{BTreeMap, HashMap},
+    collections::{BTreeMap, BTreeSet, HashMap},
     rc::Rc,
     time::{Duration, Instant},
 };
@@ -242,6 +242,9 @@
     pub waiting: BTreeMap<String, u32>,
     pub arrivals: HashMap<String, u64>,
     pub loads: Loads,
+    pub suspects: BTreeSet<String>,
+    /// Engines that have crashed and are still listed.
+    pub crashed: BTreeSet<String>,
     /// Reports as they were some time ago, by engine: what a report call answers.
     reports: BTreeMap<String, Vec<(Instant, Report)>>,
     /// Fate of the next orders: answered, lost and done, or lost and done later.
@@ -269,6 +272,8 @@
             waiting: BTreeMap::new(),
             arrivals: HashMap::new(),
             loads: Loads::new(),
+            suspects: BTreeSet::new(),
+            crashed: BTreeSet::new(),
             reports: BTreeMap::new(),
             fates: Vec::new(),
             given: Vec::new(),
@@ -330,6 +335,7 @@
             spec: &self.spec,
             loads: &self.loads,
             waiting: &waiting,
+            suspects: &self.suspects,
             arrivals: &self.arrivals,
         };
         for action in self.planner.step(world, now) {
@@ -340,6 +346,9 @@
     fn perform(&mut self, action: Action) {
         let now = self.now;
         match action {
+            Action::Report { upstream } if self.crashed.contains(&upstream) => {
+                self.planner.report_failed(&upstream, now);
+            }
             Action::Report { upstream } => {
                 let history = &self.reports[&upstream];
                 let old = history.iter().rev().find(|(at, _)| *at + REPORT_LAG <= now);
