Let an instance take its own duty back at once

After all processes are killed, or the holder's, the duty's key outlived its holder by 2 s, and the successor rested 3 s: no order for five seconds in which engines have restarted empty. The same instance at the same address is the same holder: it replaces the key under its revision, gets a higher fencing token and needs no rest. The test failed before: the key never ended.

--- a/crates/entry/src/admin.rs
+++ b/crates/entry/src/admin.rs
@@ -4,7 +4,7 @@
 use comfreyweir_http::stopping::Phase;
 use serde_json::json;
 
-use crate::{ports::Platform, state::Cx};
+use crate::{duty::Desk, ports::Platform, state::Cx};
 
 /// Answers the balancer: whether this instance takes new connections.
 pub(crate) fn serve_ready<P>(cx: &Cx<P>, req: &Request) -> Response<BoxBody>
@@ -24,7 +24,7 @@
 }
 
 /// Answers operators.
-pub(crate) fn serve_admin<P>(cx: &Cx<P>, req: &Request) -> Response<BoxBody>
+pub(crate) fn serve_admin<P>(cx: &Cx<P>, desk: &Desk<P>, req: &Request) -> Response<BoxBody>
 where
     P: Platform,
 {
@@ -33,7 +33,7 @@
             Ok(metrics) => text(StatusCode::OK, metrics),
             Err(e) => text(StatusCode::INTERNAL_SERVER_ERROR, format!("{e}\n")),
         },
-        "/status" => text(StatusCode::OK, status(cx)),
+        "/status" => text(StatusCode::OK, status(cx, desk)),
         _ => text(
             StatusCode::NOT_FOUND,
             "try /metrics or /status\n".to_owned(),
@@ -57,7 +57,7 @@
     None
 }
 
-fn status<P>(cx: &Cx<P>) -> String
+fn status<P>(cx: &Cx<P>, desk: &Desk<P>) -> String
 where
     P: Platform,
 {
@@ -73,6 +73,9 @@
         "upstreams_age_ms": directory.age(now).map(comfreyweir_clock::whole_millis),
         "instances": members.instances,
         "holder": members.holder,
+        "duty": desk.duty().map(|(fence, may_order)| {
+            json!({ "fence": fence, "may_order": may_order })
+        }),
         "placement": placement.engines,
         "placement_is_fresh": placement.is_fresh(now),
         "in_flight": cx.stopping.in_flight(),
--- a/crates/entry/src/assembly.rs
+++ b/crates/entry/src/assembly.rs
@@ -64,7 +64,10 @@
     let addr = settings.listen.callers;
     let callers = callers.await.context(ListenSnafu { addr })?;
     let ready = side_port(&cx, settings.listen.ready, limits, admin::serve_ready).await?;
-    let admin = side_port(&cx, settings.listen.admin, limits, admin::serve_admin).await?;
+    let for_admin = Rc::clone(&desk);
+    let answer =
+        move |cx: &Cx<P>, req: &actix_http::Request| admin::serve_admin(cx, &for_admin, req);
+    let admin = side_port(&cx, settings.listen.admin, limits, answer).await?;
     let tasks = vec![
         actix_rt::spawn(follow::config::run(Rc::clone(&cx))),
         actix_rt::spawn(follow::directory::run(Rc::clone(&cx))),
@@ -93,7 +96,7 @@
 where
     P: Platform,
     F: Fn(&Cx<P>, &actix_http::Request) -> actix_http::Response<actix_http::body::BoxBody>
-        + Copy
+        + Clone
         + 'static,
 {
     let cx = Rc::clone(cx);
--- a/crates/entry/src/duty/desk.rs
+++ b/crates/entry/src/duty/desk.rs
@@ -100,6 +100,12 @@
         self.tenure.get().is_some_and(|t| t.is_held(now))
     }
 
+    /// Fencing token, and whether orders may be given now.
+    pub(crate) fn duty(&self) -> Option<(u64, bool)> {
+        let now = self.cx.clock.since_boot();
+        self.tenure.get().map(|t| (t.fence, t.may_order(now)))
+    }
+
     pub(super) fn renewed(&self, called: Duration) {
         if let Some(mut tenure) = self.tenure.get() {
             tenure.renew(called);
--- a/crates/entry/src/duty/tenure.rs
+++ b/crates/entry/src/duty/tenure.rs
@@ -6,6 +6,7 @@
 use bytes::Bytes;
 use comfreyweir_clock::{Clock, whole_millis};
 use comfreyweir_fleet::duty::Tenure;
+use comfreyweir_http::stopping::Phase;
 use rand::RngExt;
 use tokio::time::timeout;
 
@@ -45,8 +46,8 @@
     P: Platform,
 {
     loop {
-        wait_until_vacant(&cx).await;
-        match take(&cx).await {
+        let revision = wait_until_vacant(&cx).await;
+        match take(&cx, revision).await {
             Ok(Some(tenure)) => {
                 desk.begin(tenure);
                 serve(&cx, &desk).await;
@@ -74,28 +75,49 @@
     }
 }
 
-async fn wait_until_vacant<P>(cx: &Cx<P>)
+/// Waits until the duty can be taken: nobody has it, or an earlier process of this instance. Gives
+/// the revision of the duty's key, 0 where nobody has it.
+async fn wait_until_vacant<P>(cx: &Cx<P>) -> u64
 where
     P: Platform,
 {
     loop {
         let changed = cx.members_changed.notified();
-        let (is_known, has_holder) = {
-            let members = cx.members.borrow();
-            (members.is_known, members.holder.is_some())
-        };
-        let is_serving = cx.stopping.phase() == comfreyweir_http::stopping::Phase::Serving;
-        if is_known && !has_holder && is_serving && cx.config().version > 0 {
-            sleep(take_delay(cx)).await;
-            if cx.members.borrow().holder.is_none() {
-                return;
+        match vacancy(cx) {
+            Some(0) => {
+                sleep(take_delay(cx)).await;
+                if vacancy(cx) == Some(0) {
+                    return 0;
+                }
+                continue;
             }
-            continue;
+            Some(revision) => return revision,
+            None => {}
         }
         let _ = timeout(RETRY_PAUSE, changed).await;
     }
 }
 
+fn vacancy<P>(cx: &Cx<P>) -> Option<u64>
+where
+    P: Platform,
+{
+    let is_serving = cx.stopping.phase() == Phase::Serving;
+    if !is_serving || cx.config().version == 0 {
+        return None;
+    }
+    let members = cx.members.borrow();
+    let Some(holder) = &members.holder else {
+        return members.is_known.then_some(0);
+    };
+    // Both: a machine that replaces another may get its name.
+    let settings = cx.settings();
+    let is_same =
+        holder.instance() == settings.instance.name && holder.peer == settings.listen.peer;
+    let was_here = is_same && holder.process != cx.process;
+    (was_here && members.duty_revision > 0).then_some(members.duty_revision)
+}
+
 /// Time to wait before the duty is taken. Instances with little processor or bandwidth leave it to
 /// others, if there are any: the holder hears from all.
 fn take_delay<P>(cx: &Cx<P>) -> Duration
@@ -110,7 +132,7 @@
     if is_small { longest + jitter } else { jitter }
 }
 
-async fn take<P>(cx: &Rc<Cx<P>>) -> Result<Option<Tenure>, PlatformError>
+async fn take<P>(cx: &Rc<Cx<P>>, revision: u64) -> Result<Option<Tenure>, PlatformError>
 where
     P: Platform,
 {
@@ -125,19 +147,32 @@
     };
     let value = serde_json::to_vec(&holder).unwrap_or_default();
     let tx = Transaction {
-        expected: vec![(key.clone(), 0)],
+        expected: vec![(key.clone(), revision)],
         puts: vec![(key, Bytes::from(value), lease.id)],
         ..Transaction::default()
     };
     let committed = cx.platform.commit(&tx, limit).await;
+    if let Ok(Committed::Conflict(_)) = &committed {
+        // Somebody else was first, or the key has ended meanwhile: the watch tells.
+        cx.members.borrow_mut().duty_revision = 0;
+    }
     let Ok(Committed::Done(fence)) = committed else {
         // After a lost answer the duty may be taken all the same: it ends with its lease.
         end_lease(cx, lease.id).await;
         return committed.map(|_| None);
     };
     // Not left to the watch: only the holder watches the instances and the configuration.
-    cx.members.borrow_mut().holder = Some(holder);
-    let rest = Duration::from_millis(cx.settings().timing.order_rest_ms);
+    {
+        let mut members = cx.members.borrow_mut();
+        members.holder = Some(holder);
+        members.duty_revision = fence;
+    }
+    // Orders of the same instance need no rest between them.
+    let rest = if revision == 0 {
+        Duration::from_millis(cx.settings().timing.order_rest_ms)
+    } else {
+        Duration::ZERO
+    };
     let now = cx.clock.since_boot();
     let rest_ms = whole_millis(rest);
     spdlog::info!("planning duty taken", kv: { fence, lease = lease.id, rest_ms });
--- a/crates/entry/src/follow/members.rs
+++ b/crates/entry/src/follow/members.rs
@@ -219,7 +219,10 @@
         members.secret = Some(Secret::from_bytes(&item.value));
     } else if key == DUTY {
         match serde_json::from_slice::<Holder>(&item.value) {
-            Ok(holder) => members.holder = Some(holder),
+            Ok(holder) => {
+                members.holder = Some(holder);
+                members.duty_revision = item.revision;
+            }
             Err(e) => ignored(item, &e.to_string()),
         }
     }
@@ -233,6 +236,7 @@
         members.instances.remove(name);
     } else if key == DUTY {
         members.holder = None;
+        members.duty_revision = 0;
     }
 }
 
--- a/crates/entry/src/state.rs
+++ b/crates/entry/src/state.rs
@@ -80,6 +80,8 @@
     pub(crate) instances: BTreeMap<String, SocketAddr>,
     /// Who has the planning duty.
     pub(crate) holder: Option<Holder>,
+    /// Revision of the duty's key; 0 where it does not exist or is not known.
+    pub(crate) duty_revision: u64,
     /// Secret that authenticates the instances to each other.
     pub(crate) secret: Option<Secret>,
     /// Store revision of what is known.
@@ -98,6 +100,13 @@
     pub(crate) peer: SocketAddr,
 }
 
+impl Holder {
+    /// Name of its instance.
+    pub(crate) fn instance(&self) -> &str {
+        self.process.split('/').next().unwrap_or_default()
+    }
+}
+
 /// Where models are, as the holder of the planning duty told.
 #[derive(Default)]
 pub(crate) struct PlacementView {
--- a/crates/entry/tests/instances.rs
+++ b/crates/entry/tests/instances.rs
@@ -68,3 +68,37 @@
         since.elapsed()
     );
 }
+
+/// Pattern: all processes are killed, or the holder's is, and the machines start again at once.
+///
+/// The duty's key outlives its holder. The same instance is the same holder, and needs not wait for
+/// the end of its own lease, nor for its own last orders.
+#[actix_rt::test]
+async fn holder_that_was_killed_takes_its_duty_back_at_once() {
+    let shared = Shared::new();
+    shared.configure(config(1));
+    let peer = support::free_addr();
+    let patient = |s: &mut comfreyweir_config::entry_settings::EntrySettings| {
+        s.timing.order_rest_ms = 60_000;
+        s.listen.peer = peer;
+    };
+    let first = support::start_with(&shared, "e1", patient).await;
+    until("the holder is heard", async || is_fresh(&first).await).await;
+    let fence = fence(&first).await;
+    drop(first);
+    let again = support::start_with(&shared, "e1", patient).await;
+    until("the duty is taken back", async || is_fresh(&again).await).await;
+    assert_eq!(holder(&again).await.as_deref(), Some("e1"));
+    assert!(self::fence(&again).await > fence);
+    until("orders may be given", async || {
+        let status = get(again.entry.admin_addr(), "/status").await.body;
+        status.contains("\"may_order\": true")
+    })
+    .await;
+}
+
+async fn fence(bench: &Bench) -> u64 {
+    let status = get(bench.entry.admin_addr(), "/status").await.body;
+    let status: serde_json::Value = serde_json::from_str(&status).unwrap();
+    status["duty"]["fence"].as_u64().unwrap_or_default()
+}
