--- a/crates/entry/src/lib.rs
+++ b/crates/entry/src/lib.rs
@@ -10,6 +10,7 @@
 mod duty;
 mod exchange;
 mod follow;
+mod lines;
 mod metrics;
 pub mod ports;
 mod serve;
--- a/crates/entry/src/serve/attempt.rs
+++ b/crates/entry/src/serve/attempt.rs
@@ -259,6 +259,9 @@
         Attempt::Failed(reason) => ("failed", reason.clone()),
         Attempt::Silent => ("silent", String::new()),
     };
+    if !sent.cx.lines.take(sent.cx.now()) {
+        return attempt;
+    }
     let ms = whole_millis(sent.age());
     let artifact = ticket.load_key();
     spdlog::info!("upstream did not serve the request", kv: {
--- a/crates/entry/src/serve/mod.rs
+++ b/crates/entry/src/serve/mod.rs
@@ -16,6 +16,7 @@
     header::{HeaderName, HeaderValue},
 };
 use comfreyweir_clock::whole_millis;
+use comfreyweir_fleet::request::Artifact;
 use comfreyweir_http::{body::counted, caller::Caller, stopping::Phase};
 
 pub(crate) use self::refusal::Refusal;
@@ -35,6 +36,7 @@
     let guard = (cx.stopping.enter(), caller.as_ref().map(Caller::begin));
     let declared = cx.platform.declared(req.headers());
     let id = declared.id.clone();
+    let artifact = declared.artifact.as_ref().map(Artifact::key);
     let answer = answer(&cx, &req, payload, declared, caller.clone());
     let answered = match &caller {
         Some(caller) => tokio::select! {
@@ -49,7 +51,8 @@
     let mut res = match answered {
         Ok(res) => res,
         Err(refusal) => {
-            log_refused(&cx, id.as_deref(), &refusal, arrived);
+            let about = (id.as_deref(), artifact.as_deref());
+            log_refused(&cx, about, &refusal, arrived);
             refusal.to_response()
         }
     };
@@ -92,25 +95,43 @@
     }
 }
 
-fn log_refused<P>(cx: &Cx<P>, id: Option<&str>, refusal: &Refusal, arrived: std::time::Instant)
-where
+fn log_refused<P>(
+    cx: &Cx<P>,
+    (id, artifact): (Option<&str>, Option<&str>),
+    refusal: &Refusal,
+    arrived: std::time::Instant,
+) where
     P: Platform,
 {
-    let request_id = id.unwrap_or_default();
-    let ms = whole_millis(cx.now().saturating_duration_since(arrived));
+    let now = cx.now();
     let status = refusal.status.as_u16();
+    cx.metrics.refused(status);
+    if !cx.lines.take(now) {
+        return;
+    }
+    let request_id = id.unwrap_or_default();
+    let ms = whole_millis(now.saturating_duration_since(arrived));
     let retry_ms = refusal.retry_after.map_or(0, whole_millis);
+    let placement = cx.placement.borrow();
+    let age = |age: Option<std::time::Duration>| age.map_or(-1, |a| a.as_millis().cast_signed());
     spdlog::info!("request refused", kv: {
         request_id, status, ms, may_have_run = refusal.may_have_run, retry_ms,
-        reason = refusal.reason.as_str()
+        reason = refusal.reason.as_str(), artifact = artifact.unwrap_or_default(),
+        config = cx.config().version, config_age_ms = age(cx.config_age(now)),
+        upstreams = cx.directory.borrow().revision(),
+        upstreams_age_ms = age(cx.directory.borrow().age(now)),
+        placement = placement.known.1, fence = placement.known.0,
+        placement_age_ms = age(placement.age(now))
     });
-    cx.metrics.refused(status);
 }
 
 fn log_left<P>(cx: &Cx<P>, id: Option<&str>, arrived: std::time::Instant)
 where
     P: Platform,
 {
+    if !cx.lines.take(cx.now()) {
+        return;
+    }
     let request_id = id.unwrap_or_default();
     let ms = whole_millis(cx.now().saturating_duration_since(arrived));
     spdlog::info!("caller left before the answer", kv: { request_id, ms });
--- a/crates/entry/src/serve/pick.rs
+++ b/crates/entry/src/serve/pick.rs
@@ -6,6 +6,7 @@
     time::{Duration, Instant},
 };
 
+use comfreyweir_clock::whole_millis;
 use comfreyweir_fleet::{
     choice::{self, Candidate},
     request::Artifact,
@@ -66,12 +67,29 @@
         check_time(cx, ticket, now)?;
         if waiting.is_none() {
             waiting = Some(Waiting::begin(cx, ticket));
+            log_waiting(cx, ticket, now);
         }
         let left = ticket.left(now);
         let _ = timeout(LOOK_PERIOD.min(left), changed).await;
     }
 }
 
+fn log_waiting<P>(cx: &Cx<P>, ticket: &Ticket, now: Instant)
+where
+    P: Platform,
+{
+    if !cx.lines.take(now) {
+        return;
+    }
+    let artifact = ticket.load_key();
+    let placement = cx.placement.borrow();
+    spdlog::info!("request waits for an upstream", kv: {
+        request_id = ticket.id.as_str(), service = ticket.service.as_str(),
+        artifact = artifact.as_str(), left_ms = whole_millis(ticket.left_to_start(now)),
+        placement = placement.known.1, fence = placement.known.0
+    });
+}
+
 /// The key may have been withdrawn while the request waited.
 fn check_key<P>(cx: &Cx<P>, ticket: &Ticket) -> Result<(), Refusal>
 where
--- a/crates/entry/src/serve/relay.rs
+++ b/crates/entry/src/serve/relay.rs
@@ -336,6 +336,10 @@
 {
     let ms = whole_millis(cx.now().saturating_duration_since(ticket.arrived));
     let workspace = ticket.workspace.as_ref().map_or("", |w| w.name.as_str());
+    cx.metrics.answered(workspace, status, outcome);
+    if !cx.lines.take(cx.now()) {
+        return;
+    }
     let first = pieces
         .first
         .map(|at| at.saturating_duration_since(ticket.arrived));
@@ -346,5 +350,4 @@
         upstream_ms = whole_millis(sent.age()), unread = sent.unread(),
         first_ms = first.map_or(ms, whole_millis), gap_ms = whole_millis(pieces.longest_gap)
     });
-    cx.metrics.answered(workspace, status, outcome);
 }
--- a/crates/entry/src/state.rs
+++ b/crates/entry/src/state.rs
@@ -26,7 +26,7 @@
 use comfreyweir_peer::Secret;
 use tokio::sync::Notify;
 
-use crate::{metrics::Metrics, ports::Platform};
+use crate::{lines::LineBudget, metrics::Metrics, ports::Platform};
 
 /// Longest time for opening a connection to an upstream. Far above the time between availability
 /// zones; an upstream that has vanished must not take much of a request's time.
@@ -63,6 +63,7 @@
     pub(crate) upstreams: Upstreams,
     pub(crate) stopping: Rc<Stopping>,
     pub(crate) metrics: Metrics,
+    pub(crate) lines: LineBudget,
     /// When the configuration in force was last known to be the newest.
     config_confirmed: Cell<Option<Instant>>,
     /// Instances that the holder knows of; 0 until it told.
@@ -127,6 +128,11 @@
         self.told_at = Some(now);
     }
 
+    /// Time since the holder told it.
+    pub(crate) fn age(&self, now: Instant) -> Option<Duration> {
+        Some(now.saturating_duration_since(self.told_at?))
+    }
+
     /// Whether the holder told it lately.
     pub(crate) fn is_fresh(&self, now: Instant) -> bool {
         self.told_at
@@ -217,6 +223,7 @@
             upstreams: Upstreams::new(CONNECT_LIMIT),
             stopping: Rc::default(),
             metrics: Metrics::new(),
+            lines: LineBudget::default(),
             config_confirmed: Cell::default(),
             instances_told: Cell::default(),
             stops_at: Cell::default(),
