--- a/crates/config/src/entry_settings.rs
+++ b/crates/config/src/entry_settings.rs
@@ -1,12 +1,12 @@
 //! Settings of an entry instance on a platform.
 
-use std::{net::SocketAddr, path::Path, time::Duration};
+use std::{net::SocketAddr, time::Duration};
 
 use serde::{Deserialize, Serialize};
 
 use crate::{
     settings::Limits,
-    settings_file::{Mistakes, SettingsError, checked, parse},
+    settings_file::{Mistakes, SettingsFile},
 };
 
 /// Settings of the entry daemon.
@@ -149,19 +149,10 @@
     }
 }
 
-impl EntrySettings {
-    /// Sample settings with all defaults.
-    pub const DEFAULTS: &'static str = include_str!("entry_defaults.toml");
+impl SettingsFile for EntrySettings {
+    const DEFAULTS: &'static str = include_str!("entry_defaults.toml");
 
-    /// Reads and checks the settings in a file.
-    pub fn read(path: &Path) -> Result<Self, SettingsError> {
-        let settings: Self = parse(path)?;
-        checked(path, settings.mistakes())?;
-        Ok(settings)
-    }
-
-    /// Settings that cannot work.
-    pub fn mistakes(&self) -> Vec<String> {
+    fn mistakes(&self) -> Vec<String> {
         let mut mistakes = Mistakes::default();
         let named = |text: &str| !text.trim().is_empty();
         mistakes.unless(named(&self.instance.name), "instance.name is empty");
--- a/crates/config/src/settings_file.rs
+++ b/crates/config/src/settings_file.rs
@@ -46,19 +46,27 @@
     },
 }
 
-impl GateSettings {
+/// Settings of a daemon, which it reads from a file.
+pub trait SettingsFile: DeserializeOwned {
     /// Sample settings with all defaults.
-    pub const DEFAULTS: &'static str = include_str!("gate_defaults.toml");
+    const DEFAULTS: &'static str;
+
+    /// Settings that cannot work.
+    fn mistakes(&self) -> Vec<String>;
 
     /// Reads and checks the settings in a file.
-    pub fn read(path: &Path) -> Result<Self, SettingsError> {
+    fn read(path: &Path) -> Result<Self, SettingsError> {
         let settings: Self = parse(path)?;
-        checked(path, settings.mistakes())?;
+        let mistakes = settings.mistakes();
+        ensure!(mistakes.is_empty(), InvalidSnafu { path, mistakes });
         Ok(settings)
     }
+}
 
-    /// Settings that cannot work.
-    pub fn mistakes(&self) -> Vec<String> {
+impl SettingsFile for GateSettings {
+    const DEFAULTS: &'static str = include_str!("gate_defaults.toml");
+
+    fn mistakes(&self) -> Vec<String> {
         let mut mistakes = Mistakes::default();
         mistakes.instance(&self.instance);
         mistakes.addresses(&[
@@ -77,19 +85,10 @@
     }
 }
 
-impl PlannerSettings {
-    /// Sample settings with all defaults.
-    pub const DEFAULTS: &'static str = include_str!("planner_defaults.toml");
-
-    /// Reads and checks the settings in a file.
-    pub fn read(path: &Path) -> Result<Self, SettingsError> {
-        let settings: Self = parse(path)?;
-        checked(path, settings.mistakes())?;
-        Ok(settings)
-    }
+impl SettingsFile for PlannerSettings {
+    const DEFAULTS: &'static str = include_str!("planner_defaults.toml");
 
-    /// Settings that cannot work.
-    pub fn mistakes(&self) -> Vec<String> {
+    fn mistakes(&self) -> Vec<String> {
         let mut mistakes = Mistakes::default();
         mistakes.instance(&self.instance);
         mistakes.addresses(&[
@@ -112,7 +111,7 @@
     }
 }
 
-pub(crate) fn parse<S>(path: &Path) -> Result<S, SettingsError>
+fn parse<S>(path: &Path) -> Result<S, SettingsError>
 where
     S: DeserializeOwned,
 {
@@ -124,11 +123,6 @@
     })
 }
 
-pub(crate) fn checked(path: &Path, mistakes: Vec<String>) -> Result<(), SettingsError> {
-    ensure!(mistakes.is_empty(), InvalidSnafu { path, mistakes });
-    Ok(())
-}
-
 #[derive(Default)]
 pub(crate) struct Mistakes(pub(crate) Vec<String>);
 
--- a/crates/config/tests/settings.rs
+++ b/crates/config/tests/settings.rs
@@ -3,8 +3,9 @@
 use std::{fmt::Debug, fs, path::Path};
 
 use comfreyweir_config::{
+    entry_settings::EntrySettings,
     settings::{GateSettings, Limits, PlannerSettings},
-    settings_file::SettingsError,
+    settings_file::{SettingsError, SettingsFile},
 };
 use serde::{Serialize, de::DeserializeOwned};
 use tempfile::NamedTempFile;
@@ -45,6 +46,7 @@
 fn samples_show_every_setting_and_its_default() {
     sample_is_complete(GateSettings::DEFAULTS, GateSettings::read);
     sample_is_complete(PlannerSettings::DEFAULTS, PlannerSettings::read);
+    sample_is_complete(EntrySettings::DEFAULTS, EntrySettings::read);
 }
 
 #[test]
--- a/crates/core/src/bin/comfreyweir-entry.rs
+++ b/crates/core/src/bin/comfreyweir-entry.rs
@@ -2,7 +2,7 @@
 
 use std::process::ExitCode;
 
-use comfreyweir_config::entry_settings::EntrySettings;
+use comfreyweir_config::{entry_settings::EntrySettings, settings_file::SettingsFile};
 use comfreyweir_core::daemon::{self, Program};
 use comfreyweir_platform::UsersPlatform;
 
--- a/crates/core/src/bin/comfreyweir-gate.rs
+++ b/crates/core/src/bin/comfreyweir-gate.rs
@@ -2,7 +2,7 @@
 
 use std::process::ExitCode;
 
-use comfreyweir_config::settings::GateSettings;
+use comfreyweir_config::{settings::GateSettings, settings_file::SettingsFile};
 use comfreyweir_core::daemon::{self, Program};
 
 const PROGRAM: Program = Program {
--- a/crates/core/src/bin/comfreyweir-planner.rs
+++ b/crates/core/src/bin/comfreyweir-planner.rs
@@ -2,7 +2,7 @@
 
 use std::process::ExitCode;
 
-use comfreyweir_config::settings::PlannerSettings;
+use comfreyweir_config::{settings::PlannerSettings, settings_file::SettingsFile};
 use comfreyweir_core::daemon::{self, Program};
 
 const PROGRAM: Program = Program {
