--- a/crates/entry/src/follow/config.rs
+++ b/crates/entry/src/follow/config.rs
@@ -31,15 +31,7 @@
 where
     P: Platform,
 {
-    let mut outage = Outage::new("configuration in the store");
-    loop {
-        let e = match follow(&cx, &mut outage).await {
-            Ok(()) => continue,
-            Err(e) => e,
-        };
-        outage.failed(&e, cx.now());
-        sleep(RETRY_PAUSE).await;
-    }
+    super::keep(cx, "configuration in the store", follow).await;
 }
 
 /// Reads the configuration and watches it until its history has gone.
--- a/crates/entry/src/follow/members.rs
+++ b/crates/entry/src/follow/members.rs
@@ -36,13 +36,7 @@
 where
     P: Platform,
 {
-    let mut outage = Outage::new("own entry in the store");
-    loop {
-        if let Err(e) = keep_entry(&cx, &mut outage).await {
-            outage.failed(&e, cx.now());
-        }
-        sleep(RETRY_PAUSE).await;
-    }
+    super::keep(cx, "own entry in the store", keep_entry).await;
 }
 
 /// Writes the entry and renews its lease until that has ended.
@@ -66,7 +60,10 @@
         sleep(RENEW_PERIOD).await;
         match cx.platform.renew(lease.id, limit).await {
             Ok(true) => outage.answered(cx.now()),
-            Ok(false) => return Ok(()),
+            Ok(false) => {
+                sleep(RETRY_PAUSE).await;
+                return Ok(());
+            }
             Err(e) => outage.failed(&e, cx.now()),
         }
     }
@@ -77,13 +74,7 @@
 where
     P: Platform,
 {
-    let mut outage = Outage::new("list of instances in the store");
-    loop {
-        if let Err(e) = follow(&cx, &mut outage).await {
-            outage.failed(&e, cx.now());
-            sleep(RETRY_PAUSE).await;
-        }
-    }
+    super::keep(cx, "list of instances in the store", follow).await;
 }
 
 async fn follow<P>(cx: &Rc<Cx<P>>, outage: &mut Outage) -> Result<(), PlatformError>
--- a/crates/entry/src/follow/mod.rs
+++ b/crates/entry/src/follow/mod.rs
@@ -6,8 +6,31 @@
 pub(crate) mod members;
 mod outage;
 
-use std::time::Duration;
+use std::{rc::Rc, time::Duration};
+
+use actix_rt::time::sleep;
+
+use self::outage::Outage;
+use crate::{
+    ports::{Platform, PlatformError},
+    state::Cx,
+};
 
 /// Pause after a call to the store failed. Short against the bounds of the platform, and long
 /// enough that an overloaded store is not loaded further.
 const RETRY_PAUSE: Duration = Duration::from_millis(250);
+
+/// Follows something for ever; what fails is tried again after a pause.
+async fn keep<P, F>(cx: Rc<Cx<P>>, dependency: &'static str, mut follow: F)
+where
+    P: Platform,
+    F: AsyncFnMut(&Rc<Cx<P>>, &mut Outage) -> Result<(), PlatformError>,
+{
+    let mut outage = Outage::new(dependency);
+    loop {
+        if let Err(e) = follow(&cx, &mut outage).await {
+            outage.failed(&e, cx.now());
+            sleep(RETRY_PAUSE).await;
+        }
+    }
+}
