--- a/crates/entry/src/ports.rs
+++ b/crates/entry/src/ports.rs
@@ -158,7 +158,7 @@
     pub reserved: Vec<HeaderName>,
 }
 
-/// Headers that an order bears.
+/// An order with what an engine checks before it accepts it.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct OrderCall {
     /// The order.
--- a/crates/fleet/src/planner/adapters.rs
+++ b/crates/fleet/src/planner/adapters.rs
@@ -81,7 +81,7 @@
         unused.min_by_key(|(used, _)| *used).map(|(_, a)| a)
     }
 
-    /// Engines that could hold an adapter of a model now or soon have no place for it.
+    /// Whether all places for adapters at the engines that hold a model are in use.
     pub(super) fn lacks_adapter_places(
         &self,
         world: &World<'_>,
--- a/crates/fleet/src/planner/mod.rs
+++ b/crates/fleet/src/planner/mod.rs
@@ -110,7 +110,7 @@
     pub waiting: &'a [Waiting],
     /// Engines that an instance could not reach lately.
     pub suspects: &'a BTreeSet<String>,
-    /// Requests that arrived since the start of the day, by model, from all instances.
+    /// Requests that arrived since the start of each instance's process, by model.
     pub arrivals: &'a HashMap<String, u64>,
 }
 
@@ -299,7 +299,7 @@
     }
 }
 
-/// One of the instances' sums of requests that wait, as instances send it to the planner.
+/// Demand at one instance, as it reports it to the holder.
 #[derive(Clone, Debug, Default, PartialEq)]
 #[derive(Serialize, Deserialize)]
 pub struct DemandReport {
--- a/crates/fleet/src/request.rs
+++ b/crates/fleet/src/request.rs
@@ -27,7 +27,7 @@
         }
     }
 
-    /// Reads and writes the same text.
+    /// The text that [`Self::parse`] reads.
     pub fn key(&self) -> String {
         match &self.adapter {
             Some(adapter) => format!("{}/{adapter}", self.model),
