Leave a silent engine before its stream goes on at another

The old connection stayed open until the other engine had answered, so that two worked on one request. Found by reading the code against the promise; the test fails without the change.

--- a/crates/entry/src/serve/relay.rs
+++ b/crates/entry/src/serve/relay.rs
@@ -109,7 +109,7 @@
         ticket: Rc::clone(ticket),
         tx,
         sent,
-        body: answer.body,
+        body: Some(answer.body),
         events: is_resumable.then(|| EventSplitter::after(ticket.declared.last_event)),
         ran,
         pieces: Pieces::default(),
@@ -132,7 +132,8 @@
     ticket: Rc<Ticket>,
     tx: mpsc::Sender<Piece>,
     sent: Sent<P>,
-    body: AnswerBody,
+    /// Nothing while the stream is being continued elsewhere.
+    body: Option<AnswerBody>,
     /// Splits the stream where it may be resumed.
     events: Option<EventSplitter>,
     /// Upstreams that may have run the request.
@@ -225,8 +226,11 @@
             } else {
                 left
             };
+            let Some(body) = &mut self.body else {
+                return End::OutOfTime;
+            };
             let read = tokio::select! {
-                read = self.body.next(stall) => read,
+                read = body.next(stall) => read,
                 () = self.tx.closed() => return End::CallerLeft,
                 () = left_caller(&self.ticket) => return End::CallerLeft,
             };
@@ -276,6 +280,8 @@
             return false;
         };
         events.drop_partial();
+        // Closed before another is asked: only one engine may work on a request.
+        self.body = None;
         let last_event = events.last_id();
         let mut avoided = Avoided::default();
         avoided.until(&self.sent.upstream.id, self.cx.now() + AVOID_FAILED);
@@ -304,7 +310,7 @@
             match attempt {
                 Attempt::Answered(answer, sent) if answer.status.is_success() => {
                     self.sent = sent;
-                    self.body = answer.body;
+                    self.body = Some(answer.body);
                     self.ran += 1;
                     return true;
                 }
--- a/crates/entry/tests/requests.rs
+++ b/crates/entry/tests/requests.rs
@@ -438,3 +438,39 @@
     assert_eq!(got.status, 503, "{got:?}");
     assert!(got.header("retry-after").is_some());
 }
+
+/// At most one engine works on a stream: the silent one is left before another goes on.
+///
+/// Regression: its connection stayed open until the other had answered.
+#[actix_rt::test]
+async fn silent_engine_is_left_before_another_goes_on() {
+    let first = fake("u1", &[Play::EventsThenSilence { to: 3 }]).await;
+    let second = fake("u2", &[Play::Silent]).await;
+    let shared = Shared::new();
+    let mut patient = config(1);
+    let route = comfreyweir_fleet::config::Route {
+        time_limit: Duration::from_secs(10),
+        patience: Duration::from_secs(10),
+        ..support::platform::route("/tell/", RouteKind::Stream, "llm")
+    };
+    patient
+        .routes
+        .insert("h".to_owned(), vec![std::rc::Rc::new(route)]);
+    shared.configure(patient);
+    // Only one is listed at first, so that the stream begins there.
+    shared.list(entry_of(&first, "llm", &["m1"]));
+    let bench = start(&shared, "e1").await;
+    let addr = bench.entry.addr();
+    let extra = "x-model: m1\r\nx-deadline: 9000\r\n";
+    let caller = actix_rt::spawn(async move { ask(addr, "/tell/", "r1", extra).await });
+    until("the stream begins", async || first.arrivals() == 1).await;
+    shared.list(entry_of(&second, "llm", &["m1"]));
+    until("another goes on", async || second.arrivals() == 1).await;
+    actix_rt::time::sleep(Duration::from_millis(100)).await;
+    assert_eq!(
+        first.record.borrow().closed,
+        1,
+        "the silent engine still has its connection"
+    );
+    caller.abort();
+}
--- a/crates/entry/tests/support/upstream.rs
+++ b/crates/entry/tests/support/upstream.rs
@@ -23,6 +23,8 @@
     Silent,
     /// Answers another request.
     OtherId,
+    /// Sends events up to one, and then nothing.
+    EventsThenSilence { to: u64 },
     /// Sends events after the last that the caller has, up to one, and breaks off there if told.
     Events {
         to: u64,
@@ -149,6 +151,18 @@
             );
             io.write_all(text.as_bytes()).await.is_ok()
         }
+        Play::EventsThenSilence { to } => {
+            let rest = "content-type: text/event-stream\r\ntransfer-encoding: chunked\r\n";
+            let _ = io.write_all(head(200, rest).as_bytes()).await;
+            for event in 1..=to {
+                let text = format!("id: {event}\ndata: e{event}\n\n");
+                let chunk = format!("{:x}\r\n{text}\r\n", text.len());
+                let _ = io.write_all(chunk.as_bytes()).await;
+            }
+            let mut byte = [0];
+            let _ = io.read(&mut byte).await;
+            false
+        }
         Play::Events { to, breaks, gap } => {
             let from = header(request, "x-last").and_then(|n| n.parse::<u64>().ok());
             let rest = "content-type: text/event-stream\r\ntransfer-encoding: chunked\r\n";
