--- a/crates/entry/src/state.rs
+++ b/crates/entry/src/state.rs
@@ -33,6 +33,9 @@
 const CONNECT_LIMIT: Duration = Duration::from_millis(350);
 /// Time before the end of a stop at which requests get their final answer.
 const ANSWER_MARGIN: Duration = Duration::from_millis(300);
+/// Silence of the holder after which an instance watches who has the duty: some periods of the
+/// exchange.
+const HOLDER_SILENCE: Duration = Duration::from_millis(900);
 /// Age at which the placement that the holder told is no longer used.
 const PLACEMENT_LAPSE: Duration = Duration::from_millis(2_500);
 
@@ -314,9 +317,11 @@
         Some(now.saturating_duration_since(at))
     }
 
-    /// Whether the holder of the planning duty answered lately.
+    /// Whether the holder of the planning duty answered lately. Shorter than its placement is
+    /// used: who hears nothing has to look for another holder, or to become it.
     pub(crate) fn hears_holder(&self) -> bool {
-        self.placement.borrow().is_fresh(self.now())
+        let age = self.placement.borrow().age(self.now());
+        age.is_some_and(|age| age < HOLDER_SILENCE)
     }
 
     /// Time in which a request that is under way has to be answered, at a stop.
