Read pages of the store and take repeated sends in one place each

The list of upstreams and the list of instances paged by their own loops, and a resumed stream took from the retry budget by a copy of the sender's lines. Behaviour is unchanged. A comment on the pause after which a stream is continued said what the code does not do.

--- a/crates/entry/src/follow/directory.rs
+++ b/crates/entry/src/follow/directory.rs
@@ -9,9 +9,9 @@
 use actix_rt::time::sleep;
 use comfreyweir_fleet::upstream::Upstream;
 
-use super::{RETRY_PAUSE, outage::Outage};
+use super::{RETRY_PAUSE, outage::Outage, read_all};
 use crate::{
-    ports::{Item, Platform, PlatformError},
+    ports::{Item, Items, Platform, PlatformError},
     state::Cx,
 };
 
@@ -58,16 +58,9 @@
     let prefix = cx.platform.keys().upstreams;
     let limit = cx.settings().timing.store_call();
     let called = cx.now();
-    let (page, mut more) = cx.platform.range(prefix, None, limit).await?;
-    // Later pages may be newer; the list is at least as new as its first page.
-    let revision = page.revision;
-    let mut items = page.items;
-    while more {
-        let after = items.last().map(|item| item.key.clone());
-        let (page, has_more) = cx.platform.range(prefix, after.as_deref(), limit).await?;
-        more = has_more && !page.items.is_empty();
-        items.extend(page.items);
-    }
+    let Items {
+        items, revision, ..
+    } = read_all(cx, prefix, limit).await?;
     let list = decoded.decode(cx, prefix, items);
     cx.replace_directory(list, revision, called, "store");
     Ok(())
--- a/crates/entry/src/follow/members.rs
+++ b/crates/entry/src/follow/members.rs
@@ -6,7 +6,7 @@
 use bytes::Bytes;
 use comfreyweir_peer::Secret;
 
-use super::{RETRY_PAUSE, outage::Outage};
+use super::{RETRY_PAUSE, outage::Outage, read_all};
 use crate::{
     ports::{Item, Items, Platform, PlatformError, Transaction, Watched},
     state::{Cx, Holder, Members},
@@ -115,20 +115,6 @@
     }
 }
 
-async fn read_all<P>(cx: &Rc<Cx<P>>, prefix: &str, limit: Duration) -> Result<Items, PlatformError>
-where
-    P: Platform,
-{
-    let (mut all, mut more) = cx.platform.range(prefix, None, limit).await?;
-    while more {
-        let after = all.items.last().map(|item| item.key.clone());
-        let (page, has_more) = cx.platform.range(prefix, after.as_deref(), limit).await?;
-        more = has_more && !page.items.is_empty();
-        all.items.extend(page.items);
-    }
-    Ok(all)
-}
-
 /// Makes the secret; only the first instance's is written.
 async fn create_secret<P>(cx: &Rc<Cx<P>>, own: &str, limit: Duration) -> Result<(), PlatformError>
 where
--- a/crates/entry/src/follow/mod.rs
+++ b/crates/entry/src/follow/mod.rs
@@ -12,7 +12,7 @@
 
 use self::outage::Outage;
 use crate::{
-    ports::{Platform, PlatformError},
+    ports::{Items, Platform, PlatformError},
     state::Cx,
 };
 
@@ -34,3 +34,18 @@
         }
     }
 }
+
+/// Reads all items with a prefix. Later pages may be newer than the first, whose revision counts.
+async fn read_all<P>(cx: &Rc<Cx<P>>, prefix: &str, limit: Duration) -> Result<Items, PlatformError>
+where
+    P: Platform,
+{
+    let (mut all, mut more) = cx.platform.range(prefix, None, limit).await?;
+    while more {
+        let after = all.items.last().map(|item| item.key.clone());
+        let (page, has_more) = cx.platform.range(prefix, after.as_deref(), limit).await?;
+        more = has_more && !page.items.is_empty();
+        all.items.extend(page.items);
+    }
+    Ok(all)
+}
--- a/crates/entry/src/serve/relay.rs
+++ b/crates/entry/src/serve/relay.rs
@@ -23,6 +23,7 @@
     Refusal,
     attempt::{self, Attempt, Sent},
     pick::{self, Avoided},
+    send::take_repeat,
     ticket::Ticket,
 };
 use crate::{ports::Platform, state::Cx};
@@ -31,8 +32,7 @@
 const MAX_WHOLE_BYTES: usize = 8 << 20;
 /// Pieces of an answer that may wait for a slow caller.
 const PIECES: usize = 16;
-/// Pause between events, in the longest pause that the route aims at, after which a stream is
-/// continued elsewhere.
+/// Pause between events after which a stream is continued elsewhere.
 const STALL: Duration = Duration::from_millis(1_500);
 /// Time for which a stream is not continued at an upstream that failed it.
 const AVOID_FAILED: Duration = Duration::from_secs(10);
@@ -286,12 +286,7 @@
         let mut avoided = Avoided::default();
         avoided.until(&self.sent.upstream.id, self.cx.now() + AVOID_FAILED);
         while self.ran < self.ticket.route.max_upstreams {
-            let is_allowed = {
-                let instances = self.cx.instance_count();
-                let mut budget = self.cx.budget.borrow_mut();
-                budget.take_repeat(&self.ticket.service, instances, self.cx.now())
-            };
-            if !is_allowed {
+            if !take_repeat(&self.cx, &self.ticket) {
                 return false;
             }
             let picked = tokio::select! {
--- a/crates/entry/src/serve/send.rs
+++ b/crates/entry/src/serve/send.rs
@@ -134,7 +134,8 @@
     left.min(silence.max(left.mul_f64(SILENCE_PART)))
 }
 
-fn take_repeat<P>(cx: &Cx<P>, ticket: &Ticket) -> bool
+/// Takes a repeated send from the budget of the request's service.
+pub(super) fn take_repeat<P>(cx: &Cx<P>, ticket: &Ticket) -> bool
 where
     P: Platform,
 {
