Grant no more of an allowance than its bucket holds

Cause: while a bucket was ample, each instance could take all of it until its next exchange. With 67 instances and 0.34 s between exchanges a workspace far beyond its rate got 1,836,039 tokens in 8 s, 1,771,682 allowed.

Change: the holder counts what it has granted and not seen spent; all grants together stay within the bucket. An instance whose grant is too small while the bucket has more asks at once, and its request waits for the answer, 150 ms at most. News for the holder ends an exchange that the holder holds back.

Ruled out: a shorter period (still broken, loads the holder).

--- a/crates/entry/src/exchange/client.rs
+++ b/crates/entry/src/exchange/client.rs
@@ -46,7 +46,15 @@
     let mut outage = members::outage_of_holder();
     let mut session = Session::default();
     loop {
-        match session.exchange(&cx, &desk).await {
+        let wait = change_wait(&cx);
+        let done = tokio::select! {
+            done = session.exchange(&cx, &desk, wait) => done,
+            () = interrupted(&cx, wait) => {
+                sleep(LEAST_PERIOD).await;
+                continue;
+            }
+        };
+        match done {
             Ok(()) => {
                 outage.answered(cx.now());
                 pause(&cx).await;
@@ -59,6 +67,29 @@
     }
 }
 
+/// How long the holder may hold its answer back until the placement changes.
+fn change_wait<P>(cx: &Cx<P>) -> Duration
+where
+    P: Platform,
+{
+    if cx.grants_awaited.get() == 0 && cx.demand.borrow().has_waiting() {
+        CHANGE_WAIT
+    } else {
+        Duration::ZERO
+    }
+}
+
+/// Ends when there is news for a holder that may be holding its answer back.
+async fn interrupted<P>(cx: &Cx<P>, wait: Duration)
+where
+    P: Platform,
+{
+    if wait.is_zero() {
+        std::future::pending::<()>().await;
+    }
+    cx.demand_changed.notified().await;
+}
+
 /// Waits for the next exchange: at once when requests wait, else for its period.
 async fn pause<P>(cx: &Cx<P>)
 where
@@ -83,16 +114,16 @@
 }
 
 impl Session {
-    async fn exchange<P>(&mut self, cx: &Rc<Cx<P>>, desk: &Rc<Desk<P>>) -> Result<(), ExchangeError>
+    async fn exchange<P>(
+        &mut self,
+        cx: &Rc<Cx<P>>,
+        desk: &Rc<Desk<P>>,
+        wait: Duration,
+    ) -> Result<(), ExchangeError>
     where
         P: Platform,
     {
         let report = report(cx);
-        let wait = if cx.demand.borrow().has_waiting() {
-            CHANGE_WAIT
-        } else {
-            Duration::ZERO
-        };
         if desk.has_duty() {
             self.link = None;
             if let Answer::View(view) = desk.exchange(report, wait).await {
--- a/crates/entry/src/serve/admit.rs
+++ b/crates/entry/src/serve/admit.rs
@@ -14,10 +14,11 @@
     body::{ReadError, read_whole},
     headers::{HOP_BY_HOP, named_by_connection},
 };
+use tokio::time::timeout;
 
 use super::{
     Refusal,
-    ticket::{BodyMemory, Ticket},
+    ticket::{Tally, Ticket},
 };
 use crate::{ports::Platform, state::Cx};
 
@@ -25,6 +26,8 @@
 const NO_CONFIG_RETRY: Duration = Duration::from_millis(500);
 /// When to come back to an instance whose memory is taken by the bodies of other requests.
 const MEMORY_RETRY: Duration = Duration::from_millis(500);
+/// Longest wait for a larger grant of an allowance: many round trips to the holder.
+const GRANT_WAIT: Duration = Duration::from_millis(150);
 /// Bodies of requests in memory at once, in bytes. A small part of the memory of the smallest
 /// instances.
 const MAX_BODY_BYTES: usize = 48 << 20;
@@ -62,7 +65,7 @@
         .unwrap_or(Duration::from_millis(limits.deadline_ms));
     let until = arrived + deadline.min(route.time_limit);
     let body = read_body(cx, req.headers(), payload, config.limits.body_bytes).await?;
-    let cost = take_allowance(cx, workspace.as_deref(), &declared)?;
+    let cost = take_allowance(cx, workspace.as_deref(), &declared).await?;
     let uri = req.uri();
     let path = uri.path_and_query().map_or(uri.path(), |p| p.as_str());
     if let Some(artifact) = &declared.artifact {
@@ -78,7 +81,7 @@
         method: req.method().clone(),
         path: path.to_owned(),
         headers: forwarded(cx, req.headers()),
-        _memory: BodyMemory::take(&cx.body_bytes, body.len()),
+        _memory: Tally::add(&cx.body_bytes, body.len()),
         body,
         arrived,
         until,
@@ -146,8 +149,10 @@
     })
 }
 
-fn take_allowance<P>(
-    cx: &Cx<P>,
+/// Takes what a request costs of its workspace's allowance. Where this instance was granted too
+/// little of an allowance that is not exhausted, it asks for more and waits for the answer.
+async fn take_allowance<P>(
+    cx: &Rc<Cx<P>>,
     workspace: Option<&Workspace>,
     declared: &Declared,
 ) -> Result<u64, Refusal>
@@ -157,14 +162,37 @@
     let Some((workspace, allowance)) = workspace.and_then(|w| Some((w, w.allowance?))) else {
         return Ok(0);
     };
+    let name = workspace.name.as_str();
     let cost = allowance.cost(declared.total_tokens());
     let instances = cx.instance_count();
-    let mut quotas = cx.quotas.borrow_mut();
-    let taken = quotas.take(&workspace.name, allowance, cost, instances, cx.now());
+    let take = || {
+        let mut quotas = cx.quotas.borrow_mut();
+        quotas.take(name, allowance, cost, instances, cx.now())
+    };
+    let mut taken = take();
+    cx.quotas.borrow_mut().note_asked(name, cost);
+    let _awaited = if taken.is_err_and(|over| over.can_ask) {
+        let awaited = Tally::add(&cx.grants_awaited, 1);
+        cx.demand_changed.notify_one();
+        Some(awaited)
+    } else {
+        None
+    };
+    let until = cx.now() + GRANT_WAIT;
+    while let Err(over) = taken
+        && over.can_ask
+    {
+        let told = cx.changed.notified();
+        let left = until.saturating_duration_since(cx.now());
+        if timeout(left, told).await.is_err() {
+            break;
+        }
+        taken = take();
+    }
     taken.map_err(|over| Refusal {
         status: StatusCode::TOO_MANY_REQUESTS,
         ..Refusal::not_run(
-            format!("workspace {} is beyond its allowance", workspace.name),
+            format!("workspace {name} is beyond its allowance"),
             over.retry_after,
         )
     })?;
--- a/crates/entry/src/serve/pick.rs
+++ b/crates/entry/src/serve/pick.rs
@@ -221,8 +221,10 @@
     fn begin(cx: &'a Cx<P>, ticket: &'a Ticket) -> Self {
         let artifact = ticket.artifact();
         if let Some(artifact) = artifact {
-            cx.demand.borrow_mut().begin(&ticket.service, artifact);
-            cx.demand_changed.notify_one();
+            let is_first = cx.demand.borrow_mut().begin(&ticket.service, artifact);
+            if is_first {
+                cx.demand_changed.notify_one();
+            }
         }
         Self {
             cx,
--- a/crates/entry/src/serve/ticket.rs
+++ b/crates/entry/src/serve/ticket.rs
@@ -38,7 +38,7 @@
     pub(crate) headers: HeaderMap,
     /// Body.
     pub(crate) body: Bytes,
-    pub(super) _memory: BodyMemory,
+    pub(super) _memory: Tally,
     /// When it arrived.
     pub(crate) arrived: Instant,
     /// When its answer has to have ended.
@@ -99,25 +99,25 @@
     }
 }
 
-/// Memory that a body takes, as long as the request lasts.
-pub(super) struct BodyMemory {
+/// An amount that is part of a total until it is dropped, such as the memory that a body takes.
+pub(super) struct Tally {
     total: Rc<Cell<usize>>,
-    bytes: usize,
+    amount: usize,
 }
 
-impl BodyMemory {
-    /// Adds `bytes` to a total until it is dropped.
-    pub(super) fn take(total: &Rc<Cell<usize>>, bytes: usize) -> Self {
-        total.set(total.get() + bytes);
+impl Tally {
+    /// Adds an amount to a total until it is dropped.
+    pub(super) fn add(total: &Rc<Cell<usize>>, amount: usize) -> Self {
+        total.set(total.get() + amount);
         Self {
             total: Rc::clone(total),
-            bytes,
+            amount,
         }
     }
 }
 
-impl Drop for BodyMemory {
+impl Drop for Tally {
     fn drop(&mut self) {
-        self.total.set(self.total.get() - self.bytes);
+        self.total.set(self.total.get() - self.amount);
     }
 }
--- a/crates/entry/src/state.rs
+++ b/crates/entry/src/state.rs
@@ -61,6 +61,8 @@
     pub(crate) changed: Notify,
     /// The holder has to hear of new demand at once.
     pub(crate) demand_changed: Notify,
+    /// Requests that wait for a larger grant of an allowance.
+    pub(crate) grants_awaited: Rc<Cell<usize>>,
     /// The members or the secret changed.
     pub(crate) members_changed: Notify,
     pub(crate) upstreams: Upstreams,
@@ -157,10 +159,12 @@
         *models.entry(model.to_owned()).or_default() += 1;
     }
 
-    /// Counts a request that waits for an artifact.
-    pub(crate) fn begin(&mut self, service: &str, artifact: &Artifact) {
+    /// Counts a request that waits for an artifact. Says whether it is the first one.
+    pub(crate) fn begin(&mut self, service: &str, artifact: &Artifact) -> bool {
         let artifacts = self.waiting.entry(service.to_owned()).or_default();
-        *artifacts.entry(artifact.clone()).or_default() += 1;
+        let requests = artifacts.entry(artifact.clone()).or_default();
+        *requests += 1;
+        *requests == 1
     }
 
     /// Ends the wait of a request.
@@ -222,6 +226,7 @@
             demand: RefCell::default(),
             changed: Notify::new(),
             demand_changed: Notify::new(),
+            grants_awaited: Rc::default(),
             members_changed: Notify::new(),
             upstreams: Upstreams::new(CONNECT_LIMIT),
             stopping: Rc::default(),
--- a/crates/fleet/src/quota.rs
+++ b/crates/fleet/src/quota.rs
@@ -1,10 +1,12 @@
 //! Allowances of workspaces over all instances.
 //!
-//! The holder of the planning duty adds up what all instances have spent. It tells each instance
-//! how much of every workspace's bucket it may take, by how much was asked for there lately. An
-//! instance admits against that level less what it has spent since. Without a fresh level it
-//! admits against its own equal part, so that instances which cannot reach each other do not
-//! exceed the allowance together.
+//! The holder of the planning duty adds up what all instances have spent. It grants each instance
+//! a part of every workspace's bucket, by how much was asked for there lately, and an instance
+//! admits against its grant less what it has spent since. All grants together never exceed the
+//! bucket, so that any number of instances stays inside the allowance. An instance whose grant is
+//! too small for a request while the bucket holds enough asks for more at once. Without a fresh
+//! grant it admits against its own equal part, so that instances which cannot reach each other do
+//! not exceed the allowance together.
 
 use std::{
     collections::HashMap,
@@ -17,6 +19,9 @@
 
 /// Age at which a level from the holder is no longer used.
 pub const LEVEL_LAPSE: Duration = Duration::from_millis(1_500);
+/// Time after which the holder forgets a process that no longer reports. A process that was cut
+/// off for less is charged for what it admitted meanwhile.
+const MEMORY: Duration = Duration::from_mins(10);
 /// Part of the burst that a holder starts with: it does not know what was spent before.
 const INITIAL_PART: f64 = 0.5;
 /// Time constant of the smoothed rate at which an instance is asked for units.
@@ -24,13 +29,15 @@
 /// Part of an allowance that counts as asked for at all instances together although it was not,
 /// so that an instance that was idle can admit at once.
 const IDLE_PART: f64 = 0.1;
-/// Part of the burst above which any instance may take all of a bucket: its workspace is well
-/// inside its allowance. What instances take too much together until the next exchange is repaid
-/// out of what flows in.
-const AMPLE_PART: f64 = 0.6;
-/// An instance may take its share of a bucket that is not ample times this: requests move between
-/// instances from one exchange to the next.
-const SHARE_MARGIN: f64 = 1.3;
+/// Part of a bucket that is granted before anybody asks for it; the rest is for those that ask.
+const GRANTED_PART: f64 = 0.15;
+/// What is granted unasked goes in this part to all instances alike, and for the rest by what is
+/// asked for there: requests move between instances from one exchange to the next.
+const EQUAL_PART: f64 = 0.3;
+/// Part of the burst that has to be free after all grants for instances to ask for more. Below,
+/// asking again would not help most of them, and a workspace far beyond its allowance would load
+/// the holder with it.
+const ASKING_PART: f64 = 0.1;
 
 /// A token bucket whose level may be negative.
 #[derive(Clone, Copy, Debug, PartialEq)]
@@ -71,6 +78,8 @@
     total: f64,
     /// Units asked for since the start of the process.
     asked: f64,
+    /// Units of the largest request that found its grant too small since the last one.
+    missing: f64,
     told: Option<Told>,
     /// Own part, for times without a fresh level.
     own: Bucket,
@@ -85,6 +94,8 @@
     share: f64,
     /// What of the instance's total the level includes.
     included: f64,
+    /// Whether the holder has more for those that ask.
+    has_more: bool,
 }
 
 /// Units spent and asked for since the start of a process.
@@ -95,6 +106,8 @@
     pub spent: f64,
     /// Units asked for.
     pub asked: f64,
+    /// Units of the largest request that found its grant too small.
+    pub missing: f64,
 }
 
 /// What an instance may take of a workspace's allowance.
@@ -107,6 +120,8 @@
     pub share: f64,
     /// What of its own total the level includes.
     pub included: f64,
+    /// Whether the bucket has more for those that ask.
+    pub has_more: bool,
 }
 
 /// Refusal of a request beyond its workspace's allowance.
@@ -114,9 +129,20 @@
 pub struct OverQuota {
     /// Time after which the allowance suffices if nobody else takes it.
     pub retry_after: Duration,
+    /// Whether the holder may grant the request if it is asked now.
+    pub can_ask: bool,
 }
 
 impl Quotas {
+    /// Notes that a request asks for `cost` units.
+    pub fn note_asked(&mut self, workspace: &str, cost: u64) {
+        if let Some(spent) = self.workspaces.get_mut(workspace) {
+            #[allow(clippy::cast_precision_loss)]
+            let cost = cost as f64;
+            spent.asked += cost;
+        }
+    }
+
     /// Takes `cost` units, with `instances` sharing the allowance when levels are not fresh.
     pub fn take(
         &mut self,
@@ -128,32 +154,8 @@
     ) -> Result<(), OverQuota> {
         #[allow(clippy::cast_precision_loss)]
         let (cost, parts) = (cost as f64, instances.max(1) as f64);
-        let Allowance { per_s, burst, .. } = allowance;
-        let spent = self.spent(workspace, burst / parts, now);
-        spent.asked += cost;
-        let told = spent.told.as_mut();
-        let fresh = told.filter(|t| now.saturating_duration_since(t.at) < LEVEL_LAPSE);
-        let (level, per_s, burst) = if let Some(told) = fresh {
-            // Its own part begins when the holder falls silent.
-            spent.own = Bucket::new(0.0, now);
-            let per_s = per_s * told.share;
-            let level = told.bucket.level(per_s, burst, now);
-            (level - (spent.total - told.included), per_s, burst)
-        } else {
-            let (per_s, burst) = (per_s / parts, burst / parts);
-            (spent.own.level(per_s, burst, now), per_s, burst)
-        };
-        // A request larger than the burst can only ever run from a full bucket.
-        let wanted = cost.min(burst);
-        if level < wanted {
-            let wait = (wanted - level) / per_s.max(f64::MIN_POSITIVE);
-            return Err(OverQuota {
-                retry_after: Duration::from_secs_f64(wait.clamp(0.01, 60.0)),
-            });
-        }
-        spent.total += cost;
-        spent.own.take(cost);
-        Ok(())
+        let spent = self.spent(workspace, allowance.burst / parts, now);
+        spent.take(allowance, cost, parts, now)
     }
 
     /// Gives back what a request took that did not run.
@@ -172,6 +174,7 @@
             let totals = Totals {
                 spent: s.total,
                 asked: s.asked,
+                missing: s.missing,
             };
             (name.clone(), totals)
         });
@@ -186,7 +189,9 @@
             at: now,
             share: grant.share,
             included: grant.included,
+            has_more: grant.has_more,
         });
+        spent.missing = 0.0;
     }
 
     fn spent(&mut self, workspace: &str, own: f64, now: Instant) -> &mut Spent {
@@ -194,6 +199,7 @@
             let spent = Spent {
                 total: 0.0,
                 asked: 0.0,
+                missing: 0.0,
                 told: None,
                 own: Bucket::new(own, now),
             };
@@ -203,12 +209,65 @@
     }
 }
 
+impl Spent {
+    fn take(
+        &mut self,
+        allowance: Allowance,
+        cost: f64,
+        parts: f64,
+        now: Instant,
+    ) -> Result<(), OverQuota> {
+        let Allowance { per_s, burst, .. } = allowance;
+        let told = self.told.as_mut();
+        let fresh = told.filter(|t| now.saturating_duration_since(t.at) < LEVEL_LAPSE);
+        let can_ask = fresh.as_ref().is_some_and(|t| t.has_more);
+        let (level, per_s, burst) = if let Some(told) = fresh {
+            // Its own part begins when the holder falls silent.
+            self.own = Bucket::new(0.0, now);
+            let per_s = per_s * told.share;
+            let level = told.bucket.level(per_s, burst, now);
+            (level - (self.total - told.included), per_s, burst)
+        } else {
+            let (per_s, burst) = (per_s / parts, burst / parts);
+            (self.own.level(per_s, burst, now), per_s, burst)
+        };
+        // A request larger than the burst can only ever run from a full bucket.
+        let wanted = cost.min(burst);
+        if level < wanted {
+            self.missing = self.missing.max(wanted);
+            let wait = (wanted - level) / per_s.max(f64::MIN_POSITIVE);
+            return Err(OverQuota {
+                retry_after: Duration::from_secs_f64(wait.clamp(0.01, 60.0)),
+                can_ask,
+            });
+        }
+        self.total += cost;
+        self.own.take(cost);
+        Ok(())
+    }
+}
+
 /// Levels over all instances, at the holder.
 #[derive(Debug, Default)]
 pub struct Levels {
     buckets: HashMap<String, Bucket>,
-    /// What each process reported last, by workspace.
-    reported: HashMap<String, HashMap<String, Reported>>,
+    processes: HashMap<String, Process>,
+}
+
+/// A process that reports.
+#[derive(Debug)]
+struct Process {
+    /// When it reported last.
+    at: Instant,
+    /// What it reported last, by workspace.
+    reported: HashMap<String, Reported>,
+}
+
+impl Process {
+    /// Whether it may still admit against what it was granted.
+    fn is_live(&self, now: Instant) -> bool {
+        now.saturating_duration_since(self.at) < LEVEL_LAPSE
+    }
 }
 
 /// What a process reported of a workspace.
@@ -218,6 +277,30 @@
     at: Instant,
     /// Smoothed units asked for each second.
     asked_per_s: f64,
+    /// What it may have taken since without having reported it.
+    granted: Granted,
+}
+
+/// What a process was granted.
+#[derive(Clone, Copy, Debug, Default)]
+struct Granted {
+    level: f64,
+    /// Units each second that flow in at the process.
+    per_s: f64,
+    at: Option<Instant>,
+}
+
+impl Granted {
+    /// Units that the process may have taken of it, none once the grant has lapsed.
+    fn outstanding(&self, now: Instant) -> f64 {
+        let age = self.at.map(|at| now.saturating_duration_since(at));
+        match age {
+            Some(age) if age < LEVEL_LAPSE => {
+                (self.level + self.per_s * age.as_secs_f64()).max(0.0)
+            }
+            _ => 0.0,
+        }
+    }
 }
 
 impl Levels {
@@ -231,8 +314,16 @@
     ) where
         F: Fn(&str) -> Option<Allowance>,
     {
-        let is_known = self.reported.contains_key(process);
-        let reported = self.reported.entry(process.to_owned()).or_default();
+        self.processes
+            .retain(|_, p| now.saturating_duration_since(p.at) < MEMORY);
+        let is_known = self.processes.contains_key(process);
+        let process = self.processes.entry(process.to_owned());
+        let process = process.or_insert_with(|| Process {
+            at: now,
+            reported: HashMap::new(),
+        });
+        process.at = now;
+        let reported = &mut process.reported;
         for (workspace, totals) in totals {
             let Some(Allowance { per_s, burst, .. }) = allowance(workspace) else {
                 continue;
@@ -263,46 +354,84 @@
         let Allowance { per_s, burst, .. } = allowance;
         let level = bucket(&mut self.buckets, workspace, burst, now).level(per_s, burst, now);
         let share = self.share(process, workspace, per_s, now);
-        let part = if level > burst * AMPLE_PART {
-            1.0
+        let free = level - self.outstanding(process, workspace, now);
+        let unasked = GRANTED_PART * ((1.0 - EQUAL_PART) * share + EQUAL_PART / self.live(now));
+        let Some(process) = self.processes.get_mut(process) else {
+            return Grant::default();
+        };
+        let own = process.reported.entry(workspace.to_owned());
+        let own = own.or_insert_with(|| Reported::new(Totals::default(), now));
+        let missing = own.totals.missing;
+        let granted = if missing <= free {
+            missing.max(level * unasked)
         } else {
-            (share * SHARE_MARGIN).min(1.0)
+            // Part of what a request needs would only keep it from others.
+            (level * unasked).min(free.max(0.0))
+        };
+        own.granted = Granted {
+            level: granted,
+            per_s: per_s * share,
+            at: Some(now),
         };
-        let own = self.reported.get(process).and_then(|r| r.get(workspace));
         Grant {
-            level: if level > 0.0 { level * part } else { level },
+            level: granted,
             share,
-            included: own.map_or(0.0, |r| r.totals.spent),
+            included: own.totals.spent,
+            has_more: free - granted > burst * ASKING_PART,
         }
     }
 
+    /// Processes that report.
+    fn live(&self, now: Instant) -> f64 {
+        let live = self.processes.values().filter(|p| p.is_live(now)).count();
+        #[allow(clippy::cast_precision_loss)]
+        let live = live.max(1) as f64;
+        live
+    }
+
+    /// What all other processes may have taken of a workspace's allowance without having reported
+    /// it.
+    fn outstanding(&self, process: &str, workspace: &str, now: Instant) -> f64 {
+        let others = self.processes.iter().filter(|(name, _)| *name != process);
+        let granted = others.filter_map(|(_, p)| p.reported.get(workspace));
+        granted.map(|r| r.granted.outstanding(now)).sum()
+    }
+
     /// Part of what is asked of a workspace that is asked through a process.
     fn share(&self, process: &str, workspace: &str, per_s: f64, now: Instant) -> f64 {
-        #[allow(clippy::cast_precision_loss)]
-        let idle = per_s * IDLE_PART / self.reported.len().max(1) as f64;
-        let asked = |reported: &HashMap<String, Reported>| {
-            idle + reported.get(workspace).map_or(0.0, |r| r.asked_now(now))
+        let idle = per_s * IDLE_PART / self.live(now);
+        let asked = |process: &Process| {
+            let reported = process.reported.get(workspace);
+            idle + reported.map_or(0.0, |r| r.asked_now(now))
         };
-        let all: f64 = self.reported.values().map(asked).sum();
-        let own = self.reported.get(process).map_or(idle, asked);
+        let live = self.processes.values().filter(|p| p.is_live(now));
+        let all: f64 = live.map(asked).sum();
+        let own = self.processes.get(process).map_or(idle, asked);
         (own / all.max(own)).min(1.0)
     }
 }
 
 impl Reported {
+    /// What is known of a process that was not asked before.
+    fn new(totals: Totals, now: Instant) -> Self {
+        Self {
+            totals,
+            at: now,
+            asked_per_s: 0.0,
+            granted: Granted::default(),
+        }
+    }
+
     fn after(before: Option<Self>, totals: Totals, now: Instant) -> Self {
         let Some(before) = before else {
-            return Self {
-                totals,
-                at: now,
-                asked_per_s: 0.0,
-            };
+            return Self::new(totals, now);
         };
         let asked = (totals.asked - before.totals.asked).max(0.0);
         Self {
             totals,
             at: now,
             asked_per_s: before.asked_now(now) + asked / ASKED_TIME.as_secs_f64(),
+            granted: before.granted,
         }
     }
 
--- a/crates/fleet/tests/quota.rs
+++ b/crates/fleet/tests/quota.rs
@@ -27,6 +27,7 @@
     instances: Vec<Quotas>,
     levels: Levels,
     now: Instant,
+    exchange_time: Duration,
     admitted: f64,
 }
 
@@ -36,6 +37,7 @@
             instances: (0..instances).map(|_| Quotas::default()).collect(),
             levels: Levels::default(),
             now: Instant::now(),
+            exchange_time: EXCHANGE,
             admitted: 0.0,
         }
     }
@@ -50,6 +52,22 @@
         self.instances[at].tell("w", grant, self.now);
     }
 
+    /// Sends a request to an instance, which asks the holder for more once if it has to.
+    fn ask(&mut self, at: usize, cost: u64) -> bool {
+        let count = self.instances.len();
+        let taken = self.instances[at].take("w", allowance(), cost, count, self.now);
+        self.instances[at].note_asked("w", cost);
+        if taken.is_ok() {
+            return true;
+        }
+        if !taken.unwrap_err().can_ask {
+            return false;
+        }
+        self.exchange(at);
+        let again = self.instances[at].take("w", allowance(), cost, count, self.now);
+        again.is_ok()
+    }
+
     /// Sends requests of `cost` to one instance after the other for `time`.
     fn press(&mut self, cost: u64, time: Duration, reachable: impl Fn(usize) -> bool) {
         let count = self.instances.len();
@@ -60,10 +78,11 @@
                 (0..count)
                     .filter(|i| reachable(*i))
                     .for_each(|i| self.exchange(i));
-                next_exchange += EXCHANGE;
+                next_exchange += self.exchange_time;
             }
             for i in 0..count {
                 let taken = self.instances[i].take("w", allowance(), cost, count, self.now);
+                self.instances[i].note_asked("w", cost);
                 if taken.is_ok() {
                     #[allow(clippy::cast_precision_loss)]
                     let cost = cost as f64;
@@ -105,14 +124,63 @@
     assert!(fleet.admitted >= PER_S * 8.0 * 0.8, "{}", fleet.admitted);
 }
 
+/// A request that is larger than what its instance was granted is granted by one more exchange.
 #[test]
 fn instance_that_gets_most_of_the_requests_is_not_bound_by_its_part() {
     let mut fleet = Fleet::new(6);
     fleet.press(1, Duration::from_secs(4), |_| true);
     fleet.exchange(0);
-    let now = fleet.now;
-    let taken = fleet.instances[0].take("w", allowance(), 15_000, 6, now);
-    assert!(taken.is_ok());
+    assert!(fleet.ask(0, 15_000));
+}
+
+/// Pattern: a workspace that was idle sends many times its rate through a large fleet at once.
+#[test]
+fn sudden_load_through_many_instances_stays_inside_the_allowance() {
+    let count: usize = 67;
+    let mut fleet = Fleet::new(count);
+    fleet.press(0, Duration::from_secs(4), |_| true);
+    fleet.exchange_time = Duration::from_millis(335);
+    fleet.admitted = 0.0;
+    fleet.press(500, Duration::from_secs(8), |_| true);
+    let due = PER_S * 8.0 + BURST;
+    assert!(fleet.admitted <= due, "{} of {due}", fleet.admitted);
+    assert!(fleet.admitted >= due * 0.85, "{} of {due}", fleet.admitted);
+}
+
+/// Pattern: a workspace well inside its rate, each of whose requests reaches another instance of a
+/// large fleet.
+#[test]
+fn requests_inside_the_rate_are_admitted_wherever_they_arrive() {
+    let count: usize = 67;
+    let mut fleet = Fleet::new(count);
+    fleet.press(0, Duration::from_secs(4), |_| true);
+    let (cost, every) = (4_000, Duration::from_millis(800));
+    for sent in 0..200 {
+        let at = sent * 29 % count;
+        fleet.press(0, every, |_| true);
+        assert!(fleet.ask(at, cost), "request {sent} at instance {at}");
+    }
+}
+
+/// Pattern: a workspace far beyond its rate must not make all instances ask with each request.
+#[test]
+fn nobody_asks_for_more_of_an_exhausted_allowance() {
+    let mut fleet = Fleet::new(6);
+    fleet.press(500, Duration::from_secs(10), |_| true);
+    let over = fleet.instances[0].take("w", allowance(), 5_000, 6, fleet.now);
+    assert!(!over.unwrap_err().can_ask);
+}
+
+/// What a process took that stopped reporting is not granted to others while it may admit.
+#[test]
+fn grant_of_a_silent_instance_stays_charged_until_it_lapses() {
+    let mut fleet = Fleet::new(2);
+    fleet.press(0, Duration::from_secs(4), |_| true);
+    fleet.exchange(0);
+    assert!(fleet.ask(0, 15_000));
+    fleet.exchange(1);
+    let grant = |fleet: &mut Fleet| fleet.levels.grant("p1", "w", allowance(), fleet.now).level;
+    assert!(grant(&mut fleet) <= 5_000.0);
 }
 
 #[test]
@@ -142,6 +210,7 @@
     let totals = Totals {
         spent: 1e9,
         asked: 1e9,
+        missing: 0.0,
     };
     let totals = HashMap::from([("w".to_owned(), totals)]);
     levels.note("p", &totals, |_| Some(allowance()), now);
