Soak the entry daemon with faults drawn by seed

It checks runs, refusals, framing, streams, keys, fencing tokens, room for models, lateness and recovery from what callers and servers saw.

--- /dev/null
+++ b/crates/core/tests/soak.rs
@@ -0,0 +1,25 @@
+//! A short soak of the entry daemon with fixed seeds, and every seed that ever failed.
+
+use std::{path::PathBuf, time::Duration};
+
+use comfreyweir_soak::{Settings, run};
+
+async fn soak(seed: u64) {
+    let settings = Settings {
+        program: PathBuf::from(env!("CARGO_BIN_EXE_comfreyweir-entry")),
+        seed,
+        instances: 3,
+        callers: 12,
+        time: Duration::from_secs(6),
+    };
+    let verdict = run(&settings).await.unwrap();
+    assert!(verdict.broken.is_empty(), "seed {seed}: {verdict:#?}");
+    assert!(verdict.served > 0, "seed {seed}: {verdict:#?}");
+}
+
+#[actix_rt::test]
+async fn overlapping_faults_break_no_promise() {
+    for seed in [1, 2] {
+        soak(seed).await;
+    }
+}
--- /dev/null
+++ b/crates/soak/src/main.rs
@@ -0,0 +1,109 @@
+//! Program `comfreyweir-soak`: soaks the entry daemon with one seed after the other.
+
+use std::{path::PathBuf, process::ExitCode, time::Duration};
+
+use comfreyweir_soak::{Settings, run};
+use lexopt::prelude::*;
+
+const HELP: &str = "\
+Soaks the entry daemon with faults drawn by seed.
+
+Usage: comfreyweir-soak [OPTIONS]
+
+Options:
+  --program PATH    the daemon [default: comfreyweir-entry beside this program]
+  --seed N          first seed [default: 1]
+  --seeds N         number of seeds [default: 1]
+  --instances N     instances [default: 4]
+  --callers N       tasks that send requests [default: 16]
+  --seconds N       time in which faults begin [default: 15]
+  -h, --help        this text
+";
+
+struct Args {
+    settings: Settings,
+    seeds: u64,
+}
+
+fn main() -> ExitCode {
+    let args = match parse() {
+        Ok(Some(args)) => args,
+        Ok(None) => {
+            print!("{HELP}");
+            return ExitCode::SUCCESS;
+        }
+        Err(e) => {
+            eprintln!("comfreyweir-soak: {e}");
+            return ExitCode::from(2);
+        }
+    };
+    actix_rt::System::new().block_on(soak(args))
+}
+
+fn parse() -> Result<Option<Args>, lexopt::Error> {
+    let beside = std::env::current_exe().ok();
+    let beside = beside.and_then(|path| Some(path.parent()?.join("comfreyweir-entry")));
+    let mut settings = Settings {
+        program: beside.unwrap_or_default(),
+        seed: 1,
+        instances: 4,
+        callers: 16,
+        time: Duration::from_secs(15),
+    };
+    let mut seeds = 1;
+    let mut parser = lexopt::Parser::from_env();
+    while let Some(arg) = parser.next()? {
+        match arg {
+            Long("program") => settings.program = PathBuf::from(parser.value()?),
+            Long("seed") => settings.seed = parser.value()?.parse()?,
+            Long("seeds") => seeds = parser.value()?.parse()?,
+            Long("instances") => settings.instances = parser.value()?.parse()?,
+            Long("callers") => settings.callers = parser.value()?.parse()?,
+            Long("seconds") => settings.time = Duration::from_secs(parser.value()?.parse()?),
+            Short('h') | Long("help") => return Ok(None),
+            _ => return Err(arg.unexpected()),
+        }
+    }
+    Ok(Some(Args { settings, seeds }))
+}
+
+async fn soak(args: Args) -> ExitCode {
+    let mut is_broken = false;
+    for seed in (args.settings.seed..).take(usize::try_from(args.seeds).unwrap_or(usize::MAX)) {
+        let settings = Settings {
+            seed,
+            ..args.settings.clone()
+        };
+        let verdict = match run(&settings).await {
+            Ok(verdict) => verdict,
+            Err(e) => {
+                eprintln!("comfreyweir-soak: seed {seed}: {e}");
+                return ExitCode::FAILURE;
+            }
+        };
+        println!(
+            "seed {seed}: {} faults, {} of {} requests served, {} promises broken",
+            verdict.faults.len(),
+            verdict.served,
+            verdict.requests,
+            verdict.broken.len()
+        );
+        if !verdict.broken.is_empty() {
+            is_broken = true;
+            verdict
+                .faults
+                .iter()
+                .for_each(|fault| println!("  {fault}"));
+            verdict
+                .broken
+                .iter()
+                .for_each(|what| println!("  BROKEN {what}"));
+            println!("  logs: {:?}", verdict.logs);
+        }
+    }
+    if is_broken {
+        ExitCode::FAILURE
+    } else {
+        ExitCode::SUCCESS
+    }
+}
--- a/crates/standins/src/lib.rs
+++ b/crates/standins/src/lib.rs
@@ -7,7 +7,7 @@
 
 pub mod engine;
 mod error;
-mod http;
+pub mod http;
 pub mod instances;
 pub mod kv;
 pub mod program;
--- a/crates/standins/src/proxy.rs
+++ b/crates/standins/src/proxy.rs
@@ -48,9 +48,9 @@
     Cut,
     /// Accepts connections and passes nothing; what came meanwhile passes later.
     Freeze,
-    /// Drops what goes to the upstream.
+    /// Drops what goes to the upstream. A connection that has lost bytes is reset afterwards.
     DropToUpstream,
-    /// Drops what goes to the caller.
+    /// Drops what goes to the caller. A connection that has lost bytes is reset afterwards.
     DropToCaller,
 }
 
@@ -257,14 +257,20 @@
 ) -> io::Result<()> {
     let limit = direction.limit(&shared.faults.borrow());
     let passed = Cell::new(0);
+    let mut has_lost = false;
     let mut faults = shared.faults.subscribe();
     while let Some((pass_at, mut chunk)) = held.recv().await {
         time::sleep_until(pass_at).await;
         let thawed = faults.wait_for(|faults| faults.mode != Mode::Freeze).await;
         let mode = thawed.map_or(Mode::Cut, |faults| faults.mode);
         if direction.is_dropped(mode) {
+            has_lost = true;
             continue;
         }
+        if has_lost {
+            // What follows on lost bytes must not look like their continuation.
+            return Err(io::ErrorKind::ConnectionReset.into());
+        }
         let room = limit.map_or(u64::MAX, |limit| limit.saturating_sub(passed.get()));
         let is_last = room <= chunk.len() as u64;
         chunk.truncate(usize::try_from(room).unwrap_or(usize::MAX));
--- a/crates/testbed/src/process.rs
+++ b/crates/testbed/src/process.rs
@@ -59,7 +59,7 @@
         &self.config
     }
 
-    /// What it wrote on standard error so far.
+    /// What it wrote on standard output and standard error so far.
     pub fn log(&self) -> String {
         let bytes = fs::read(&self.log).unwrap_or_default();
         String::from_utf8_lossy(&bytes).into_owned()
@@ -76,11 +76,12 @@
     pub fn start(&mut self) -> Result<(), TestbedError> {
         let log = File::options().create(true).append(true).open(&self.log);
         let log = log.context(FileSnafu { path: &self.log })?;
+        let out = log.try_clone().context(FileSnafu { path: &self.log })?;
         let started = Command::new(&self.program)
             .arg("--config")
             .arg(&self.config)
             .stdin(Stdio::null())
-            .stdout(Stdio::null())
+            .stdout(out)
             .stderr(log)
             .spawn();
         self.child = Some(started.context(ProcessSnafu { name: &self.name })?);
