Rest for less after a holder whose lease has ended

The holder's machine froze at 21.9 s; another one took the duty at 24.2 s and gave its first order at 27.2 s. Until then 67 requests were refused because their models could not be loaded in time.

Change: a holder gives no order in the last four tenths of its lease (0.8 s) already, so a successor rests for 2.2 s instead of 3 s, and the last orders of both still lie 3 s apart. At a planned stop the holder gives its last order, goes on telling and granting for 0.8 s, and then ends the lease.

Ruled out: knowing from the exchange when the last order was given (the holder may give orders after the last exchange that was answered); fewer than 3 s between orders (the platform's bound).

--- a/crates/entry/src/assembly.rs
+++ b/crates/entry/src/assembly.rs
@@ -135,14 +135,15 @@
         let notice = Duration::from_millis(timing.stop_notice_ms);
         self.cx.stops_at.set(Some(self.cx.now() + grace));
         self.cx.stopping.set_phase(Phase::Noticing);
-        duty::release(&self.cx, &self.desk).await;
         let cx = Rc::clone(&self.cx);
-        let stopped = timeout(grace, async {
+        let released = duty::release(&self.cx, &self.desk);
+        let drained = async {
             sleep(notice).await;
             cx.stopping.set_phase(Phase::Draining);
             cx.stopping.idle().await;
             self.callers.close().await;
-        });
+        };
+        let stopped = timeout(grace, async { tokio::join!(released, drained) });
         if stopped.await.is_err() {
             spdlog::warn!("requests are cut: the grace time of the stop is over", kv: {
                 in_flight = self.cx.stopping.in_flight()
--- a/crates/entry/src/duty/desk.rs
+++ b/crates/entry/src/duty/desk.rs
@@ -33,6 +33,8 @@
     cx: Rc<Cx<P>>,
     tenure: Cell<Option<Tenure>>,
     paused_until: Cell<Duration>,
+    /// Whether it gives the duty up and has given its last order.
+    has_resigned: Cell<bool>,
     books: RefCell<Books>,
     /// Something happened that a decision may depend on.
     wake: Notify,
@@ -66,6 +68,7 @@
             cx,
             tenure: Cell::new(None),
             paused_until: Cell::default(),
+            has_resigned: Cell::default(),
             books: RefCell::default(),
             wake: Notify::new(),
             placed: Notify::new(),
@@ -76,6 +79,12 @@
     pub(super) fn begin(&self, tenure: Tenure) {
         *self.books.borrow_mut() = Books::default();
         self.tenure.set(Some(tenure));
+        self.has_resigned.set(false);
+    }
+
+    /// Gives no more orders. The holder goes on telling until the duty ends.
+    pub(super) fn resign(&self) {
+        self.has_resigned.set(true);
     }
 
     /// Ends the tenure.
@@ -132,7 +141,7 @@
     }
 
     pub(super) fn is_paused(&self) -> bool {
-        self.cx.clock.since_boot() < self.paused_until.get()
+        self.has_resigned.get() || self.cx.clock.since_boot() < self.paused_until.get()
     }
 
     pub(super) fn wake(&self) {
--- a/crates/entry/src/duty/tenure.rs
+++ b/crates/entry/src/duty/tenure.rs
@@ -64,12 +64,15 @@
     }
 }
 
-/// Gives the duty up at a planned stop, so that another instance can take it at once.
+/// Gives the duty up at a planned stop, so that another instance can take it soon. The lease ends
+/// as long after the last order as it does when it lapses, which successors count on.
 pub(crate) async fn release<P>(cx: &Rc<Cx<P>>, desk: &Rc<Desk<P>>)
 where
     P: Platform,
 {
     if let Some(tenure) = desk.tenure() {
+        desk.resign();
+        sleep(Tenure::quiet(DUTY_TTL)).await;
         desk.end();
         end_lease(cx, tenure.lease).await;
     }
@@ -167,9 +170,11 @@
         members.holder = Some(holder);
         members.duty_revision = fence;
     }
-    // Orders of the same instance need no rest between them.
+    // Orders of the same instance need no rest between them. Another holder has given none for a
+    // part of its lease.
     let rest = if revision == 0 {
-        Duration::from_millis(cx.settings().timing.order_rest_ms)
+        let apart = Duration::from_millis(cx.settings().timing.order_rest_ms);
+        apart.saturating_sub(Tenure::quiet(DUTY_TTL))
     } else {
         Duration::ZERO
     };
--- a/crates/fleet/src/duty.rs
+++ b/crates/fleet/src/duty.rs
@@ -26,8 +26,8 @@
 }
 
 impl Tenure {
-    /// A tenure whose lease was granted or renewed by a call that began at `called`. Orders of an
-    /// earlier holder may still be on their way for `rest` after `now`.
+    /// A tenure whose lease was granted or renewed by a call that began at `called`. Its first
+    /// order is given `rest` after `now`.
     pub fn begin(
         fence: u64,
         lease: u64,
@@ -45,6 +45,11 @@
         }
     }
 
+    /// Time for which the last orders of a holder are past when its lease of length `ttl` ends.
+    pub fn quiet(ttl: Duration) -> Duration {
+        ttl.mul_f64(1.0 - SAFE_PART)
+    }
+
     /// Notes a renewal by a call that began at `called`.
     pub fn renew(&mut self, called: Duration) {
         self.renewed = self.renewed.max(called);
--- a/crates/fleet/tests/decisions.rs
+++ b/crates/fleet/tests/decisions.rs
@@ -219,6 +219,31 @@
     assert!(tenure.has_lapsed(ms(5_600)));
 }
 
+/// Pattern: the holder freezes or is cut off, and another instance takes over when its lease ends.
+#[test]
+fn orders_of_two_holders_lie_apart_although_the_second_rests_for_less() {
+    let ms = Duration::from_millis;
+    let (ttl, apart) = (ms(2_000), ms(3_000));
+    let mut first = Tenure::begin(7, 1, ttl, ms(0), ms(0), ms(0));
+    first.renew(ms(10_000));
+    let last_order = (10_000..20_000)
+        .rev()
+        .map(ms)
+        .find(|at| first.may_order(*at));
+    let ended = ms(10_000) + ttl;
+    let rest = apart.saturating_sub(Tenure::quiet(ttl));
+    let second = Tenure::begin(9, 2, ttl, ended, ended, rest);
+    let mut first_order = (12_000..20_000).map(ms);
+    let first_order = first_order.find(|at| {
+        let mut renewed = second;
+        renewed.renew(*at);
+        renewed.may_order(*at)
+    });
+    let lie_apart = first_order.unwrap().saturating_sub(last_order.unwrap());
+    assert!(lie_apart >= apart, "{lie_apart:?}");
+    assert!(lie_apart <= apart + ms(2), "{lie_apart:?}");
+}
+
 proptest! {
     /// However a stream is cut into pieces, only whole events are handed out, and none is lost.
     #[test]
