Derive the ages of configuration and upstreams from the settings

The settings timing.config_ms and timing.drain_ms were checked and read by nobody; the periods that answer them were constants made for 2 s. A deployment with shorter times would have been late. With 2 s the periods are what they were; with 3 s an instance asks the store itself after 1.95 s (configuration) and 1 s (upstreams).

Ruled out: scaling the upstreams' age without a cap: 1.5 s without a read passes for an outage of the store.

--- a/crates/config/src/entry_settings.rs
+++ b/crates/config/src/entry_settings.rs
@@ -205,6 +205,16 @@
         Duration::from_millis(self.store_call_ms)
     }
 
+    /// Time within which upstreams that leave must get no new request.
+    pub fn drain(&self) -> Duration {
+        Duration::from_millis(self.drain_ms)
+    }
+
+    /// Time within which a new configuration must be in force.
+    pub fn config(&self) -> Duration {
+        Duration::from_millis(self.config_ms)
+    }
+
     /// Period of the exchange with the holder of the planning duty.
     pub fn exchange(&self) -> Duration {
         Duration::from_millis(self.exchange_ms)
--- a/crates/entry/src/follow/config.rs
+++ b/crates/entry/src/follow/config.rs
@@ -20,9 +20,9 @@
 const WATCH_SLACK: Duration = Duration::from_millis(400);
 /// Pause between two watches, so that a series of changes is taken a few at a time.
 const WATCH_PAUSE: Duration = Duration::from_millis(100);
-/// Age at which an instance that hears from the holder asks the store itself. With the time of a
-/// call it is below the time within which a configuration must be in force.
-const OWN_ASK_AGE: Duration = Duration::from_millis(1_300);
+/// Age at which an instance that hears from the holder asks the store itself, as a part of the time
+/// within which a configuration must be in force. The rest is for the call.
+const OWN_ASK_PART: f64 = 0.65;
 /// Pause between looks at the age of the configuration.
 const LOOK_PAUSE: Duration = Duration::from_millis(50);
 
@@ -80,7 +80,8 @@
 where
     P: Platform,
 {
-    while !cx.is_holder() && cx.config_age(cx.now()).is_some_and(|age| age < OWN_ASK_AGE) {
+    let due = cx.settings().timing.config().mul_f64(OWN_ASK_PART);
+    while !cx.is_holder() && cx.config_age(cx.now()).is_some_and(|age| age < due) {
         sleep(LOOK_PAUSE).await;
     }
 }
--- a/crates/entry/src/follow/directory.rs
+++ b/crates/entry/src/follow/directory.rs
@@ -15,11 +15,14 @@
     state::Cx,
 };
 
-/// Period of reading the list at the holder. A third of the time within which an upstream that
-/// leaves must get no new request, with the time to pass it on.
-const HOLDER_PERIOD: Duration = Duration::from_millis(450);
-/// Age of the list at which other instances read it themselves.
-const OWN_READ_AGE: Duration = Duration::from_millis(800);
+/// Period of reading the list at the holder, as a part of the time within which an upstream that
+/// leaves must get no new request. The rest is for the call and for passing the list on.
+const HOLDER_PART: f64 = 0.225;
+/// Age of the list at which other instances read it themselves, as a part of the same time.
+const OWN_READ_PART: f64 = 0.4;
+/// Longest of these times. Well below the time without a read that passes for an outage of the
+/// store, after which missing entries are kept for a while.
+const LONGEST_AGE: Duration = Duration::from_secs(1);
 /// Pause between looks at the age of the list.
 const LOOK_PAUSE: Duration = Duration::from_millis(50);
 
@@ -32,11 +35,12 @@
     let mut decoded = Decoded::default();
     loop {
         let is_holder = cx.is_holder();
-        let due = if is_holder {
-            HOLDER_PERIOD
+        let part = if is_holder {
+            HOLDER_PART
         } else {
-            OWN_READ_AGE
+            OWN_READ_PART
         };
+        let due = cx.settings().timing.drain().mul_f64(part).min(LONGEST_AGE);
         let age = cx.directory.borrow().age(cx.now());
         if age.is_some_and(|age| age < due) {
             sleep(LOOK_PAUSE.min(due)).await;
