Let the soak meet more requests on their way

With the daemon changed so that every request may be sent again, 8 seeds of the soak found nothing: links to servers failed too seldom while a request was under way. More faults, more of them on those links, and more callers; four of the same 8 seeds now find it.

--- a/crates/core/tests/soak.rs
+++ b/crates/core/tests/soak.rs
@@ -9,7 +9,7 @@
         program: PathBuf::from(env!("CARGO_BIN_EXE_comfreyweir-entry")),
         seed,
         instances: 3,
-        callers: 12,
+        callers: 24,
         time: Duration::from_secs(6),
     };
     let verdict = run(&settings).await.unwrap();
--- a/crates/soak/src/faults.rs
+++ b/crates/soak/src/faults.rs
@@ -51,7 +51,7 @@
             began.elapsed().as_secs_f64()
         ));
         tasks.spawn_local(suffer(Rc::clone(world), fault, lasts));
-        sleep(Duration::from_millis(rng.random_range(100..1_500))).await;
+        sleep(Duration::from_millis(rng.random_range(50..1_000))).await;
     }
     while tasks.join_next().await.is_some() {}
     injected
@@ -62,17 +62,17 @@
     let place = rng.random_range(0..world.places.len());
     let lasts = Duration::from_millis(rng.random_range(100..3_500));
     let link = link_faults(rng);
-    let fault = match rng.random_range(0..14) {
+    let fault = match rng.random_range(0..20) {
         0 | 1 => Fault::Pause(instance),
         2 | 3 => Fault::Kill(instance),
         4 | 5 => Fault::Terminate(instance),
         6 => Fault::Reload(instance),
-        7 => Fault::StoreLink(instance, link),
-        8 => Fault::Store(store_faults(rng)),
-        9 => Fault::ForgetHistory,
-        10 => Fault::ServerLink(place, link),
-        11 => Fault::Crash(place),
-        12 => Fault::Leave(place),
+        7 | 8 => Fault::StoreLink(instance, link),
+        9 | 10 => Fault::Store(store_faults(rng)),
+        11 => Fault::ForgetHistory,
+        12..=15 => Fault::ServerLink(place, link),
+        16 | 17 => Fault::Crash(place),
+        18 => Fault::Leave(place),
         _ => Fault::ReplaceKey,
     };
     (fault, lasts)
@@ -91,8 +91,8 @@
     proxy::Faults {
         mode,
         delay_ms: rng.random_range(0..300),
-        cut_to_upstream_after: rng.random_bool(0.2).then_some(after),
-        cut_to_caller_after: rng.random_bool(0.2).then_some(after),
+        cut_to_upstream_after: rng.random_bool(0.3).then_some(after),
+        cut_to_caller_after: rng.random_bool(0.5).then_some(after),
     }
 }
 
--- a/crates/soak/src/load.rs
+++ b/crates/soak/src/load.rs
@@ -110,6 +110,6 @@
         if is_lost {
             instance = rng.random_range(0..world.instances.len());
         }
-        sleep(Duration::from_millis(rng.random_range(5..40))).await;
+        sleep(Duration::from_millis(rng.random_range(2..20))).await;
     }
 }
--- a/crates/soak/src/main.rs
+++ b/crates/soak/src/main.rs
@@ -15,7 +15,7 @@
   --seed N          first seed [default: 1]
   --seeds N         number of seeds [default: 1]
   --instances N     instances [default: 4]
-  --callers N       tasks that send requests [default: 16]
+  --callers N       tasks that send requests [default: 32]
   --seconds N       time in which faults begin [default: 15]
   -h, --help        this text
 ";
@@ -47,7 +47,7 @@
         program: beside.unwrap_or_default(),
         seed: 1,
         instances: 4,
-        callers: 16,
+        callers: 32,
         time: Duration::from_secs(15),
     };
     let mut seeds = 1;
