--- a/crates/fleet/src/quota.rs
+++ b/crates/fleet/src/quota/holder.rs
@@ -1,24 +1,13 @@
-//! Allowances of workspaces over all instances.
-//!
-//! The holder of the planning duty adds up what all instances have spent. It grants each instance
-//! a part of every workspace's bucket, by how much was asked for there lately, and an instance
-//! admits against its grant less what it has spent since. All grants together never exceed the
-//! bucket, so that any number of instances stays inside the allowance. An instance whose grant is
-//! too small for a request while the bucket holds enough asks for more at once. Without a fresh
-//! grant it admits against its own equal part, so that instances which cannot reach each other do
-//! not exceed the allowance together.
+//! Levels of allowances over all instances, at the holder of the planning duty.
 
 use std::{
     collections::{HashMap, HashSet},
     time::{Duration, Instant},
 };
 
-use serde::{Deserialize, Serialize};
-
+use super::{Bucket, Grant, LEVEL_LAPSE, Totals};
 use crate::config::Allowance;
 
-/// Age at which a level from the holder is no longer used.
-pub const LEVEL_LAPSE: Duration = Duration::from_millis(1_500);
 /// Time after which the holder forgets a process that no longer reports. A process that was cut
 /// off for less is charged for what it admitted meanwhile.
 const MEMORY: Duration = Duration::from_mins(10);
@@ -39,256 +28,6 @@
 /// asked for there: requests move between instances from one exchange to the next.
 const EQUAL_PART: f64 = 0.3;
 
-/// A token bucket whose level may be negative.
-#[derive(Clone, Copy, Debug, PartialEq)]
-pub struct Bucket {
-    level: f64,
-    at: Instant,
-}
-
-impl Bucket {
-    /// A bucket with a level.
-    pub fn new(level: f64, at: Instant) -> Self {
-        Self { level, at }
-    }
-
-    /// Level at a time, with `per_s` flowing in up to `burst`.
-    pub fn level(&mut self, per_s: f64, burst: f64, now: Instant) -> f64 {
-        let passed = now.saturating_duration_since(self.at);
-        self.level = (self.level + per_s * passed.as_secs_f64()).min(burst);
-        self.at = now.max(self.at);
-        self.level
-    }
-
-    /// Takes an amount.
-    pub fn take(&mut self, amount: f64) {
-        self.level -= amount;
-    }
-}
-
-/// What this instance has spent of each workspace's allowance, and what is left.
-#[derive(Debug, Default)]
-pub struct Quotas {
-    workspaces: HashMap<String, Spent>,
-}
-
-#[derive(Debug)]
-struct Spent {
-    /// Units spent since the start of the process.
-    total: f64,
-    /// Units asked for since the start of the process.
-    asked: f64,
-    /// Units of the requests that wait for a larger grant.
-    awaited: f64,
-    told: Option<Told>,
-    /// Own part, for times without a fresh level.
-    own: Bucket,
-}
-
-/// What the holder told of a workspace.
-#[derive(Clone, Copy, Debug)]
-struct Told {
-    /// Level of the whole bucket.
-    whole: f64,
-    bucket: Bucket,
-    at: Instant,
-    /// Part of what flows in that this instance may take.
-    share: f64,
-    /// What of the instance's total the level includes.
-    included: f64,
-    /// Units that the holder had besides for those that ask.
-    spare: f64,
-}
-
-/// Units spent and asked for since the start of a process.
-#[derive(Clone, Copy, Debug, Default, PartialEq)]
-#[derive(Serialize, Deserialize)]
-pub struct Totals {
-    /// Units spent.
-    pub spent: f64,
-    /// Units asked for.
-    pub asked: f64,
-    /// Units of the requests that wait for a larger grant.
-    pub awaited: f64,
-    /// What a holder told last.
-    pub told: Option<LastTold>,
-}
-
-/// What a process was told last of an allowance, for a new holder.
-#[derive(Clone, Copy, Debug, PartialEq)]
-#[derive(Serialize, Deserialize)]
-pub struct LastTold {
-    /// Level of the whole bucket.
-    pub whole: f64,
-    /// Time since then.
-    pub age: Duration,
-    /// What of the process's total the level includes.
-    pub included: f64,
-}
-
-/// What an instance may take of a workspace's allowance.
-#[derive(Clone, Copy, Debug, Default, PartialEq)]
-#[derive(Serialize, Deserialize)]
-pub struct Grant {
-    /// Level of the whole bucket.
-    pub whole: f64,
-    /// Units that it may take now; negative while too much was taken.
-    pub level: f64,
-    /// Part of what flows in that it may take.
-    pub share: f64,
-    /// What of its own total the level includes.
-    pub included: f64,
-    /// Units that the bucket has besides for those that ask.
-    pub spare: f64,
-}
-
-/// Refusal of a request beyond its workspace's allowance.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub struct OverQuota {
-    /// Time after which the allowance suffices if nobody else takes it.
-    pub retry_after: Duration,
-    /// Whether the holder may grant the request if it is asked now.
-    pub can_ask: bool,
-}
-
-impl Quotas {
-    /// Notes that a request asks for `cost` units.
-    pub fn note_asked(&mut self, workspace: &str, cost: u64) {
-        if let Some(spent) = self.workspaces.get_mut(workspace) {
-            #[allow(clippy::cast_precision_loss)]
-            let cost = cost as f64;
-            spent.asked += cost;
-        }
-    }
-
-    /// Notes that a request waits until the holder grants `cost` units more.
-    pub fn begin_wait(&mut self, workspace: &str, cost: u64) {
-        self.add_awaited(workspace, cost, 1.0);
-    }
-
-    /// Notes that it does not wait any more.
-    pub fn end_wait(&mut self, workspace: &str, cost: u64) {
-        self.add_awaited(workspace, cost, -1.0);
-    }
-
-    fn add_awaited(&mut self, workspace: &str, cost: u64, sign: f64) {
-        if let Some(spent) = self.workspaces.get_mut(workspace) {
-            #[allow(clippy::cast_precision_loss)]
-            let cost = cost as f64;
-            spent.awaited += sign * cost;
-        }
-    }
-
-    /// Takes `cost` units, with `instances` sharing the allowance when levels are not fresh.
-    pub fn take(
-        &mut self,
-        workspace: &str,
-        allowance: Allowance,
-        cost: u64,
-        instances: usize,
-        now: Instant,
-    ) -> Result<(), OverQuota> {
-        #[allow(clippy::cast_precision_loss)]
-        let (cost, parts) = (cost as f64, instances.max(1) as f64);
-        self.spent(workspace, now).take(allowance, cost, parts, now)
-    }
-
-    /// Gives back what a request took that did not run.
-    pub fn give_back(&mut self, workspace: &str, cost: u64) {
-        if let Some(spent) = self.workspaces.get_mut(workspace) {
-            #[allow(clippy::cast_precision_loss)]
-            let cost = cost as f64;
-            spent.total -= cost;
-            spent.own.take(-cost);
-        }
-    }
-
-    /// What the holder has to know of this process, by workspace.
-    pub fn totals(&self, now: Instant) -> HashMap<String, Totals> {
-        let totals = self.workspaces.iter().map(|(name, s)| {
-            let totals = Totals {
-                spent: s.total,
-                asked: s.asked,
-                awaited: s.awaited,
-                told: s.told.map(|told| LastTold {
-                    whole: told.whole,
-                    age: now.saturating_duration_since(told.at),
-                    included: told.included,
-                }),
-            };
-            (name.clone(), totals)
-        });
-        totals.collect()
-    }
-
-    /// Takes over what the holder grants.
-    pub fn tell(&mut self, workspace: &str, grant: Grant, now: Instant) {
-        let spent = self.spent(workspace, now);
-        spent.told = Some(Told {
-            whole: grant.whole,
-            bucket: Bucket::new(grant.level, now),
-            at: now,
-            share: grant.share,
-            included: grant.included,
-            spare: grant.spare,
-        });
-    }
-
-    fn spent(&mut self, workspace: &str, now: Instant) -> &mut Spent {
-        if !self.workspaces.contains_key(workspace) {
-            let spent = Spent {
-                total: 0.0,
-                asked: 0.0,
-                awaited: 0.0,
-                told: None,
-                // Others may have spent everything right before this process started.
-                own: Bucket::new(0.0, now),
-            };
-            self.workspaces.insert(workspace.to_owned(), spent);
-        }
-        self.workspaces.get_mut(workspace).expect("inserted above")
-    }
-}
-
-impl Spent {
-    fn take(
-        &mut self,
-        allowance: Allowance,
-        cost: f64,
-        parts: f64,
-        now: Instant,
-    ) -> Result<(), OverQuota> {
-        let Allowance { per_s, burst, .. } = allowance;
-        let told = self.told.as_mut();
-        let fresh = told.filter(|t| now.saturating_duration_since(t.at) < LEVEL_LAPSE);
-        let spare = fresh.as_ref().map_or(0.0, |t| t.spare);
-        let (level, per_s, burst) = if let Some(told) = fresh {
-            // Its own part begins when the holder falls silent.
-            self.own = Bucket::new(0.0, now);
-            let per_s = per_s * told.share;
-            // What was spent since makes room in the bucket for what flows in.
-            let since = self.total - told.included;
-            let level = told.bucket.level(per_s, burst + since.max(0.0), now);
-            (level - since, per_s, burst)
-        } else {
-            let (per_s, burst) = (per_s / parts, burst / parts);
-            (self.own.level(per_s, burst, now), per_s, burst)
-        };
-        // A request larger than the burst can only ever run from a full bucket.
-        let wanted = cost.min(burst);
-        if level < wanted {
-            let wait = (wanted - level) / per_s.max(f64::MIN_POSITIVE);
-            return Err(OverQuota {
-                retry_after: Duration::from_secs_f64(wait.clamp(0.01, 60.0)),
-                can_ask: wanted <= level + spare,
-            });
-        }
-        self.total += cost;
-        self.own.take(cost);
-        Ok(())
-    }
-}
-
 /// Levels over all instances, at the holder.
 #[derive(Debug, Default)]
 pub struct Levels {
@@ -339,6 +78,13 @@
 }
 
 impl Process {
+    fn new(at: Instant) -> Self {
+        Self {
+            at,
+            reported: HashMap::new(),
+        }
+    }
+
     /// Whether it may still admit against what it was granted.
     fn is_live(&self, now: Instant) -> bool {
         now.saturating_duration_since(self.at) < LEVEL_LAPSE
@@ -393,11 +139,7 @@
             .retain(|_, p| now.saturating_duration_since(p.at) < MEMORY);
         let is_known = self.processes.contains_key(name);
         let process = self.processes.entry(name.to_owned());
-        let process = process.or_insert_with(|| Process {
-            at: now,
-            reported: HashMap::new(),
-        });
-        process.at = now;
+        process.or_insert_with(|| Process::new(now)).at = now;
         self.silent = self.silent_share(now);
         let silent = self.silent;
         let process = self.processes.get_mut(name);
