Take repeated pieces of the platform's path together

Read the whole change again; behaviour stays as it is.

- One filter of connection headers (http::headers::end_to_end) serves the gate's and the entry daemon's requests and answers, four loops before.
- A send's outcome is an Attempt from the start, without a second enum beside it; the two ways to begin a response from an answer are one.
- follow::changes waits for the store's news for configuration and instances.
- Whether a request waits for a grant is asked of the quotas instead of being counted beside them; the body's memory is a type of its own again.
- The holder compares upstreams by identity first and copies the list only for an instance that lacks it, gathers suspects once a step, and neither copies the names of all processes with each report nor counts the live ones twice.

--- a/crates/entry/src/duty/desk.rs
+++ b/crates/entry/src/duty/desk.rs
@@ -55,7 +55,7 @@
     /// Version at which an engine's part of the placement changed last.
     engine_versions: HashMap<String, u64>,
     version: u64,
-    directory: Vec<Upstream>,
+    directory: Vec<Rc<Upstream>>,
     directory_version: u64,
 }
 
@@ -170,8 +170,9 @@
         let mut books = self.books.borrow_mut();
         books.note_directory(&directory);
         let loads = books.loads(now);
+        let suspects = books.suspects(now);
         for service in config.services.values() {
-            books.plan(service, &directory, &loads, now);
+            books.plan(service, &directory, (&loads, &suspects), now);
         }
         books.note_totals(&loads);
         if books.note_placement() {
@@ -263,11 +264,13 @@
 
     fn directory_view(&self, books: &Books, known: u64, now: Instant) -> DirectoryView {
         let directory = self.cx.directory.borrow();
+        let is_new = known != books.directory_version;
+        let list = || books.directory.iter().map(|u| (**u).clone()).collect();
         DirectoryView {
             version: books.directory_version,
             revision: directory.revision(),
             age_ms: directory.age(now).map(whole_millis),
-            list: (known != books.directory_version).then(|| books.directory.clone()),
+            list: is_new.then(list),
         }
     }
 }
@@ -300,29 +303,36 @@
 impl Books {
     /// Gives the list of upstreams a new version when its content changes.
     fn note_directory(&mut self, directory: &[Rc<Upstream>]) {
+        // Entries stay the same object until the list is read again.
+        let is_same = |(a, b): (&Rc<Upstream>, &Rc<Upstream>)| Rc::ptr_eq(a, b) || a == b;
         let same = self.directory.len() == directory.len()
-            && self.directory.iter().zip(directory).all(|(a, b)| *a == **b);
+            && self.directory.iter().zip(directory).all(is_same);
         if !same || self.directory_version == 0 {
-            self.directory = directory.iter().map(|u| (**u).clone()).collect();
+            self.directory = directory.to_vec();
             // Versions of different holders must not be taken for each other.
             self.directory_version = rand::random();
         }
     }
 
-    fn plan(&mut self, service: &Service, directory: &[Rc<Upstream>], loads: &Loads, now: Instant) {
+    fn plan(
+        &mut self,
+        service: &Service,
+        directory: &[Rc<Upstream>],
+        (loads, suspects): (&Loads, &BTreeSet<String>),
+        now: Instant,
+    ) {
         let Some(spec) = &service.engine else { return };
         let of_service = directory.iter().filter(|u| u.service == service.name);
         let upstreams: Vec<_> = of_service.cloned().collect();
         let waiting = self.waiting(&service.name, now);
         let arrivals = self.arrivals(&service.name);
-        let suspects = self.suspects(now);
         let planner = self.planners.entry(service.name.clone()).or_default();
         let world = World {
             upstreams: &upstreams,
             spec,
             loads,
             waiting: &waiting,
-            suspects: &suspects,
+            suspects,
             arrivals: &arrivals,
         };
         let actions = planner.step(world, now);
--- a/crates/entry/src/exchange/client.rs
+++ b/crates/entry/src/exchange/client.rs
@@ -72,7 +72,7 @@
 where
     P: Platform,
 {
-    if cx.grants_awaited.get() == 0 && cx.demand.borrow().has_waiting() {
+    if !cx.quotas.borrow().has_waiting() && cx.demand.borrow().has_waiting() {
         CHANGE_WAIT
     } else {
         Duration::ZERO
--- a/crates/entry/src/follow/config.rs
+++ b/crates/entry/src/follow/config.rs
@@ -9,7 +9,7 @@
 
 use super::{RETRY_PAUSE, outage::Outage};
 use crate::{
-    ports::{Platform, PlatformError, Watched},
+    ports::{Platform, PlatformError},
     state::Cx,
 };
 
@@ -54,23 +54,17 @@
     loop {
         wait_until_due(cx).await;
         let called = cx.now();
-        let limit = WATCH_WAIT + WATCH_SLACK;
-        match cx.platform.watch(key, after, WATCH_WAIT, limit).await? {
-            Watched::HistoryGone => {
-                sleep(RETRY_PAUSE).await;
-                return Ok(());
-            }
-            Watched::Changes(changes) => {
-                outage.answered(cx.now());
-                after = after.max(changes.revision);
-                if let Some(item) = changes.items.iter().rfind(|item| item.key == key) {
-                    cx.apply_config(&item.value, "store");
-                }
-                // The answer may have been on its way for as long as it was waited for.
-                let answered = cx.now().checked_sub(WATCH_SLACK);
-                cx.confirm_config(answered.max(Some(called)));
-            }
+        let waits = (WATCH_WAIT, WATCH_SLACK);
+        let Some(changes) = super::changes(cx, outage, (key, after), waits).await? else {
+            return Ok(());
+        };
+        after = after.max(changes.revision);
+        if let Some(item) = changes.items.iter().rfind(|item| item.key == key) {
+            cx.apply_config(&item.value, "store");
         }
+        // The answer may have been on its way for as long as it was waited for.
+        let answered = cx.now().checked_sub(WATCH_SLACK);
+        cx.confirm_config(answered.max(Some(called)));
         sleep(WATCH_PAUSE).await;
     }
 }
--- a/crates/entry/src/follow/members.rs
+++ b/crates/entry/src/follow/members.rs
@@ -8,7 +8,7 @@
 
 use super::{RETRY_PAUSE, outage::Outage, read_all};
 use crate::{
-    ports::{Item, Items, Platform, PlatformError, Transaction, Watched},
+    ports::{Item, Items, Platform, PlatformError, Transaction},
     state::{Cx, Holder, Members},
 };
 
@@ -100,18 +100,12 @@
         while cx.hears_holder() && !cx.is_holder() {
             sleep(LOOK_PAUSE).await;
         }
-        let limit = WATCH_WAIT + WATCH_SLACK;
-        match cx.platform.watch(own, after, WATCH_WAIT, limit).await? {
-            Watched::HistoryGone => {
-                sleep(RETRY_PAUSE).await;
-                return Ok(());
-            }
-            Watched::Changes(changes) => {
-                outage.answered(cx.now());
-                after = after.max(changes.revision);
-                apply(cx, own, &changes);
-            }
-        }
+        let waits = (WATCH_WAIT, WATCH_SLACK);
+        let Some(changes) = super::changes(cx, outage, (own, after), waits).await? else {
+            return Ok(());
+        };
+        after = after.max(changes.revision);
+        apply(cx, own, &changes);
     }
 }
 
--- a/crates/entry/src/follow/mod.rs
+++ b/crates/entry/src/follow/mod.rs
@@ -12,7 +12,7 @@
 
 use self::outage::Outage;
 use crate::{
-    ports::{Items, Platform, PlatformError},
+    ports::{Items, Platform, PlatformError, Watched},
     state::Cx,
 };
 
@@ -35,6 +35,29 @@
     }
 }
 
+/// Waits for changes of items with a prefix, for at most `wait` and the time that the answer takes
+/// beyond it. Nothing after a pause where the history has gone, so that all has to be read again.
+async fn changes<P>(
+    cx: &Cx<P>,
+    outage: &mut Outage,
+    (prefix, after): (&str, u64),
+    (wait, slack): (Duration, Duration),
+) -> Result<Option<Items>, PlatformError>
+where
+    P: Platform,
+{
+    match cx.platform.watch(prefix, after, wait, wait + slack).await? {
+        Watched::HistoryGone => {
+            sleep(RETRY_PAUSE).await;
+            Ok(None)
+        }
+        Watched::Changes(changes) => {
+            outage.answered(cx.now());
+            Ok(Some(changes))
+        }
+    }
+}
+
 /// Reads all items with a prefix. Later pages may be newer than the first, whose revision counts.
 async fn read_all<P>(cx: &Rc<Cx<P>>, prefix: &str, limit: Duration) -> Result<Items, PlatformError>
 where
--- a/crates/entry/src/follow/outage.rs
+++ b/crates/entry/src/follow/outage.rs
@@ -1,6 +1,8 @@
 //! Log lines of a dependency that is lost and regained: one line each, not one a failed call.
 
-use std::time::{Duration, Instant};
+use std::time::Instant;
+
+use comfreyweir_clock::whole_millis;
 
 /// Whether a dependency answers.
 #[derive(Debug)]
@@ -38,7 +40,7 @@
     /// Notes an answered call.
     pub(crate) fn answered(&mut self, now: Instant) {
         if let Some(since) = self.since.take() {
-            let ms = millis(now.saturating_duration_since(since));
+            let ms = whole_millis(now.saturating_duration_since(since));
             spdlog::info!("dependency regained", kv: {
                 dependency = self.name, ms, failures = self.failures
             });
@@ -46,7 +48,3 @@
         self.failures = 0;
     }
 }
-
-fn millis(time: Duration) -> u64 {
-    comfreyweir_clock::whole_millis(time)
-}
--- a/crates/entry/src/serve/admit.rs
+++ b/crates/entry/src/serve/admit.rs
@@ -12,13 +12,13 @@
 };
 use comfreyweir_http::{
     body::{ReadError, read_whole},
-    headers::{HOP_BY_HOP, named_by_connection},
+    headers::end_to_end,
 };
 use tokio::time::timeout;
 
 use super::{
     Refusal,
-    ticket::{Tally, Ticket},
+    ticket::{BodyMemory, Ticket},
 };
 use crate::{ports::Platform, state::Cx};
 
@@ -81,7 +81,7 @@
         method: req.method().clone(),
         path: path.to_owned(),
         headers: forwarded(cx, req.headers()),
-        _memory: Tally::add(&cx.body_bytes, body.len()),
+        _memory: BodyMemory::take(&cx.body_bytes, body.len()),
         body,
         arrived,
         until,
@@ -203,7 +203,6 @@
     cx: &'a Cx<P>,
     workspace: &'a str,
     cost: u64,
-    _awaited: Tally,
 }
 
 impl<'a, P> GrantWait<'a, P>
@@ -217,7 +216,6 @@
             cx,
             workspace,
             cost,
-            _awaited: Tally::add(&cx.grants_awaited, 1),
         }
     }
 }
@@ -238,20 +236,12 @@
     P: Platform,
 {
     let names = cx.platform.headers();
-    let by_connection = named_by_connection(headers);
-    let mut kept = HeaderMap::new();
-    for (name, value) in headers {
-        let passes = !HOP_BY_HOP.contains(name)
-            && !by_connection.contains(name)
-            && !names.reserved.contains(name)
+    end_to_end(headers, |name, _| {
+        !names.reserved.contains(name)
             && *name != names.key
             && *name != names.deadline
             && *name != names.request_id
             && *name != header::CONTENT_LENGTH
-            && *name != header::EXPECT;
-        if passes {
-            kept.append(name.clone(), value.clone());
-        }
-    }
-    kept
+            && *name != header::EXPECT
+    })
 }
--- a/crates/entry/src/serve/attempt.rs
+++ b/crates/entry/src/serve/attempt.rs
@@ -8,7 +8,7 @@
 use actix_http::{
     StatusCode,
     body::{BoxBody, None as NoBody},
-    header::{self, HeaderMap, HeaderValue},
+    header::{self, HeaderValue},
 };
 use comfreyweir_clock::whole_millis;
 use comfreyweir_fleet::{health::Outcome, upstream::Upstream};
@@ -129,63 +129,45 @@
     } else {
         BoxBody::new(ticket.body.clone())
     };
-    let attempt = match timeout(limit, cx.upstreams.send(call, body, &track)).await {
-        Ok(Ok(answer)) => judge(cx, answer),
-        Ok(Err(e)) if !track.is_written() => {
-            sent.judge(Outcome::Unreachable);
-            return logged(ticket, &sent, Attempt::NotSent(e.to_string()));
-        }
-        Ok(Err(e)) => Judged::Failed(e.to_string()),
-        Err(_) if track.is_written() => Judged::Silent,
-        Err(_) => {
-            sent.judge(Outcome::Unreachable);
-            let reason = "no connection within the time left".to_owned();
-            return logged(ticket, &sent, Attempt::NotSent(reason));
-        }
+    let failed = match timeout(limit, cx.upstreams.send(call, body, &track)).await {
+        Ok(Ok(answer)) => match check(cx, &answer) {
+            Ok(()) => return Attempt::Answered(Box::new(answer), sent),
+            Err(failed) => failed,
+        },
+        Ok(Err(e)) if !track.is_written() => Attempt::NotSent(e.to_string()),
+        Ok(Err(e)) => Attempt::Failed(e.to_string()),
+        Err(_) if track.is_written() => Attempt::Silent,
+        Err(_) => Attempt::NotSent("no connection within the time left".to_owned()),
     };
-    match attempt {
-        Judged::Good(answer) => Attempt::Answered(answer, sent),
-        Judged::NotRun(status) => {
-            // A 421 tells of an old list and not of a failing upstream.
-            if status != StatusCode::MISDIRECTED_REQUEST {
-                sent.judge(Outcome::Bad);
-            }
-            logged(ticket, &sent, Attempt::NotRun(status))
-        }
-        Judged::Failed(reason) => {
-            sent.judge(Outcome::Bad);
-            logged(ticket, &sent, Attempt::Failed(reason))
-        }
-        Judged::Silent => {
-            sent.judge(Outcome::Bad);
-            logged(ticket, &sent, Attempt::Silent)
-        }
+    match &failed {
+        Attempt::NotSent(_) => sent.judge(Outcome::Unreachable),
+        // It tells of an old list and not of a failing upstream.
+        Attempt::NotRun(StatusCode::MISDIRECTED_REQUEST) => {}
+        _ => sent.judge(Outcome::Bad),
     }
+    log_failed(ticket, &sent, &failed);
+    failed
 }
 
-enum Judged {
-    Good(Box<Answer>),
-    NotRun(StatusCode),
-    Failed(String),
-    Silent,
-}
-
-fn judge<P>(cx: &Cx<P>, answer: Answer) -> Judged
+/// Whether an answer is one to the request, from the upstream that was meant.
+fn check<P>(cx: &Cx<P>, answer: &Answer) -> Result<(), Attempt<P>>
 where
     P: Platform,
 {
     let names = cx.platform.headers();
     let is_misdirected = answer.status == StatusCode::MISDIRECTED_REQUEST;
     if answer.headers.contains_key(&names.not_run) || is_misdirected {
-        return Judged::NotRun(answer.status);
+        return Err(Attempt::NotRun(answer.status));
     }
     if !answer.headers.contains_key(&names.seal) {
-        return Judged::Failed(format!("answer {} without a seal", answer.status.as_u16()));
+        let reason = format!("answer {} without a seal", answer.status.as_u16());
+        return Err(Attempt::Failed(reason));
     }
     if answer.headers.contains_key(header::CONTENT_ENCODING) {
-        return Judged::Failed("answer with an encoding that was not asked for".to_owned());
+        let reason = "answer with an encoding that was not asked for".to_owned();
+        return Err(Attempt::Failed(reason));
     }
-    Judged::Good(Box::new(answer))
+    Ok(())
 }
 
 fn note_prompt<P>(cx: &Cx<P>, ticket: &Ticket, picked: &Picked)
@@ -248,19 +230,19 @@
     HeaderValue::from(n)
 }
 
-fn logged<P>(ticket: &Ticket, sent: &Sent<P>, attempt: Attempt<P>) -> Attempt<P>
+fn log_failed<P>(ticket: &Ticket, sent: &Sent<P>, failed: &Attempt<P>)
 where
     P: Platform,
 {
-    let (outcome, reason) = match &attempt {
-        Attempt::Answered(..) => return attempt,
+    let (outcome, reason) = match failed {
+        Attempt::Answered(..) => return,
         Attempt::NotSent(reason) => ("not_sent", reason.clone()),
         Attempt::NotRun(status) => ("not_run", status.as_u16().to_string()),
         Attempt::Failed(reason) => ("failed", reason.clone()),
         Attempt::Silent => ("silent", String::new()),
     };
     if !sent.cx.lines.take(sent.cx.now()) {
-        return attempt;
+        return;
     }
     let ms = whole_millis(sent.age());
     let artifact = ticket.load_key();
@@ -268,7 +250,6 @@
         request_id = ticket.id.as_str(), upstream = sent.upstream.id.as_str(), outcome,
         artifact = artifact.as_str(), reason = reason.as_str(), ms
     });
-    attempt
 }
 
 impl Ticket {
@@ -278,21 +259,4 @@
 
         self.method != Method::GET && self.method != Method::HEAD
     }
-
-    /// Headers of an answer for the caller.
-    pub(super) fn answer_headers(answer: &HeaderMap) -> HeaderMap {
-        use comfreyweir_http::headers::{HOP_BY_HOP, named_by_connection};
-
-        let by_connection = named_by_connection(answer);
-        let mut kept = HeaderMap::new();
-        for (name, value) in answer {
-            let passes = !HOP_BY_HOP.contains(name)
-                && !by_connection.contains(name)
-                && *name != header::CONTENT_LENGTH;
-            if passes {
-                kept.append(name.clone(), value.clone());
-            }
-        }
-        kept
-    }
 }
--- a/crates/entry/src/serve/pick.rs
+++ b/crates/entry/src/serve/pick.rs
@@ -158,11 +158,12 @@
     let upstreams: Vec<_> = directory.ready(&ticket.service).filter(usable).collect();
     let loads = cx.loads.borrow();
     let kept = cx.kept.borrow();
+    let settings = cx.settings();
     let candidates: Vec<_> = upstreams
         .iter()
         .map(|u| Candidate {
             id: &u.id,
-            is_near: u.zone == cx.settings().instance.zone,
+            is_near: u.zone == settings.instance.zone,
             load: loads.total(&u.id),
             slots: u.slots,
             unread: unread(&kept, u, ticket),
--- a/crates/entry/src/serve/relay.rs
+++ b/crates/entry/src/serve/relay.rs
@@ -9,12 +9,13 @@
     time::{Duration, Instant},
 };
 
-use actix_http::{Method, Response, body::BoxBody};
+use actix_http::{Method, Response, ResponseBuilder, body::BoxBody, header};
 use bytes::Bytes;
 use comfreyweir_clock::whole_millis;
 use comfreyweir_fleet::{events::EventSplitter, health::Outcome};
 use comfreyweir_http::{
     body::{Piece, RelayedBody, declared_length},
+    headers::end_to_end,
     upstream::{Answer, AnswerBody, CallError},
 };
 use tokio::{sync::mpsc, time::timeout};
@@ -72,10 +73,7 @@
     }
     let status = answer.status.as_u16();
     log_answered(cx, ticket, &sent, status, "whole", &Pieces::default());
-    let mut res = Response::build(answer.status);
-    for (name, value) in &Ticket::answer_headers(&answer.headers) {
-        res.append_header((name.clone(), value.clone()));
-    }
+    let mut res = begin(&answer);
     if is_head {
         if let Some(length) = declared_length(&answer.headers) {
             res.no_chunking(length);
@@ -97,10 +95,7 @@
     P: Platform,
 {
     let (tx, rx) = mpsc::channel(PIECES);
-    let mut res = Response::build(answer.status);
-    for (name, value) in &Ticket::answer_headers(&answer.headers) {
-        res.append_header((name.clone(), value.clone()));
-    }
+    let res = begin(&answer);
     let is_resumable = ticket.route.is_resumable;
     // What continues a stream may frame it differently.
     let length = declared_length(&answer.headers).filter(|_| !is_resumable);
@@ -118,7 +113,16 @@
     finish(res, BoxBody::new(RelayedBody::new(rx, length)))
 }
 
-fn finish(mut res: actix_http::ResponseBuilder, body: BoxBody) -> Response<BoxBody> {
+/// A response with the status and the headers of an answer.
+fn begin(answer: &Answer) -> ResponseBuilder {
+    let mut res = Response::build(answer.status);
+    for (name, value) in &end_to_end(&answer.headers, |name, _| *name != header::CONTENT_LENGTH) {
+        res.append_header((name.clone(), value.clone()));
+    }
+    res
+}
+
+fn finish(mut res: ResponseBuilder, body: BoxBody) -> Response<BoxBody> {
     res.message_body(body)
         .expect("status and headers come from a valid answer")
 }
--- a/crates/entry/src/serve/ticket.rs
+++ b/crates/entry/src/serve/ticket.rs
@@ -38,7 +38,7 @@
     pub(crate) headers: HeaderMap,
     /// Body.
     pub(crate) body: Bytes,
-    pub(super) _memory: Tally,
+    pub(super) _memory: BodyMemory,
     /// When it arrived.
     pub(crate) arrived: Instant,
     /// When its answer has to have ended.
@@ -99,25 +99,25 @@
     }
 }
 
-/// An amount that is part of a total until it is dropped, such as the memory that a body takes.
-pub(super) struct Tally {
+/// Memory that a body takes, as long as the request lasts.
+pub(super) struct BodyMemory {
     total: Rc<Cell<usize>>,
-    amount: usize,
+    bytes: usize,
 }
 
-impl Tally {
-    /// Adds an amount to a total until it is dropped.
-    pub(super) fn add(total: &Rc<Cell<usize>>, amount: usize) -> Self {
-        total.set(total.get() + amount);
+impl BodyMemory {
+    /// Adds `bytes` to a total until it is dropped.
+    pub(super) fn take(total: &Rc<Cell<usize>>, bytes: usize) -> Self {
+        total.set(total.get() + bytes);
         Self {
             total: Rc::clone(total),
-            amount,
+            bytes,
         }
     }
 }
 
-impl Drop for Tally {
+impl Drop for BodyMemory {
     fn drop(&mut self) {
-        self.total.set(self.total.get() - self.amount);
+        self.total.set(self.total.get() - self.bytes);
     }
 }
--- a/crates/entry/src/state.rs
+++ b/crates/entry/src/state.rs
@@ -38,6 +38,8 @@
 const HOLDER_SILENCE: Duration = Duration::from_millis(900);
 /// Age at which the placement that the holder told is no longer used.
 const PLACEMENT_LAPSE: Duration = Duration::from_millis(2_500);
+/// Mistakes of one configuration that are logged, at most.
+const MISTAKES_LOGGED: usize = 10;
 
 /// State of one entry instance.
 pub(crate) struct Cx<P> {
@@ -61,8 +63,6 @@
     pub(crate) changed: Notify,
     /// The holder has to hear of new demand at once.
     pub(crate) demand_changed: Notify,
-    /// Requests that wait for a larger grant of an allowance.
-    pub(crate) grants_awaited: Rc<Cell<usize>>,
     /// Whether the holder said that it has the duty no longer, and nobody else has been heard since.
     pub(crate) holder_resigned: Cell<bool>,
     /// The members or the secret changed.
@@ -228,7 +228,6 @@
             demand: RefCell::default(),
             changed: Notify::new(),
             demand_changed: Notify::new(),
-            grants_awaited: Rc::default(),
             holder_resigned: Cell::new(false),
             members_changed: Notify::new(),
             upstreams: Upstreams::new(CONNECT_LIMIT),
@@ -387,6 +386,3 @@
         window: settings.repeats.window(),
     }
 }
-
-/// Mistakes of one configuration that are logged, at most.
-const MISTAKES_LOGGED: usize = 10;
--- a/crates/fleet/src/duty.rs
+++ b/crates/fleet/src/duty.rs
@@ -56,7 +56,7 @@
     }
 
     /// Whether the holder may still act, as far as the lease goes.
-    pub fn is_held(&self, now: Duration) -> bool {
+    fn is_held(&self, now: Duration) -> bool {
         now.saturating_sub(self.renewed) < self.ttl.mul_f64(SAFE_PART)
     }
 
--- a/crates/fleet/src/planner/engine.rs
+++ b/crates/fleet/src/planner/engine.rs
@@ -159,7 +159,11 @@
             && self.plan.is_empty()
             && self.loading.is_none()
             && !self.in_call
-            && self.pause_until.is_none_or(|until| now >= until)
+            && !self.is_pausing(now)
+    }
+
+    fn is_pausing(&self, now: Instant) -> bool {
+        self.pause_until.is_some_and(|until| now < until)
     }
 
     /// Whether adapters can be planned for it: a model load would make them wait.
@@ -182,8 +186,13 @@
 
     /// Whether a load of a model is planned or under way.
     pub(super) fn plans_load(&self, model: &str) -> bool {
-        let loads = |p: &Planned| matches!(&p.order, Order::Load(a) if a.adapter.is_none() && a.model == model);
-        self.loading.as_ref().is_some_and(|l| l.model == model) || self.plan.iter().any(loads)
+        self.loading.as_ref().is_some_and(|l| l.model == model)
+            || self.planned_load(model).is_some()
+    }
+
+    fn planned_load(&self, model: &str) -> Option<&Planned> {
+        let loads = |p: &&Planned| matches!(&p.order, Order::Load(a) if a.adapter.is_none() && a.model == model);
+        self.plan.iter().find(loads)
     }
 
     /// Whether it holds an artifact, or has an order for it.
@@ -257,8 +266,7 @@
         let rested = self
             .asked_at
             .is_none_or(|at| now.saturating_duration_since(at) >= REPORT_PERIOD);
-        let rested = rested && self.pause_until.is_none_or(|until| now >= until);
-        if self.in_call || !is_due || !rested {
+        if self.in_call || !is_due || !rested || self.is_pausing(now) {
             return false;
         }
         self.in_call = true;
@@ -278,7 +286,7 @@
         if self.in_call || self.loading.is_some() || self.doubted || !self.takes_requests() {
             return None;
         }
-        if self.pause_until.is_some_and(|until| now < until) {
+        if self.is_pausing(now) {
             return None;
         }
         let expected = self.orders?;
@@ -495,10 +503,7 @@
         if let Some(loading) = self.loading.as_ref().filter(|l| l.model == artifact.model) {
             return Some(loading.due.saturating_duration_since(now));
         }
-        let planned = self.plan.iter().find(|p| {
-            matches!(&p.order, Order::Load(a) if a.adapter.is_none() && a.model == artifact.model)
-        });
-        planned.map(|p| p.load_time)
+        self.planned_load(&artifact.model).map(|p| p.load_time)
     }
 
     fn add(&mut self, artifact: &Artifact) {
--- a/crates/fleet/src/planner/mod.rs
+++ b/crates/fleet/src/planner/mod.rs
@@ -94,7 +94,6 @@
     /// When adapters were last loaded or waited for, by engine.
     adapter_uses: HashMap<(String, Artifact), Instant>,
     placement: Placement,
-    version: u64,
 }
 
 /// What a step sees.
@@ -160,11 +159,6 @@
         &self.placement
     }
 
-    /// Rises with every change of the placement.
-    pub fn version(&self) -> u64 {
-        self.version
-    }
-
     /// Time until requests for an artifact can run, as far as it is being made ready.
     pub fn ready_in(&self, artifact: &Artifact, now: Instant) -> Option<Duration> {
         let engines = self.engines.values();
@@ -190,11 +184,7 @@
 
     fn update_placement(&mut self, now: Instant) {
         let engines = self.engines.iter();
-        let placement = engines.map(|(id, e)| (id.clone(), e.usable(now))).collect();
-        if placement != self.placement {
-            self.placement = placement;
-            self.version += 1;
-        }
+        self.placement = engines.map(|(id, e)| (id.clone(), e.usable(now))).collect();
     }
 
     /// Makes ready what requests wait for and no engine has.
--- a/crates/fleet/src/quota/holder.rs
+++ b/crates/fleet/src/quota/holder.rs
@@ -142,17 +142,14 @@
         process.or_insert_with(|| Process::new(now)).at = now;
         self.silent = self.silent_share(now);
         let silent = self.silent;
-        let process = self.processes.get_mut(name);
-        let Some(Process { reported, .. }) = process else {
-            return;
-        };
+        let process = self.processes.get_mut(name).expect("inserted above");
         for (workspace, totals) in totals {
             let Some(allowance) = allowance(workspace) else {
                 continue;
             };
             let Allowance { per_s, burst, .. } = allowance;
             let per_s = per_s / (1.0 + silent);
-            let before = reported.get(workspace).copied();
+            let before = process.reported.get(workspace).copied();
             let whole = whole(&mut self.buckets, workspace, (per_s, burst), now);
             whole.bucket.level(per_s, burst, now);
             match before {
@@ -161,7 +158,7 @@
                 None => whole.recover(totals, allowance, now),
             }
             let now_reported = Reported::after(before, *totals, now);
-            reported.insert(workspace.clone(), now_reported);
+            process.reported.insert(workspace.clone(), now_reported);
         }
     }
 
@@ -177,9 +174,10 @@
         let per_s = per_s / (1.0 + self.silent);
         let whole = whole(&mut self.buckets, workspace, (per_s, burst), now);
         let level = whole.bucket.level(per_s, burst, now);
-        let share = self.share(process, workspace, per_s, now);
+        let live = self.live(now);
+        let share = self.share(process, workspace, per_s / live, now);
         let free = level - self.outstanding(process, workspace, now);
-        let unasked = GRANTED_PART * ((1.0 - EQUAL_PART) * share + EQUAL_PART / self.live(now));
+        let unasked = GRANTED_PART * ((1.0 - EQUAL_PART) * share + EQUAL_PART / live);
         let Some(process) = self.processes.get_mut(process) else {
             return Grant::default();
         };
@@ -203,14 +201,15 @@
 
     /// Instances that fell silent lately, for each one that reports.
     fn silent_share(&self, now: Instant) -> f64 {
-        let instance = |process: &str| process.split('/').next().unwrap_or_default().to_owned();
-        let (live, old): (Vec<_>, Vec<_>) =
-            self.processes.iter().partition(|(_, p)| p.is_live(now));
-        let live: HashSet<_> = live.into_iter().map(|(name, _)| instance(name)).collect();
-        let lately = old
-            .into_iter()
-            .filter(|(_, p)| now.saturating_duration_since(p.at) < SILENT_PART_TIME);
-        let silent: HashSet<_> = lately.map(|(name, _)| instance(name)).collect();
+        let (mut live, mut silent) = (HashSet::new(), HashSet::new());
+        for (name, process) in &self.processes {
+            let instance = name.split('/').next().unwrap_or_default();
+            if process.is_live(now) {
+                live.insert(instance);
+            } else if now.saturating_duration_since(process.at) < SILENT_PART_TIME {
+                silent.insert(instance);
+            }
+        }
         #[allow(clippy::cast_precision_loss)]
         let share = silent.difference(&live).count() as f64 / live.len().max(1) as f64;
         share
@@ -232,9 +231,10 @@
         granted.map(|r| r.granted.outstanding(now)).sum()
     }
 
-    /// Part of what is asked of a workspace that is asked through a process.
-    fn share(&self, process: &str, workspace: &str, per_s: f64, now: Instant) -> f64 {
-        let idle = per_s * IDLE_PART / self.live(now);
+    /// Part of what is asked of a workspace that is asked through a process, with the equal part of
+    /// each in what flows in.
+    fn share(&self, process: &str, workspace: &str, equal_per_s: f64, now: Instant) -> f64 {
+        let idle = equal_per_s * IDLE_PART;
         let asked = |process: &Process| {
             let reported = process.reported.get(workspace);
             idle + reported.map_or(0.0, |r| r.asked_now(now))
--- a/crates/fleet/src/quota/instance.rs
+++ b/crates/fleet/src/quota/instance.rs
@@ -55,30 +55,29 @@
     /// Notes that a request asks for `cost` units.
     pub fn note_asked(&mut self, workspace: &str, cost: u64) {
         if let Some(spent) = self.workspaces.get_mut(workspace) {
-            #[allow(clippy::cast_precision_loss)]
-            let cost = cost as f64;
-            spent.asked += cost;
+            spent.asked += units(cost);
         }
     }
 
     /// Notes that a request waits until the holder grants `cost` units more.
     pub fn begin_wait(&mut self, workspace: &str, cost: u64) {
-        self.add_awaited(workspace, cost, 1.0);
+        if let Some(spent) = self.workspaces.get_mut(workspace) {
+            spent.awaited += units(cost);
+        }
     }
 
     /// Notes that it does not wait any more.
     pub fn end_wait(&mut self, workspace: &str, cost: u64) {
-        self.add_awaited(workspace, cost, -1.0);
-    }
-
-    fn add_awaited(&mut self, workspace: &str, cost: u64, sign: f64) {
         if let Some(spent) = self.workspaces.get_mut(workspace) {
-            #[allow(clippy::cast_precision_loss)]
-            let cost = cost as f64;
-            spent.awaited += sign * cost;
+            spent.awaited -= units(cost);
         }
     }
 
+    /// Whether a request waits for a larger grant.
+    pub fn has_waiting(&self) -> bool {
+        self.workspaces.values().any(|spent| spent.awaited > 0.0)
+    }
+
     /// Takes `cost` units, with `instances` sharing the allowance when levels are not fresh.
     pub fn take(
         &mut self,
@@ -89,17 +88,16 @@
         now: Instant,
     ) -> Result<(), OverQuota> {
         #[allow(clippy::cast_precision_loss)]
-        let (cost, parts) = (cost as f64, instances.max(1) as f64);
-        self.spent(workspace, now).take(allowance, cost, parts, now)
+        let parts = instances.max(1) as f64;
+        let spent = self.spent(workspace, now);
+        spent.take(allowance, units(cost), parts, now)
     }
 
     /// Gives back what a request took that did not run.
     pub fn give_back(&mut self, workspace: &str, cost: u64) {
         if let Some(spent) = self.workspaces.get_mut(workspace) {
-            #[allow(clippy::cast_precision_loss)]
-            let cost = cost as f64;
-            spent.total -= cost;
-            spent.own.take(-cost);
+            spent.total -= units(cost);
+            spent.own.take(-units(cost));
         }
     }
 
@@ -188,3 +186,8 @@
         Ok(())
     }
 }
+
+#[allow(clippy::cast_precision_loss)]
+fn units(cost: u64) -> f64 {
+    cost as f64
+}
--- a/crates/gate/src/services/headers.rs
+++ b/crates/gate/src/services/headers.rs
@@ -5,7 +5,7 @@
     PRIORITY_HEADER, REQUEST_ID_HEADER, RESUME_HEADER, WORKSPACE_HEADER,
 };
 
-use comfreyweir_http::headers::{HOP_BY_HOP, named_by_connection};
+use comfreyweir_http::headers::end_to_end;
 
 use crate::auth::API_KEY_HEADER;
 
@@ -30,19 +30,12 @@
 
 /// Headers of a request for the upstream: without connection headers, credentials and forgeries.
 pub fn for_upstream(headers: &HeaderMap, key: Option<&str>, workspace: Option<&str>) -> HeaderMap {
-    let mut kept = HeaderMap::new();
-    let named = named_by_connection(headers);
-    for (name, value) in headers {
-        let passes = !HOP_BY_HOP.contains(name)
-            && !ENDS_AT_GATE.contains(name)
+    let mut kept = end_to_end(headers, |name, value| {
+        !ENDS_AT_GATE.contains(name)
             && !SET_BY_GATE.contains(&name.as_str())
             && name.as_str() != API_KEY_HEADER
-            && !named.contains(name)
-            && !key.is_some_and(|key| contains(value.as_bytes(), key.as_bytes()));
-        if passes {
-            kept.append(name.clone(), value.clone());
-        }
-    }
+            && !key.is_some_and(|key| contains(value.as_bytes(), key.as_bytes()))
+    });
     if let Some(value) = workspace.and_then(|w| HeaderValue::from_str(w).ok()) {
         kept.insert(HeaderName::from_static(WORKSPACE_HEADER), value);
     }
@@ -51,18 +44,9 @@
 
 /// Headers of an answer for the caller.
 pub fn for_caller(headers: &HeaderMap) -> HeaderMap {
-    let mut kept = HeaderMap::new();
-    let named = named_by_connection(headers);
-    for (name, value) in headers {
-        let passes = !HOP_BY_HOP.contains(name)
-            && *name != header::CONTENT_LENGTH
-            && name.as_str() != REQUEST_ID_HEADER
-            && !named.contains(name);
-        if passes {
-            kept.append(name.clone(), value.clone());
-        }
-    }
-    kept
+    end_to_end(headers, |name, _| {
+        *name != header::CONTENT_LENGTH && name.as_str() != REQUEST_ID_HEADER
+    })
 }
 
 /// Whether `text` contains `part`. Used to find a key where callers may have put it by mistake.
--- a/crates/soak/src/faults.rs
+++ b/crates/soak/src/faults.rs
@@ -128,10 +128,8 @@
         }
         Fault::Store(faults) => {
             world.store.set_faults(faults);
-            world.store_faults.set(faults);
             sleep(lasts).await;
             world.store.set_faults(store::Faults::default());
-            world.store_faults.set(store::Faults::default());
         }
         Fault::ForgetHistory => world.store.forget_history(),
         Fault::ServerLink(at, faults) => {
--- a/crates/soak/src/world.rs
+++ b/crates/soak/src/world.rs
@@ -65,7 +65,6 @@
     pub(crate) instances: Vec<Instance>,
     pub(crate) places: Rc<Vec<Place>>,
     pub(crate) store: Rc<Store>,
-    pub(crate) store_faults: Rc<Cell<comfreyweir_platform_standins::store::Faults>>,
     pub(crate) ledger: Rc<Ledger>,
     /// Keys that were in force, the present one last.
     pub(crate) keys: RefCell<Vec<String>>,
@@ -104,17 +103,11 @@
             instances.push(instance(settings, &block, &folder, (at, host), &store)?);
         }
         let places = Rc::new(places);
-        let store_faults = Rc::<Cell<_>>::default();
-        let beat = beat(
-            Rc::clone(&places),
-            Rc::clone(&store),
-            Rc::clone(&store_faults),
-        );
+        let beat = beat(Rc::clone(&places), Rc::clone(&store));
         let world = Self {
             instances,
             places,
             store,
-            store_faults,
             ledger,
             keys: RefCell::default(),
             heartbeats: actix_rt::spawn(beat),
@@ -243,13 +236,9 @@
     }
 }
 
-async fn beat(
-    places: Rc<Vec<Place>>,
-    store: Rc<Store>,
-    faults: Rc<Cell<comfreyweir_platform_standins::store::Faults>>,
-) {
+async fn beat(places: Rc<Vec<Place>>, store: Rc<Store>) {
     for heartbeat in 1.. {
-        if !faults.get().is_down {
+        if !store.faults().is_down {
             for place in places.iter() {
                 place.announce(&store, heartbeat);
             }
