Count each unit of an allowance at one instance only, also across cuts and new holders

Beside it: a grant that is made smaller was still spent until the answer arrived, a killed process was never charged for what it had not reported, a new holder counted the whole refill of the time without a holder, and returning instances were charged for what had been reserved for them.

Change: the invariant is stated in fleet::quota. Holders tell all instances who is silent, a successor reserves the shares of those and of the listed instances and grants nothing while a grant of its predecessor may be in force; an equal share lasts 30 s after the last contact; expired grants of silent processes are charged, and corrected by a later report.

--- a/crates/entry/src/duty/coordinator.rs
+++ b/crates/entry/src/duty/coordinator.rs
@@ -81,7 +81,12 @@
 
     /// Begins a tenure, discarding the state of an earlier one.
     pub(super) fn begin_tenure(&self, tenure: Tenure) {
-        *self.state.borrow_mut() = TenureState::default();
+        let now = self.cx.now();
+        let silent = self.cx.members.borrow().possibly_silent(now);
+        *self.state.borrow_mut() = TenureState {
+            grant_allocator: GrantAllocator::begin(tenure.fence, silent, now),
+            ..TenureState::default()
+        };
         self.tenure.set(Some(tenure));
         self.has_stopped_ordering.set(false);
     }
@@ -251,10 +256,9 @@
         for workspace in config.workspaces.values() {
             if let Some(allowance) = workspace.allowance {
                 let name = &workspace.name;
-                let grant = state
-                    .grant_allocator
-                    .grant(&request.process, name, allowance, now);
-                grants.insert(name.clone(), grant);
+                let allocator = &mut state.grant_allocator;
+                let grant = allocator.grant(&request.process, name, allowance, now);
+                grants.extend(grant.map(|grant| (name.clone(), grant)));
             }
         }
         let newer = config.version > request.config;
@@ -266,6 +270,7 @@
             ready_in_ms: state.ready_in(&request.waiting, now),
             others: state.loads_of_others(&request.process, now),
             grants,
+            silent: state.grant_allocator.silent_instances(now),
             directory: self.directory_view(&state, request.directory, now),
             config: newer.then(|| String::from_utf8_lossy(&value).into_owned()),
             config_age_ms: self.cx.config_age(now).map_or(u64::MAX, whole_millis),
--- a/crates/entry/src/exchange/client.rs
+++ b/crates/entry/src/exchange/client.rs
@@ -1,9 +1,14 @@
 //! Sends reports to the holder of the planning duty and applies its answers.
 
-use std::{net::SocketAddr, rc::Rc, time::Duration};
+use std::{
+    net::SocketAddr,
+    rc::Rc,
+    time::{Duration, Instant},
+};
 
 use actix_rt::time::sleep;
 use bytes::Bytes;
+use comfreyweir_fleet::holder_search::HolderSearch;
 use comfreyweir_peer::{LinkError, PeerLink, open, peer_capnp::entry, wire_millis};
 use snafu::{ResultExt, Snafu};
 use tokio::time::timeout;
@@ -117,10 +122,7 @@
 #[derive(Default)]
 struct HolderSession {
     link: Option<PeerLink<entry::Client>>,
-    /// Address of the holder that another instance named.
-    hint: Option<SocketAddr>,
-    /// Number of failed calls, which selects the next instance to try.
-    failed_calls: usize,
+    search: HolderSearch,
 }
 
 impl HolderSession {
@@ -134,36 +136,37 @@
         P: Platform,
     {
         let report = build_report(cx);
+        let reported_at = cx.now();
         if coordinator.has_duty() {
             self.link = None;
             if let ExchangeAnswer::View(view) = coordinator.exchange(report, wait).await {
-                apply_view(cx, *view);
+                apply_view(cx, *view, reported_at);
             }
             return Ok(());
         }
         let addr = self.target_addr(cx).ok_or(ExchangeError::NoHolder)?;
         match self.call(cx, addr, &report, wait).await {
             Ok(ExchangeAnswer::View(view)) => {
-                apply_view(cx, *view);
+                self.search.record_found();
+                apply_view(cx, *view, reported_at);
                 Ok(())
             }
             Ok(ExchangeAnswer::Elsewhere(hint)) => {
-                self.hint = hint.filter(|hint| *hint != addr);
-                cx.holder_resigned.set(self.hint.is_none());
+                let own = cx.settings().listen.peer;
+                let named = hint.filter(|hint| *hint != own);
+                let is_named = self.search.record_elsewhere(addr, named);
+                cx.holder_resigned.set(!is_named);
                 self.link = None;
                 Err(ExchangeError::NoHolder)
             }
             Err(e) => {
-                self.hint = None;
+                self.search.record_failure();
                 self.link = None;
-                self.failed_calls += 1;
                 Err(e)
             }
         }
     }
 
-    /// Address to call next. While calls fail, alternates between the known holder and the other
-    /// instances in turn.
     fn target_addr<P>(&self, cx: &EntryContext<P>) -> Option<SocketAddr>
     where
         P: Platform,
@@ -171,15 +174,9 @@
         let members = cx.members.borrow();
         let own = cx.settings().listen.peer;
         let holder = members.holder.as_ref().map(|h| h.peer);
-        let known_holder = self.hint.or(holder).filter(|addr| *addr != own);
-        if self.failed_calls.is_multiple_of(2)
-            && let Some(addr) = known_holder
-        {
-            return Some(addr);
-        }
-        let others: Vec<_> = members.instances.values().filter(|a| **a != own).collect();
-        let index = self.failed_calls / 2 % others.len().max(1);
-        others.get(index).map(|addr| **addr).or(known_holder)
+        let others = members.instances.values().copied();
+        let others: Vec<_> = others.filter(|addr| *addr != own).collect();
+        self.search.next(holder.filter(|h| *h != own), &others)
     }
 
     async fn call<P>(
@@ -232,8 +229,8 @@
     }
 }
 
-/// Applies the holder's view to the local state.
-fn apply_view<P>(cx: &Rc<EntryContext<P>>, view: SystemView)
+/// Applies the holder's view, its answer to a report built at `reported_at`, to the local state.
+fn apply_view<P>(cx: &Rc<EntryContext<P>>, view: SystemView, reported_at: Instant)
 where
     P: Platform,
 {
@@ -241,7 +238,7 @@
     if let Some(config) = view.config {
         cx.apply_config(&Bytes::from(config), "holder");
     }
-    cx.apply_grants(&view.grants, now);
+    cx.apply_grants(&view.grants, reported_at);
     cx.loads.borrow_mut().set_others(view.others);
     let directory = view.directory;
     if let Some(age) = directory.age_ms {
@@ -270,7 +267,10 @@
     }
     drop(placement);
     cx.instances_reported.set(view.instances);
-    cx.members.borrow_mut().holder = view.holder;
+    let mut members = cx.members.borrow_mut();
+    members.holder = view.holder;
+    members.set_silent(&view.silent, now);
+    drop(members);
     cx.confirm_config(now.checked_sub(Duration::from_millis(view.config_age_ms)));
     cx.state_changed.notify_waiters();
 }
--- a/crates/entry/src/exchange/message.rs
+++ b/crates/entry/src/exchange/message.rs
@@ -1,6 +1,6 @@
 //! Messages of the state exchange, encoded with postcard.
 
-use std::{collections::HashMap, net::SocketAddr};
+use std::{collections::HashMap, net::SocketAddr, time::Duration};
 
 use comfreyweir_fleet::{
     load::{Load, Loads},
@@ -60,8 +60,11 @@
     pub(crate) ready_in_ms: Vec<(Artifact, u64)>,
     /// Requests that the other instances have in flight, by upstream.
     pub(crate) others: HashMap<String, Load>,
-    /// The instance's share of each workspace's allowance.
+    /// The instance's share of each workspace's allowance. Empty while grants of the previous holder
+    /// may be in force.
     pub(crate) grants: HashMap<String, Grant>,
+    /// Instances that stopped reporting to the holder, with the time since then.
+    pub(crate) silent: HashMap<String, Duration>,
     /// The holder's list of upstreams.
     pub(crate) directory: DirectoryView,
     /// The configuration, if the instance has an older one.
--- a/crates/entry/src/follow/members.rs
+++ b/crates/entry/src/follow/members.rs
@@ -1,7 +1,11 @@
 //! Registers this instance in the store and follows the entries of all instances, the shared secret
 //! and the holder of the planning duty. Each instance's entry is bound to a lease.
 
-use std::{net::SocketAddr, rc::Rc, time::Duration};
+use std::{
+    net::SocketAddr,
+    rc::Rc,
+    time::{Duration, Instant},
+};
 
 use actix_rt::time::sleep;
 use bytes::Bytes;
@@ -144,15 +148,22 @@
 where
     P: Platform,
 {
-    let mut members = Members {
-        revision: items.revision,
-        is_known: true,
-        ..Members::default()
-    };
-    for item in &items.items {
-        apply_item(&mut members, own_prefix, item);
+    {
+        let mut members = cx.members.borrow_mut();
+        let before = std::mem::take(&mut members.instances);
+        members.revision = items.revision;
+        members.is_known = true;
+        members.holder = None;
+        members.duty_revision = 0;
+        for item in &items.items {
+            apply_item(&mut members, own_prefix, item);
+        }
+        for name in before.into_keys() {
+            if !members.instances.contains_key(&name) {
+                members.departed.insert(name, cx.now());
+            }
+        }
     }
-    *cx.members.borrow_mut() = members;
     announce_members(cx);
 }
 
@@ -168,7 +179,7 @@
         members.revision = changes.revision;
         // A key that was removed and written again is only in `items`, not in `removed`.
         for key in &changes.removed {
-            apply_removal(&mut members, own_prefix, key);
+            apply_removal(&mut members, own_prefix, key, cx.now());
         }
         for item in &changes.items {
             apply_item(&mut members, own_prefix, item);
@@ -200,7 +211,10 @@
     if let Some(name) = key.strip_prefix(INSTANCES_PREFIX) {
         let addr = std::str::from_utf8(&item.value).ok();
         match addr.and_then(|text| text.parse::<SocketAddr>().ok()) {
-            Some(addr) => drop(members.instances.insert(name.to_owned(), addr)),
+            Some(addr) => {
+                members.departed.remove(name);
+                members.instances.insert(name.to_owned(), addr);
+            }
             None => log_ignored(item, "not a socket address"),
         }
     } else if key == SECRET_KEY {
@@ -216,12 +230,14 @@
     }
 }
 
-fn apply_removal(members: &mut Members, own_prefix: &str, key: &str) {
+fn apply_removal(members: &mut Members, own_prefix: &str, key: &str, now: Instant) {
     let Some(key) = key.strip_prefix(own_prefix) else {
         return;
     };
     if let Some(name) = key.strip_prefix(INSTANCES_PREFIX) {
-        members.instances.remove(name);
+        if members.instances.remove(name).is_some() {
+            members.departed.insert(name.to_owned(), now);
+        }
     } else if key == DUTY_KEY {
         members.holder = None;
         members.duty_revision = 0;
--- a/crates/entry/src/state.rs
+++ b/crates/entry/src/state.rs
@@ -18,7 +18,7 @@
     load::LoadTracker,
     planner::{DemandReport, Placement, WaitingRequests},
     prefix_cache::PrefixCaches,
-    quota::{Grant, InstanceQuotas},
+    quota::{Grant, InstanceQuotas, SILENT_INSTANCE_RESERVE_TIME},
     request::Artifact,
     retry_budget::{BudgetLimits, RetryBudget},
 };
@@ -101,6 +101,37 @@
     pub(crate) revision: u64,
     /// Whether the entries have been read at least once.
     pub(crate) is_known: bool,
+    /// Instances whose entry in the store has gone, with the time when that was seen.
+    pub(crate) departed: HashMap<String, Instant>,
+    /// Instances that had stopped reporting to the holder at its last answer, with the time since
+    /// when.
+    silent: HashMap<String, Instant>,
+}
+
+impl Members {
+    /// Replaces the instances that the holder reports as silent, with the time since their last
+    /// report.
+    pub(crate) fn set_silent(&mut self, silent: &HashMap<String, Duration>, now: Instant) {
+        let since = |age: &Duration| now.checked_sub(*age).unwrap_or(now);
+        let silent = silent.iter().map(|(name, age)| (name.clone(), since(age)));
+        self.silent = silent.collect();
+        self.departed
+            .retain(|_, at| now.saturating_duration_since(*at) < SILENT_INSTANCE_RESERVE_TIME);
+    }
+
+    /// Instances that may admit requests without reporting to a new holder, with the time since
+    /// their last known contact with a holder.
+    pub(crate) fn possibly_silent(&self, now: Instant) -> Vec<(String, Duration)> {
+        let age = |since: &Instant| now.saturating_duration_since(*since);
+        let silent = self.silent.iter().map(|(name, since)| (name, age(since)));
+        let others = self.instances.keys().chain(self.departed.keys());
+        let others = others.filter(|name| !self.silent.contains_key(*name));
+        let others = others.map(|name| (name, Duration::ZERO));
+        silent
+            .chain(others)
+            .map(|(name, age)| (name.clone(), age))
+            .collect()
+    }
 }
 
 /// The holder of the planning duty.
@@ -383,11 +414,13 @@
         self.state_changed.notify_waiters();
     }
 
-    /// Applies the holder's grants to the local quotas.
-    pub(crate) fn apply_grants(&self, grants: &HashMap<String, Grant>, now: Instant) {
+    /// Applies the holder's grants, the answer to a report built at `reported_at`, to the local
+    /// quotas.
+    pub(crate) fn apply_grants(&self, grants: &HashMap<String, Grant>, reported_at: Instant) {
+        let now = self.now();
         let mut quotas = self.quotas.borrow_mut();
         for (workspace, grant) in grants {
-            quotas.apply_grant(workspace, *grant, now);
+            quotas.apply_grant(workspace, *grant, reported_at, now);
         }
     }
 }
--- a/crates/fleet/src/lib.rs
+++ b/crates/fleet/src/lib.rs
@@ -9,6 +9,7 @@
 pub mod duty;
 pub mod events;
 pub mod health;
+pub mod holder_search;
 pub mod load;
 pub mod planner;
 pub mod prefix_cache;
--- a/crates/fleet/src/quota/holder.rs
+++ b/crates/fleet/src/quota/holder.rs
@@ -1,11 +1,11 @@
 //! The holder's side of quotas: bucket levels over all instances, and the grants from them.
 
 use std::{
-    collections::{HashMap, HashSet},
+    collections::{HashMap, HashSet, hash_map::Entry},
     time::{Duration, Instant},
 };
 
-use super::{Bucket, GRANT_TTL, Grant, UsageTotals};
+use super::{Bucket, EQUAL_SHARE_TIME, GRANT_TTL, Grant, GrantId, UsageTotals};
 use crate::config::Allowance;
 
 /// Time after which the holder forgets a process that no longer reports. A process that was
@@ -15,8 +15,11 @@
 /// instances may have been lost at once, after spending the whole allowance.
 const INITIAL_REFILL_TIME: Duration = Duration::from_millis(500);
 /// Time for which the holder reserves an equal share of the refill for an instance that stopped
-/// reporting: it may be disconnected and admit requests against that share on its own.
-const SILENT_INSTANCE_RESERVE_TIME: Duration = Duration::from_secs(20);
+/// reporting: it may be disconnected and admit requests against that share on its own. Its time
+/// counts from its last report, and clocks run at slightly different rates.
+pub const SILENT_INSTANCE_RESERVE_TIME: Duration = EQUAL_SHARE_TIME.saturating_add(GRANT_TTL);
+/// Time that a grant takes at most to reach its process, unless the answer is lost.
+const ANSWER_TIME: Duration = Duration::from_millis(100);
 /// Time constant of the smoothed demand rate of a process.
 const DEMAND_TIME_CONSTANT: Duration = Duration::from_secs(1);
 /// Fraction of the refill rate that is added, over all processes, to the measured demand, so that
@@ -32,10 +35,17 @@
 /// Bucket levels and reported usage of all workspaces, kept by the holder.
 #[derive(Debug, Default)]
 pub struct GrantAllocator {
+    /// Fencing token of the holder.
+    fence: u64,
+    /// Number of grants issued.
+    grants: u64,
     /// Number of silent instances per reporting instance.
     silent_ratio: f64,
     buckets: HashMap<String, SharedBucket>,
     processes: HashMap<String, ReportingProcess>,
+    /// Instances of which only the previous holder or the store told, by name, with the time since
+    /// which they are silent.
+    unheard: HashMap<String, Instant>,
 }
 
 /// The bucket of one workspace, shared by all instances.
@@ -46,26 +56,64 @@
     restored_grant_at: Option<Instant>,
     /// Units spent by all processes since the grants of the previous holder.
     spent_since_grants: f64,
+    /// Refill that was reserved for silent instances. What they have spent is taken from it when
+    /// they report again.
+    withheld: f64,
 }
 
 impl SharedBucket {
+    /// A bucket of which nothing is known.
+    fn new(Allowance { per_s, burst, .. }: Allowance, now: Instant) -> Self {
+        Self {
+            bucket: Bucket::new(burst.min(per_s * INITIAL_REFILL_TIME.as_secs_f64()), now),
+            restored_grant_at: None,
+            spent_since_grants: 0.0,
+            withheld: 0.0,
+        }
+    }
+
+    /// Refills the bucket, without the part of the refill that is reserved for silent instances,
+    /// of which there are `silent_ratio` per reporting instance. Returns its level.
+    fn refill(&mut self, allowance: Allowance, silent_ratio: f64, now: Instant) -> f64 {
+        let Allowance { per_s, burst, .. } = allowance;
+        let usable_per_s = per_s / (1.0 + silent_ratio);
+        let elapsed = now.saturating_duration_since(self.bucket.updated_at);
+        self.withheld = if silent_ratio > 0.0 {
+            self.withheld + (per_s - usable_per_s) * elapsed.as_secs_f64()
+        } else {
+            0.0
+        };
+        self.bucket.refill(usable_per_s, burst, now)
+    }
+
+    /// Charges what a process has spent. `was_silent` tells whether it was silent meanwhile, so
+    /// that a part of the refill was reserved for it.
+    fn charge(&mut self, spent: f64, was_silent: bool) {
+        let from_reserve = if was_silent {
+            spent.clamp(0.0, self.withheld)
+        } else {
+            0.0
+        };
+        self.withheld -= from_reserve;
+        self.bucket.take(spent - from_reserve);
+    }
+
     /// Restores the level from the last grant that a process received from the previous holder, if
-    /// no other process had a later one, and charges what the process has spent since.
-    fn restore(&mut self, totals: &UsageTotals, allowance: Allowance, now: Instant) {
+    /// no other process had a later one, and charges what the process has spent since. The time
+    /// since that grant is added by the next refill.
+    fn restore(&mut self, totals: &UsageTotals, was_silent: bool, now: Instant) {
         let Some(last_grant) = totals.last_grant else {
             return;
         };
-        let Allowance { per_s, burst, .. } = allowance;
         let at = now.checked_sub(last_grant.age).unwrap_or(now);
-        if self.restored_grant_at.is_none_or(|before| before < at) {
+        let spent = totals.spent - last_grant.included;
+        if !was_silent && self.restored_grant_at.is_none_or(|before| before < at) {
             self.restored_grant_at = Some(at);
             self.bucket = Bucket::new(last_grant.bucket_level, at);
-            self.bucket.refill(per_s, burst, now);
             self.bucket.take(self.spent_since_grants);
         }
-        let spent = totals.spent - last_grant.included;
         self.spent_since_grants += spent;
-        self.bucket.take(spent);
+        self.charge(spent, was_silent);
     }
 }
 
@@ -101,29 +149,124 @@
     demand_per_s: f64,
     /// Last grant, against which it may have spent units that it has not reported yet.
     granted: IssuedGrant,
+    /// Units of expired grants that it was charged for without having reported them.
+    presumed_spent: f64,
 }
 
 /// The last grant of a process.
 #[derive(Clone, Copy, Debug, Default)]
 struct IssuedGrant {
+    id: GrantId,
     level: f64,
     /// Refill rate of the grant, in units per second.
     per_s: f64,
+    /// Units left of earlier grants that the process can spend until this one arrives; 0 if it is
+    /// known to have arrived.
+    carried: f64,
+    /// Refill rate of the earlier grants, in units per second.
+    carried_per_s: f64,
+    /// The process's `spent` total that the grant accounts for.
+    included: f64,
     issued_at: Option<Instant>,
 }
 
 impl IssuedGrant {
-    /// Units that the process may have spent unreported; 0 once the grant has expired.
+    /// Units that the process may have spent unreported.
     fn outstanding(&self, now: Instant) -> f64 {
-        let age = self.issued_at.map(|at| now.saturating_duration_since(at));
-        match age {
-            Some(age) if age < GRANT_TTL => (self.level + self.per_s * age.as_secs_f64()).max(0.0),
-            _ => 0.0,
-        }
+        let Some(issued_at) = self.issued_at else {
+            return 0.0;
+        };
+        let age = now.saturating_duration_since(issued_at).min(GRANT_TTL);
+        let of_grant = self.level + self.per_s * age.as_secs_f64();
+        let of_earlier = if age < ANSWER_TIME {
+            self.carried + self.carried_per_s * age.as_secs_f64()
+        } else {
+            0.0
+        };
+        of_grant.max(of_earlier).max(0.0)
+    }
+
+    fn has_expired(&self, now: Instant) -> bool {
+        let is_old = |at| now.saturating_duration_since(at) >= GRANT_TTL;
+        self.issued_at.is_some_and(is_old)
+    }
+
+    /// Records that the process received this grant, and no longer spends earlier ones.
+    fn confirm(&mut self) {
+        self.carried = 0.0;
+        self.carried_per_s = 0.0;
     }
 }
 
 impl GrantAllocator {
+    /// Begins a tenure. `silent` names instances that may admit requests without having reported to
+    /// this holder, with the time since their last known contact with a holder. Instances that
+    /// report are removed from it.
+    pub fn begin<I>(fence: u64, silent: I, now: Instant) -> Self
+    where
+        I: IntoIterator<Item = (String, Duration)>,
+    {
+        let silent = silent.into_iter();
+        let since = |age: Duration| now.checked_sub(age).unwrap_or(now);
+        Self {
+            fence,
+            unheard: silent.map(|(name, age)| (name, since(age))).collect(),
+            ..Self::default()
+        }
+    }
+
+    /// Instances that stopped reporting and may admit requests against an equal share, with the
+    /// time since their last report.
+    pub fn silent_instances(&self, now: Instant) -> HashMap<String, Duration> {
+        let mut live = HashSet::new();
+        let mut silent: HashMap<&str, Instant> = HashMap::new();
+        for (name, process) in &self.processes {
+            let instance = instance_of(name);
+            if process.is_live(now) {
+                live.insert(instance);
+            } else {
+                let since = silent.entry(instance).or_insert(process.reported_at);
+                *since = process.reported_at.max(*since);
+            }
+        }
+        for (name, since) in &self.unheard {
+            silent.entry(name).or_insert(*since);
+        }
+        let age = |since: Instant| now.saturating_duration_since(since);
+        let silent = silent.into_iter().map(|(name, since)| (name, age(since)));
+        silent
+            .filter(|(name, age)| !live.contains(name) && *age < SILENT_INSTANCE_RESERVE_TIME)
+            .map(|(name, age)| (name.to_owned(), age))
+            .collect()
+    }
+
+    /// Charges processes for expired grants that they have not reported on: they may be lost or cut
+    /// off after having spent them. A later report corrects this.
+    fn charge_expired_grants(&mut self, now: Instant) {
+        for process in self.processes.values_mut() {
+            if process.is_live(now) {
+                continue;
+            }
+            for (workspace, usage) in &mut process.usage {
+                if !usage.granted.has_expired(now) {
+                    continue;
+                }
+                let presumed = usage.granted.outstanding(now);
+                usage.granted = IssuedGrant::default();
+                usage.presumed_spent += presumed;
+                if let Some(shared) = self.buckets.get_mut(workspace) {
+                    shared.bucket.take(presumed);
+                }
+            }
+        }
+    }
+
+    /// Whether some instance may still hold a grant of the previous holder.
+    fn has_old_grants(&self, now: Instant) -> bool {
+        let holds_grant = |since: &Instant| now.saturating_duration_since(*since) < GRANT_TTL;
+        self.unheard.values().any(holds_grant)
+    }
+
     /// Records a usage report of a process and charges what it has spent since its last one. `name`
     /// begins with the name of the instance, up to a slash.
     pub fn record_usage<F>(
@@ -137,11 +280,20 @@
     {
         self.processes
             .retain(|_, p| now.saturating_duration_since(p.reported_at) < PROCESS_RETENTION);
-        let is_known = self.processes.contains_key(name);
+        self.charge_expired_grants(now);
+        let unheard_since = self.unheard.remove(instance_of(name));
+        let has_old_grants = self.has_old_grants(now);
         let process = self.processes.entry(name.to_owned());
-        process
-            .or_insert_with(|| ReportingProcess::new(now))
-            .reported_at = now;
+        let is_known = matches!(process, Entry::Occupied(_));
+        let process = process.or_insert_with(|| ReportingProcess::new(now));
+        let silent_since = if is_known {
+            Some(process.reported_at)
+        } else {
+            unheard_since
+        };
+        let was_silent =
+            silent_since.is_some_and(|at| now.saturating_duration_since(at) >= GRANT_TTL);
+        process.reported_at = now;
         self.silent_ratio = self.silent_ratio(now);
         let silent_ratio = self.silent_ratio;
         let process = self.processes.get_mut(name).expect("inserted above");
@@ -149,76 +301,88 @@
             let Some(allowance) = allowance(workspace) else {
                 continue;
             };
-            let Allowance { per_s, burst, .. } = allowance;
-            let per_s = per_s / (1.0 + silent_ratio);
             let before = process.usage.get(workspace).copied();
-            let shared = shared_bucket(&mut self.buckets, workspace, (per_s, burst), now);
-            shared.bucket.refill(per_s, burst, now);
+            let shared = shared_bucket(&mut self.buckets, workspace, allowance, now);
+            if !has_old_grants {
+                shared.refill(allowance, silent_ratio, now);
+            }
             match before {
-                Some(before) => shared.bucket.take(totals.spent - before.totals.spent),
-                None if is_known => shared.bucket.take(totals.spent),
-                None => shared.restore(totals, allowance, now),
+                Some(before) => {
+                    let spent = totals.spent - before.totals.spent;
+                    shared.charge(spent - before.presumed_spent, was_silent);
+                }
+                None if is_known => shared.charge(totals.spent, was_silent),
+                None => shared.restore(totals, was_silent, now),
+            }
+            let mut usage = WorkspaceUsage::after(before, *totals, now);
+            if totals.last_grant.map(|g| g.id) == Some(usage.granted.id) {
+                usage.granted.confirm();
             }
-            let usage = WorkspaceUsage::after(before, *totals, now);
             process.usage.insert(workspace.clone(), usage);
         }
     }
 
     /// Computes and records the grant of a process for a workspace. A process that has not reported
-    /// gets an empty grant.
+    /// gets an empty grant. None while grants of the previous holder may still be in force at
+    /// instances that have not reported: the process then continues with its earlier grant.
     pub fn grant(
         &mut self,
         process: &str,
         workspace: &str,
         allowance: Allowance,
         now: Instant,
-    ) -> Grant {
-        let Allowance { per_s, burst, .. } = allowance;
-        let per_s = per_s / (1.0 + self.silent_ratio);
-        let shared = shared_bucket(&mut self.buckets, workspace, (per_s, burst), now);
-        let level = shared.bucket.refill(per_s, burst, now);
+    ) -> Option<Grant> {
+        if self.has_old_grants(now) {
+            return None;
+        }
+        let per_s = allowance.per_s / (1.0 + self.silent_ratio);
+        let shared = shared_bucket(&mut self.buckets, workspace, allowance, now);
+        let level = shared.refill(allowance, self.silent_ratio, now);
         let live = self.live_processes(now);
         let share = self.demand_share(process, workspace, per_s / live, now);
         let free = level - self.outstanding(process, workspace, now);
         let advance_share = ADVANCE_GRANT_FRACTION
             * ((1.0 - EQUAL_SPLIT_FRACTION) * share + EQUAL_SPLIT_FRACTION / live);
         let Some(process) = self.processes.get_mut(process) else {
-            return Grant::default();
+            return Some(Grant::default());
         };
         let own = process.usage.entry(workspace.to_owned());
         let own = own.or_insert_with(|| WorkspaceUsage::new(UsageTotals::default(), now));
         let wanted = own.totals.awaited.max(level * advance_share);
         // Outstanding grants lower a grant to 0 at most; a negative level is granted as it is.
         let granted = wanted.min(free.max(level.min(0.0)));
+        self.grants += 1;
+        let id = GrantId {
+            fence: self.fence,
+            number: self.grants,
+        };
+        let before = own.granted;
+        let spent_since = own.totals.spent - before.included;
         own.granted = IssuedGrant {
+            id,
             level: granted,
             per_s: per_s * share,
+            carried: (before.outstanding(now) - spent_since).max(0.0),
+            carried_per_s: before.per_s.max(before.carried_per_s),
+            included: own.totals.spent,
             issued_at: Some(now),
         };
-        Grant {
+        Some(Grant {
+            id,
             bucket_level: level,
             level: granted,
             share,
             included: own.totals.spent,
             spare: (free - granted).max(0.0),
-        }
+        })
     }
 
     /// Number of instances that stopped reporting recently, per instance that reports.
     fn silent_ratio(&self, now: Instant) -> f64 {
-        let (mut live, mut silent) = (HashSet::new(), HashSet::new());
-        for (name, process) in &self.processes {
-            let instance = name.split('/').next().unwrap_or_default();
-            if process.is_live(now) {
-                live.insert(instance);
-            } else if now.saturating_duration_since(process.reported_at)
-                < SILENT_INSTANCE_RESERVE_TIME
-            {
-                silent.insert(instance);
-            }
-        }
+        let live = self.processes.iter().filter(|(_, p)| p.is_live(now));
+        let live: HashSet<_> = live.map(|(name, _)| instance_of(name)).collect();
         #[allow(clippy::cast_precision_loss)]
-        let ratio = silent.difference(&live).count() as f64 / live.len().max(1) as f64;
+        let ratio = self.silent_instances(now).len() as f64 / live.len().max(1) as f64;
         ratio
     }
 
@@ -260,6 +424,7 @@
             reported_at: now,
             demand_per_s: 0.0,
             granted: IssuedGrant::default(),
+            presumed_spent: 0.0,
         }
     }
 
@@ -273,6 +438,7 @@
             reported_at: now,
             demand_per_s: before.demand_at(now) + asked / DEMAND_TIME_CONSTANT.as_secs_f64(),
             granted: before.granted,
+            presumed_spent: 0.0,
         }
     }
 
@@ -282,19 +448,19 @@
     }
 }
 
+/// Name of the instance that a process belongs to: the part of its name before the slash.
+fn instance_of(process: &str) -> &str {
+    process.split('/').next().unwrap_or_default()
+}
+
 fn shared_bucket<'a>(
     buckets: &'a mut HashMap<String, SharedBucket>,
     workspace: &str,
-    (per_s, burst): (f64, f64),
+    allowance: Allowance,
     now: Instant,
 ) -> &'a mut SharedBucket {
     if !buckets.contains_key(workspace) {
-        let initial = SharedBucket {
-            bucket: Bucket::new(burst.min(per_s * INITIAL_REFILL_TIME.as_secs_f64()), now),
-            restored_grant_at: None,
-            spent_since_grants: 0.0,
-        };
-        buckets.insert(workspace.to_owned(), initial);
+        buckets.insert(workspace.to_owned(), SharedBucket::new(allowance, now));
     }
     buckets.get_mut(workspace).expect("inserted above")
 }
--- a/crates/fleet/src/quota/instance.rs
+++ b/crates/fleet/src/quota/instance.rs
@@ -5,9 +5,12 @@
     time::{Duration, Instant},
 };
 
-use super::{Bucket, GRANT_TTL, Grant, LastGrant, UsageTotals};
+use super::{Bucket, EQUAL_SHARE_TIME, GRANT_TTL, Grant, GrantId, LastGrant, UsageTotals};
 use crate::config::Allowance;
 
+/// `retry_after` of an instance that has been without a holder for too long to use its equal share.
+const NO_HOLDER_RETRY_AFTER: Duration = Duration::from_secs(1);
+
 /// Usage and current grant of each workspace at this instance.
 #[derive(Debug, Default)]
 pub struct InstanceQuotas {
@@ -25,15 +28,20 @@
     grant: Option<ReceivedGrant>,
     /// Equal share of the allowance, used while no grant is fresh.
     equal_share: Bucket,
+    /// Time until which the equal share may be used.
+    equal_share_until: Instant,
 }
 
 /// The last grant that the holder sent for a workspace.
 #[derive(Clone, Copy, Debug)]
 struct ReceivedGrant {
+    id: GrantId,
     /// Level of the bucket shared by all instances.
     bucket_level: f64,
     bucket: Bucket,
     received_at: Instant,
+    /// The holder counts the grant from the report that asked for it.
+    expires_at: Instant,
     /// Fraction of the refill rate that this instance may take, from 0 to 1.
     share: f64,
     /// The instance's `spent` total that the level already accounts for.
@@ -112,6 +120,7 @@
                 asked: s.asked,
                 awaited: s.awaited,
                 last_grant: s.grant.map(|grant| LastGrant {
+                    id: grant.id,
                     bucket_level: grant.bucket_level,
                     age: now.saturating_duration_since(grant.received_at),
                     included: grant.included,
@@ -122,13 +131,23 @@
         totals.collect()
     }
 
-    /// Replaces the grant of a workspace by one that the holder sent.
-    pub fn apply_grant(&mut self, workspace: &str, grant: Grant, now: Instant) {
+    /// Replaces the grant of a workspace by one that the holder sent in answer to a report built at
+    /// `reported_at`.
+    pub fn apply_grant(
+        &mut self,
+        workspace: &str,
+        grant: Grant,
+        reported_at: Instant,
+        now: Instant,
+    ) {
         let quota = self.workspace_quota(workspace, now);
+        quota.equal_share_until = quota.equal_share_until.max(reported_at + EQUAL_SHARE_TIME);
         quota.grant = Some(ReceivedGrant {
+            id: grant.id,
             bucket_level: grant.bucket_level,
             bucket: Bucket::new(grant.level, now),
             received_at: now,
+            expires_at: reported_at + GRANT_TTL,
             share: grant.share,
             included: grant.included,
             spare: grant.spare,
@@ -145,6 +164,7 @@
                 // Other instances may have spent the whole allowance right before this process
                 // started.
                 equal_share: Bucket::new(0.0, now),
+                equal_share_until: now + EQUAL_SHARE_TIME,
             };
             self.workspaces.insert(workspace.to_owned(), quota);
         }
@@ -162,8 +182,7 @@
     ) -> Result<(), OverQuota> {
         let Allowance { per_s, burst, .. } = allowance;
         let grant = self.grant.as_mut();
-        let fresh_grant =
-            grant.filter(|g| now.saturating_duration_since(g.received_at) < GRANT_TTL);
+        let fresh_grant = grant.filter(|g| now < g.expires_at);
         let spare = fresh_grant.as_ref().map_or(0.0, |g| g.spare);
         let (level, per_s, burst) = if let Some(grant) = fresh_grant {
             // The equal share starts empty when the grant expires.
@@ -176,7 +195,14 @@
             (level - since, per_s, burst)
         } else {
             let (per_s, burst) = (per_s / sharing_instances, burst / sharing_instances);
-            (self.equal_share.refill(per_s, burst, now), per_s, burst)
+            let level = self.equal_share.refill(per_s, burst, now);
+            if now >= self.equal_share_until {
+                return Err(OverQuota {
+                    retry_after: NO_HOLDER_RETRY_AFTER,
+                    may_grant_more: false,
+                });
+            }
+            (level, per_s, burst)
         };
         // A request larger than the burst is admitted when the bucket is full.
         let wanted = cost.min(burst);
--- a/crates/fleet/src/quota/mod.rs
+++ b/crates/fleet/src/quota/mod.rs
@@ -2,11 +2,23 @@
 //!
 //! The holder of the planning duty sums up the usage that all instances report. It grants each
 //! instance a share of every workspace's token bucket in proportion to recent demand there. An
-//! instance admits requests against its grant, less what it has spent since. The sum of all grants
-//! never exceeds the bucket, so the allowance holds for any number of instances. An instance whose
+//! instance admits requests against its grant, less what it has spent since. An instance whose
 //! grant is too small for a request, while the bucket holds enough, asks for a larger grant at
-//! once. Without a fresh grant, an instance admits against an equal share of the allowance, so
-//! that instances that are cut off from each other do not exceed the allowance together.
+//! once. Without a fresh grant, an instance admits against an equal share of the allowance.
+//!
+//! The allowance holds for any number of instances, whatever is cut off, killed or replaced,
+//! because at any time each unit of it can be spent by one instance only:
+//!
+//! - The holder never grants more than the bucket holds beyond what all other instances may have
+//!   spent unreported. While the answer to a report is on its way, an instance still spends its
+//!   previous grant, so the larger of the two counts.
+//! - A grant expires [`GRANT_TTL`] after the report that asked for it. If the instance has not
+//!   reported by then, it counts as having spent the whole grant.
+//! - An equal share begins empty, is used for at most [`EQUAL_SHARE_TIME`] after the last contact
+//!   with a holder, and the holder reserves it for that time. Each holder tells all instances which
+//!   ones are silent, so that a successor reserves the shares of instances it has never heard of.
+//! - A new holder grants nothing until all instances that may hold a grant of its predecessor have
+//!   reported or that grant has expired.
 
 mod holder;
 mod instance;
@@ -16,12 +28,16 @@
 use serde::{Deserialize, Serialize};
 
 pub use self::{
-    holder::GrantAllocator,
+    holder::{GrantAllocator, SILENT_INSTANCE_RESERVE_TIME},
     instance::{InstanceQuotas, OverQuota},
 };
 
 /// Age after which an instance no longer uses a grant, and the holder no longer counts it.
 pub const GRANT_TTL: Duration = Duration::from_millis(1_500);
+/// Time after the last contact with a holder for which an instance admits requests against its
+/// equal share. Longer than usual outages; without a limit, holders would have to reserve the
+/// shares of lost instances for ever.
+pub const EQUAL_SHARE_TIME: Duration = Duration::from_secs(30);
 
 /// A token bucket. Its level, in units of the allowance, may be negative.
 #[derive(Clone, Copy, Debug, PartialEq)]
@@ -64,11 +80,23 @@
     pub last_grant: Option<LastGrant>,
 }
 
+/// Identifies a grant.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
+pub struct GrantId {
+    /// Fencing token of the holder that issued it.
+    pub fence: u64,
+    /// Number of the grant in the holder's tenure; the first one is 1.
+    pub number: u64,
+}
+
 /// Bucket state in the last grant that a process received. A new holder restores the shared
 /// bucket from it.
 #[derive(Clone, Copy, Debug, PartialEq)]
 #[derive(Serialize, Deserialize)]
 pub struct LastGrant {
+    /// Identifier of the grant.
+    pub id: GrantId,
     /// Level of the bucket shared by all instances.
     pub bucket_level: f64,
     /// Time since the process received the grant.
@@ -81,6 +109,8 @@
 #[derive(Clone, Copy, Debug, Default, PartialEq)]
 #[derive(Serialize, Deserialize)]
 pub struct Grant {
+    /// Identifier, by which the holder learns from a report whether the grant arrived.
+    pub id: GrantId,
     /// Level of the bucket shared by all instances.
     pub bucket_level: f64,
     /// Units that the process may take now; negative while the allowance is overdrawn.
--- a/crates/fleet/tests/quota.rs
+++ b/crates/fleet/tests/quota.rs
@@ -52,7 +52,9 @@
             .record_usage(&format!("p{instance}"), &totals, known, self.now);
         let process = format!("p{instance}");
         let grant = self.allocator.grant(&process, "w", allowance(), self.now);
-        self.instances[instance].apply_grant("w", grant, self.now);
+        if let Some(grant) = grant {
+            self.instances[instance].apply_grant("w", grant, self.now, self.now);
+        }
     }
 
     /// Sends a request to an instance. If it is refused and the holder may grant more, the instance
@@ -243,6 +245,7 @@
         fleet
             .allocator
             .grant("p1", "w", allowance(), fleet.now)
+            .unwrap()
             .level
     };
     assert!(grant(&mut fleet) <= 5_000.0);
@@ -256,7 +259,7 @@
         ..Grant::default()
     };
     let mut quotas = InstanceQuotas::default();
-    quotas.apply_grant("w", grant, now);
+    quotas.apply_grant("w", grant, now, now);
     quotas
 }
 
@@ -292,7 +295,8 @@
     };
     let totals = HashMap::from([("w".to_owned(), totals)]);
     allocator.record_usage("p", &totals, |_| Some(allowance()), now);
-    assert!(allocator.grant("p", "w", allowance(), now).level > 0.0);
+    let grant = allocator.grant("p", "w", allowance(), now).unwrap();
+    assert!(grant.level > 0.0);
 }
 
 /// A workspace sends far beyond its rate while the holder changes again and again.
