Keep replicas that serve, and wait for engines with a local copy

Change: only loaded replicas count for evictions, and one whose requests the others cannot take over costs 5 s more; occupancy of slots adds replicas, several at once; a busy engine is waited for if that is sooner, and its estimate is told to waiting requests; the number of loads from the store follows how long they take (was: 4).

--- a/crates/fleet/src/planner/demand.rs
+++ b/crates/fleet/src/planner/demand.rs
@@ -37,6 +37,8 @@
     /// Smoothed number of requests that wait for their first event or for an engine that holds the
     /// model.
     queue: f64,
+    /// Smoothed number of requests that receive their answer.
+    running: f64,
     /// Smoothed arrivals per second.
     rate: f64,
     arrivals: u64,
@@ -50,6 +52,7 @@
             .map_or(Duration::ZERO, |at| now.saturating_duration_since(at));
         self.updated_at = Some(now);
         let queues = queue_lengths(input);
+        let running = running_requests(input);
         for name in input.arrivals.keys().chain(queues.keys()) {
             if !self.models.contains_key(name) {
                 self.models.insert(name.clone(), ModelDemand::default());
@@ -60,6 +63,8 @@
         for (name, demand) in &mut self.models {
             let queue = queues.get(name).copied().unwrap_or(0.0);
             demand.queue = demand.queue * queue_decay + queue * (1.0 - queue_decay);
+            let running = running.get(name.as_str()).copied().unwrap_or(0.0);
+            demand.running = demand.running * queue_decay + running * (1.0 - queue_decay);
             let arrivals = input.arrivals.get(name).copied().unwrap_or(demand.arrivals);
             let new_arrivals = arrivals.saturating_sub(demand.arrivals);
             demand.arrivals = arrivals;
@@ -70,12 +75,13 @@
         }
     }
 
-    /// Models with a queue length above 0.1, the longest queue first.
+    /// Models with a queue length above 0.1 or more than one running request, the longest queue
+    /// first.
     pub(super) fn busiest(&self) -> Vec<(String, f64)> {
         let mut models: Vec<_> = self
             .models
             .iter()
-            .filter(|(_, d)| d.queue > 0.1)
+            .filter(|(_, d)| d.queue > 0.1 || d.running > 1.0)
             .map(|(name, d)| (name.clone(), d.queue))
             .collect();
         models.sort_by(|a, b| b.1.total_cmp(&a.1).then_with(|| a.0.cmp(&b.0)));
@@ -87,6 +93,11 @@
         self.models.get(model).map_or(0.0, |d| d.queue)
     }
 
+    /// Smoothed number of requests for a model that receive their answer.
+    pub(super) fn running(&self, model: &str) -> f64 {
+        self.models.get(model).map_or(0.0, |d| d.running)
+    }
+
     /// Smoothed arrivals per second of a model.
     pub(super) fn rate(&self, model: &str) -> f64 {
         self.models.get(model).map_or(0.0, |d| d.rate)
@@ -108,6 +119,17 @@
     queues
 }
 
+fn running_requests<'a>(input: &PlanningInput<'a>) -> HashMap<&'a str, f64> {
+    let mut running: HashMap<&str, f64> = HashMap::new();
+    for upstream in input.upstreams {
+        for (key, load) in input.loads.get(&upstream.id).into_iter().flatten() {
+            let answering = load.running.saturating_sub(load.starting);
+            *running.entry(load::model_of(key)).or_default() += f64::from(answering);
+        }
+    }
+    running
+}
+
 fn decay_factor(elapsed: Duration, time_constant: Duration) -> f64 {
     (-elapsed.as_secs_f64() / time_constant.as_secs_f64()).exp()
 }
--- a/crates/fleet/src/planner/engine_state.rs
+++ b/crates/fleet/src/planner/engine_state.rs
@@ -21,7 +21,7 @@
 const ADAPTER_LOAD_TIME: Duration = Duration::from_millis(15);
 /// Pause before an order that conflicted with a running one is sent again; doubles with each
 /// further conflict, up to four times this.
-const CONFLICT_PAUSE: Duration = Duration::from_millis(60);
+const CONFLICT_PAUSE: Duration = Duration::from_millis(30);
 /// Consecutive missed reports after which an engine counts as unreachable.
 const MAX_MISSED_REPORTS: u32 = 2;
 /// Consecutive conflicts above which a report is required.
@@ -31,6 +31,11 @@
 /// Time for which reports may count fewer orders than were accepted: reports are a few hundred ms
 /// old.
 const MAX_ORDER_COUNT_LAG: Duration = Duration::from_millis(800);
+/// Time that a call to an engine usually takes.
+const CALL_TIME: Duration = Duration::from_millis(50);
+/// Time that an engine usually needs for an order, beside a load: an unload waits for the requests
+/// that run.
+const ORDER_TIME: Duration = Duration::from_millis(250);
 /// Pause between an accepted unload and the next order.
 const UNLOAD_PAUSE: Duration = Duration::from_millis(15);
 /// Time, in addition to four times the expected load time, after which a load that reports do not
@@ -95,6 +100,7 @@
 #[derive(Debug)]
 struct ModelLoad {
     model: String,
+    began_at: Instant,
     expected_at: Instant,
     times_out_at: Instant,
     is_from_store: bool,
@@ -169,6 +175,26 @@
             && !self.is_pausing(now)
     }
 
+    /// Estimated time until a model load can be planned; none if the engine takes no requests.
+    pub(super) fn free_in(&self, now: Instant) -> Option<Duration> {
+        if !self.accepts_requests() {
+            return None;
+        }
+        let report = if self.accepted_orders.is_none() || self.has_pending_call {
+            CALL_TIME
+        } else {
+            Duration::ZERO
+        };
+        let pause = self
+            .pause_until
+            .map_or(Duration::ZERO, |until| until.saturating_duration_since(now));
+        let loading = self.loading.as_ref().map_or(Duration::ZERO, |l| {
+            REPORT_LAG + l.expected_at.saturating_duration_since(now)
+        });
+        let planned = self.plan.iter().map(|p| p.load_time + ORDER_TIME);
+        Some(report.max(pause).max(loading) + planned.sum::<Duration>())
+    }
+
     fn is_pausing(&self, now: Instant) -> bool {
         self.pause_until.is_some_and(|until| now < until)
     }
@@ -409,6 +435,7 @@
                 let time = planned.as_ref().map_or(Duration::ZERO, |p| p.load_time);
                 self.loading = Some(ModelLoad {
                     model: artifact.model.clone(),
+                    began_at: now,
                     expected_at: now + time,
                     times_out_at: now + time * 4 + LOAD_TIMEOUT_MARGIN,
                     is_from_store: planned.is_some_and(|p| p.is_from_store),
@@ -418,20 +445,33 @@
     }
 
     /// Applies the engine's report, unless it is older than accepted orders or an order is running.
-    pub(super) fn apply_report(&mut self, report: &Report, now: Instant) {
+    /// Returns the duration of a load from the weight store that the report shows to be complete,
+    /// and its expected duration.
+    pub(super) fn apply_report(
+        &mut self,
+        report: &Report,
+        now: Instant,
+    ) -> Option<(Duration, Duration)> {
         self.has_pending_call = false;
         self.missed_reports = 0;
         self.is_suspect = false;
         self.loading_adapters
             .retain(|(_, at)| now < *at + REPORT_LAG);
         if self.is_lagging(report, now) {
-            return;
+            return None;
         }
+        let mut store_load = None;
         if let Some(loading) = &self.loading {
             if report.holds.model(&loading.model).is_some() {
+                if loading.is_from_store {
+                    let began_at = loading.began_at;
+                    let duration = now.saturating_duration_since(began_at);
+                    let expected = loading.expected_at.saturating_duration_since(began_at);
+                    store_load = Some((duration.saturating_sub(REPORT_LAG), expected));
+                }
                 self.loading = None;
             } else if now < loading.times_out_at {
-                return;
+                return None;
             } else {
                 self.loading = None;
             }
@@ -439,7 +479,7 @@
         if report.is_busy {
             // The engine is carrying out an order whose acceptance this process did not see.
             self.pause_until = Some(now + REPORT_PERIOD);
-            return;
+            return store_load;
         }
         if self.accepted_orders.is_some_and(|n| n != report.orders) {
             // The engine accepted an order without this process seeing it, so the plan may be
@@ -456,6 +496,7 @@
             self.add_adapter(adapter);
         }
         self.drop_completed_orders();
+        store_load
     }
 
     /// Whether a report predates orders that the engine has accepted. If reports stay behind for
--- a/crates/fleet/src/planner/mod.rs
+++ b/crates/fleet/src/planner/mod.rs
@@ -12,6 +12,7 @@
 mod demand;
 mod engine_state;
 mod model_placement;
+mod store_rate;
 
 use std::{
     collections::{BTreeMap, BTreeSet, HashMap},
@@ -21,7 +22,10 @@
 
 use serde::{Deserialize, Serialize};
 
-use self::{demand::DemandTracker, engine_state::EngineState, model_placement::WeightSource};
+use self::{
+    demand::DemandTracker, engine_state::EngineState, model_placement::WeightSource,
+    store_rate::StoreRate,
+};
 pub use self::{demand::WaitingRequests, engine_state::OrderResult};
 use crate::{
     config::Engine,
@@ -38,13 +42,9 @@
 const CROWDED_PRESSURE: f64 = 0.7;
 /// Pressure below which a replica counts as little used.
 const LOW_PRESSURE: f64 = 0.25;
-/// Maximum number of concurrent loads from the weight store. A weight store serves a few loads at
-/// full speed; more of them share its bandwidth and only finish later.
-const MAX_CONCURRENT_STORE_LOADS: usize = 4;
-/// Fraction of the weight store's rate limit that is used, to stay clear of the limit.
-const STORE_RATE_FRACTION: f64 = 0.9;
-/// Sliding window over which the rate of loads from the weight store is limited.
-const STORE_RATE_WINDOW: Duration = Duration::from_secs(5);
+/// Fraction of the slots of a model's replicas that running requests may take before the model gets
+/// another replica: the more requests an engine runs, the slower each of them is.
+const CROWDED_OCCUPANCY: f64 = 0.5;
 
 /// An order to an engine.
 #[derive(Clone, Debug, PartialEq, Eq)]
@@ -93,10 +93,12 @@
 pub struct Planner {
     engines: BTreeMap<String, EngineState>,
     demands: DemandTracker,
-    store_loads: Vec<Instant>,
+    store_rate: StoreRate,
     /// Time at which each adapter was last used or planned, by engine.
     adapter_uses: HashMap<(String, Artifact), Instant>,
     placement: Placement,
+    /// Estimated times at which models are loaded that wait for a busy engine.
+    expected: HashMap<String, Instant>,
 }
 
 /// Input of one planning step.
@@ -122,6 +124,7 @@
         self.sync_engines(&input, now);
         self.demands.update(&input, now);
         self.record_adapter_uses(&input, now);
+        self.expected.clear();
         self.place_awaited_artifacts(&input, now);
         self.add_replicas(&input, now);
         let actions = self.next_actions(input.spec, now);
@@ -131,8 +134,12 @@
 
     /// Applies an engine's report.
     pub fn apply_report(&mut self, upstream: &str, report: &Report, now: Instant) {
-        if let Some(engine) = self.engines.get_mut(upstream) {
-            engine.apply_report(report, now);
+        let concurrent = self.engines.values().filter(|e| e.has_store_load()).count();
+        let Some(engine) = self.engines.get_mut(upstream) else {
+            return;
+        };
+        if let Some((duration, nominal)) = engine.apply_report(report, now) {
+            self.store_rate.complete(duration, nominal, concurrent);
         }
     }
 
@@ -169,11 +176,16 @@
         &self.placement
     }
 
-    /// Estimated time until requests for an artifact can run; none if no engine holds it or plans
-    /// to load it.
+    /// Estimated time until requests for an artifact can run; none if it is not known: no engine
+    /// holds it or plans to load it, or it is an adapter of a loaded model, which takes little.
     pub fn ready_in(&self, artifact: &Artifact, now: Instant) -> Option<Duration> {
+        if artifact.adapter.is_some() && self.loaded_replica_count(&artifact.model) > 0 {
+            return None;
+        }
         let engines = self.engines.values();
-        engines.filter_map(|e| e.ready_in(artifact, now)).min()
+        let planned = engines.filter_map(|e| e.ready_in(artifact, now)).min();
+        let expected = self.expected.get(&artifact.model);
+        planned.or_else(|| expected.map(|at| at.saturating_duration_since(now)))
     }
 
     fn sync_engines(&mut self, input: &PlanningInput<'_>, now: Instant) {
@@ -228,41 +240,55 @@
         engines.any(|e| e.holds_or_plans(artifact))
     }
 
-    /// Plans another replica for each crowded model, evicting only models under clearly less
+    /// Plans further replicas for each crowded model, evicting only models under clearly less
     /// pressure.
     fn add_replicas(&mut self, input: &PlanningInput<'_>, now: Instant) {
         for (name, queue) in self.demands.busiest() {
             let replicas = self.replica_count(&name);
+            let Some(model) = input.spec.models.get(&name).filter(|_| replicas > 0) else {
+                continue;
+            };
             #[allow(clippy::cast_precision_loss)]
-            let pressure = queue / replicas.max(1) as f64;
+            let pressure = queue / replicas as f64;
+            let occupancy = self.occupancy(input, &name, replicas);
             let is_crowded = pressure >= CROWDED_PRESSURE
+                || occupancy >= CROWDED_OCCUPANCY
                 || pressure >= LOW_PRESSURE && self.lacks_free_adapter_slots(input, &name, now);
-            if replicas == 0 || !is_crowded {
-                continue;
-            }
-            // Wait for the effect of a replica that is already being loaded.
-            if self.engines.values().any(|e| e.plans_load(&name)) {
-                continue;
-            }
-            if let Some(model) = input.spec.models.get(&name) {
+            // Wait for the effect of a replica that is already being loaded, unless the demand is
+            // known to need more.
+            let is_loading = self.engines.values().any(|e| e.plans_load(&name));
+            if is_crowded && (!is_loading || occupancy >= CROWDED_OCCUPANCY) {
                 self.place_model(input, model, pressure.max(CROWDED_PRESSURE), now);
             }
         }
     }
 
+    /// Requests for a model that run or wait, as a fraction of the slots of `replicas` engines.
+    fn occupancy(&self, input: &PlanningInput<'_>, model: &str, replicas: usize) -> f64 {
+        let running = self.demands.running(model) + self.demands.queue(model);
+        #[allow(clippy::cast_precision_loss)]
+        let slots = f64::from(input.spec.slots.max(1)) * replicas as f64;
+        running / slots
+    }
+
+    /// Number of engines that hold a model after all planned orders.
     fn replica_count(&self, model: &str) -> usize {
         let engines = self.engines.values().filter(|e| e.accepts_requests());
         engines.filter(|e| e.will_hold(model)).count()
     }
 
+    /// Number of engines that hold a model now and keep it.
+    fn loaded_replica_count(&self, model: &str) -> usize {
+        let engines = self.engines.values().filter(|e| e.accepts_requests());
+        engines
+            .filter(|e| e.will_hold(model) && e.holds().model(model).is_some())
+            .count()
+    }
+
     fn may_load_from_store(&mut self, input: &PlanningInput<'_>, now: Instant) -> bool {
-        self.store_loads
-            .retain(|at| now.saturating_duration_since(*at) < STORE_RATE_WINDOW);
-        let limit = input.spec.loads_per_s * STORE_RATE_WINDOW.as_secs_f64() * STORE_RATE_FRACTION;
         let in_progress = self.engines.values().filter(|e| e.has_store_load()).count();
-        #[allow(clippy::cast_precision_loss)]
-        let started = self.store_loads.len() as f64;
-        in_progress < MAX_CONCURRENT_STORE_LOADS && started + 1.0 <= limit.max(1.0)
+        self.store_rate
+            .may_begin(in_progress, input.spec.loads_per_s, now)
     }
 
     /// Plans a load of a model at the engine with the lowest cost in load time and evictions.
@@ -278,8 +304,13 @@
         let may_use_store = self.may_load_from_store(input, now);
         let best = self.best_load_target(input, model, pressure, may_use_store, now);
         let Some(target) = best else { return };
+        if !target.begins_in.is_zero() {
+            let ready_at = now + target.begins_in + target.source.load_time(model);
+            self.expected.insert(model.name.clone(), ready_at);
+            return;
+        }
         if target.source == WeightSource::Store {
-            self.store_loads.push(now);
+            self.store_rate.begin(now);
         }
         if let Some(engine) = self.engines.get_mut(&target.upstream) {
             let time = target.source.load_time(model);
--- a/crates/fleet/src/planner/model_placement.rs
+++ b/crates/fleet/src/planner/model_placement.rs
@@ -2,7 +2,10 @@
 
 use std::time::{Duration, Instant};
 
-use super::{LOW_PRESSURE, Planner, PlanningInput, engine_state::EngineState};
+use super::{
+    CROWDED_OCCUPANCY, CROWDED_PRESSURE, LOW_PRESSURE, Planner, PlanningInput,
+    engine_state::EngineState,
+};
 use crate::{
     config::{Engine, Model},
     load,
@@ -17,10 +20,15 @@
 const DEMAND_HORIZON_S: f64 = 10.0;
 /// Cost, in seconds, of each running request that an unload has to wait for.
 const RUNNING_REQUEST_COST_S: f64 = 0.5;
+/// Shortest estimate of the time until a busy engine can begin a load.
+const MIN_WAIT: Duration = Duration::from_millis(1);
 /// Maximum pressure on the remaining replicas of an evicted model, as a fraction of the pressure
 /// of the model to be loaded.
 const MAX_EVICTED_PRESSURE_RATIO: f64 = 0.5;
 
+/// Cost, in seconds, of evicting a replica whose requests the remaining ones cannot take over.
+const CROWDING_COST_S: f64 = 5.0;
+
 /// Place from which an engine loads the weights of a model.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub(super) enum WeightSource {
@@ -45,10 +53,14 @@
     pub(super) upstream: String,
     pub(super) source: WeightSource,
     pub(super) victims: Vec<String>,
+    /// Estimated time until the load can begin; zero if it can be planned now.
+    pub(super) begins_in: Duration,
 }
 
 impl Planner {
-    /// Finds the engine with the lowest sum of load time and eviction cost.
+    /// Finds the engine with the lowest sum of load time, eviction cost and the time until it can
+    /// begin the load: a busy engine with a local copy is often better than a free one that has to
+    /// load from the weight store.
     pub(super) fn best_load_target(
         &self,
         input: &PlanningInput<'_>,
@@ -59,11 +71,14 @@
     ) -> Option<LoadTarget> {
         let mut best: Option<(f64, LoadTarget)> = None;
         for (id, engine) in &self.engines {
-            if !engine.is_free(now) || engine.will_hold(&model.name) {
+            let Some(begins_in) = engine.free_in(now) else {
+                continue;
+            };
+            if engine.will_hold(&model.name) {
                 continue;
             }
             let source = weight_source(engine, &model.name);
-            if source == WeightSource::Store && !may_use_store {
+            if source == WeightSource::Store && !(may_use_store && engine.is_free(now)) {
                 continue;
             }
             let Some((eviction_cost, victims)) =
@@ -71,12 +86,17 @@
             else {
                 continue;
             };
-            let cost = source.load_time(model).as_secs_f64() + eviction_cost;
+            let cost = (source.load_time(model) + begins_in).as_secs_f64() + eviction_cost;
             if best.as_ref().is_none_or(|(least, _)| cost < *least) {
                 let target = LoadTarget {
                     upstream: id.clone(),
                     source,
                     victims,
+                    begins_in: if engine.is_free(now) {
+                        Duration::ZERO
+                    } else {
+                        begins_in.max(MIN_WAIT)
+                    },
                 };
                 best = Some((cost, target));
             }
@@ -126,7 +146,8 @@
         let name = &held.name;
         let running = load::of_model(input.loads, id, name).running;
         let running_cost = f64::from(running) * RUNNING_REQUEST_COST_S;
-        let replicas = self.replica_count(name);
+        // A replica that is still being loaded cannot serve the requests of this one yet.
+        let replicas = self.loaded_replica_count(name);
         let has_waiting = input.waiting.iter().any(|w| w.artifact.model == *name);
         if replicas <= 1 {
             let is_needed = has_waiting || self.demands.queue(name) > LOW_PRESSURE;
@@ -142,8 +163,14 @@
         if remaining_pressure > pressure * MAX_EVICTED_PRESSURE_RATIO {
             return None;
         }
+        // If the remaining replicas cannot take over the requests, more of them suffer than are
+        // helped. A model that no engine holds must still get in, or it would starve.
+        let remaining_occupancy = self.occupancy(input, name, replicas - 1);
+        let is_crowded =
+            remaining_pressure >= CROWDED_PRESSURE || remaining_occupancy >= CROWDED_OCCUPANCY;
+        let crowding_cost = if is_crowded { CROWDING_COST_S } else { 0.0 };
         // A pressure of 1 on the remaining replicas costs one second.
-        Some(remaining_pressure + running_cost)
+        Some(remaining_pressure + running_cost + crowding_cost)
     }
 }
 
--- a/crates/fleet/tests/support/mod.rs
+++ b/crates/fleet/tests/support/mod.rs
@@ -60,6 +60,7 @@
     /// Number of orders carried out so far.
     pub order_count: u64,
     pub loading: Option<(String, Instant)>,
+    pub is_loading_from_store: bool,
     /// Orders whose answer is lost and that arrive later, each with its expected order count and
     /// its time. They are applied only if the count still matches.
     pub late_orders: Vec<(Order, u64, Instant)>,
@@ -85,6 +86,7 @@
             disk_copies: models.iter().map(|m| (*m).to_owned()).collect(),
             order_count: 0,
             loading: None,
+            is_loading_from_store: false,
             late_orders: Vec::new(),
             overloads: Vec::new(),
             store_loads: 0,
@@ -138,6 +140,7 @@
                 self.disk_copies.push(model.clone());
             }
             self.loading = None;
+            self.is_loading_from_store = false;
         }
         let in_use = &self.in_use;
         let models = &mut self.models;
@@ -201,6 +204,7 @@
             model.store_load
         };
         self.store_loads += usize::from(!has_copy);
+        self.is_loading_from_store = !has_copy;
         self.loading = Some((a.model.clone(), now + time));
         self.order_count += 1;
         OrderResult::Accepted
@@ -254,6 +258,8 @@
     /// Deliveries of the next orders, taken from the end; `Answered` once empty.
     pub deliveries: Vec<OrderDelivery>,
     pub sent_orders: Vec<(String, Order)>,
+    /// Number of loads that the weight store serves at full speed; more of them share it.
+    pub store_full_speed: usize,
 }
 
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -283,6 +289,7 @@
             reports: BTreeMap::new(),
             deliveries: Vec::new(),
             sent_orders: Vec::new(),
+            store_full_speed: usize::MAX,
         }
     }
 
@@ -312,6 +319,7 @@
     pub fn step(&mut self) {
         self.now += STEP;
         let now = self.now;
+        self.slow_down_store_loads();
         for engine in &mut self.engines {
             engine.advance(&self.spec, now);
             let history = self.reports.entry(engine.id.clone()).or_default();
@@ -349,6 +357,24 @@
         }
     }
 
+    /// Delays the ends of loads by the share of the weight store that they lack.
+    fn slow_down_store_loads(&mut self) {
+        let is_store_load = |e: &&mut FakeEngine| e.is_loading_from_store;
+        let in_progress = self.engines.iter_mut().filter(is_store_load).count();
+        if in_progress <= self.store_full_speed {
+            return;
+        }
+        let (served, all) = (
+            u32::try_from(self.store_full_speed).unwrap(),
+            u32::try_from(in_progress).unwrap(),
+        );
+        for engine in self.engines.iter_mut().filter(is_store_load) {
+            if let Some((_, ends_at)) = &mut engine.loading {
+                *ends_at += STEP * (all - served) / all;
+            }
+        }
+    }
+
     fn perform(&mut self, action: Action) {
         let now = self.now;
         match action {
