Limit what engines take in, and load what is wanted most

After shifts of demand, the busiest model stayed unloaded for up to 15 s: its requests could not wait for the load, were rejected at once, and so did not count as demand, while rare models with patient requests took each engine that became free; and an engine with lower costs was waited for, however many requests that delayed.

Change: fleet::intake limits the prompts that an engine has left to read, by the pauses that streams show, and the running requests by its slots; requests that wait for an artifact go in order, those that can still meet their goal first. Prompts of other instances count less the older their report. Recent arrivals count as demand for models that no engine holds, the most wanted come first, and the delay of a load counts for up to eight requests. A 429 names what was asked, what was left, the grant's age and the level of the bucket.

--- a/crates/entry/src/exchange/client.rs
+++ b/crates/entry/src/exchange/client.rs
@@ -239,7 +239,7 @@
         cx.apply_config(&Bytes::from(config), "holder");
     }
     cx.apply_grants(&view.grants, reported_at);
-    cx.loads.borrow_mut().set_others(view.others);
+    cx.loads.borrow_mut().set_others(view.others, now);
     let directory = view.directory;
     if let Some(age) = directory.age_ms {
         let read_at = now.checked_sub(Duration::from_millis(age)).unwrap_or(now);
--- a/crates/entry/src/serve/admit.rs
+++ b/crates/entry/src/serve/admit.rs
@@ -6,8 +6,10 @@
     HttpMessage, Payload, Request, StatusCode,
     header::{self, HeaderMap},
 };
+use comfreyweir_clock::whole_millis;
 use comfreyweir_fleet::{
     config::{Config, Route, Workspace},
+    quota::OverQuota,
     request::RequestMetadata,
 };
 use comfreyweir_http::{
@@ -190,14 +192,26 @@
     }
     taken.map_err(|over| Refusal {
         status: StatusCode::TOO_MANY_REQUESTS,
-        ..Refusal::not_run(
-            format!("workspace {name} is beyond its allowance"),
-            over.retry_after,
-        )
+        ..Refusal::not_run(over_quota_reason(name, cost, &over), over.retry_after)
     })?;
     Ok(cost)
 }
 
+/// Reason of a refusal, with the figures that decided it.
+fn over_quota_reason(workspace: &str, cost: u64, over: &OverQuota) -> String {
+    let level = over.level;
+    let from = match (over.grant_age, over.bucket_level) {
+        (Some(age), Some(bucket)) => {
+            let age_ms = whole_millis(age);
+            format!("a grant of {age_ms} ms ago from a bucket with {bucket:.0}")
+        }
+        _ => "its equal share, without a grant".to_owned(),
+    };
+    format!(
+        "workspace {workspace} is beyond its allowance: {cost} asked, {level:.0} left of {from}"
+    )
+}
+
 /// Registers a request as waiting for a larger allowance grant until dropped.
 struct GrantWait<'a, P>
 where
--- a/crates/entry/src/serve/admitted.rs
+++ b/crates/entry/src/serve/admitted.rs
@@ -10,6 +10,7 @@
 use bytes::Bytes;
 use comfreyweir_fleet::{
     config::{Route, RouteKind, Workspace},
+    intake::Urgency,
     request::{Artifact, RequestMetadata},
 };
 use comfreyweir_http::caller::CallerConnection;
@@ -81,6 +82,25 @@
         self.route.kind == RouteKind::Stream
     }
 
+    /// Urgency among requests that wait for the same artifact.
+    pub(crate) fn urgency(&self) -> Urgency {
+        let now = self.arrived;
+        Urgency {
+            rank: self.priority(),
+            goal: self.arrived + self.route.first_byte_goal,
+            gives_up: now + self.time_left_to_first_byte(now),
+        }
+    }
+
+    /// Urgency of resuming a stream at `now`: its caller already waits for the next event.
+    pub(crate) fn resume_urgency(&self, now: Instant) -> Urgency {
+        Urgency {
+            rank: 0,
+            goal: now + self.route.stream_idle_timeout,
+            gives_up: now + self.route.stream_idle_timeout,
+        }
+    }
+
     /// Priority at an engine, from 0 (most urgent) to 9. The workspace's rank overrides the
     /// route's.
     pub(crate) fn priority(&self) -> u8 {
--- a/crates/entry/src/serve/attempt.rs
+++ b/crates/entry/src/serve/attempt.rs
@@ -79,6 +79,10 @@
             self.has_started = true;
             let mut loads = self.cx.loads.borrow_mut();
             loads.started(&self.upstream.id, &self.artifact_key, self.uncached_tokens);
+            drop(loads);
+            if !self.artifact_key.is_empty() {
+                self.cx.intake_changed.notify_waiters();
+            }
         }
     }
 
--- a/crates/entry/src/serve/pick.rs
+++ b/crates/entry/src/serve/pick.rs
@@ -8,6 +8,7 @@
 
 use comfreyweir_clock::whole_millis;
 use comfreyweir_fleet::{
+    intake::Urgency,
     request::Artifact,
     upstream::Upstream,
     upstream_choice::{self, Candidate},
@@ -48,33 +49,66 @@
 }
 
 /// Waits until an upstream can run the request and returns the best one. Refuses as soon as the
-/// request cannot be served in time or its API key is no longer valid.
+/// request cannot be served in time. `urgency` orders requests that wait for the same artifact.
 pub(super) async fn pick<P>(
     cx: &Rc<EntryContext<P>>,
     request: &AdmittedRequest,
     avoided: &AvoidedUpstreams,
+    urgency: Urgency,
 ) -> Result<PickedUpstream, Refusal>
 where
     P: Platform,
 {
-    let mut wait = None;
+    let mut wait: Option<ArtifactWait<'_, P>> = None;
     loop {
         let changed = cx.state_changed.notified();
+        let taken_in = cx.intake_changed.notified();
         let now = cx.now();
         check_key_is_valid(cx, request)?;
-        if let Some(picked) = choose(cx, request, avoided, now) {
+        let ticket = wait.as_ref().and_then(|wait| wait.ticket);
+        if is_next(cx, request, ticket, urgency, now)
+            && let Some(picked) = choose(cx, request, avoided, now)
+        {
+            drop(wait);
+            if request.artifact().is_some() {
+                cx.intake_changed.notify_waiters();
+            }
             return Ok(picked);
         }
         check_time_left(cx, request, now)?;
         if wait.is_none() {
-            wait = Some(ArtifactWait::begin(cx, request));
+            wait = Some(ArtifactWait::begin(cx, request, urgency));
             log_waiting(cx, request, now);
         }
         let left = request.time_left(now);
-        let _ = timeout(RECHECK_PERIOD.min(left), changed).await;
+        let _ = timeout(RECHECK_PERIOD.min(left), async {
+            tokio::select! {
+                () = changed => {}
+                () = taken_in => {}
+            }
+        })
+        .await;
     }
 }
 
+/// Whether a request comes before all others that wait for the same artifact.
+fn is_next<P>(
+    cx: &EntryContext<P>,
+    request: &AdmittedRequest,
+    ticket: Option<u64>,
+    urgency: Urgency,
+    now: Instant,
+) -> bool
+where
+    P: Platform,
+{
+    request.artifact().is_none()
+        || cx
+            .waiting_lines
+            .borrow()
+            .is_first(&request.artifact_key(), ticket, urgency, now)
+}
+
 fn log_waiting<P>(cx: &EntryContext<P>, request: &AdmittedRequest, now: Instant)
 where
     P: Platform,
@@ -163,6 +197,18 @@
 {
     let directory = cx.directory.borrow();
     let health = cx.health.borrow();
+    let loads = cx.loads.borrow();
+    let prefix_caches = cx.prefix_caches.borrow();
+    let mut limits = cx.intake_limits.borrow_mut();
+    let limit = limits.entry(request.service.clone()).or_default();
+    let mut is_held_back = false;
+    let mut takes_in = |u: &Rc<Upstream>| {
+        let uncached_tokens = uncached_tokens(&prefix_caches, u, request);
+        let takes_in = request.artifact().is_none()
+            || limit.allows(loads.total(&u.id, now), u.slots, uncached_tokens);
+        is_held_back |= !takes_in;
+        takes_in
+    };
     let usable = |u: &&Rc<Upstream>| {
         !avoided.contains(&u.id, now)
             && !health.is_in_backoff(&u.id, now)
@@ -170,16 +216,18 @@
                 .artifact()
                 .is_none_or(|a| holds_artifact(cx, u, a, now))
     };
-    let upstreams: Vec<_> = directory.ready(&request.service).filter(usable).collect();
-    let loads = cx.loads.borrow();
-    let prefix_caches = cx.prefix_caches.borrow();
+    let upstreams = directory.ready(&request.service).filter(usable);
+    let upstreams: Vec<_> = upstreams.filter(|u| takes_in(u)).collect();
+    if upstreams.is_empty() && is_held_back {
+        limit.record_held_back();
+    }
     let settings = cx.settings();
     let candidates: Vec<_> = upstreams
         .iter()
         .map(|u| Candidate {
             id: &u.id,
             is_near: u.zone == settings.instance.zone,
-            load: loads.total(&u.id),
+            load: loads.total(&u.id, now),
             slots: u.slots,
             uncached_tokens: uncached_tokens(&prefix_caches, u, request),
             failure_rate: health.failure_rate(&u.id, now),
@@ -239,15 +287,20 @@
     cx: &'a EntryContext<P>,
     service: &'a str,
     artifact: Option<&'a Artifact>,
+    /// Ticket in the line of requests for the artifact.
+    ticket: Option<u64>,
 }
 
 impl<'a, P> ArtifactWait<'a, P>
 where
     P: Platform,
 {
-    fn begin(cx: &'a EntryContext<P>, request: &'a AdmittedRequest) -> Self {
+    fn begin(cx: &'a EntryContext<P>, request: &'a AdmittedRequest, urgency: Urgency) -> Self {
         let artifact = request.artifact();
+        let mut ticket = None;
         if let Some(artifact) = artifact {
+            let mut lines = cx.waiting_lines.borrow_mut();
+            ticket = Some(lines.join(&artifact.key(), urgency));
             let is_first = cx
                 .demand
                 .borrow_mut()
@@ -260,6 +313,7 @@
             cx,
             service: &request.service,
             artifact,
+            ticket,
         }
     }
 }
@@ -270,10 +324,14 @@
 {
     fn drop(&mut self) {
         if let Some(artifact) = self.artifact {
-            self.cx
-                .demand
+            let cx = self.cx;
+            cx.demand
                 .borrow_mut()
                 .remove_waiting(self.service, artifact);
+            if let Some(ticket) = self.ticket {
+                let mut lines = cx.waiting_lines.borrow_mut();
+                lines.leave(&artifact.key(), ticket);
+            }
         }
     }
 }
--- a/crates/entry/src/serve/relay.rs
+++ b/crates/entry/src/serve/relay.rs
@@ -194,6 +194,9 @@
                 StreamEnd::Failed(_) | StreamEnd::OutOfTime => self.sent.note_outcome(Outcome::Bad),
                 StreamEnd::CallerLeft => {}
             }
+            if self.chunk_times.first.is_some() {
+                self.adapt_intake();
+            }
             log_answered(
                 &self.cx,
                 &self.request,
@@ -220,6 +223,17 @@
         }
     }
 
+    /// Adapts what engines take in to the pauses of this stream.
+    fn adapt_intake(&self) {
+        let pause = self.chunk_times.longest_gap;
+        let goal = self.request.route.pause_goal;
+        if self.request.artifact().is_some() && !goal.is_zero() {
+            let mut limits = self.cx.intake_limits.borrow_mut();
+            let limit = limits.entry(self.request.service.clone()).or_default();
+            limit.record_stream(pause, goal, self.cx.now());
+        }
+    }
+
     /// Relays chunks until the stream completes, fails or times out, or the caller disconnects.
     async fn relay_until_end(&mut self) -> StreamEnd {
         loop {
@@ -300,8 +314,9 @@
             if !take_retry(&self.cx, &self.request) {
                 return false;
             }
+            let urgency = self.request.resume_urgency(self.cx.now());
             let picked = tokio::select! {
-                picked = pick::pick(&self.cx, &self.request, &avoided) => picked,
+                picked = pick::pick(&self.cx, &self.request, &avoided, urgency) => picked,
                 () = self.tx.closed() => return false,
                 () = caller_disconnected(&self.request) => return false,
             };
--- a/crates/entry/src/state.rs
+++ b/crates/entry/src/state.rs
@@ -15,6 +15,7 @@
     config::Config,
     directory::Directory,
     health::Health,
+    intake::{IntakeLimit, WaitingLines},
     load::LoadTracker,
     planner::{DemandReport, Placement, WaitingRequests},
     prefix_cache::PrefixCaches,
@@ -61,6 +62,13 @@
     pub(crate) health: RefCell<Health>,
     pub(crate) prefix_caches: RefCell<PrefixCaches>,
     pub(crate) demand: RefCell<Demand>,
+    /// What engines take in at a time, by service.
+    pub(crate) intake_limits: RefCell<HashMap<String, IntakeLimit>>,
+    /// Requests that wait for an engine, by artifact.
+    pub(crate) waiting_lines: RefCell<WaitingLines>,
+    /// Notifies waiting requests that an engine may take in another one, or that another request is
+    /// the first in its line.
+    pub(crate) intake_changed: Notify,
     /// Notifies waiting requests that the configuration, upstreams, placement or grants may have
     /// changed.
     pub(crate) state_changed: Notify,
@@ -265,6 +273,9 @@
             health: RefCell::default(),
             prefix_caches: RefCell::default(),
             demand: RefCell::default(),
+            intake_limits: RefCell::default(),
+            waiting_lines: RefCell::default(),
+            intake_changed: Notify::new(),
             state_changed: Notify::new(),
             demand_changed: Notify::new(),
             holder_resigned: Cell::new(false),
--- a/crates/entry/tests/support/platform.rs
+++ b/crates/entry/tests/support/platform.rs
@@ -353,6 +353,7 @@
         }],
         time_limit: Duration::from_secs(2),
         first_byte_goal: Duration::from_millis(100),
+        pause_goal: Duration::from_millis(400),
         stream_idle_timeout: Duration::from_secs(2),
         rank: 1,
         max_upstreams: 2,
--- a/crates/fleet/src/config.rs
+++ b/crates/fleet/src/config.rs
@@ -58,6 +58,8 @@
     pub time_limit: Duration,
     /// Service goal for the time to the first byte of the answer.
     pub first_byte_goal: Duration,
+    /// Service goal for the longest time between two events of a stream.
+    pub pause_goal: Duration,
     /// Time without an event, also before the first one, after which callers abandon a stream.
     pub stream_idle_timeout: Duration,
     /// Priority; 0 is the most urgent.
--- a/crates/fleet/src/lib.rs
+++ b/crates/fleet/src/lib.rs
@@ -10,6 +10,7 @@
 pub mod events;
 pub mod health;
 pub mod holder_search;
+pub mod intake;
 pub mod load;
 pub mod planner;
 pub mod prefix_cache;
--- a/crates/fleet/src/load.rs
+++ b/crates/fleet/src/load.rs
@@ -1,6 +1,9 @@
 //! Load of upstreams by the requests of this instance and of others.
 
-use std::collections::{BTreeMap, HashMap};
+use std::{
+    collections::{BTreeMap, HashMap},
+    time::{Duration, Instant},
+};
 
 use serde::{Deserialize, Serialize};
 
@@ -27,6 +30,17 @@
         }
     }
 
+    /// Reduces the prompts that wait to be read to a fraction.
+    #[allow(
+        clippy::cast_possible_truncation,
+        clippy::cast_sign_loss,
+        clippy::cast_precision_loss
+    )]
+    fn keep_unread(&mut self, fraction: f64) {
+        self.starting = (f64::from(self.starting) * fraction).round() as u32;
+        self.uncached_tokens = (self.uncached_tokens as f64 * fraction).round() as u64;
+    }
+
     /// Adds another load.
     pub fn add(&mut self, other: Self) {
         self.running += other.running;
@@ -64,11 +78,16 @@
     key.split_once('/').map_or(key, |(model, _)| model)
 }
 
+/// Time constant with which prompts that other instances had sent when they reported are read.
+const READ_TIME_CONSTANT: Duration = Duration::from_millis(100);
+
 /// Load of all upstreams.
 #[derive(Debug, Default)]
 pub struct LoadTracker {
     own: Loads,
     others: HashMap<String, Load>,
+    /// Time at which `others` was received.
+    others_at: Option<Instant>,
 }
 
 impl LoadTracker {
@@ -108,13 +127,19 @@
     }
 
     /// Replaces the load by requests of the other instances, by upstream.
-    pub fn set_others(&mut self, others: HashMap<String, Load>) {
+    pub fn set_others(&mut self, others: HashMap<String, Load>, now: Instant) {
         self.others = others;
+        self.others_at = Some(now);
     }
 
-    /// Load of an upstream by requests of all instances.
-    pub fn total(&self, upstream: &str) -> Load {
+    /// Load of an upstream by requests of all instances. Of the others' prompts, the part is left
+    /// out that the upstream has probably read since.
+    pub fn total(&self, upstream: &str, now: Instant) -> Load {
         let mut total = self.others.get(upstream).copied().unwrap_or_default();
+        let age = self
+            .others_at
+            .map_or(Duration::ZERO, |at| now.saturating_duration_since(at));
+        total.keep_unread((-age.as_secs_f64() / READ_TIME_CONSTANT.as_secs_f64()).exp());
         total.add(of_upstream(&self.own, upstream));
         total
     }
--- a/crates/fleet/src/planner/demand.rs
+++ b/crates/fleet/src/planner/demand.rs
@@ -16,6 +16,10 @@
 /// request only about every ten seconds.
 const RATE_TIME_CONSTANT: Duration = Duration::from_secs(20);
 
+/// Time constant of the rate of recent arrivals: about the time after which a caller that was
+/// rejected returns.
+const RECENT_TIME_CONSTANT: Duration = Duration::from_secs(2);
+
 /// Requests that wait for an artifact that no engine holds.
 #[derive(Clone, Debug, PartialEq, Eq)]
 #[derive(Serialize, Deserialize)]
@@ -41,6 +45,8 @@
     running: f64,
     /// Smoothed arrivals per second.
     rate: f64,
+    /// Arrivals per second, smoothed over a short time.
+    recent_rate: f64,
     arrivals: u64,
 }
 
@@ -60,6 +66,7 @@
         }
         let queue_decay = decay_factor(elapsed, QUEUE_TIME_CONSTANT);
         let rate_decay = decay_factor(elapsed, RATE_TIME_CONSTANT);
+        let recent_decay = decay_factor(elapsed, RECENT_TIME_CONSTANT);
         for (name, demand) in &mut self.models {
             let queue = queues.get(name).copied().unwrap_or(0.0);
             demand.queue = demand.queue * queue_decay + queue * (1.0 - queue_decay);
@@ -72,6 +79,8 @@
             let new_arrivals = new_arrivals as f64;
             demand.rate =
                 demand.rate * rate_decay + new_arrivals / RATE_TIME_CONSTANT.as_secs_f64();
+            demand.recent_rate = demand.recent_rate * recent_decay
+                + new_arrivals / RECENT_TIME_CONSTANT.as_secs_f64();
         }
     }
 
@@ -98,6 +107,19 @@
         self.models.get(model).map_or(0.0, |d| d.running)
     }
 
+    /// Arrivals per second of a model, smoothed over about two seconds.
+    pub(super) fn recent_rate(&self, model: &str) -> f64 {
+        self.models.get(model).map_or(0.0, |d| d.recent_rate)
+    }
+
+    /// Models with at least `rate` recent arrivals per second.
+    pub(super) fn recently_asked(&self, rate: f64) -> impl Iterator<Item = &str> {
+        let models = self.models.iter();
+        models
+            .filter(move |(_, d)| d.recent_rate >= rate)
+            .map(|(name, _)| name.as_str())
+    }
+
     /// Smoothed arrivals per second of a model.
     pub(super) fn rate(&self, model: &str) -> f64 {
         self.models.get(model).map_or(0.0, |d| d.rate)
--- a/crates/fleet/src/planner/mod.rs
+++ b/crates/fleet/src/planner/mod.rs
@@ -23,7 +23,9 @@
 use serde::{Deserialize, Serialize};
 
 use self::{
-    demand::DemandTracker, engine_state::EngineState, model_placement::WeightSource,
+    demand::DemandTracker,
+    engine_state::EngineState,
+    model_placement::{Wanted, WeightSource},
     store_rate::StoreRate,
 };
 pub use self::{demand::WaitingRequests, engine_state::OrderResult};
@@ -46,6 +48,9 @@
 /// another replica: the more requests an engine runs, the slower each of them is.
 const CROWDED_OCCUPANCY: f64 = 0.5;
 
+/// Recent arrivals per second from which a model is wanted although no request waits for it.
+const MIN_RECENT_RATE: f64 = 0.25;
+
 /// An order to an engine.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub enum Order {
@@ -212,14 +217,14 @@
             .collect();
     }
 
-    /// Plans loads of the artifacts that requests wait for and that no engine holds or plans.
+    /// Plans loads of the artifacts that requests wait for and that no engine holds or plans, the
+    /// most wanted first.
     fn place_awaited_artifacts(&mut self, input: &PlanningInput<'_>, now: Instant) {
-        for waiting in input.waiting {
-            let artifact = &waiting.artifact;
+        for (requests, artifact) in self.awaited_artifacts(input) {
             let Some(model) = input.spec.models.get(&artifact.model) else {
                 continue;
             };
-            if self.is_held_or_planned(artifact) {
+            if self.is_held_or_planned(&artifact) {
                 continue;
             }
             let is_model_held = self
@@ -227,13 +232,39 @@
                 .values()
                 .any(|e| e.accepts_requests() && e.will_hold(&artifact.model));
             if is_model_held && artifact.adapter.is_some() {
-                self.place_adapter(input, artifact, now);
+                self.place_adapter(input, &artifact, now);
             } else if !is_model_held {
-                self.place_model(input, model, f64::INFINITY, now);
+                let wanted = Wanted {
+                    pressure: f64::INFINITY,
+                    requests,
+                };
+                self.place_model(input, model, wanted, now);
             }
         }
     }
 
+    /// Artifacts that requests wait for, and models that requests have recently asked for, the most
+    /// wanted first, with the number of requests for them. Requests that cannot wait long enough are
+    /// rejected and come back, so those that wait alone do not show the demand.
+    fn awaited_artifacts(&self, input: &PlanningInput<'_>) -> Vec<(f64, Artifact)> {
+        let waiting = input.waiting.iter().map(|waiting| {
+            let recent = self.demands.recent_rate(&waiting.artifact.model);
+            (
+                f64::from(waiting.requests) + recent,
+                waiting.artifact.clone(),
+            )
+        });
+        let is_waiting = |model: &str| input.waiting.iter().any(|w| w.artifact.model == model);
+        let recent = self.demands.recently_asked(MIN_RECENT_RATE);
+        let recent = recent.filter(|model| !is_waiting(model)).map(|model| {
+            let artifact = Artifact::parse(model);
+            (self.demands.recent_rate(model), artifact)
+        });
+        let mut awaited: Vec<_> = waiting.chain(recent).collect();
+        awaited.sort_by(|a, b| b.0.total_cmp(&a.0).then_with(|| a.1.cmp(&b.1)));
+        awaited
+    }
+
     /// Whether any engine holds the artifact or has a planned order to load it.
     fn is_held_or_planned(&self, artifact: &Artifact) -> bool {
         let mut engines = self.engines.values().filter(|e| e.accepts_requests());
@@ -258,7 +289,11 @@
             // known to need more.
             let is_loading = self.engines.values().any(|e| e.plans_load(&name));
             if is_crowded && (!is_loading || occupancy >= CROWDED_OCCUPANCY) {
-                self.place_model(input, model, pressure.max(CROWDED_PRESSURE), now);
+                let wanted = Wanted {
+                    pressure: pressure.max(CROWDED_PRESSURE),
+                    requests: 1.0,
+                };
+                self.place_model(input, model, wanted, now);
             }
         }
     }
@@ -291,18 +326,17 @@
             .may_begin(in_progress, input.spec.loads_per_s, now)
     }
 
-    /// Plans a load of a model at the engine with the lowest cost in load time and evictions.
-    /// `pressure` is that of the model, infinite if no engine holds it; evicted models must be
-    /// clearly below it.
+    /// Plans a load of a model at the engine with the lowest cost in load time and evictions. If
+    /// that engine is busy, its estimate is kept for the requests that wait.
     fn place_model(
         &mut self,
         input: &PlanningInput<'_>,
         model: &crate::config::Model,
-        pressure: f64,
+        wanted: Wanted,
         now: Instant,
     ) {
         let may_use_store = self.may_load_from_store(input, now);
-        let best = self.best_load_target(input, model, pressure, may_use_store, now);
+        let best = self.best_load_target(input, model, wanted, may_use_store, now);
         let Some(target) = best else { return };
         if !target.begins_in.is_zero() {
             let ready_at = now + target.begins_in + target.source.load_time(model);
--- a/crates/fleet/src/planner/model_placement.rs
+++ b/crates/fleet/src/planner/model_placement.rs
@@ -20,6 +20,8 @@
 const DEMAND_HORIZON_S: f64 = 10.0;
 /// Cost, in seconds, of each running request that an unload has to wait for.
 const RUNNING_REQUEST_COST_S: f64 = 0.5;
+/// Maximum number of requests for which the delay of a load counts.
+const MAX_DELAYED_REQUESTS: f64 = 8.0;
 /// Shortest estimate of the time until a busy engine can begin a load.
 const MIN_WAIT: Duration = Duration::from_millis(1);
 /// Maximum pressure on the remaining replicas of an evicted model, as a fraction of the pressure
@@ -47,6 +49,16 @@
     }
 }
 
+/// How much a model that is to be loaded is wanted.
+#[derive(Clone, Copy, Debug)]
+pub(super) struct Wanted {
+    /// Pressure of the model, infinite if no engine holds it. Evicted models must be clearly below
+    /// it.
+    pub(super) pressure: f64,
+    /// Requests that are delayed until the model is loaded.
+    pub(super) requests: f64,
+}
+
 /// Engine at which a model is to be loaded, and the models to evict first.
 #[derive(Debug)]
 pub(super) struct LoadTarget {
@@ -58,14 +70,14 @@
 }
 
 impl Planner {
-    /// Finds the engine with the lowest sum of load time, eviction cost and the time until it can
-    /// begin the load: a busy engine with a local copy is often better than a free one that has to
-    /// load from the weight store.
+    /// Finds the engine with the lowest sum of eviction cost and, for each request that is delayed,
+    /// load time and the time until the load can begin: a busy engine with a local copy is often
+    /// better than a free one that has to load from the weight store.
     pub(super) fn best_load_target(
         &self,
         input: &PlanningInput<'_>,
         model: &Model,
-        pressure: f64,
+        wanted: Wanted,
         may_use_store: bool,
         now: Instant,
     ) -> Option<LoadTarget> {
@@ -82,11 +94,13 @@
                 continue;
             }
             let Some((eviction_cost, victims)) =
-                self.choose_victims(input, id, engine, model, pressure)
+                self.choose_victims(input, id, engine, model, wanted.pressure)
             else {
                 continue;
             };
-            let cost = (source.load_time(model) + begins_in).as_secs_f64() + eviction_cost;
+            let delay = source.load_time(model) + begins_in;
+            let requests = wanted.requests.clamp(1.0, MAX_DELAYED_REQUESTS);
+            let cost = delay.as_secs_f64() * requests + eviction_cost;
             if best.as_ref().is_none_or(|(least, _)| cost < *least) {
                 let target = LoadTarget {
                     upstream: id.clone(),
--- a/crates/fleet/src/quota/instance.rs
+++ b/crates/fleet/src/quota/instance.rs
@@ -51,12 +51,18 @@
 }
 
 /// Refusal of a request that exceeds its workspace's allowance.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(Clone, Copy, Debug, PartialEq)]
 pub struct OverQuota {
     /// Time after which the allowance suffices if no other request takes it; from 10 ms to 60 s.
     pub retry_after: Duration,
     /// Whether the holder had enough left to grant the request if asked now.
     pub may_grant_more: bool,
+    /// Units that the instance could admit.
+    pub level: f64,
+    /// Age of the grant that decided; none if the equal share did.
+    pub grant_age: Option<Duration>,
+    /// Level of the bucket shared by all instances, as of the last grant.
+    pub bucket_level: Option<f64>,
 }
 
 impl InstanceQuotas {
@@ -184,6 +190,10 @@
         let grant = self.grant.as_mut();
         let fresh_grant = grant.filter(|g| now < g.expires_at);
         let spare = fresh_grant.as_ref().map_or(0.0, |g| g.spare);
+        let grant_age = fresh_grant
+            .as_ref()
+            .map(|g| now.saturating_duration_since(g.received_at));
+        let bucket_level = fresh_grant.as_ref().map(|g| g.bucket_level);
         let (level, per_s, burst) = if let Some(grant) = fresh_grant {
             // The equal share starts empty when the grant expires.
             self.equal_share = Bucket::new(0.0, now);
@@ -200,6 +210,9 @@
                 return Err(OverQuota {
                     retry_after: NO_HOLDER_RETRY_AFTER,
                     may_grant_more: false,
+                    level: 0.0,
+                    grant_age,
+                    bucket_level,
                 });
             }
             (level, per_s, burst)
@@ -211,6 +224,9 @@
             return Err(OverQuota {
                 retry_after: Duration::from_secs_f64(wait_s.clamp(0.01, 60.0)),
                 may_grant_more: wanted <= level + spare,
+                level,
+                grant_age,
+                bucket_level,
             });
         }
         self.spent += cost;
--- a/crates/fleet/tests/decisions.rs
+++ b/crates/fleet/tests/decisions.rs
@@ -30,6 +30,7 @@
         }],
         time_limit: Duration::from_secs(1),
         first_byte_goal: Duration::from_millis(100),
+        pause_goal: Duration::from_millis(400),
         stream_idle_timeout: Duration::from_secs(2),
         rank: 0,
         max_upstreams: 2,
--- a/crates/fleet/tests/demand_shift.rs
+++ b/crates/fleet/tests/demand_shift.rs
@@ -193,3 +193,44 @@
     let fast = concurrent_store_loads(8);
     assert!((7..=11).contains(&fast), "{fast} at a store that serves 8");
 }
+
+/// Demand moves to a model that no engine holds. Its requests cannot wait for the load and are
+/// rejected at once, so that none is waiting.
+///
+/// Regression: only waiting requests counted, and rare models with patient requests were loaded
+/// first, for ten seconds.
+#[test]
+fn model_whose_requests_are_rejected_at_once_is_still_loaded() {
+    let models = [model("held", LARGE_MB, 0), model("new", LARGE_MB, 0)];
+    let engines = vec![FakeEngine::new("e1", &["held"]), FakeEngine::new("e2", &[])];
+    let mut fleet = Fleet::new(&models, engines);
+    fleet.run_for(seconds(1.0));
+    for _ in 0..20 {
+        *fleet.arrivals.entry("new".to_owned()).or_default() += 1;
+        fleet.run_for(seconds(0.1));
+    }
+    let is_loading = |e: &FakeEngine| e.loading.as_ref().is_some_and(|(m, _)| m == "new");
+    assert!(fleet.engines.iter().any(is_loading));
+}
+
+/// The engine with a local copy runs some requests of another model, which would have to move. Many
+/// requests want the model, and the weight store would delay all of them.
+#[test]
+fn delay_of_many_requests_weighs_more_than_moving_a_few() {
+    let models = [model("other", LARGE_MB, 0), model("new", LARGE_MB, 0)];
+    let mut with_copy = FakeEngine::new("e1", &["other"]);
+    with_copy.disk_copies.push("new".to_owned());
+    let engines = vec![
+        with_copy,
+        FakeEngine::new("e2", &["other"]),
+        FakeEngine::new("e3", &[]),
+    ];
+    let mut fleet = Fleet::new(&models, engines);
+    fleet.spec.weights_mb = LARGE_MB + 5.0;
+    set_running(&mut fleet, "e1", "other", 3);
+    set_running(&mut fleet, "e2", "other", 3);
+    fleet.run_for(seconds(3.0));
+    fleet.add_waiting("new", 12);
+    fleet.run_for(seconds(2.0));
+    assert!(fleet.waiting.is_empty(), "{:?}", fleet.sent_orders);
+}
