--- a/crates/entry/src/duty/coordinator.rs
+++ b/crates/entry/src/duty/coordinator.rs
@@ -13,10 +13,11 @@
     config::Service,
     duty::Tenure,
     load::{self, Load, Loads},
-    planner::{Action, Placement, Planner, PlanningInput, WaitingRequests},
+    planner::{Action, ArrivalTotals, Placement, Planner, PlanningInput, WaitingRequests},
     quota::GrantAllocator,
     request::Artifact,
     upstream::Upstream,
+    versioned_list::{ListVersion, VersionedList},
 };
 use tokio::{sync::Notify, time::timeout};
 
@@ -30,6 +31,9 @@
 /// upstreams are then ignored.
 const REPORT_MAX_AGE: Duration = Duration::from_millis(1_500);
 
+/// Fraction of the instance's bandwidth that sending configurations to other instances may take.
+const CONFIG_LINK_FRACTION: f64 = 0.3;
+
 /// Runs the planners and answers other instances' reports. Every instance has one; it is active
 /// only while the instance holds the planning duty.
 pub(crate) struct Coordinator<P> {
@@ -59,8 +63,10 @@
     engine_versions: HashMap<String, u64>,
     /// Number of changes of the placement in this tenure.
     placement_version: u64,
-    directory: Vec<Rc<Upstream>>,
-    directory_version: u64,
+    directory: VersionedList,
+    arrivals: ArrivalTotals,
+    /// Time until which the configurations that were sent last take the instance's bandwidth.
+    sending_config_until: Option<Instant>,
 }
 
 impl<P> Coordinator<P>
@@ -85,6 +91,7 @@
         let silent = self.cx.members.borrow().possibly_silent(now);
         *self.state.borrow_mut() = TenureState {
             grant_allocator: GrantAllocator::begin(tenure.fence, silent, now),
+            directory: VersionedList::new(rand::random()),
             ..TenureState::default()
         };
         self.tenure.set(Some(tenure));
@@ -181,7 +188,7 @@
         let config = self.cx.config();
         let directory: Vec<_> = self.cx.directory.borrow().iter().cloned().collect();
         let mut state = self.state.borrow_mut();
-        state.update_directory(&directory);
+        state.directory.update(&directory);
         let loads = state.loads(now);
         let suspects = state.suspects(now);
         for service in config.services.values() {
@@ -234,6 +241,9 @@
         state
             .grant_allocator
             .record_usage(&report.process, &report.spent, allowance, now);
+        state
+            .arrivals
+            .record(&report.process, &report.demand.arrivals);
         let has_waiting = !report.demand.waiting.is_empty();
         state.reports.insert(report.process.clone(), (report, now));
         if has_waiting {
@@ -261,7 +271,7 @@
                 grants.extend(grant.map(|grant| (name.clone(), grant)));
             }
         }
-        let newer = config.version > request.config;
+        let sends_config = request.needs_config && self.may_send_config(&mut state, now);
         let value = self.cx.config_value();
         SystemView {
             placement,
@@ -272,27 +282,40 @@
             grants,
             silent: state.grant_allocator.silent_instances(now),
             directory: self.directory_view(&state, request.directory, now),
-            config: newer.then(|| String::from_utf8_lossy(&value).into_owned()),
+            config: sends_config.then(|| String::from_utf8_lossy(&value).into_owned()),
+            config_version: config.version,
             config_age_ms: self.cx.config_age(now).map_or(u64::MAX, whole_millis),
             instances: self.cx.members.borrow().instances.len(),
             holder: self.cx.members.borrow().holder.clone(),
         }
     }
 
+    /// Whether a configuration may be sent now: one after the other, so that they leave bandwidth
+    /// for everything else. If so, it counts as sent.
+    fn may_send_config(&self, state: &mut TenureState, now: Instant) -> bool {
+        if state.sending_config_until.is_some_and(|until| now < until) {
+            return false;
+        }
+        let link_mbps = self.cx.settings().instance.link_mbps;
+        let bits_per_s = (link_mbps * 1e6 * CONFIG_LINK_FRACTION).max(1.0);
+        #[allow(clippy::cast_precision_loss)]
+        let bits = self.cx.config_value().len() as f64 * 8.0;
+        let time = Duration::try_from_secs_f64(bits / bits_per_s).unwrap_or_default();
+        state.sending_config_until = Some(now + time);
+        true
+    }
+
     fn directory_view(
         &self,
         state: &TenureState,
-        known_version: u64,
+        known_version: ListVersion,
         now: Instant,
     ) -> DirectoryView {
         let directory = self.cx.directory.borrow();
-        let is_new = known_version != state.directory_version;
-        let list = || state.directory.iter().map(|u| (**u).clone()).collect();
         DirectoryView {
-            version: state.directory_version,
             revision: directory.revision(),
             age_ms: directory.age(now).map(whole_millis),
-            list: is_new.then(list),
+            changes: state.directory.changes_since(known_version),
         }
     }
 }
@@ -302,8 +325,8 @@
 struct ViewRequest {
     process: String,
     placement: (u64, u64),
-    directory: u64,
-    config: u64,
+    directory: ListVersion,
+    needs_config: bool,
     waiting: Vec<(String, Artifact)>,
 }
 
@@ -317,26 +340,13 @@
             process: report.process.clone(),
             placement: report.placement,
             directory: report.directory,
-            config: report.config,
+            needs_config: report.needs_config,
             waiting: waiting.collect(),
         }
     }
 }
 
 impl TenureState {
-    /// Replaces the list of upstreams and its version if the content changed.
-    fn update_directory(&mut self, directory: &[Rc<Upstream>]) {
-        // Entries are the same `Rc` until the list is read again, which saves comparing contents.
-        let is_same = |(a, b): (&Rc<Upstream>, &Rc<Upstream>)| Rc::ptr_eq(a, b) || a == b;
-        let same = self.directory.len() == directory.len()
-            && self.directory.iter().zip(directory).all(is_same);
-        if !same || self.directory_version == 0 {
-            self.directory = directory.to_vec();
-            // Random, so that instances don't mistake a version of another holder for this one.
-            self.directory_version = rand::random();
-        }
-    }
-
     fn plan_service(
         &mut self,
         service: &Service,
@@ -348,7 +358,7 @@
         let upstreams_of_service = directory.iter().filter(|u| u.service == service.name);
         let upstreams: Vec<_> = upstreams_of_service.cloned().collect();
         let waiting = self.waiting_by_artifact(&service.name, now);
-        let arrivals = self.arrivals_by_model(&service.name);
+        let arrivals = self.arrivals.of_service(&service.name);
         let planner = self.planners.entry(service.name.clone()).or_default();
         let input = PlanningInput {
             upstreams: &upstreams,
@@ -474,18 +484,6 @@
             .collect()
     }
 
-    /// Sums the request counters of a service's models. Stale reports count too: counters only
-    /// rise.
-    fn arrivals_by_model(&self, service: &str) -> HashMap<String, u64> {
-        let mut sum: HashMap<String, u64> = HashMap::new();
-        for (report, _) in self.reports.values() {
-            for (model, count) in report.demand.arrivals.get(service).into_iter().flatten() {
-                *sum.entry(model.clone()).or_default() += count;
-            }
-        }
-        sum
-    }
-
     /// Expected time in ms until each artifact is loaded; artifacts without an estimate are left
     /// out.
     fn ready_in(&self, waiting: &[(String, Artifact)], now: Instant) -> Vec<(Artifact, u64)> {
--- a/crates/entry/src/duty/election.rs
+++ b/crates/entry/src/duty/election.rs
@@ -40,6 +40,9 @@
 const MAX_STEP_PAUSE: Duration = Duration::from_millis(50);
 /// Shortest pause between two planner runs, so that a burst of reports is handled in one run.
 const MIN_STEP_PAUSE: Duration = Duration::from_millis(4);
+/// Addition to the shortest pause for each upstream: a planner run takes longer the more engines
+/// there are, and must leave most of the CPU to the exchange.
+const STEP_TIME_PER_UPSTREAM: Duration = Duration::from_micros(150);
 /// Time beyond [`MAX_STEP_PAUSE`] after which the process is considered to have been suspended.
 const SUSPENSION_THRESHOLD: Duration = Duration::from_millis(100);
 
@@ -249,7 +252,9 @@
         }
         coordinator.run_planners();
         actions::start_actions(cx, coordinator, tenure, may_order);
-        sleep(MIN_STEP_PAUSE).await;
+        let engines = u32::try_from(cx.directory.borrow().iter().count()).unwrap_or(u32::MAX);
+        let step_pause = (STEP_TIME_PER_UPSTREAM * engines).clamp(MIN_STEP_PAUSE, MAX_STEP_PAUSE);
+        sleep(step_pause).await;
         let _ = timeout(MAX_STEP_PAUSE, coordinator.step_requested()).await;
     }
     renewals.abort();
--- a/crates/entry/src/exchange/client.rs
+++ b/crates/entry/src/exchange/client.rs
@@ -13,7 +13,7 @@
 use snafu::{ResultExt, Snafu};
 use tokio::time::timeout;
 
-use super::message::{ExchangeAnswer, InstanceReport, SystemView};
+use super::message::{DirectoryView, ExchangeAnswer, InstanceReport, SystemView};
 use crate::{duty::Coordinator, follow::members, platform::Platform, state::EntryContext};
 
 /// Longest time for which the holder may delay its answer until the placement changes, while
@@ -21,10 +21,9 @@
 const MAX_PLACEMENT_WAIT: Duration = Duration::from_millis(100);
 /// Time beyond that delay after which a call to the holder times out.
 const ANSWER_TIMEOUT_MARGIN: Duration = Duration::from_millis(500);
-/// Upper bound of the time that the holder spends on one report. The reporting period is at least
-/// this times the number of instances, so that the exchange takes a small part of the holder's CPU
-/// and bandwidth in large fleets too.
-const HOLDER_TIME_PER_INSTANCE: Duration = Duration::from_millis(5);
+/// Time that an instance has for reading a newer configuration from the store before it asks the
+/// holder for it. The store serves all instances sooner than the holder could.
+const OWN_CONFIG_READ_TIME: Duration = Duration::from_millis(500);
 /// Pause after a failed exchange.
 const RETRY_PAUSE: Duration = Duration::from_millis(150);
 /// Shortest pause between two reports.
@@ -109,13 +108,7 @@
     if cx.demand.borrow().has_waiting() {
         return;
     }
-    let instances = u32::try_from(cx.instance_count()).unwrap_or(u32::MAX);
-    let period = cx
-        .settings()
-        .timing
-        .exchange_interval()
-        .max(HOLDER_TIME_PER_INSTANCE * instances);
-    let _ = timeout(period, cx.demand_changed.notified()).await;
+    let _ = timeout(cx.exchange_period(), cx.demand_changed.notified()).await;
 }
 
 /// Connection to the holder, and how to find it.
@@ -139,7 +132,9 @@
         let reported_at = cx.now();
         if coordinator.has_duty() {
             self.link = None;
+            let arrivals = report.demand.arrivals.clone();
             if let ExchangeAnswer::View(view) = coordinator.exchange(report, wait).await {
+                cx.demand.borrow_mut().acknowledge(arrivals);
                 apply_view(cx, *view, reported_at);
             }
             return Ok(());
@@ -147,6 +142,7 @@
         let addr = self.target_addr(cx).ok_or(ExchangeError::NoHolder)?;
         match self.call(cx, addr, &report, wait).await {
             Ok(ExchangeAnswer::View(view)) => {
+                cx.demand.borrow_mut().acknowledge(report.demand.arrivals);
                 self.search.record_found();
                 apply_view(cx, *view, reported_at);
                 Ok(())
@@ -224,8 +220,10 @@
         spent: cx.quotas.borrow().totals(cx.now()),
         unreachable: cx.health.borrow().upstreams_in_backoff(cx.now()),
         placement: placement.fence_and_version,
-        directory: placement.directory_version,
-        config: cx.config().version,
+        directory: placement.holder_list.version(),
+        needs_config: cx
+            .newer_config_age(cx.now())
+            .is_some_and(|age| age >= OWN_CONFIG_READ_TIME),
     }
 }
 
@@ -240,21 +238,10 @@
     }
     cx.apply_grants(&view.grants, reported_at);
     cx.loads.borrow_mut().set_others(view.others, now);
-    let directory = view.directory;
-    if let Some(age) = directory.age_ms {
-        let read_at = now.checked_sub(Duration::from_millis(age)).unwrap_or(now);
-        match directory.list {
-            Some(list) => cx.replace_directory(list, directory.revision, read_at, "holder"),
-            None => cx
-                .directory
-                .borrow_mut()
-                .confirm(directory.revision, read_at),
-        }
-    }
+    apply_directory(cx, view.directory, now);
     cx.holder_resigned.set(false);
     let mut placement = cx.placement.borrow_mut();
     placement.confirm(now);
-    placement.directory_version = directory.version;
     placement.fence_and_version = view.placement;
     let ready_in = view.ready_in_ms.into_iter();
     placement.ready_in = ready_in
@@ -271,6 +258,32 @@
     members.holder = view.holder;
     members.set_silent(&view.silent, now);
     drop(members);
-    cx.confirm_config(now.checked_sub(Duration::from_millis(view.config_age_ms)));
+    let confirmed_at = now.checked_sub(Duration::from_millis(view.config_age_ms));
+    cx.hear_of_config(view.config_version, confirmed_at);
     cx.state_changed.notify_waiters();
 }
+
+/// Applies the holder's list of upstreams.
+fn apply_directory<P>(cx: &EntryContext<P>, directory: DirectoryView, now: Instant)
+where
+    P: Platform,
+{
+    let mut placement = cx.placement.borrow_mut();
+    let has_changed = directory.changes.is_some();
+    if let Some(changes) = directory.changes {
+        placement.holder_list.apply(changes);
+    }
+    let Some(age) = directory.age_ms else { return };
+    let read_at = now.checked_sub(Duration::from_millis(age)).unwrap_or(now);
+    // The list in force may also differ because this instance has read it itself, or has kept
+    // entries for a while.
+    let is_same = placement.holder_list.len() == cx.directory.borrow().iter().count();
+    if is_same && !has_changed {
+        let mut known = cx.directory.borrow_mut();
+        known.confirm(directory.revision, read_at);
+        return;
+    }
+    let list = placement.holder_list.list();
+    drop(placement);
+    cx.replace_directory(list, directory.revision, read_at, "holder");
+}
--- a/crates/entry/src/exchange/message.rs
+++ b/crates/entry/src/exchange/message.rs
@@ -7,7 +7,7 @@
     planner::{DemandReport, Placement},
     quota::{Grant, UsageTotals},
     request::Artifact,
-    upstream::Upstream,
+    versioned_list::{ListChanges, ListVersion},
 };
 use serde::{Deserialize, Serialize};
 
@@ -30,9 +30,9 @@
     /// Fencing token and version of the placement that it knows.
     pub(crate) placement: (u64, u64),
     /// Version of the holder's list of upstreams that it knows.
-    pub(crate) directory: u64,
-    /// Version of its configuration.
-    pub(crate) config: u64,
+    pub(crate) directory: ListVersion,
+    /// Whether it knows of a newer configuration and could not read it from the store.
+    pub(crate) needs_config: bool,
 }
 
 /// Answer to a report.
@@ -67,8 +67,10 @@
     pub(crate) silent: HashMap<String, Duration>,
     /// The holder's list of upstreams.
     pub(crate) directory: DirectoryView,
-    /// The configuration, if the instance has an older one.
+    /// The configuration, if the instance needs it.
     pub(crate) config: Option<String>,
+    /// Version of the holder's configuration.
+    pub(crate) config_version: u64,
     /// Time in ms since the holder's configuration was last confirmed to be the newest; `u64::MAX`
     /// if never.
     pub(crate) config_age_ms: u64,
@@ -82,12 +84,10 @@
 #[derive(Clone, Debug, Default, PartialEq)]
 #[derive(Serialize, Deserialize)]
 pub(crate) struct DirectoryView {
-    /// Version of the list's content. A random number, only comparable for equality.
-    pub(crate) version: u64,
     /// Store revision at which it was read.
     pub(crate) revision: u64,
     /// Age of the list in ms; none if the holder has not read it yet.
     pub(crate) age_ms: Option<u64>,
-    /// The list, if the instance knows another version.
-    pub(crate) list: Option<Vec<Upstream>>,
+    /// Changes of the list, if the instance does not know its current version.
+    pub(crate) changes: Option<ListChanges>,
 }
--- a/crates/entry/src/follow/config.rs
+++ b/crates/entry/src/follow/config.rs
@@ -1,12 +1,15 @@
 //! Follows the operator's configuration.
 //!
-//! The holder of the planning duty watches it in the store and sends it to the other instances,
-//! which query the store only if the holder has not confirmed their configuration for some time. So
-//! the load on the store does not grow with the number of instances.
+//! The holder of the planning duty watches it in the store and tells the other instances its
+//! version. They query the store only for a newer one, or if the holder has not confirmed theirs for
+//! some time. So only changes load the store, and the holder's link does not limit how soon a
+//! change is in force everywhere. An instance that the store turns away gets the configuration from
+//! the holder.
 
 use std::{rc::Rc, time::Duration};
 
 use actix_rt::time::sleep;
+use tokio::time::timeout;
 
 use super::{RETRY_PAUSE, outage_log::OutageLog};
 use crate::{
@@ -14,10 +17,10 @@
     state::EntryContext,
 };
 
-/// Longest time for which one watch call waits for a change. A connection may stop delivering data
-/// without an error, so each wait is well below the time within which a new configuration must be
-/// in force.
-const WATCH_WAIT: Duration = Duration::from_millis(400);
+/// Longest time for which one watch call waits for a change, as a fraction of the time within which
+/// a new configuration must be in force. A connection may stop delivering data without an error, so
+/// each wait is well below that time.
+const WATCH_WAIT_RATIO: f64 = 0.2;
 /// Time beyond the wait after which a watch call times out.
 const WATCH_ANSWER_MARGIN: Duration = Duration::from_millis(400);
 /// Pause between two watch calls, so that a series of changes is fetched in batches.
@@ -61,7 +64,12 @@
     loop {
         wait_until_stale(cx).await;
         let called_at = cx.now();
-        let waits = (WATCH_WAIT, WATCH_ANSWER_MARGIN);
+        let watch_wait = cx
+            .settings()
+            .timing
+            .max_config_delay()
+            .mul_f64(WATCH_WAIT_RATIO);
+        let waits = (watch_wait, WATCH_ANSWER_MARGIN);
         let Some(changes) = super::watch_changes(cx, outage_log, (key, after), waits).await? else {
             return Ok(());
         };
@@ -88,7 +96,11 @@
         .timing
         .max_config_delay()
         .mul_f64(OWN_READ_AGE_RATIO);
-    while !cx.is_holder() && cx.config_age(cx.now()).is_some_and(|age| age < max_age) {
-        sleep(POLL_INTERVAL).await;
+    let is_fresh = || {
+        cx.config_age(cx.now()).is_some_and(|age| age < max_age)
+            && cx.newer_config_age(cx.now()).is_none()
+    };
+    while !cx.is_holder() && is_fresh() {
+        let _ = timeout(POLL_INTERVAL, cx.newer_config_heard.notified()).await;
     }
 }
--- a/crates/entry/src/follow/directory.rs
+++ b/crates/entry/src/follow/directory.rs
@@ -19,11 +19,14 @@
 /// Period at which the holder reads the list, as a fraction of the time within which a leaving
 /// upstream must stop getting new requests. The rest is for the call and for sending the list on.
 const HOLDER_READ_AGE_RATIO: f64 = 0.225;
-/// Age of the list at which other instances read it themselves, as a fraction of the same time.
-const OWN_READ_AGE_RATIO: f64 = 0.4;
-/// Upper bound of both times. It is well below the time without a read that is treated as an outage
-/// of the store, after which missing entries are kept for a while.
-const MAX_READ_AGE: Duration = Duration::from_secs(1);
+/// Upper bound of that period. Twice this is below the time without a read that is treated as an
+/// outage of the store, after which missing entries are kept for a while.
+const MAX_HOLDER_READ_AGE: Duration = Duration::from_millis(700);
+/// Age of the list at which other instances read it themselves, as a fraction of the time within
+/// which a leaving upstream must stop getting new requests.
+const OWN_READ_AGE_RATIO: f64 = 0.5;
+/// Age of the list at which other instances read it themselves in small fleets, if that is sooner.
+const MAX_OWN_READ_AGE: Duration = Duration::from_millis(1_400);
 /// Pause between checks of the list's age.
 const POLL_INTERVAL: Duration = Duration::from_millis(50);
 
@@ -35,18 +38,7 @@
     let mut outage_log = OutageLog::new("list of upstreams in the store");
     let mut decoded = DecodedEntries::default();
     loop {
-        let is_holder = cx.is_holder();
-        let age_ratio = if is_holder {
-            HOLDER_READ_AGE_RATIO
-        } else {
-            OWN_READ_AGE_RATIO
-        };
-        let max_age = cx
-            .settings()
-            .timing
-            .max_drain_delay()
-            .mul_f64(age_ratio)
-            .min(MAX_READ_AGE);
+        let max_age = max_read_age(&cx);
         let age = cx.directory.borrow().age(cx.now());
         if age.is_some_and(|age| age < max_age) {
             sleep(POLL_INTERVAL.min(max_age)).await;
@@ -61,6 +53,24 @@
     }
 }
 
+/// Age of the list at which this instance reads it.
+fn max_read_age<P>(cx: &EntryContext<P>) -> Duration
+where
+    P: Platform,
+{
+    let drain_delay = cx.settings().timing.max_drain_delay();
+    if cx.is_holder() {
+        return drain_delay
+            .mul_f64(HOLDER_READ_AGE_RATIO)
+            .min(MAX_HOLDER_READ_AGE);
+    }
+    // The holder's list may be as old as its own period and the exchange with it.
+    let holder_list_age = MAX_HOLDER_READ_AGE + cx.exchange_period() * 2;
+    drain_delay
+        .mul_f64(OWN_READ_AGE_RATIO)
+        .min(holder_list_age.max(MAX_OWN_READ_AGE))
+}
+
 async fn read_upstreams<P>(
     cx: &Rc<EntryContext<P>>,
     decoded: &mut DecodedEntries,
--- a/crates/entry/src/state.rs
+++ b/crates/entry/src/state.rs
@@ -22,6 +22,7 @@
     quota::{Grant, InstanceQuotas, SILENT_INSTANCE_RESERVE_TIME},
     request::Artifact,
     retry_budget::{BudgetLimits, RetryBudget},
+    versioned_list::ListCopy,
 };
 use comfreyweir_http::{shutdown::ShutdownState, upstream::UpstreamClient};
 use comfreyweir_peer::PeerSecret;
@@ -36,9 +37,15 @@
 /// Time before the end of a shutdown at which requests that are still waiting get their final
 /// answer.
 const ANSWER_MARGIN: Duration = Duration::from_millis(300);
+/// Upper bound of the time that the holder spends on one report. The reporting period is at least
+/// this times the number of instances, so that the exchange takes a small part of the holder's CPU
+/// and bandwidth in large fleets too.
+const HOLDER_TIME_PER_INSTANCE: Duration = Duration::from_millis(2);
 /// Time without an answer of the holder, several exchange periods, after which an instance watches
 /// the store for a new holder.
 const HOLDER_SILENCE_TIMEOUT: Duration = Duration::from_millis(900);
+/// Time for an answer of the holder, in addition to two exchange periods, where that is longer.
+const HOLDER_ANSWER_MARGIN: Duration = Duration::from_millis(300);
 /// Age at which the placement received from the holder is no longer used.
 const PLACEMENT_MAX_AGE: Duration = Duration::from_millis(2_500);
 /// Maximum number of logged mistakes of one configuration.
@@ -83,6 +90,10 @@
     pub(crate) shutdown: Rc<ShutdownState>,
     pub(crate) metrics: Metrics,
     pub(crate) request_log_limiter: RequestLogLimiter,
+    /// Version of a configuration that is newer than the one in force, and when it was heard of.
+    newer_config: Cell<Option<(u64, Instant)>>,
+    /// Notified when a newer configuration was heard of.
+    pub(crate) newer_config_heard: Notify,
     /// When the configuration in force was last confirmed to be the newest.
     config_confirmed_at: Cell<Option<Instant>>,
     /// Number of instances according to the holder's last answer; 0 before the first one.
@@ -164,8 +175,8 @@
 pub(crate) struct PlacementView {
     /// Fencing token of the holder, and the version of the placement.
     pub(crate) fence_and_version: (u64, u64),
-    /// Version of the holder's list of upstreams.
-    pub(crate) directory_version: u64,
+    /// The holder's list of upstreams.
+    pub(crate) holder_list: ListCopy,
     /// Models and adapters by engine.
     pub(crate) engines: Placement,
     /// Expected time until the artifacts that requests wait for are ready, as of the last answer.
@@ -197,6 +208,8 @@
 pub(crate) struct Demand {
     waiting: BTreeMap<String, BTreeMap<Artifact, u32>>,
     arrivals: BTreeMap<String, BTreeMap<String, u64>>,
+    /// Counters in the last report that the holder answered.
+    acknowledged: BTreeMap<String, BTreeMap<String, u64>>,
 }
 
 impl Demand {
@@ -246,7 +259,26 @@
         });
         DemandReport {
             waiting: waiting.collect(),
-            arrivals: self.arrivals.clone(),
+            arrivals: self.changed_arrivals(),
+        }
+    }
+
+    /// Counters that differ from those that the holder has acknowledged.
+    fn changed_arrivals(&self) -> BTreeMap<String, BTreeMap<String, u64>> {
+        let services = self.arrivals.iter().map(|(service, models)| {
+            let known = self.acknowledged.get(service);
+            let is_new = |model: &String, count| known.and_then(|k| k.get(model)) != Some(count);
+            let changed = models.iter().filter(|(model, count)| is_new(model, count));
+            let changed = changed.map(|(model, count)| (model.clone(), *count));
+            (service.clone(), changed.collect::<BTreeMap<_, _>>())
+        });
+        services.filter(|(_, models)| !models.is_empty()).collect()
+    }
+
+    /// Records that the holder has received the counters of a report.
+    pub(crate) fn acknowledge(&mut self, reported: BTreeMap<String, BTreeMap<String, u64>>) {
+        for (service, models) in reported {
+            self.acknowledged.entry(service).or_default().extend(models);
         }
     }
 }
@@ -284,6 +316,8 @@
             shutdown: Rc::default(),
             metrics: Metrics::new(),
             request_log_limiter: RequestLogLimiter::default(),
+            newer_config: Cell::default(),
+            newer_config_heard: Notify::new(),
             config_confirmed_at: Cell::default(),
             instances_reported: Cell::default(),
             shutdown_deadline: Cell::default(),
@@ -362,6 +396,24 @@
         self.state_changed.notify_waiters();
     }
 
+    /// Records which configuration the holder has, and that it was the newest one at `at`.
+    pub(crate) fn hear_of_config(&self, version: u64, at: Option<Instant>) {
+        if version <= self.config.borrow().version {
+            self.confirm_config(at);
+        } else if self.newer_config.get().is_none_or(|(v, _)| v < version) {
+            self.newer_config.set(Some((version, self.now())));
+            self.newer_config_heard.notify_one();
+        }
+    }
+
+    /// Time since a configuration was heard of that is newer than the one in force; none if there
+    /// is none.
+    pub(crate) fn newer_config_age(&self, now: Instant) -> Option<Duration> {
+        let (version, at) = self.newer_config.get()?;
+        let is_newer = version > self.config.borrow().version;
+        is_newer.then(|| now.saturating_duration_since(at))
+    }
+
     /// Records that the configuration in force was the newest one at `at`. `None`, the result of a
     /// subtraction that [`Instant`] cannot represent, has no effect.
     pub(crate) fn confirm_config(&self, at: Option<Instant>) {
@@ -381,7 +433,15 @@
     /// still use the placement.
     pub(crate) fn is_holder_responding(&self) -> bool {
         let age = self.placement.borrow().age(self.now());
-        !self.holder_resigned.get() && age.is_some_and(|age| age < HOLDER_SILENCE_TIMEOUT)
+        let timeout = HOLDER_SILENCE_TIMEOUT.max(self.exchange_period() * 2 + HOLDER_ANSWER_MARGIN);
+        !self.holder_resigned.get() && age.is_some_and(|age| age < timeout)
+    }
+
+    /// Period of the reports to the holder while no demand makes them more frequent.
+    pub(crate) fn exchange_period(&self) -> Duration {
+        let instances = u32::try_from(self.instance_count()).unwrap_or(u32::MAX);
+        let interval = self.settings().timing.exchange_interval();
+        interval.max(HOLDER_TIME_PER_INSTANCE * instances)
     }
 
     /// Time left to answer a request before the shutdown ends; [`Duration::MAX`] if there is no
--- a/crates/fleet/src/lib.rs
+++ b/crates/fleet/src/lib.rs
@@ -19,3 +19,4 @@
 pub mod retry_budget;
 pub mod upstream;
 pub mod upstream_choice;
+pub mod versioned_list;
--- a/crates/fleet/src/planner/demand.rs
+++ b/crates/fleet/src/planner/demand.rs
@@ -1,7 +1,7 @@
 //! Measures the demand for each model: its queue length and arrival rate.
 
 use std::{
-    collections::HashMap,
+    collections::{BTreeMap, HashMap},
     time::{Duration, Instant},
 };
 
@@ -30,6 +30,36 @@
     pub requests: u32,
 }
 
+/// Sums of the request counters that processes report, over all processes.
+///
+/// Reports contain only counters that changed, and a new holder has missed the earlier ones. So the
+/// first value of each counter is where counting begins, and not a number of new requests.
+#[derive(Debug, Default)]
+pub struct ArrivalTotals {
+    counters: HashMap<String, HashMap<(String, String), u64>>,
+    totals: HashMap<String, HashMap<String, u64>>,
+}
+
+impl ArrivalTotals {
+    /// Records counters of a process, by service and model.
+    pub fn record(&mut self, process: &str, reported: &BTreeMap<String, BTreeMap<String, u64>>) {
+        let counters = self.counters.entry(process.to_owned()).or_default();
+        for (service, models) in reported {
+            let totals = self.totals.entry(service.clone()).or_default();
+            for (model, count) in models {
+                let key = (service.clone(), model.clone());
+                let before = counters.insert(key, *count).unwrap_or(*count);
+                *totals.entry(model.clone()).or_default() += count.saturating_sub(before);
+            }
+        }
+    }
+
+    /// Requests that arrived for each model of a service, in all processes.
+    pub fn of_service(&self, service: &str) -> HashMap<String, u64> {
+        self.totals.get(service).cloned().unwrap_or_default()
+    }
+}
+
 #[derive(Debug, Default)]
 pub(super) struct DemandTracker {
     models: HashMap<String, ModelDemand>,
--- a/crates/fleet/src/planner/engine_state.rs
+++ b/crates/fleet/src/planner/engine_state.rs
@@ -36,6 +36,8 @@
 /// Time that an engine usually needs for an order, beside a load: an unload waits for the requests
 /// that run.
 const ORDER_TIME: Duration = Duration::from_millis(250);
+/// Expected remaining time of an overdue load, as a fraction of the time that it has taken.
+const OVERDUE_FRACTION: f64 = 0.25;
 /// Pause between an accepted unload and the next order.
 const UNLOAD_PAUSE: Duration = Duration::from_millis(15);
 /// Time, in addition to four times the expected load time, after which a load that reports do not
@@ -92,20 +94,43 @@
 #[derive(Debug)]
 struct PlannedOrder {
     order: Order,
-    load_time: Duration,
+    load_time: LoadTime,
     is_from_store: bool,
 }
 
+/// Duration of a load.
+#[derive(Clone, Copy, Debug, Default)]
+pub(super) struct LoadTime {
+    /// Configured duration, from which on reports may show the load to be complete.
+    pub(super) nominal: Duration,
+    /// Expected duration.
+    pub(super) estimated: Duration,
+}
+
 /// A model load that the engine accepted and has not completed.
 #[derive(Debug)]
 struct ModelLoad {
     model: String,
     began_at: Instant,
     expected_at: Instant,
+    estimated_at: Instant,
     times_out_at: Instant,
     is_from_store: bool,
 }
 
+impl ModelLoad {
+    /// Estimated time until the load is complete. A load that is overdue is expected to take
+    /// another part of the time that it has taken.
+    fn remaining(&self, now: Instant) -> Duration {
+        let overdue = now
+            .saturating_duration_since(self.began_at)
+            .mul_f64(OVERDUE_FRACTION);
+        let is_overdue = now > self.estimated_at + REPORT_LAG;
+        let remaining = self.estimated_at.saturating_duration_since(now);
+        if is_overdue { overdue } else { remaining }
+    }
+}
+
 impl EngineState {
     pub(super) fn new(upstream: &Upstream) -> Self {
         Self {
@@ -188,10 +213,11 @@
         let pause = self
             .pause_until
             .map_or(Duration::ZERO, |until| until.saturating_duration_since(now));
-        let loading = self.loading.as_ref().map_or(Duration::ZERO, |l| {
-            REPORT_LAG + l.expected_at.saturating_duration_since(now)
-        });
-        let planned = self.plan.iter().map(|p| p.load_time + ORDER_TIME);
+        let loading = self
+            .loading
+            .as_ref()
+            .map_or(Duration::ZERO, |l| REPORT_LAG + l.remaining(now));
+        let planned = self.plan.iter().map(|p| p.load_time.estimated + ORDER_TIME);
         Some(report.max(pause).max(loading) + planned.sum::<Duration>())
     }
 
@@ -218,6 +244,20 @@
         self.holds.model(model).is_some() || self.plans_load(model)
     }
 
+    /// Models that the engine holds after all planned orders, and whether it holds them now.
+    pub(super) fn kept_models(&self) -> impl Iterator<Item = (&str, bool)> {
+        let held = self.holds.models.iter().map(|m| m.name.as_str());
+        let held = held.filter(|m| self.will_hold(m)).map(|m| (m, true));
+        let planned = self.plan.iter().filter_map(|p| match &p.order {
+            Order::Load(a) if a.adapter.is_none() => Some(a.model.as_str()),
+            _ => None,
+        });
+        let loading = self.loading.iter().map(|l| l.model.as_str());
+        let is_held = |model: &str| self.holds.model(model).is_some();
+        let coming = planned.chain(loading).filter(move |m| !is_held(m));
+        held.chain(coming.map(|m| (m, false)))
+    }
+
     /// Whether a load of a model is planned or in progress.
     pub(super) fn plans_load(&self, model: &str) -> bool {
         self.loading.as_ref().is_some_and(|l| l.model == model)
@@ -244,6 +284,12 @@
             || self.plan.iter().any(|p| p.is_from_store)
     }
 
+    /// Estimated time until a load from the weight store is complete, if one is in progress.
+    pub(super) fn store_load_remaining(&self, now: Instant) -> Option<Duration> {
+        let loading = self.loading.as_ref().filter(|l| l.is_from_store)?;
+        Some(loading.remaining(now))
+    }
+
     /// Number of adapters that the engine holds after all planned orders.
     pub(super) fn adapter_count(&self) -> usize {
         let change = |p: &PlannedOrder| match &p.order {
@@ -267,11 +313,12 @@
         &mut self,
         model: &str,
         victims: &[String],
-        load_time: Duration,
+        load_time: LoadTime,
         is_from_store: bool,
     ) {
         for victim in victims {
-            self.push_order(Order::Unload(base_model(victim)), Duration::ZERO, false);
+            let order = Order::Unload(base_model(victim));
+            self.push_order(order, LoadTime::default(), false);
         }
         self.push_order(Order::Load(base_model(model)), load_time, is_from_store);
     }
@@ -279,12 +326,12 @@
     /// Plans to unload the adapter `victim`, if any, and then to load another.
     pub(super) fn plan_adapter(&mut self, adapter: &Artifact, victim: Option<Artifact>) {
         if let Some(victim) = victim {
-            self.push_order(Order::Unload(victim), Duration::ZERO, false);
+            self.push_order(Order::Unload(victim), LoadTime::default(), false);
         }
-        self.push_order(Order::Load(adapter.clone()), Duration::ZERO, false);
+        self.push_order(Order::Load(adapter.clone()), LoadTime::default(), false);
     }
 
-    fn push_order(&mut self, order: Order, load_time: Duration, is_from_store: bool) {
+    fn push_order(&mut self, order: Order, load_time: LoadTime, is_from_store: bool) {
         self.plan.push_back(PlannedOrder {
             order,
             load_time,
@@ -432,11 +479,15 @@
                     .push((artifact.clone(), now + ADAPTER_LOAD_TIME));
             }
             Order::Load(artifact) => {
-                let time = planned.as_ref().map_or(Duration::ZERO, |p| p.load_time);
+                let LoadTime {
+                    nominal: time,
+                    estimated,
+                } = planned.as_ref().map(|p| p.load_time).unwrap_or_default();
                 self.loading = Some(ModelLoad {
                     model: artifact.model.clone(),
                     began_at: now,
                     expected_at: now + time,
+                    estimated_at: now + estimated,
                     times_out_at: now + time * 4 + LOAD_TIMEOUT_MARGIN,
                     is_from_store: planned.is_some_and(|p| p.is_from_store),
                 });
@@ -562,9 +613,10 @@
             return Some(Duration::ZERO);
         }
         if let Some(loading) = self.loading.as_ref().filter(|l| l.model == artifact.model) {
-            return Some(loading.expected_at.saturating_duration_since(now));
+            return Some(loading.remaining(now));
         }
-        self.planned_load(&artifact.model).map(|p| p.load_time)
+        self.planned_load(&artifact.model)
+            .map(|p| p.load_time.estimated)
     }
 
     fn add_adapter(&mut self, artifact: &Artifact) {
--- a/crates/fleet/src/planner/mod.rs
+++ b/crates/fleet/src/planner/mod.rs
@@ -15,7 +15,7 @@
 mod store_rate;
 
 use std::{
-    collections::{BTreeMap, BTreeSet, HashMap},
+    collections::{BTreeMap, BTreeSet, HashMap, HashSet},
     rc::Rc,
     time::{Duration, Instant},
 };
@@ -24,11 +24,14 @@
 
 use self::{
     demand::DemandTracker,
-    engine_state::EngineState,
+    engine_state::{EngineState, LoadTime},
     model_placement::{Wanted, WeightSource},
     store_rate::StoreRate,
 };
-pub use self::{demand::WaitingRequests, engine_state::OrderResult};
+pub use self::{
+    demand::{ArrivalTotals, WaitingRequests},
+    engine_state::OrderResult,
+};
 use crate::{
     config::Engine,
     load::Loads,
@@ -48,6 +51,9 @@
 /// another replica: the more requests an engine runs, the slower each of them is.
 const CROWDED_OCCUPANCY: f64 = 0.5;
 
+/// Weight of a request that waits at a crowded replica, in requests for a model that no engine
+/// holds: it is served late, and the others are not served at all.
+const CROWDED_REQUEST_WEIGHT: f64 = 0.25;
 /// Recent arrivals per second from which a model is wanted although no request waits for it.
 const MIN_RECENT_RATE: f64 = 0.25;
 
@@ -102,8 +108,21 @@
     /// Time at which each adapter was last used or planned, by engine.
     adapter_uses: HashMap<(String, Artifact), Instant>,
     placement: Placement,
+    /// Replicas of each model that an engine holds or plans to load.
+    replicas: HashMap<String, Replicas>,
     /// Estimated times at which models are loaded that wait for a busy engine.
     expected: HashMap<String, Instant>,
+    /// Number of models that wait for the weight store.
+    waiting_for_store: usize,
+}
+
+/// Number of engines that hold a model.
+#[derive(Clone, Copy, Debug, Default)]
+struct Replicas {
+    /// After all planned orders.
+    planned: usize,
+    /// Now, and after all planned orders.
+    loaded: usize,
 }
 
 /// Input of one planning step.
@@ -127,11 +146,12 @@
     /// Updates the plan and returns the calls to make now.
     pub fn step(&mut self, input: PlanningInput<'_>, now: Instant) -> Vec<Action> {
         self.sync_engines(&input, now);
+        self.count_replicas();
         self.demands.update(&input, now);
         self.record_adapter_uses(&input, now);
         self.expected.clear();
-        self.place_awaited_artifacts(&input, now);
-        self.add_replicas(&input, now);
+        self.waiting_for_store = 0;
+        self.plan_loads(&input, now);
         let actions = self.next_actions(input.spec, now);
         self.update_placement(now);
         actions
@@ -194,10 +214,9 @@
     }
 
     fn sync_engines(&mut self, input: &PlanningInput<'_>, now: Instant) {
-        let upstreams = input.upstreams;
-        self.engines
-            .retain(|id, _| upstreams.iter().any(|u| u.id == *id));
-        for upstream in upstreams {
+        let listed: HashSet<_> = input.upstreams.iter().map(|u| u.id.as_str()).collect();
+        self.engines.retain(|id, _| listed.contains(id.as_str()));
+        for upstream in input.upstreams {
             if let Some(engine) = self.engines.get_mut(&upstream.id) {
                 engine.apply_entry(upstream, now);
                 if input.suspects.contains(&upstream.id) {
@@ -217,32 +236,51 @@
             .collect();
     }
 
-    /// Plans loads of the artifacts that requests wait for and that no engine holds or plans, the
-    /// most wanted first.
-    fn place_awaited_artifacts(&mut self, input: &PlanningInput<'_>, now: Instant) {
-        for (requests, artifact) in self.awaited_artifacts(input) {
-            let Some(model) = input.spec.models.get(&artifact.model) else {
-                continue;
-            };
-            if self.is_held_or_planned(&artifact) {
-                continue;
-            }
-            let is_model_held = self
-                .engines
-                .values()
-                .any(|e| e.accepts_requests() && e.will_hold(&artifact.model));
-            if is_model_held && artifact.adapter.is_some() {
-                self.place_adapter(input, &artifact, now);
-            } else if !is_model_held {
-                let wanted = Wanted {
-                    pressure: f64::INFINITY,
-                    requests,
-                };
-                self.place_model(input, model, wanted, now);
+    /// Plans loads, the most wanted first: of the artifacts that requests wait for and that no
+    /// engine holds or plans, and of further replicas of crowded models. Both need the same engines
+    /// and the same weight store.
+    fn plan_loads(&mut self, input: &PlanningInput<'_>, now: Instant) {
+        let awaited = self.awaited_artifacts(input).into_iter();
+        let awaited = awaited.map(|(requests, artifact)| (requests, LoadCause::Awaited(artifact)));
+        let busiest = self.demands.busiest().into_iter();
+        let crowded = busiest
+            .map(|(model, queue)| (queue * CROWDED_REQUEST_WEIGHT, LoadCause::Crowded(model)));
+        let mut wanted: Vec<_> = awaited.chain(crowded).collect();
+        wanted.sort_by(|a, b| b.0.total_cmp(&a.0).then_with(|| a.1.cmp(&b.1)));
+        for (requests, cause) in wanted {
+            match cause {
+                LoadCause::Awaited(artifact) => self.place_awaited(input, &artifact, requests, now),
+                LoadCause::Crowded(model) => self.add_replica(input, &model, now),
             }
         }
     }
 
+    /// Plans the load of an artifact that requests wait for, unless an engine holds or plans it.
+    fn place_awaited(
+        &mut self,
+        input: &PlanningInput<'_>,
+        artifact: &Artifact,
+        requests: f64,
+        now: Instant,
+    ) {
+        let Some(model) = input.spec.models.get(&artifact.model) else {
+            return;
+        };
+        if self.is_held_or_planned(artifact) {
+            return;
+        }
+        let is_model_held = self.replica_count(&artifact.model) > 0;
+        if is_model_held && artifact.adapter.is_some() {
+            self.place_adapter(input, artifact, now);
+        } else if !is_model_held {
+            let wanted = Wanted {
+                pressure: f64::INFINITY,
+                requests,
+            };
+            self.place_model(input, model, wanted, now);
+        }
+    }
+
     /// Artifacts that requests wait for, and models that requests have recently asked for, the most
     /// wanted first, with the number of requests for them. Requests that cannot wait long enough are
     /// rejected and come back, so those that wait alone do not show the demand.
@@ -267,34 +305,35 @@
 
     /// Whether any engine holds the artifact or has a planned order to load it.
     fn is_held_or_planned(&self, artifact: &Artifact) -> bool {
+        if artifact.adapter.is_none() {
+            return self.replica_count(&artifact.model) > 0;
+        }
         let mut engines = self.engines.values().filter(|e| e.accepts_requests());
         engines.any(|e| e.holds_or_plans(artifact))
     }
 
-    /// Plans further replicas for each crowded model, evicting only models under clearly less
+    /// Plans a further replica of a model if it is crowded, evicting only models under clearly less
     /// pressure.
-    fn add_replicas(&mut self, input: &PlanningInput<'_>, now: Instant) {
-        for (name, queue) in self.demands.busiest() {
-            let replicas = self.replica_count(&name);
-            let Some(model) = input.spec.models.get(&name).filter(|_| replicas > 0) else {
-                continue;
+    fn add_replica(&mut self, input: &PlanningInput<'_>, name: &str, now: Instant) {
+        let replicas = self.replica_count(name);
+        let Some(model) = input.spec.models.get(name).filter(|_| replicas > 0) else {
+            return;
+        };
+        #[allow(clippy::cast_precision_loss)]
+        let pressure = self.demands.queue(name) / replicas as f64;
+        let occupancy = self.occupancy(input, name, replicas);
+        let is_crowded = pressure >= CROWDED_PRESSURE
+            || occupancy >= CROWDED_OCCUPANCY
+            || pressure >= LOW_PRESSURE && self.lacks_free_adapter_slots(input, name, now);
+        // Wait for the effect of a replica that is already being loaded, unless the demand is known
+        // to need more.
+        let is_loading = self.engines.values().any(|e| e.plans_load(name));
+        if is_crowded && (!is_loading || occupancy >= CROWDED_OCCUPANCY) {
+            let wanted = Wanted {
+                pressure: pressure.max(CROWDED_PRESSURE),
+                requests: 1.0,
             };
-            #[allow(clippy::cast_precision_loss)]
-            let pressure = queue / replicas as f64;
-            let occupancy = self.occupancy(input, &name, replicas);
-            let is_crowded = pressure >= CROWDED_PRESSURE
-                || occupancy >= CROWDED_OCCUPANCY
-                || pressure >= LOW_PRESSURE && self.lacks_free_adapter_slots(input, &name, now);
-            // Wait for the effect of a replica that is already being loaded, unless the demand is
-            // known to need more.
-            let is_loading = self.engines.values().any(|e| e.plans_load(&name));
-            if is_crowded && (!is_loading || occupancy >= CROWDED_OCCUPANCY) {
-                let wanted = Wanted {
-                    pressure: pressure.max(CROWDED_PRESSURE),
-                    requests: 1.0,
-                };
-                self.place_model(input, model, wanted, now);
-            }
+            self.place_model(input, model, wanted, now);
         }
     }
 
@@ -308,16 +347,28 @@
 
     /// Number of engines that hold a model after all planned orders.
     fn replica_count(&self, model: &str) -> usize {
-        let engines = self.engines.values().filter(|e| e.accepts_requests());
-        engines.filter(|e| e.will_hold(model)).count()
+        self.replicas.get(model).map_or(0, |r| r.planned)
     }
 
     /// Number of engines that hold a model now and keep it.
     fn loaded_replica_count(&self, model: &str) -> usize {
-        let engines = self.engines.values().filter(|e| e.accepts_requests());
-        engines
-            .filter(|e| e.will_hold(model) && e.holds().model(model).is_some())
-            .count()
+        self.replicas.get(model).map_or(0, |r| r.loaded)
+    }
+
+    /// Counts the replicas of all models. Counting them for each decision would take most of the
+    /// holder's CPU in large fleets.
+    fn count_replicas(&mut self) {
+        self.replicas.clear();
+        for engine in self.engines.values().filter(|e| e.accepts_requests()) {
+            for (model, is_loaded) in engine.kept_models() {
+                if !self.replicas.contains_key(model) {
+                    self.replicas.insert(model.to_owned(), Replicas::default());
+                }
+                let replicas = self.replicas.get_mut(model).expect("inserted above");
+                replicas.planned += 1;
+                replicas.loaded += usize::from(is_loaded);
+            }
+        }
     }
 
     fn may_load_from_store(&mut self, input: &PlanningInput<'_>, now: Instant) -> bool {
@@ -337,7 +388,12 @@
     ) {
         let may_use_store = self.may_load_from_store(input, now);
         let best = self.best_load_target(input, model, wanted, may_use_store, now);
-        let Some(target) = best else { return };
+        let Some(target) = best else {
+            if !may_use_store {
+                self.expect_store_load(model, now);
+            }
+            return;
+        };
         if !target.begins_in.is_zero() {
             let ready_at = now + target.begins_in + target.source.load_time(model);
             self.expected.insert(model.name.clone(), ready_at);
@@ -347,12 +403,35 @@
             self.store_rate.begin(now);
         }
         if let Some(engine) = self.engines.get_mut(&target.upstream) {
-            let time = target.source.load_time(model);
+            let nominal = target.source.load_time(model);
             let is_from_store = target.source == WeightSource::Store;
+            let time = LoadTime {
+                nominal,
+                estimated: if is_from_store {
+                    self.store_rate.estimate(nominal)
+                } else {
+                    nominal
+                },
+            };
             engine.plan_load(&model.name, &target.victims, time, is_from_store);
+            self.count_replicas();
         }
     }
 
+    /// Estimates when a model is loaded that has to wait for the weight store, behind the models
+    /// that were more wanted in this step.
+    fn expect_store_load(&mut self, model: &crate::config::Model, now: Instant) {
+        let engines = self.engines.values();
+        let ends = engines.filter_map(|e| e.store_load_remaining(now));
+        let first_end = ends.min().unwrap_or_default();
+        let time = self.store_rate.estimate(model.store_load);
+        let turns = self.waiting_for_store / self.store_rate.limit();
+        let turns = u32::try_from(turns).unwrap_or(u32::MAX);
+        self.waiting_for_store += 1;
+        let ready_at = now + first_end + time.saturating_mul(turns.saturating_add(1));
+        self.expected.insert(model.name.clone(), ready_at);
+    }
+
     fn next_actions(&mut self, spec: &Engine, now: Instant) -> Vec<Action> {
         let mut actions = Vec::new();
         for (id, engine) in &mut self.engines {
@@ -372,12 +451,22 @@
     }
 }
 
+/// Why a load is wanted.
+#[derive(Debug, PartialEq, Eq, PartialOrd, Ord)]
+enum LoadCause {
+    /// No engine holds the artifact.
+    Awaited(Artifact),
+    /// The engines that hold the model have too many requests for it.
+    Crowded(String),
+}
+
 /// Demand at one instance, which reports it to the holder of the planning duty.
 #[derive(Clone, Debug, Default, PartialEq)]
 #[derive(Serialize, Deserialize)]
 pub struct DemandReport {
     /// Requests that wait for an artifact to be loaded, by service.
     pub waiting: BTreeMap<String, Vec<WaitingRequests>>,
-    /// Requests that arrived since the start of the process, by service and model.
+    /// Requests that arrived since the start of the process, by service and model; only models whose
+    /// number has changed since the last report that was answered.
     pub arrivals: BTreeMap<String, BTreeMap<String, u64>>,
 }
--- a/crates/fleet/src/planner/store_rate.rs
+++ b/crates/fleet/src/planner/store_rate.rs
@@ -12,11 +12,16 @@
 /// Duration of a load, as a multiple of the configured one, above which the loads were too many.
 const SLOW_LOAD_FACTOR: f64 = 1.3;
 
+/// Largest slowdown that is expected of later loads.
+const MAX_SLOWDOWN: f64 = 4.0;
+
 /// Limit of concurrent loads from the weight store, and the rate limit over all engines.
 #[derive(Debug)]
 pub(super) struct StoreRate {
     limit: usize,
     started: Vec<Instant>,
+    /// Duration of the last load that completed, as a multiple of the configured one.
+    slowdown: f64,
 }
 
 impl Default for StoreRate {
@@ -24,6 +29,7 @@
         Self {
             limit: INITIAL_LIMIT,
             started: Vec::new(),
+            slowdown: 1.0,
         }
     }
 }
@@ -45,15 +51,26 @@
         in_progress < self.limit && started + 1.0 <= rate_limit.max(1.0)
     }
 
+    /// Number of loads that may run at a time.
+    pub(super) fn limit(&self) -> usize {
+        self.limit
+    }
+
     /// Counts a load that begins.
     pub(super) fn begin(&mut self, now: Instant) {
         self.started.push(now);
     }
 
+    /// Expected duration of a load that takes `nominal` by the configuration.
+    pub(super) fn estimate(&self, nominal: Duration) -> Duration {
+        nominal.mul_f64(self.slowdown)
+    }
+
     /// Adapts the limit to a load that took `duration`, where `nominal` is configured, while
     /// `concurrent` loads were in progress, including it.
     pub(super) fn complete(&mut self, duration: Duration, nominal: Duration, concurrent: usize) {
         let slowdown = duration.as_secs_f64() / nominal.as_secs_f64().max(f64::MIN_POSITIVE);
+        self.slowdown = slowdown.clamp(1.0, MAX_SLOWDOWN);
         if slowdown > SLOW_LOAD_FACTOR {
             #[allow(
                 clippy::cast_precision_loss,
--- a/crates/fleet/src/quota/holder.rs
+++ b/crates/fleet/src/quota/holder.rs
@@ -32,9 +32,21 @@
 /// split is needed because requests move between instances from one exchange to the next.
 const EQUAL_SPLIT_FRACTION: f64 = 0.3;
 
+/// Number of processes up to which sums over all of them are computed for each grant.
+const EXACT_SUM_PROCESSES: usize = 40;
+/// Age of such sums up to which they are used in larger fleets. Small against the time in which a
+/// bucket refills.
+const SUM_MAX_AGE: Duration = Duration::from_millis(40);
+
 /// Bucket levels and reported usage of all workspaces, kept by the holder.
 #[derive(Debug, Default)]
 pub struct GrantAllocator {
+    /// Sums over all processes, by workspace.
+    sums: HashMap<String, ProcessSums>,
+    /// Number of live processes.
+    live: f64,
+    /// Time at which silent and live processes were counted.
+    counted_at: Option<Instant>,
     /// Fencing token of the holder.
     fence: u64,
     /// Number of grants issued.
@@ -151,6 +163,9 @@
     granted: IssuedGrant,
     /// Units of expired grants that it was charged for without having reported them.
     presumed_spent: f64,
+    /// Its parts of the sums over all processes.
+    summed_outstanding: f64,
+    summed_demand_per_s: f64,
 }
 
 /// The last grant of a process.
@@ -198,6 +213,16 @@
     }
 }
 
+/// Sums over all processes for one workspace.
+#[derive(Clone, Copy, Debug)]
+struct ProcessSums {
+    computed_at: Instant,
+    /// Units that processes may have spent unreported.
+    outstanding: f64,
+    /// Smoothed demand in units per second.
+    demand_per_s: f64,
+}
+
 impl GrantAllocator {
     /// Begins a tenure. `silent` names instances that may admit requests without having reported to
     /// this holder, with the time since their last known contact with a holder. Instances that
@@ -280,7 +305,9 @@
     {
         self.processes
             .retain(|_, p| now.saturating_duration_since(p.reported_at) < PROCESS_RETENTION);
-        self.charge_expired_grants(now);
+        if !self.is_recent(self.counted_at, now) {
+            self.charge_expired_grants(now);
+        }
         let unheard_since = self.unheard.remove(instance_of(name));
         let has_old_grants = self.has_old_grants(now);
         let process = self.processes.entry(name.to_owned());
@@ -294,7 +321,10 @@
         let was_silent =
             silent_since.is_some_and(|at| now.saturating_duration_since(at) >= GRANT_TTL);
         process.reported_at = now;
-        self.silent_ratio = self.silent_ratio(now);
+        if !is_known || was_silent || !self.is_recent(self.counted_at, now) {
+            self.charge_expired_grants(now);
+            self.count_processes(now);
+        }
         let silent_ratio = self.silent_ratio;
         let process = self.processes.get_mut(name).expect("inserted above");
         for (workspace, totals) in totals {
@@ -318,6 +348,10 @@
             if totals.last_grant.map(|g| g.id) == Some(usage.granted.id) {
                 usage.granted.confirm();
             }
+            if let Some(sums) = self.sums.get_mut(workspace) {
+                sums.demand_per_s += usage.demand_per_s - usage.summed_demand_per_s;
+                usage.summed_demand_per_s = usage.demand_per_s;
+            }
             process.usage.insert(workspace.clone(), usage);
         }
     }
@@ -338,9 +372,12 @@
         let per_s = allowance.per_s / (1.0 + self.silent_ratio);
         let shared = shared_bucket(&mut self.buckets, workspace, allowance, now);
         let level = shared.refill(allowance, self.silent_ratio, now);
-        let live = self.live_processes(now);
-        let share = self.demand_share(process, workspace, per_s / live, now);
-        let free = level - self.outstanding(process, workspace, now);
+        let live = self.live.max(1.0);
+        let sums = self.sums(workspace, now);
+        let share = self.demand_share(process, workspace, per_s / live, sums, now);
+        let own = self.own_usage(process, workspace);
+        let own_outstanding = own.map_or(0.0, |own| own.summed_outstanding);
+        let free = level - (sums.outstanding - own_outstanding).max(0.0);
         let advance_share = ADVANCE_GRANT_FRACTION
             * ((1.0 - EQUAL_SPLIT_FRACTION) * share + EQUAL_SPLIT_FRACTION / live);
         let Some(process) = self.processes.get_mut(process) else {
@@ -367,6 +404,11 @@
             included: own.totals.spent,
             issued_at: Some(now),
         };
+        if let Some(sums) = self.sums.get_mut(workspace) {
+            let outstanding = own.granted.outstanding(now);
+            sums.outstanding += outstanding - own.summed_outstanding;
+            own.summed_outstanding = outstanding;
+        }
         Some(Grant {
             id,
             bucket_level: level,
@@ -377,41 +419,70 @@
         })
     }
 
-    /// Number of instances that stopped reporting recently, per instance that reports.
-    fn silent_ratio(&self, now: Instant) -> f64 {
+    /// Whether something computed at `at` is recent enough to be used.
+    fn is_recent(&self, at: Option<Instant>, now: Instant) -> bool {
+        let is_large = self.processes.len() > EXACT_SUM_PROCESSES;
+        is_large && at.is_some_and(|at| now.saturating_duration_since(at) < SUM_MAX_AGE)
+    }
+
+    /// Counts live processes, and silent instances per instance that reports.
+    fn count_processes(&mut self, now: Instant) {
         let live = self.processes.iter().filter(|(_, p)| p.is_live(now));
-        let live: HashSet<_> = live.map(|(name, _)| instance_of(name)).collect();
+        let instances: HashSet<_> = live.clone().map(|(name, _)| instance_of(name)).collect();
+        let silent = self.silent_instances(now).len();
         #[allow(clippy::cast_precision_loss)]
-        let ratio = self.silent_instances(now).len() as f64 / live.len().max(1) as f64;
-        ratio
+        let (live, instances, silent) = (
+            live.count().max(1) as f64,
+            instances.len().max(1) as f64,
+            silent as f64,
+        );
+        self.live = live;
+        self.silent_ratio = silent / instances;
+        self.counted_at = Some(now);
     }
 
-    /// Number of live processes, at least 1.
-    fn live_processes(&self, now: Instant) -> f64 {
-        let live = self.processes.values().filter(|p| p.is_live(now)).count();
-        #[allow(clippy::cast_precision_loss)]
-        let live = live.max(1) as f64;
-        live
+    fn own_usage(&self, process: &str, workspace: &str) -> Option<&WorkspaceUsage> {
+        self.processes.get(process)?.usage.get(workspace)
     }
 
-    /// Units that all other processes may have spent of a workspace's allowance unreported.
-    fn outstanding(&self, process: &str, workspace: &str, now: Instant) -> f64 {
-        let others = self.processes.iter().filter(|(name, _)| *name != process);
-        let granted = others.filter_map(|(_, p)| p.usage.get(workspace));
-        granted.map(|r| r.granted.outstanding(now)).sum()
+    /// Sums over all processes for a workspace.
+    fn sums(&mut self, workspace: &str, now: Instant) -> ProcessSums {
+        let known = self.sums.get(workspace).copied();
+        if let Some(sums) = known.filter(|sums| self.is_recent(Some(sums.computed_at), now)) {
+            return sums;
+        }
+        let mut sums = ProcessSums {
+            computed_at: now,
+            outstanding: 0.0,
+            demand_per_s: 0.0,
+        };
+        for process in self.processes.values_mut() {
+            let is_live = process.is_live(now);
+            if let Some(usage) = process.usage.get_mut(workspace) {
+                usage.summed_outstanding = usage.granted.outstanding(now);
+                sums.outstanding += usage.summed_outstanding;
+                usage.summed_demand_per_s = if is_live { usage.demand_at(now) } else { 0.0 };
+                sums.demand_per_s += usage.summed_demand_per_s;
+            }
+        }
+        self.sums.insert(workspace.to_owned(), sums);
+        sums
     }
 
     /// Fraction of the demand for a workspace that arrives at a process. `equal_per_s` is the
     /// refill rate divided by the number of live processes; a fraction of it counts as idle demand.
-    fn demand_share(&self, process: &str, workspace: &str, equal_per_s: f64, now: Instant) -> f64 {
+    fn demand_share(
+        &self,
+        process: &str,
+        workspace: &str,
+        equal_per_s: f64,
+        sums: ProcessSums,
+        now: Instant,
+    ) -> f64 {
         let idle = equal_per_s * IDLE_DEMAND_FRACTION;
-        let demand = |process: &ReportingProcess| {
-            let reported = process.usage.get(workspace);
-            idle + reported.map_or(0.0, |r| r.demand_at(now))
-        };
-        let live = self.processes.values().filter(|p| p.is_live(now));
-        let all: f64 = live.map(demand).sum();
-        let own = self.processes.get(process).map_or(idle, demand);
+        let own = self.own_usage(process, workspace);
+        let own = idle + own.map_or(0.0, |usage| usage.demand_at(now));
+        let all = sums.demand_per_s + idle * self.live.max(1.0);
         (own / all.max(own)).min(1.0)
     }
 }
@@ -425,6 +496,8 @@
             demand_per_s: 0.0,
             granted: IssuedGrant::default(),
             presumed_spent: 0.0,
+            summed_outstanding: 0.0,
+            summed_demand_per_s: 0.0,
         }
     }
 
@@ -439,6 +512,8 @@
             demand_per_s: before.demand_at(now) + asked / DEMAND_TIME_CONSTANT.as_secs_f64(),
             granted: before.granted,
             presumed_spent: 0.0,
+            summed_outstanding: before.summed_outstanding,
+            summed_demand_per_s: before.summed_demand_per_s,
         }
     }
 
--- /dev/null
+++ b/crates/fleet/src/versioned_list.rs
@@ -0,0 +1,143 @@
+//! Sends a list of upstreams as differences.
+//!
+//! The list changes with each model and adapter that an engine loads, and each change goes to all
+//! instances. As a whole, the list would take most of the holder's bandwidth in large fleets.
+
+use std::{
+    collections::{BTreeMap, HashMap},
+    rc::Rc,
+};
+
+use serde::{Deserialize, Serialize};
+
+use crate::upstream::Upstream;
+
+/// Version of a list.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
+pub struct ListVersion {
+    /// Number drawn at random for each list, so that versions of different holders differ.
+    pub list: u64,
+    /// Number of changes of that list; 0 if none is known.
+    pub number: u64,
+}
+
+/// Changes from one version of a list to another.
+#[derive(Clone, Debug, Default, PartialEq)]
+#[derive(Serialize, Deserialize)]
+pub struct ListChanges {
+    /// Version after the changes.
+    pub version: ListVersion,
+    /// Whether `upstreams` is the complete list.
+    pub is_whole: bool,
+    /// Upstreams that are new or changed.
+    pub upstreams: Vec<Upstream>,
+    /// Identifiers of upstreams that were removed.
+    pub removed: Vec<String>,
+}
+
+/// The sender's side: a list that remembers when each entry last changed.
+#[derive(Debug, Default)]
+pub struct VersionedList {
+    version: ListVersion,
+    entries: BTreeMap<String, Rc<Upstream>>,
+    /// Number of the change that last concerned each upstream, also of removed ones.
+    changed_at: HashMap<String, u64>,
+}
+
+impl VersionedList {
+    /// Creates an empty list. `list` identifies it.
+    pub fn new(list: u64) -> Self {
+        Self {
+            version: ListVersion { list, number: 0 },
+            ..Self::default()
+        }
+    }
+
+    /// Replaces the entries.
+    pub fn update(&mut self, upstreams: &[Rc<Upstream>]) {
+        let number = self.version.number + 1;
+        let mut before = std::mem::take(&mut self.entries);
+        let mut has_changed = self.version.number == 0;
+        for upstream in upstreams {
+            let old = before.remove(&upstream.id);
+            // Entries are the same `Rc` until the list is read again, which saves comparing
+            // contents.
+            let is_same = old.is_some_and(|old| Rc::ptr_eq(&old, upstream) || old == *upstream);
+            if !is_same {
+                has_changed = true;
+                self.changed_at.insert(upstream.id.clone(), number);
+            }
+            self.entries
+                .insert(upstream.id.clone(), Rc::clone(upstream));
+        }
+        for id in before.into_keys() {
+            has_changed = true;
+            self.changed_at.insert(id, number);
+        }
+        if has_changed {
+            self.version.number = number;
+        }
+    }
+
+    /// Changes since a version that a receiver knows; none if it knows the current one.
+    pub fn changes_since(&self, known: ListVersion) -> Option<ListChanges> {
+        if known == self.version {
+            return None;
+        }
+        let is_whole = known.list != self.version.list || known.number > self.version.number;
+        let is_new = |id: &String| is_whole || self.changed_at[id] > known.number;
+        let upstreams = self.entries.values().filter(|u| is_new(&u.id));
+        let removed = self.changed_at.keys();
+        let removed =
+            removed.filter(|id| !is_whole && is_new(id) && !self.entries.contains_key(*id));
+        Some(ListChanges {
+            version: self.version,
+            is_whole,
+            upstreams: upstreams.map(|u| (**u).clone()).collect(),
+            removed: removed.cloned().collect(),
+        })
+    }
+}
+
+/// The receiver's side: a copy of a list.
+#[derive(Debug, Default)]
+pub struct ListCopy {
+    version: ListVersion,
+    entries: BTreeMap<String, Upstream>,
+}
+
+impl ListCopy {
+    /// Version that the copy has.
+    pub fn version(&self) -> ListVersion {
+        self.version
+    }
+
+    /// Applies changes.
+    pub fn apply(&mut self, changes: ListChanges) {
+        if changes.is_whole {
+            self.entries.clear();
+        }
+        for id in &changes.removed {
+            self.entries.remove(id);
+        }
+        let upstreams = changes.upstreams.into_iter();
+        self.entries.extend(upstreams.map(|u| (u.id.clone(), u)));
+        self.version = changes.version;
+    }
+
+    /// Number of entries.
+    pub fn len(&self) -> usize {
+        self.entries.len()
+    }
+
+    /// Whether there are no entries.
+    pub fn is_empty(&self) -> bool {
+        self.entries.is_empty()
+    }
+
+    /// All entries.
+    pub fn list(&self) -> Vec<Upstream> {
+        self.entries.values().cloned().collect()
+    }
+}
--- a/crates/fleet/tests/quota_interleavings.rs
+++ b/crates/fleet/tests/quota_interleavings.rs
@@ -95,7 +95,12 @@
             burst: per_s * rng.random_range(0.5..3.0),
             unit: Unit::Tokens { plain: 200 },
         };
-        let count = rng.random_range(2..24);
+        // Sums over all processes are approximate in large fleets.
+        let count = if seed.is_multiple_of(6) {
+            rng.random_range(41..80)
+        } else {
+            rng.random_range(2..24)
+        };
         let instances = (0..count).map(|_| Instance {
             quotas: InstanceQuotas::default(),
             process: 0,
