Fetch the entries of many starting instances in batches

Cause: every instance watches the entries of all others while it starts, and each of 295 entries was an answer of its own. Change: a pause between watch calls of 1 ms an instance.

--- a/crates/entry/src/follow/members.rs
+++ b/crates/entry/src/follow/members.rs
@@ -25,6 +25,9 @@
 const WATCH_WAIT: Duration = Duration::from_secs(2);
 /// Time beyond the wait after which a watch call times out.
 const WATCH_ANSWER_MARGIN: Duration = Duration::from_millis(500);
+/// Pause between two watch calls, for each instance: when many instances start, their entries are
+/// fetched in batches.
+const WATCH_PAUSE_PER_INSTANCE: Duration = Duration::from_millis(1);
 /// Pause between checks of whether the holder responds.
 const POLL_INTERVAL: Duration = Duration::from_millis(100);
 /// Length in bytes of the shared secret that instances authenticate each other with.
@@ -122,6 +125,8 @@
         };
         after = after.max(changes.revision);
         apply_changes(cx, own_prefix, &changes);
+        let instances = u32::try_from(cx.instance_count()).unwrap_or(u32::MAX);
+        sleep(WATCH_PAUSE_PER_INSTANCE * instances).await;
     }
 }
 
