--- a/crates/entry/src/follow/config.rs
+++ b/crates/entry/src/follow/config.rs
@@ -64,6 +64,17 @@
     loop {
         wait_until_stale(cx).await;
         let called_at = cx.now();
+        if cx.newer_config_age(called_at).is_some() && !cx.is_holder() {
+            // The store may have discarded the history since this instance's last watch.
+            if let Some((item, revision)) = cx.platform.get(key, limit).await? {
+                outage_log.record_success(cx.now());
+                cx.apply_config(&item.value, "store");
+                cx.confirm_config(Some(called_at));
+                after = after.max(revision);
+            }
+            sleep(WATCH_PAUSE).await;
+            continue;
+        }
         let watch_wait = cx
             .settings()
             .timing
