--- a/crates/fleet/src/quota/holder.rs
+++ b/crates/fleet/src/quota/holder.rs
@@ -5,21 +5,19 @@
     time::{Duration, Instant},
 };
 
-use super::{Bucket, EQUAL_SHARE_TIME, GRANT_TTL, Grant, GrantId, UsageTotals};
+use super::{
+    EQUAL_SHARE_TIME, GRANT_TTL, Grant, GrantId, UsageTotals, issued_grant::IssuedGrant,
+    shared_bucket::SharedBucket,
+};
 use crate::config::Allowance;
 
 /// Time after which the holder forgets a process that no longer reports. A process that was
 /// disconnected for less is charged for what it admitted meanwhile.
 const PROCESS_RETENTION: Duration = Duration::from_mins(10);
-/// A new bucket starts with the refill of this time if no instance reports an earlier grant: all
-/// instances may have been lost at once, after spending the whole allowance.
-const INITIAL_REFILL_TIME: Duration = Duration::from_millis(500);
 /// Time for which the holder reserves an equal share of the refill for an instance that stopped
 /// reporting: it may be disconnected and admit requests against that share on its own. Its time
 /// counts from its last report, and clocks run at slightly different rates.
 pub const SILENT_INSTANCE_RESERVE_TIME: Duration = EQUAL_SHARE_TIME.saturating_add(GRANT_TTL);
-/// Time that a grant takes at most to reach its process, unless the answer is lost.
-const ANSWER_TIME: Duration = Duration::from_millis(100);
 /// Time constant of the smoothed demand rate of a process.
 const DEMAND_TIME_CONSTANT: Duration = Duration::from_secs(1);
 /// Fraction of the refill rate that is added, over all processes, to the measured demand, so that
@@ -31,7 +29,6 @@
 /// Fraction of the advance grants that is split equally; the rest is split by demand. The equal
 /// split is needed because requests move between instances from one exchange to the next.
 const EQUAL_SPLIT_FRACTION: f64 = 0.3;
-
 /// Number of processes up to which sums over all of them are computed for each grant.
 const EXACT_SUM_PROCESSES: usize = 40;
 /// Age of such sums up to which they are used in larger fleets. Small against the time in which a
@@ -60,75 +57,6 @@
     unheard: HashMap<String, Instant>,
 }
 
-/// The bucket of one workspace, shared by all instances.
-#[derive(Clone, Copy, Debug)]
-struct SharedBucket {
-    bucket: Bucket,
-    /// When a process received the previous holder's grant from which this bucket was restored.
-    restored_grant_at: Option<Instant>,
-    /// Units spent by all processes since the grants of the previous holder.
-    spent_since_grants: f64,
-    /// Refill that was reserved for silent instances. What they have spent is taken from it when
-    /// they report again.
-    withheld: f64,
-}
-
-impl SharedBucket {
-    /// A bucket of which nothing is known.
-    fn new(Allowance { per_s, burst, .. }: Allowance, now: Instant) -> Self {
-        Self {
-            bucket: Bucket::new(burst.min(per_s * INITIAL_REFILL_TIME.as_secs_f64()), now),
-            restored_grant_at: None,
-            spent_since_grants: 0.0,
-            withheld: 0.0,
-        }
-    }
-
-    /// Refills the bucket, without the part of the refill that is reserved for silent instances,
-    /// of which there are `silent_ratio` per reporting instance. Returns its level.
-    fn refill(&mut self, allowance: Allowance, silent_ratio: f64, now: Instant) -> f64 {
-        let Allowance { per_s, burst, .. } = allowance;
-        let usable_per_s = per_s / (1.0 + silent_ratio);
-        let elapsed = now.saturating_duration_since(self.bucket.updated_at);
-        self.withheld = if silent_ratio > 0.0 {
-            self.withheld + (per_s - usable_per_s) * elapsed.as_secs_f64()
-        } else {
-            0.0
-        };
-        self.bucket.refill(usable_per_s, burst, now)
-    }
-
-    /// Charges what a process has spent. `was_silent` tells whether it was silent meanwhile, so
-    /// that a part of the refill was reserved for it.
-    fn charge(&mut self, spent: f64, was_silent: bool) {
-        let from_reserve = if was_silent {
-            spent.clamp(0.0, self.withheld)
-        } else {
-            0.0
-        };
-        self.withheld -= from_reserve;
-        self.bucket.take(spent - from_reserve);
-    }
-
-    /// Restores the level from the last grant that a process received from the previous holder, if
-    /// no other process had a later one, and charges what the process has spent since. The time
-    /// since that grant is added by the next refill.
-    fn restore(&mut self, totals: &UsageTotals, was_silent: bool, now: Instant) {
-        let Some(last_grant) = totals.last_grant else {
-            return;
-        };
-        let at = now.checked_sub(last_grant.age).unwrap_or(now);
-        let spent = totals.spent - last_grant.included;
-        if !was_silent && self.restored_grant_at.is_none_or(|before| before < at) {
-            self.restored_grant_at = Some(at);
-            self.bucket = Bucket::new(last_grant.bucket_level, at);
-            self.bucket.take(self.spent_since_grants);
-        }
-        self.spent_since_grants += spent;
-        self.charge(spent, was_silent);
-    }
-}
-
 /// A process that reports its usage.
 #[derive(Debug)]
 struct ReportingProcess {
@@ -168,51 +96,6 @@
     summed_demand_per_s: f64,
 }
 
-/// The last grant of a process.
-#[derive(Clone, Copy, Debug, Default)]
-struct IssuedGrant {
-    id: GrantId,
-    level: f64,
-    /// Refill rate of the grant, in units per second.
-    per_s: f64,
-    /// Units left of earlier grants that the process can spend until this one arrives; 0 if it is
-    /// known to have arrived.
-    carried: f64,
-    /// Refill rate of the earlier grants, in units per second.
-    carried_per_s: f64,
-    /// The process's `spent` total that the grant accounts for.
-    included: f64,
-    issued_at: Option<Instant>,
-}
-
-impl IssuedGrant {
-    /// Units that the process may have spent unreported.
-    fn outstanding(&self, now: Instant) -> f64 {
-        let Some(issued_at) = self.issued_at else {
-            return 0.0;
-        };
-        let age = now.saturating_duration_since(issued_at).min(GRANT_TTL);
-        let of_grant = self.level + self.per_s * age.as_secs_f64();
-        let of_earlier = if age < ANSWER_TIME {
-            self.carried + self.carried_per_s * age.as_secs_f64()
-        } else {
-            0.0
-        };
-        of_grant.max(of_earlier).max(0.0)
-    }
-
-    fn has_expired(&self, now: Instant) -> bool {
-        let is_old = |at| now.saturating_duration_since(at) >= GRANT_TTL;
-        self.issued_at.is_some_and(is_old)
-    }
-
-    /// Records that the process received this grant, and no longer spends earlier ones.
-    fn confirm(&mut self) {
-        self.carried = 0.0;
-        self.carried_per_s = 0.0;
-    }
-}
-
 /// Sums over all processes for one workspace.
 #[derive(Clone, Copy, Debug)]
 struct ProcessSums {
@@ -280,7 +163,7 @@
                 usage.granted = IssuedGrant::default();
                 usage.presumed_spent += presumed;
                 if let Some(shared) = self.buckets.get_mut(workspace) {
-                    shared.bucket.take(presumed);
+                    shared.take(presumed);
                 }
             }
         }
--- a/crates/fleet/src/quota/mod.rs
+++ b/crates/fleet/src/quota/mod.rs
@@ -22,6 +22,8 @@
 
 mod holder;
 mod instance;
+mod issued_grant;
+mod shared_bucket;
 
 use std::time::{Duration, Instant};
 
