Let requests pass those that avoid the engine

Cause, found by reading: the first request in a line may avoid the only engine that holds its artifact, for five seconds, and all behind it waited with it. Change: requests that avoid an engine do not wait in line.

--- a/crates/entry/src/serve/admitted.rs
+++ b/crates/entry/src/serve/admitted.rs
@@ -92,15 +92,6 @@
         }
     }
 
-    /// Urgency of resuming a stream at `now`: its caller already waits for the next event.
-    pub(crate) fn resume_urgency(&self, now: Instant) -> Urgency {
-        Urgency {
-            rank: 0,
-            goal: now + self.route.stream_idle_timeout,
-            gives_up: now + self.route.stream_idle_timeout,
-        }
-    }
-
     /// Priority at an engine, from 0 (most urgent) to 9. The workspace's rank overrides the
     /// route's.
     pub(crate) fn priority(&self) -> u8 {
--- a/crates/entry/src/serve/pick.rs
+++ b/crates/entry/src/serve/pick.rs
@@ -8,7 +8,6 @@
 
 use comfreyweir_clock::whole_millis;
 use comfreyweir_fleet::{
-    intake::Urgency,
     request::Artifact,
     upstream::Upstream,
     upstream_choice::{self, Candidate},
@@ -43,18 +42,25 @@
         self.0.insert(upstream.to_owned(), until);
     }
 
+    /// Whether no upstream was ever avoided.
+    fn is_empty(&self) -> bool {
+        self.0.is_empty()
+    }
+
     fn contains(&self, upstream: &str, now: Instant) -> bool {
         self.0.get(upstream).is_some_and(|until| now < *until)
     }
 }
 
 /// Waits until an upstream can run the request and returns the best one. Refuses as soon as the
-/// request cannot be served in time. `urgency` orders requests that wait for the same artifact.
+/// request cannot be served in time.
+///
+/// Requests that wait for the same artifact go in the order of their urgency. Those that avoid an
+/// upstream do not wait in line: the others must not wait until they may use it again.
 pub(super) async fn pick<P>(
     cx: &Rc<EntryContext<P>>,
     request: &AdmittedRequest,
     avoided: &AvoidedUpstreams,
-    urgency: Urgency,
 ) -> Result<PickedUpstream, Refusal>
 where
     P: Platform,
@@ -66,7 +72,8 @@
         let now = cx.now();
         check_key_is_valid(cx, request)?;
         let ticket = wait.as_ref().and_then(|wait| wait.ticket);
-        if is_next(cx, request, ticket, urgency, now)
+        let may_go = !avoided.is_empty() || is_next(cx, request, ticket, now);
+        if may_go
             && let Some(picked) = choose(cx, request, avoided, now)
         {
             drop(wait);
@@ -77,7 +84,7 @@
         }
         check_time_left(cx, request, now)?;
         if wait.is_none() {
-            wait = Some(ArtifactWait::begin(cx, request, urgency));
+            wait = Some(ArtifactWait::begin(cx, request, avoided.is_empty()));
             log_waiting(cx, request, now);
         }
         let left = request.time_left(now);
@@ -96,7 +103,6 @@
     cx: &EntryContext<P>,
     request: &AdmittedRequest,
     ticket: Option<u64>,
-    urgency: Urgency,
     now: Instant,
 ) -> bool
 where
@@ -106,7 +112,7 @@
         || cx
             .waiting_lines
             .borrow()
-            .is_first(&request.artifact_key(), ticket, urgency, now)
+            .is_first(&request.artifact_key(), ticket, request.urgency(), now)
 }
 
 fn log_waiting<P>(cx: &EntryContext<P>, request: &AdmittedRequest, now: Instant)
@@ -287,7 +293,7 @@
     cx: &'a EntryContext<P>,
     service: &'a str,
     artifact: Option<&'a Artifact>,
-    /// Ticket in the line of requests for the artifact.
+    /// Ticket in the line of requests for the artifact, if it waits in line.
     ticket: Option<u64>,
 }
 
@@ -295,12 +301,14 @@
 where
     P: Platform,
 {
-    fn begin(cx: &'a EntryContext<P>, request: &'a AdmittedRequest, urgency: Urgency) -> Self {
+    fn begin(cx: &'a EntryContext<P>, request: &'a AdmittedRequest, waits_in_line: bool) -> Self {
         let artifact = request.artifact();
         let mut ticket = None;
         if let Some(artifact) = artifact {
-            let mut lines = cx.waiting_lines.borrow_mut();
-            ticket = Some(lines.join(&artifact.key(), urgency));
+            ticket = waits_in_line.then(|| {
+                let mut lines = cx.waiting_lines.borrow_mut();
+                lines.join(&artifact.key(), request.urgency())
+            });
             let is_first = cx
                 .demand
                 .borrow_mut()
--- a/crates/entry/src/serve/relay.rs
+++ b/crates/entry/src/serve/relay.rs
@@ -314,9 +314,8 @@
             if !take_retry(&self.cx, &self.request) {
                 return false;
             }
-            let urgency = self.request.resume_urgency(self.cx.now());
             let picked = tokio::select! {
-                picked = pick::pick(&self.cx, &self.request, &avoided, urgency) => picked,
+                picked = pick::pick(&self.cx, &self.request, &avoided) => picked,
                 () = self.tx.closed() => return false,
                 () = caller_disconnected(&self.request) => return false,
             };
--- a/crates/entry/src/serve/retry.rs
+++ b/crates/entry/src/serve/retry.rs
@@ -50,7 +50,7 @@
 {
     let mut state = RetryState::default();
     loop {
-        let picked = match pick::pick(cx, request, &state.avoided, request.urgency()).await {
+        let picked = match pick::pick(cx, request, &state.avoided).await {
             Ok(picked) => picked,
             Err(refusal) => return Err(state.include_earlier_runs(refusal)),
         };
--- a/crates/entry/tests/requests.rs
+++ b/crates/entry/tests/requests.rs
@@ -504,3 +504,42 @@
     );
     caller.abort();
 }
+
+/// A request whose only engine has failed it waits for another engine. Requests behind it that may
+/// use the engine must not wait with it.
+#[actix_rt::test]
+async fn request_that_avoids_an_engine_does_not_hold_up_others() {
+    let complete = ScriptStep::Events {
+        last: 3,
+        disconnects: false,
+        interval: EVENT_INTERVAL,
+    };
+    let upstream = start_upstream("u1", &[ScriptStep::Close, complete]).await;
+    let shared = SharedState::new();
+    let mut patient_config = config(1);
+    let route = std::rc::Rc::new(comfreyweir_fleet::config::Route {
+        first_byte_goal: Duration::from_secs(10),
+        ..support::platform::route("/tell/", RouteKind::Stream, "llm")
+    });
+    patient_config.routes.insert("h".to_owned(), vec![route]);
+    shared.publish_config(patient_config);
+    shared.add_upstream(upstream_entry(&upstream, "llm", &["m1"]));
+    let instance = start(&shared, "e1").await;
+    let addr = instance.entry.addr();
+    let first =
+        actix_rt::spawn(async move { send_request(addr, "/tell/", "r1", "x-model: m1\r\n").await });
+    wait_until("the engine has failed the first request", async || {
+        upstream.observed.borrow().closed_connections == 1
+    })
+    .await;
+    let started = tokio::time::Instant::now();
+    let second = send_request(addr, "/tell/", "r2", "x-model: m1\r\n").await;
+    assert_eq!((second.status, second.complete), (200, true), "{second:?}");
+    assert!(
+        started.elapsed() < Duration::from_secs(1),
+        "{:?}",
+        started.elapsed()
+    );
+    let first = first.await.unwrap();
+    assert_ne!(first.status, 200, "{first:?}");
+}
