Count the slot of an adapter that is unloaded while in use

A report need not list such an adapter, while it occupies its slot until its last request has ended. Change: such a slot counts as occupied for 30 s. Test: fails on the code before.

--- a/crates/entry/src/serve/pick.rs
+++ b/crates/entry/src/serve/pick.rs
@@ -73,9 +73,7 @@
         check_key_is_valid(cx, request)?;
         let ticket = wait.as_ref().and_then(|wait| wait.ticket);
         let may_go = !avoided.is_empty() || is_next(cx, request, ticket, now);
-        if may_go
-            && let Some(picked) = choose(cx, request, avoided, now)
-        {
+        if may_go && let Some(picked) = choose(cx, request, avoided, now) {
             drop(wait);
             if request.artifact().is_some() {
                 cx.intake_changed.notify_waiters();
@@ -109,10 +107,12 @@
     P: Platform,
 {
     request.artifact().is_none()
-        || cx
-            .waiting_lines
-            .borrow()
-            .is_first(&request.artifact_key(), ticket, request.urgency(), now)
+        || cx.waiting_lines.borrow().is_first(
+            &request.artifact_key(),
+            ticket,
+            request.urgency(),
+            now,
+        )
 }
 
 fn log_waiting<P>(cx: &EntryContext<P>, request: &AdmittedRequest, now: Instant)
--- a/crates/fleet/src/planner/engine_state.rs
+++ b/crates/fleet/src/planner/engine_state.rs
@@ -19,6 +19,9 @@
 const REPORT_LAG: Duration = Duration::from_millis(250);
 /// Time that an engine needs to load an adapter. No requests for the adapter are sent before then.
 const ADAPTER_LOAD_TIME: Duration = Duration::from_millis(15);
+/// Time for which requests may keep using an adapter that is unloaded: the longest time that callers
+/// wait for whole answers.
+const ADAPTER_RELEASE_TIME: Duration = Duration::from_secs(30);
 /// Pause before an order that conflicted with a running one is sent again; doubles with each
 /// further conflict, up to four times this.
 const CONFLICT_PAUSE: Duration = Duration::from_millis(30);
@@ -76,6 +79,9 @@
     loading: Option<ModelLoad>,
     /// Adapters whose load was accepted, with the time from which they can be used.
     loading_adapters: Vec<(Artifact, Instant)>,
+    /// Ends of the time in which adapters that were in use when they were unloaded may still occupy
+    /// their slots. Reports may not list them any more.
+    unloading_adapters: Vec<Instant>,
     /// Whether an order or a report request awaits its answer.
     has_pending_call: bool,
     report_requested_at: Option<Instant>,
@@ -143,6 +149,7 @@
             plan: VecDeque::new(),
             loading: None,
             loading_adapters: Vec::new(),
+            unloading_adapters: Vec::new(),
             has_pending_call: false,
             report_requested_at: None,
             pause_until: None,
@@ -164,6 +171,7 @@
         if self.phase != Phase::Ready {
             self.plan.clear();
         }
+        self.unloading_adapters.retain(|until| now < *until);
         let has_settled = self
             .changed_at
             .is_none_or(|at| now.saturating_duration_since(at) > DIRECTORY_LAG);
@@ -290,6 +298,10 @@
         Some(loading.remaining(now))
     }
 
+    fn occupied_adapter_slots(&self) -> usize {
+        self.holds.adapter_count() + self.unloading_adapters.len()
+    }
+
     /// Number of adapters that the engine holds after all planned orders.
     pub(super) fn adapter_count(&self) -> usize {
         let change = |p: &PlannedOrder| match &p.order {
@@ -299,7 +311,7 @@
             _ => 0,
         };
         let planned: isize = self.plan.iter().map(change).sum();
-        self.holds.adapter_count().saturating_add_signed(planned)
+        self.occupied_adapter_slots().saturating_add_signed(planned)
     }
 
     /// Whether an unload of an adapter is planned.
@@ -402,7 +414,7 @@
             return true;
         }
         if artifact.adapter.is_some() {
-            return self.holds.adapter_count() < spec.adapter_slots as usize;
+            return self.occupied_adapter_slots() < spec.adapter_slots as usize;
         }
         let held: Vec<_> = self.holds.models.iter().collect();
         let model = spec.models.get(&artifact.model);
@@ -426,6 +438,10 @@
                 self.lost_answers = 0;
                 self.accepted_orders = self.accepted_orders.map(|n| n + 1);
                 self.apply_order(order, now);
+                if matches!(order, Order::Unload(a) if a.adapter.is_some()) {
+                    // An unused adapter would have been unloaded at once.
+                    self.unloading_adapters.push(now + ADAPTER_RELEASE_TIME);
+                }
             }
             OrderResult::AlreadyDone if matches!(order, Order::Unload(a) if a.adapter.is_some()) => {
                 // An engine unloads an unused adapter before it answers, and counts the order.
--- a/crates/fleet/tests/placement_under_load.rs
+++ b/crates/fleet/tests/placement_under_load.rs
@@ -149,6 +149,28 @@
     assert!(fleet.waiting.is_empty());
 }
 
+/// All adapters are in use by requests of which the holder does not know yet, and reports leave out
+/// adapters that are being unloaded.
+///
+/// Regression: the slot of an adapter in use counted as free once a report did not list it, and the
+/// engine was told to load one adapter too many.
+#[test]
+fn slot_of_an_adapter_in_use_is_not_given_away() {
+    let models = [model("m", LARGE_MB, 20)];
+    let mut fleet = Fleet::new(&models, vec![FakeEngine::new("e1", &["m"])]);
+    for name in ["m/a1", "m/a2", "m/a3"] {
+        fleet.add_waiting(name, 1);
+    }
+    fleet.run_for(seconds(2.0));
+    fleet.engines[0].hides_unloading = true;
+    for name in ["m/a1", "m/a2", "m/a3"] {
+        fleet.engines[0].in_use.push(artifact(name));
+    }
+    fleet.add_waiting("m/a4", 1);
+    fleet.run_for(seconds(5.0));
+    assert_eq!(fleet.overloads(), Vec::<String>::new());
+}
+
 /// The answer to an order is lost, but the engine has carried the order out.
 #[test]
 fn lost_answer_is_found_in_the_report() {
--- a/crates/fleet/tests/support/mod.rs
+++ b/crates/fleet/tests/support/mod.rs
@@ -70,6 +70,8 @@
     /// Adapters in use: an unload is accepted and takes effect when they are no longer in use.
     pub in_use: Vec<Artifact>,
     pub unloading_adapters: Vec<Artifact>,
+    /// Whether reports leave out adapters that are being unloaded.
+    pub hides_unloading: bool,
     /// Duration of the unload of a model, during which other orders get a conflict.
     pub unload_time: Duration,
     busy_until: Option<Instant>,
@@ -92,6 +94,7 @@
             store_loads: 0,
             in_use: Vec::new(),
             unloading_adapters: Vec::new(),
+            hides_unloading: false,
             unload_time: Duration::ZERO,
             busy_until: None,
         }
@@ -123,8 +126,20 @@
     }
 
     pub fn report(&self) -> Report {
+        let mut holds = self.holds();
+        if self.hides_unloading {
+            for model in &mut holds.models {
+                let is_unloading = |adapter: &String| {
+                    let of_model = self.unloading_adapters.iter();
+                    of_model
+                        .filter(|a| a.model == model.name)
+                        .any(|a| a.adapter.as_ref() == Some(adapter))
+                };
+                model.adapters.retain(|adapter| !is_unloading(adapter));
+            }
+        }
         Report {
-            holds: self.holds(),
+            holds,
             is_busy: self.loading.is_some(),
             orders: self.order_count,
             pending_adapters: Vec::new(),
