Keep the holder's own list of upstreams apart from the one it sends

Change: the holder does not apply its own list, and the list is sent with the revision and time at which it was read.

--- a/crates/entry/src/duty/coordinator.rs
+++ b/crates/entry/src/duty/coordinator.rs
@@ -64,6 +64,8 @@
     /// Number of changes of the placement in this tenure.
     placement_version: u64,
     directory: VersionedList,
+    /// Store revision at which `directory` was read, and when.
+    directory_read: Option<(u64, Instant)>,
     arrivals: ArrivalTotals,
     /// Time until which the configurations that were sent last take the instance's bandwidth.
     sending_config_until: Option<Instant>,
@@ -186,9 +188,15 @@
     pub(super) fn run_planners(&self) {
         let now = self.cx.now();
         let config = self.cx.config();
-        let directory: Vec<_> = self.cx.directory.borrow().iter().cloned().collect();
+        let (directory, read_at): (Vec<_>, _) = {
+            let directory = self.cx.directory.borrow();
+            let read_at = directory.age(now).and_then(|age| now.checked_sub(age));
+            let read = read_at.map(|at| (directory.revision(), at));
+            (directory.iter().cloned().collect(), read)
+        };
         let mut state = self.state.borrow_mut();
         state.directory.update(&directory);
+        state.directory_read = read_at;
         let loads = state.loads(now);
         let suspects = state.suspects(now);
         for service in config.services.values() {
@@ -281,7 +289,7 @@
             others: state.loads_of_others(&request.process, now),
             grants,
             silent: state.grant_allocator.silent_instances(now),
-            directory: self.directory_view(&state, request.directory, now),
+            directory: state.directory_view(request.directory, now),
             config: sends_config.then(|| String::from_utf8_lossy(&value).into_owned()),
             config_version: config.version,
             config_age_ms: self.cx.config_age(now).map_or(u64::MAX, whole_millis),
@@ -304,20 +312,6 @@
         state.sending_config_until = Some(now + time);
         true
     }
-
-    fn directory_view(
-        &self,
-        state: &TenureState,
-        known_version: ListVersion,
-        now: Instant,
-    ) -> DirectoryView {
-        let directory = self.cx.directory.borrow();
-        DirectoryView {
-            revision: directory.revision(),
-            age_ms: directory.age(now).map(whole_millis),
-            changes: state.directory.changes_since(known_version),
-        }
-    }
 }
 
 /// The parts of a report that its view depends on: which versions the instance already knows, and
@@ -347,6 +341,16 @@
 }
 
 impl TenureState {
+    /// The list of upstreams as of the last planner run, for an instance that knows a version of it.
+    fn directory_view(&self, known_version: ListVersion, now: Instant) -> DirectoryView {
+        let age = |at: Instant| whole_millis(now.saturating_duration_since(at));
+        DirectoryView {
+            revision: self.directory_read.map_or(0, |(revision, _)| revision),
+            age_ms: self.directory_read.map(|(_, at)| age(at)),
+            changes: self.directory.changes_since(known_version),
+        }
+    }
+
     fn plan_service(
         &mut self,
         service: &Service,
--- a/crates/entry/src/exchange/client.rs
+++ b/crates/entry/src/exchange/client.rs
@@ -133,8 +133,11 @@
         if coordinator.has_duty() {
             self.link = None;
             let arrivals = report.demand.arrivals.clone();
-            if let ExchangeAnswer::View(view) = coordinator.exchange(report, wait).await {
+            if let ExchangeAnswer::View(mut view) = coordinator.exchange(report, wait).await {
                 cx.demand.borrow_mut().acknowledge(arrivals);
+                // The view has the list as of the last planner run. This instance may have read a
+                // newer one since, which the older one must not replace.
+                view.directory = DirectoryView::default();
                 apply_view(cx, *view, reported_at);
             }
             return Ok(());
