Log how the end of an answer was marked and what followed the last event

The logs of the incident do not tell whether a stream without length or chunks was closed in order, was reset, or passed a wrong check of its length. AnswerBody now follows the events of a stream; the line 'request answered' has its framing and the bytes after the last whole event. No decision changes.

--- a/crates/entry/src/serve/relay.rs
+++ b/crates/entry/src/serve/relay.rs
@@ -73,7 +73,15 @@
         sent.note_outcome(Outcome::Good);
     }
     let status = answer.status.as_u16();
-    log_answered(cx, request, &sent, status, "whole", &ChunkTimes::default());
+    log_answered(
+        cx,
+        request,
+        &sent,
+        Some(&answer.body),
+        status,
+        "whole",
+        &ChunkTimes::default(),
+    );
     let mut res = response_builder(&answer);
     if is_head {
         if let Some(length) = declared_length(&answer.headers) {
@@ -201,6 +209,7 @@
                 &self.cx,
                 &self.request,
                 &self.sent,
+                self.body.as_ref(),
                 200,
                 outcome,
                 &self.chunk_times,
@@ -362,6 +371,7 @@
     cx: &EntryContext<P>,
     request: &AdmittedRequest,
     sent: &SentRequest<P>,
+    body: Option<&AnswerBody>,
     status: u16,
     outcome: &str,
     chunk_times: &ChunkTimes,
@@ -378,10 +388,13 @@
         .first
         .map(|at| at.saturating_duration_since(request.arrived));
     let artifact = request.artifact_key();
+    let framing = body.map_or("", |body| body.framing().name());
+    let unfinished_event_bytes = body.map_or(0, AnswerBody::unfinished_event_bytes);
     spdlog::info!("request answered", kv: {
         request_id = request.id.as_str(), route = request.route.name.as_str(), workspace,
         upstream = sent.upstream.id.as_str(), artifact = artifact.as_str(), status, outcome, ms,
         upstream_ms = whole_millis(sent.elapsed()), unread = sent.uncached_tokens(),
-        first_ms = first.map_or(ms, whole_millis), gap_ms = whole_millis(chunk_times.longest_gap)
+        first_ms = first.map_or(ms, whole_millis), gap_ms = whole_millis(chunk_times.longest_gap),
+        framing, unfinished_event_bytes
     });
 }
--- a/crates/http/src/lib.rs
+++ b/crates/http/src/lib.rs
@@ -5,6 +5,7 @@
 
 pub mod body;
 pub mod caller;
+pub mod event_stream;
 pub mod headers;
 pub mod listener;
 pub mod shutdown;
--- a/crates/http/src/upstream/answer.rs
+++ b/crates/http/src/upstream/answer.rs
@@ -12,6 +12,10 @@
 use tokio::time::timeout;
 
 use super::{CallError, IncompleteSnafu, StalledSnafu, TooLargeSnafu, connection::CallProgress};
+use crate::event_stream::EventPosition;
+
+/// Media type of a stream of server-sent events.
+const EVENT_STREAM: &str = "text/event-stream";
 
 /// An upstream's answer: the head, and the body that is yet to be read.
 pub struct UpstreamAnswer {
@@ -31,11 +35,13 @@
     framing: Framing,
     keep_alive: bool,
     bytes_read: u64,
+    /// Position in the stream of events; `None` if the answer is none.
+    events: Option<EventPosition>,
 }
 
 /// How the end of a body is marked.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
-enum Framing {
+pub enum Framing {
     /// By the length in `content-length`, in bytes.
     Length(u64),
     /// By the last chunk.
@@ -44,6 +50,17 @@
     UntilClose,
 }
 
+impl Framing {
+    /// Name for logs.
+    pub fn name(self) -> &'static str {
+        match self {
+            Self::Length(_) => "length",
+            Self::Chunked => "chunked",
+            Self::UntilClose => "close",
+        }
+    }
+}
+
 impl UpstreamAnswer {
     pub(super) fn new(
         addr: SocketAddr,
@@ -59,6 +76,7 @@
             res,
             progress,
             bytes_read: 0,
+            events: is_event_stream(&headers).then(EventPosition::default),
         };
         Self {
             status,
@@ -79,6 +97,9 @@
         match piece {
             Some(Ok(bytes)) => {
                 self.bytes_read += bytes.len() as u64;
+                if let Some(events) = &mut self.events {
+                    events.advance(&bytes);
+                }
                 Ok(Some(bytes))
             }
             Some(Err(e)) => IncompleteSnafu {
@@ -90,6 +111,16 @@
         }
     }
 
+    /// How the end of the body is marked.
+    pub fn framing(&self) -> Framing {
+        self.framing
+    }
+
+    /// Bytes read since the end of the last event; 0 if the answer is not a stream of events.
+    pub fn unfinished_event_bytes(&self) -> u64 {
+        self.events.map_or(0, |events| events.unfinished_bytes())
+    }
+
     /// Reads the rest of the body. Fails when that exceeds `limit` bytes.
     pub async fn read_all(&mut self, limit: usize, stall: Duration) -> Result<Bytes, CallError> {
         let mut buf = BytesMut::new();
@@ -143,6 +174,14 @@
         .map_or(Framing::UntilClose, Framing::Length)
 }
 
+fn is_event_stream(headers: &HeaderMap) -> bool {
+    let media_type = headers
+        .get(header::CONTENT_TYPE)
+        .and_then(|v| v.to_str().ok())
+        .and_then(|v| v.split(';').next());
+    media_type.is_some_and(|v| v.trim().eq_ignore_ascii_case(EVENT_STREAM))
+}
+
 fn allows_keep_alive(res: &ClientResponse<BoxedPayloadStream>) -> bool {
     let closes = res
         .headers()
--- a/crates/http/src/upstream/mod.rs
+++ b/crates/http/src/upstream/mod.rs
@@ -21,7 +21,7 @@
 use tokio::{net::TcpStream, time::timeout};
 
 pub use self::{
-    answer::{AnswerBody, UpstreamAnswer},
+    answer::{AnswerBody, Framing, UpstreamAnswer},
     connection::CallProgress,
 };
 use self::{
