Failing tests of streams that are broken off without a length

An event stream with neither a length nor chunks that its upstream breaks off inside an event, by an orderly close, is ended as complete: the instance logs framing=close, unfinished_event_bytes=8 and outcome=complete.

--- a/crates/entry/tests/requests.rs
+++ b/crates/entry/tests/requests.rs
@@ -303,6 +303,53 @@
     );
 }
 
+/// Guards against a stream without a length that its engine broke off being ended as complete.
+#[actix_rt::test]
+async fn unframed_stream_that_breaks_off_goes_on_at_another_engine() {
+    let script = [ScriptStep::UnframedEvents {
+        last: 6,
+        breaks_off_after: Some(3),
+    }];
+    let first = start_upstream("u1", &script).await;
+    let second = start_upstream("u2", &script).await;
+    let instance = start_instance(&[], &[(&first, &["m1"]), (&second, &["m1"])]).await;
+    let response = send_request(instance.entry.addr(), "/tell/", "r1", "x-model: m1\r\n").await;
+    let events = (1..=6).map(|i| format!("id: {i}\ndata: e{i}\n\n"));
+    assert_eq!(response.body, events.collect::<String>());
+    assert!(response.complete, "{response:?}");
+    assert_eq!((first.arrivals(), second.arrivals()), (1, 1));
+}
+
+/// Guards against a stream that may not be resumed being ended as complete after its engine broke
+/// off.
+#[actix_rt::test]
+async fn unframed_stream_that_may_not_go_on_does_not_look_whole() {
+    let interrupted = ScriptStep::UnframedEvents {
+        last: 6,
+        breaks_off_after: Some(3),
+    };
+    let upstream = start_upstream("u1", &[interrupted]).await;
+    let shared = SharedState::new();
+    let mut once_config = config(1);
+    let route = comfreyweir_fleet::config::Route {
+        is_resumable: false,
+        ..support::platform::route("/tell/", RouteKind::Stream, "llm")
+    };
+    once_config
+        .routes
+        .insert("h".to_owned(), vec![Rc::new(route)]);
+    shared.publish_config(once_config);
+    shared.add_upstream(upstream_entry(&upstream, "llm", &["m1"]));
+    let instance = start(&shared, "e1").await;
+    let response = send_request(instance.entry.addr(), "/tell/", "r1", "x-model: m1\r\n").await;
+    assert_eq!(
+        (response.status, response.complete),
+        (200, false),
+        "{response:?}"
+    );
+    assert_eq!(upstream.arrivals(), 1);
+}
+
 /// A model must not stay unloaded because no engine holds it when its first request arrives.
 #[actix_rt::test]
 async fn model_that_no_engine_holds_is_loaded_for_the_request() {
--- a/crates/entry/tests/support/upstream.rs
+++ b/crates/entry/tests/support/upstream.rs
@@ -1,6 +1,8 @@
 //! A scripted upstream: each request consumes one step of the script.
 
-use std::{cell::RefCell, collections::VecDeque, net::SocketAddr, rc::Rc, time::Duration};
+use std::{
+    cell::RefCell, collections::VecDeque, fmt::Write as _, net::SocketAddr, rc::Rc, time::Duration,
+};
 
 use actix_rt::{task::JoinHandle, time::sleep};
 use tokio::{
@@ -23,6 +25,12 @@
     Silent,
     /// Answers with the id of another request.
     WrongRequestId,
+    /// Like `Events`, with neither a length nor chunks, and closes the connection in order. A stream
+    /// that begins with event 1 is broken off inside the event after `breaks_off_after`, if any.
+    UnframedEvents {
+        last: u64,
+        breaks_off_after: Option<u64>,
+    },
     /// Sends events 1 to `last`, then nothing, and keeps the connection open.
     EventsThenSilence { last: u64 },
     /// Sends the events after the one that the request names as last received, up to `last`, then
@@ -153,6 +161,22 @@
             );
             io.write_all(text.as_bytes()).await.is_ok()
         }
+        ScriptStep::UnframedEvents {
+            last,
+            breaks_off_after,
+        } => {
+            let last_received = header(request, "x-last").and_then(|n| n.parse::<u64>().ok());
+            let breaks_off_after = breaks_off_after.filter(|_| last_received.is_none());
+            let mut text = head(200, "content-type: text/event-stream\r\n");
+            for event in last_received.map_or(1, |n| n + 1)..=breaks_off_after.unwrap_or(last) {
+                let _ = write!(text, "id: {event}\ndata: e{event}\n\n");
+            }
+            if let Some(last) = breaks_off_after {
+                let _ = write!(text, "id: {}\nda", last + 1);
+            }
+            let _ = io.write_all(text.as_bytes()).await;
+            false
+        }
         ScriptStep::EventsThenSilence { last } => {
             let rest = "content-type: text/event-stream\r\ntransfer-encoding: chunked\r\n";
             let _ = io.write_all(head(200, rest).as_bytes()).await;
