End a stream that was broken off inside an event as broken

Cause: an answer with neither a length nor chunks ends with its connection, and AnswerBody took any orderly close for that end. A process that ends in the middle of an answer closes its connections in order too. The entry daemon then passed on the unfinished event and ended the body properly.

AnswerBody now also requires that a stream of events ends between two events, however its end is marked, and that one without length or chunks has any byte at all.

--- a/crates/http/src/upstream/answer.rs
+++ b/crates/http/src/upstream/answer.rs
@@ -1,4 +1,8 @@
 //! Answers of upstreams. A body that ends early is an error, never a short body.
+//!
+//! An orderly close proves nothing by itself: a process that ends in the middle of an answer closes
+//! its connections in order too. Event streams are therefore also checked for the end of their last
+//! event.
 
 use std::{net::SocketAddr, rc::Rc, time::Duration};
 
@@ -146,17 +150,26 @@
             Framing::UntilClose => !self.progress.has_failed(),
         };
         if !is_complete {
-            return IncompleteSnafu {
-                addr: self.addr,
-                reason: "the connection was closed",
-            }
-            .fail();
+            return self.incomplete("the connection was closed");
+        }
+        if self.unfinished_event_bytes() > 0 {
+            return self.incomplete("the stream ended inside an event");
+        }
+        // A clean close is also what a process leaves behind that ends before its first event.
+        let closed_before_body = self.framing == Framing::UntilClose && self.bytes_read == 0;
+        if closed_before_body && self.events.is_some() {
+            return self.incomplete("the stream ended before its first event");
         }
         if self.keep_alive && self.framing != Framing::UntilClose {
             self.progress.set_reusable();
         }
         Ok(None)
     }
+
+    fn incomplete<T>(&self, reason: &str) -> Result<T, CallError> {
+        let addr = self.addr;
+        IncompleteSnafu { addr, reason }.fail()
+    }
 }
 
 fn body_framing(headers: &HeaderMap) -> Framing {
