Read the final answer after an informational one

Found while looking for the cause of the incident elsewhere: the answer after a 1xx head without length or chunks was read as empty and complete, and so passed on, because the filter of heads let everything after a 1xx head pass and the HTTP client took that head for the final one.

Informational heads are dropped now (but 101, which no answer follows), and the final head is filtered like any other. The test read an empty body before and passes.

--- a/crates/http/src/upstream/head_filter.rs
+++ b/crates/http/src/upstream/head_filter.rs
@@ -3,6 +3,8 @@
 //! The body of an HTTP/1.1 answer with neither `content-length` nor `transfer-encoding` ends with
 //! the connection. The HTTP client takes such a body for empty, but reads an HTTP/1.0 body to the
 //! end of the connection. The filter therefore changes the version of such an answer to HTTP/1.0.
+//!
+//! Informational answers are dropped, since the HTTP client takes them for the final one.
 
 use bytes::{Buf, BytesMut};
 
@@ -11,6 +13,8 @@
 const MAX_HEAD_BYTES: usize = 128 << 10;
 /// First digit of the statuses of informational (1xx) answers, which precede the final answer.
 const INFORMATIONAL_CLASS: u8 = b'1';
+/// The one 1xx status that no other answer follows.
+const SWITCHING_PROTOCOLS: &[u8] = b"101";
 /// Statuses of answers that have no body, even without a length.
 const BODILESS_STATUSES: [&[u8]; 2] = [b"204", b"304"];
 
@@ -47,11 +51,9 @@
                 return;
             };
             let head = &mut self.buf[..length];
-            if status(head).first() == Some(&INFORMATIONAL_CLASS) {
-                // The final answer that follows passes unchanged too, even if it ends with the
-                // connection. Informational answers are rare and small.
-                self.is_released = true;
-                return;
+            if is_informational(head) {
+                self.buf.advance(length);
+                continue;
             }
             if ends_with_connection(head) {
                 head[..HTTP_10.len()].copy_from_slice(HTTP_10);
@@ -92,6 +94,11 @@
         .unwrap_or_default()
 }
 
+fn is_informational(head: &[u8]) -> bool {
+    let status = status(head);
+    status.first() == Some(&INFORMATIONAL_CLASS) && status != SWITCHING_PROTOCOLS
+}
+
 /// Whether an HTTP/1.1 answer may have a body and declares neither a length nor a transfer
 /// encoding.
 fn ends_with_connection(head: &[u8]) -> bool {
--- a/crates/http/tests/answer_end.rs
+++ b/crates/http/tests/answer_end.rs
@@ -124,3 +124,20 @@
         }
     }
 }
+
+/// Guards against the answer after an informational one being read as empty and complete.
+#[actix_rt::test]
+async fn answer_after_informational_ones_is_read_to_its_end() {
+    let informational =
+        "HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 103 Early Hints\r\nlink: </a>\r\n\r\n";
+    for frame in FRAMINGS {
+        let answer = format!("{informational}{}", frame("text/plain", "served"));
+        assert_eq!(body_of(&answer).await.unwrap(), "served");
+        let answer = format!("{informational}{}", frame("text/event-stream", "id: 1\n"));
+        let read = body_of(&answer).await;
+        assert!(
+            matches!(read, Err(CallError::Incomplete { .. })),
+            "{read:?}"
+        );
+    }
+}
