Follow the events of a stream whose answer names no media type

The check for the end of the last event went by the media type alone. On a stream's route an answer without one is taken for a stream of events too; the test failed without this. An answer of another media type on such a route is now passed on as it is, instead of being held back until it has a blank line.

--- a/crates/entry/src/serve/relay.rs
+++ b/crates/entry/src/serve/relay.rs
@@ -97,7 +97,7 @@
 pub(super) fn respond_streaming<P>(
     cx: &Rc<EntryContext<P>>,
     request: &Rc<AdmittedRequest>,
-    answer: Box<UpstreamAnswer>,
+    mut answer: Box<UpstreamAnswer>,
     sent: SentRequest<P>,
     possible_runs: u32,
 ) -> Response<BoxBody>
@@ -106,7 +106,8 @@
 {
     let (tx, rx) = mpsc::channel(CHANNEL_CAPACITY);
     let res = response_builder(&answer);
-    let is_resumable = request.route.is_resumable;
+    answer.body.expect_events();
+    let is_resumable = request.route.is_resumable && answer.body.is_event_stream();
     // An upstream that resumes the stream may frame it differently, which changes its length.
     let length = declared_length(&answer.headers).filter(|_| !is_resumable);
     let relay = StreamRelay {
@@ -343,7 +344,8 @@
             };
             avoided.avoid_until(&picked.upstream.id, self.cx.now() + AVOID_AFTER_FAILURE);
             match attempt {
-                AttemptResult::Answered(answer, sent) if answer.status.is_success() => {
+                AttemptResult::Answered(mut answer, sent) if answer.status.is_success() => {
+                    answer.body.expect_events();
                     self.sent = sent;
                     self.body = Some(answer.body);
                     self.possible_runs += 1;
--- a/crates/entry/tests/requests.rs
+++ b/crates/entry/tests/requests.rs
@@ -244,6 +244,7 @@
     );
 }
 
+const EVENT_STREAM: &str = "content-type: text/event-stream\r\n";
 const EVENT_INTERVAL: Duration = Duration::from_millis(5);
 
 #[actix_rt::test]
@@ -309,6 +310,7 @@
     let script = [ScriptStep::UnframedEvents {
         last: 6,
         breaks_off_after: Some(3),
+        content_type: EVENT_STREAM,
     }];
     let first = start_upstream("u1", &script).await;
     let second = start_upstream("u2", &script).await;
@@ -320,6 +322,38 @@
     assert_eq!((first.arrivals(), second.arrivals()), (1, 1));
 }
 
+/// Guards against a stream whose answer names no media type being ended as complete when its engine
+/// broke it off.
+#[actix_rt::test]
+async fn stream_without_a_media_type_goes_on_at_another_engine() {
+    let script = [ScriptStep::UnframedEvents {
+        last: 6,
+        breaks_off_after: Some(3),
+        content_type: "",
+    }];
+    let first = start_upstream("u1", &script).await;
+    let second = start_upstream("u2", &script).await;
+    let instance = start_instance(&[], &[(&first, &["m1"]), (&second, &["m1"])]).await;
+    let response = send_request(instance.entry.addr(), "/tell/", "r1", "x-model: m1\r\n").await;
+    assert!(
+        response.complete && response.body.ends_with("data: e6\n\n"),
+        "{response:?}"
+    );
+    assert_eq!((first.arrivals(), second.arrivals()), (1, 1));
+}
+
+/// An answer of another media type on a stream's route is passed on as it is.
+#[actix_rt::test]
+async fn answer_that_is_no_event_stream_may_end_anywhere() {
+    let upstream = start_upstream("u1", &[ScriptStep::Answer(200, "no events")]).await;
+    let instance = start_instance(&[], &[(&upstream, &["m1"])]).await;
+    let response = send_request(instance.entry.addr(), "/tell/", "r1", "x-model: m1\r\n").await;
+    assert_eq!(
+        (response.body.as_str(), response.complete),
+        ("no events", true)
+    );
+}
+
 /// Guards against a stream that may not be resumed being ended as complete after its engine broke
 /// off.
 #[actix_rt::test]
@@ -327,6 +361,7 @@
     let interrupted = ScriptStep::UnframedEvents {
         last: 6,
         breaks_off_after: Some(3),
+        content_type: EVENT_STREAM,
     };
     let upstream = start_upstream("u1", &[interrupted]).await;
     let shared = SharedState::new();
--- a/crates/entry/tests/support/upstream.rs
+++ b/crates/entry/tests/support/upstream.rs
@@ -30,6 +30,8 @@
     UnframedEvents {
         last: u64,
         breaks_off_after: Option<u64>,
+        /// Header line with the media type, or empty.
+        content_type: &'static str,
     },
     /// Sends events 1 to `last`, then nothing, and keeps the connection open.
     EventsThenSilence { last: u64 },
@@ -128,7 +130,10 @@
     };
     match step {
         ScriptStep::Answer(status, body) => {
-            let rest = format!("x-own: kept\r\ncontent-length: {}\r\n", body.len());
+            let rest = format!(
+                "x-own: kept\r\ncontent-type: text/plain\r\ncontent-length: {}\r\n",
+                body.len()
+            );
             let text = head(status, &rest) + body;
             io.write_all(text.as_bytes()).await.is_ok()
         }
@@ -164,10 +169,11 @@
         ScriptStep::UnframedEvents {
             last,
             breaks_off_after,
+            content_type,
         } => {
             let last_received = header(request, "x-last").and_then(|n| n.parse::<u64>().ok());
             let breaks_off_after = breaks_off_after.filter(|_| last_received.is_none());
-            let mut text = head(200, "content-type: text/event-stream\r\n");
+            let mut text = head(200, content_type);
             for event in last_received.map_or(1, |n| n + 1)..=breaks_off_after.unwrap_or(last) {
                 let _ = write!(text, "id: {event}\ndata: e{event}\n\n");
             }
--- a/crates/http/src/upstream/answer.rs
+++ b/crates/http/src/upstream/answer.rs
@@ -39,6 +39,7 @@
     framing: Framing,
     keep_alive: bool,
     bytes_read: u64,
+    has_media_type: bool,
     /// Position in the stream of events; `None` if the answer is none.
     events: Option<EventPosition>,
 }
@@ -80,6 +81,7 @@
             res,
             progress,
             bytes_read: 0,
+            has_media_type: headers.contains_key(header::CONTENT_TYPE),
             events: is_event_stream(&headers).then(EventPosition::default),
         };
         Self {
@@ -115,6 +117,18 @@
         }
     }
 
+    /// Treats an answer without a media type as a stream of events, because one was asked for.
+    pub fn expect_events(&mut self) {
+        if !self.has_media_type {
+            self.events = Some(EventPosition::default());
+        }
+    }
+
+    /// Whether the answer is a stream of events.
+    pub fn is_event_stream(&self) -> bool {
+        self.events.is_some()
+    }
+
     /// How the end of the body is marked.
     pub fn framing(&self) -> Framing {
         self.framing
