Split streams where the check of their end sees the ends of events

The splitter of streams that may be resumed knew LF LF and CR LF CR LF only, so that a stream with other line ends was held back to its end, and it disagreed with the new check. Both use EventPosition now. The splitter moves from crates/fleet to crates/http, beside it; its test moves along and draws the line end too. What remains after the last event is no longer passed on at the end, since there is nothing.

--- a/crates/entry/src/serve/relay.rs
+++ b/crates/entry/src/serve/relay.rs
@@ -12,9 +12,10 @@
 use actix_http::{Method, Response, ResponseBuilder, body::BoxBody, header};
 use bytes::Bytes;
 use comfreyweir_clock::whole_millis;
-use comfreyweir_fleet::{events::EventSplitter, health::Outcome};
+use comfreyweir_fleet::health::Outcome;
 use comfreyweir_http::{
     body::{BodyPiece, RelayedBody, declared_length},
+    event_stream::EventSplitter,
     headers::end_to_end,
     upstream::{AnswerBody, CallError, UpstreamAnswer},
 };
@@ -266,7 +267,7 @@
             };
             let piece = match read {
                 Ok(Some(piece)) => piece,
-                Ok(None) => return self.complete().await,
+                Ok(None) => return StreamEnd::Complete,
                 Err(CallError::Stalled { .. })
                     if self.request.time_left(self.cx.now()).is_zero() =>
                 {
@@ -296,18 +297,6 @@
         }
     }
 
-    async fn complete(&mut self) -> StreamEnd {
-        let rest = self
-            .events
-            .as_mut()
-            .map(EventSplitter::rest)
-            .unwrap_or_default();
-        if !rest.is_empty() && self.tx.send(BodyPiece::Bytes(rest)).await.is_err() {
-            return StreamEnd::CallerLeft;
-        }
-        StreamEnd::Complete
-    }
-
     /// Resumes a broken stream at another upstream, after the last complete event that was relayed.
     /// False if that is not possible.
     async fn resume(&mut self) -> bool {
--- a/crates/fleet/src/lib.rs
+++ b/crates/fleet/src/lib.rs
@@ -7,7 +7,6 @@
 pub mod config;
 pub mod directory;
 pub mod duty;
-pub mod events;
 pub mod health;
 pub mod holder_search;
 pub mod intake;
--- a/crates/fleet/tests/decisions.rs
+++ b/crates/fleet/tests/decisions.rs
@@ -9,7 +9,6 @@
 use comfreyweir_fleet::{
     config::{Config, Route, RouteKind, Target},
     duty::Tenure,
-    events::EventSplitter,
     health::{Health, Outcome},
     load::Load,
     prefix_cache::PrefixCaches,
@@ -17,7 +16,6 @@
     retry_budget::{BudgetLimits, RetryBudget},
     upstream_choice::{Candidate, choose},
 };
-use proptest::prelude::*;
 
 fn route(name: &str, prefix: &str) -> Rc<Route> {
     Rc::new(Route {
@@ -251,26 +249,3 @@
     assert!(gap >= min_gap, "{gap:?}");
     assert!(gap <= min_gap + ms(2), "{gap:?}");
 }
-
-proptest! {
-    /// However a stream is cut into chunks, only whole events are returned, and none is lost.
-    #[test]
-    fn events_are_split_at_their_ends(cuts in prop::collection::vec(1_usize..40, 1..40)) {
-        let events: Vec<_> = (0..12).map(|i| format!("id: {i}\ndata: tok{i}\n\n")).collect();
-        let stream = events.concat();
-        let mut splitter = EventSplitter::after(None);
-        let mut rest = stream.as_bytes();
-        let mut out = Vec::new();
-        for cut in cuts {
-            let (chunk, remaining) = rest.split_at(cut.min(rest.len()));
-            rest = remaining;
-            out.extend_from_slice(&splitter.push(chunk));
-            prop_assert!(out.is_empty() || out.ends_with(b"\n\n"));
-            let complete = out.windows(2).filter(|w| w == b"\n\n").count();
-            let last = complete.checked_sub(1).map(|n| n as u64);
-            prop_assert_eq!(splitter.last_id(), last);
-        }
-        out.extend_from_slice(&splitter.push(rest));
-        prop_assert_eq!(out, stream.as_bytes());
-    }
-}
--- a/crates/http/src/event_stream.rs
+++ b/crates/http/src/event_stream.rs
@@ -1,4 +1,6 @@
-//! Ends of events in streams of server-sent events.
+//! Streams of server-sent events: where events end, and splitting a stream between them.
+
+use bytes::{Bytes, BytesMut};
 
 /// Where a position in an event stream lies: between two events, or inside one.
 ///
@@ -21,11 +23,17 @@
 }
 
 impl EventPosition {
-    /// Moves past `bytes`, the next bytes of the stream.
-    pub fn advance(&mut self, bytes: &[u8]) {
-        for byte in bytes {
+    /// Moves past `bytes`, the next bytes of the stream. Returns the offset in `bytes` at which the
+    /// last of the events that end there ends; `None` if none does.
+    pub fn advance(&mut self, bytes: &[u8]) -> Option<usize> {
+        let mut end = None;
+        for (at, byte) in bytes.iter().enumerate() {
             self.advance_by_one(*byte);
+            if self.unfinished_bytes == 0 {
+                end = Some(at + 1);
+            }
         }
+        end
     }
 
     fn advance_by_one(&mut self, byte: u8) {
@@ -52,3 +60,56 @@
         self.unfinished_bytes
     }
 }
+
+/// Buffers the chunks of an event stream and returns complete events.
+///
+/// A resumable stream must reach the caller in complete events only: the upstream that continues it
+/// begins with the event after the last one that the caller received.
+#[derive(Debug, Default)]
+pub struct EventSplitter {
+    buf: BytesMut,
+    position: EventPosition,
+    last_id: Option<u64>,
+}
+
+impl EventSplitter {
+    /// Creates a splitter for a stream whose events up to `last_id` the caller already has.
+    pub fn after(last_id: Option<u64>) -> Self {
+        Self {
+            last_id,
+            ..Self::default()
+        }
+    }
+
+    /// Adds a chunk and returns all events that are complete now; empty if there are none.
+    pub fn push(&mut self, chunk: &[u8]) -> Bytes {
+        let buffered = self.buf.len();
+        self.buf.extend_from_slice(chunk);
+        let Some(end) = self.position.advance(chunk) else {
+            return Bytes::new();
+        };
+        let events = self.buf.split_to(buffered + end).freeze();
+        if let Some(id) = last_event_id(&events) {
+            self.last_id = Some(id);
+        }
+        events
+    }
+
+    /// Discards the bytes of an incomplete event, before another upstream continues the stream.
+    pub fn drop_partial(&mut self) {
+        self.buf.clear();
+        self.position = EventPosition::default();
+    }
+
+    /// Identifier of the last complete event that has one.
+    pub fn last_id(&self) -> Option<u64> {
+        self.last_id
+    }
+}
+
+fn last_event_id(events: &[u8]) -> Option<u64> {
+    let lines = events.split(|byte| matches!(byte, b'\n' | b'\r'));
+    let mut ids = lines.filter_map(|line| line.strip_prefix(b"id:"));
+    let id = std::str::from_utf8(ids.next_back()?).ok()?;
+    id.trim().parse().ok()
+}
--- a/crates/http/tests/event_stream.rs
+++ b/crates/http/tests/event_stream.rs
@@ -1,6 +1,7 @@
 //! Positions in event streams, for each kind of line end and wherever the stream is cut into chunks.
 
-use comfreyweir_http::event_stream::EventPosition;
+use comfreyweir_http::event_stream::{EventPosition, EventSplitter};
+use proptest::prelude::*;
 
 fn unfinished_bytes(chunks: &[&str]) -> u64 {
     let mut position = EventPosition::default();
@@ -51,3 +52,30 @@
         }
     }
 }
+
+proptest! {
+    /// However a stream is cut into chunks, only whole events are returned, and none is lost.
+    #[test]
+    fn events_are_split_at_their_ends(
+        cuts in prop::collection::vec(1_usize..40, 1..40),
+        line_end in prop::sample::select(vec!["\n", "\r\n", "\r"]),
+    ) {
+        let event = |i| format!("id: {i}{line_end}data: tok{i}{line_end}{line_end}");
+        let stream: String = (0..12).map(event).collect();
+        let mut splitter = EventSplitter::after(None);
+        let mut rest = stream.as_bytes();
+        let mut out = Vec::new();
+        for cut in cuts {
+            let (chunk, remaining) = rest.split_at(cut.min(rest.len()));
+            rest = remaining;
+            out.extend_from_slice(&splitter.push(chunk));
+            let lines = String::from_utf8_lossy(&out).replace("\r\n", "\n").replace('\r', "\n");
+            prop_assert!(lines.is_empty() || lines.ends_with("\n\n"));
+            let complete = lines.matches("\n\n").count();
+            let last = complete.checked_sub(1).map(|n| n as u64);
+            prop_assert_eq!(splitter.last_id(), last);
+        }
+        out.extend_from_slice(&splitter.push(rest));
+        prop_assert_eq!(out, stream.as_bytes());
+    }
+}
