Heed what upstreams say of themselves: that they leave, or want no requests

Cause: an upstream that leaves says so in its answers, at times before or without an entry in the store that does; and one that answers 503 with Retry-After wants nothing from that instance for so long.

An answer of any kind (to a request, an order, a report request), but a 421, marks its process as leaving for this instance, against any list, until another process is listed under the identifier. The exchange passes it on; the list does not, since an instance that has read a newer list ignores the holder's. The planner sees it as draining. Where all that could serve want none for longer than a request has, it is refused at once with the time of the first.

--- a/crates/entry/src/duty/actions.rs
+++ b/crates/entry/src/duty/actions.rs
@@ -67,11 +67,13 @@
     let Some(upstream) = find_upstream(cx, id) else {
         return coordinator.with_planner(service, |planner| planner.report_failed(id, cx.now()));
     };
-    match cx
+    cx.closures.borrow_mut().record_sent(id, cx.now());
+    let answer = cx
         .platform
         .request_report(&upstream, ENGINE_CALL_TIMEOUT)
-        .await
-    {
+        .await;
+    cx.record_notice(&upstream, answer.notice);
+    match answer.result {
         Ok(report) => {
             coordinator.with_planner(service, |planner| {
                 planner.apply_report(id, &report, cx.now());
@@ -133,11 +135,13 @@
 where
     P: Platform,
 {
-    match cx
+    cx.closures.borrow_mut().record_sent(&upstream.id, cx.now());
+    let answer = cx
         .platform
         .send_order(upstream, call, ENGINE_CALL_TIMEOUT)
-        .await
-    {
+        .await;
+    cx.record_notice(upstream, answer.notice);
+    match answer.result {
         Ok(OrderAnswer::Result(result)) => result,
         Ok(OrderAnswer::Fenced) => {
             spdlog::warn!("planning duty lost: an engine has seen a higher fencing token", kv: {
--- a/crates/entry/src/duty/coordinator.rs
+++ b/crates/entry/src/duty/coordinator.rs
@@ -11,6 +11,7 @@
 use comfreyweir_clock::{Clock, whole_millis};
 use comfreyweir_fleet::{
     config::Service,
+    directory::UpstreamProcess,
     duty::Tenure,
     load::{self, Load, Loads},
     planner::{Action, ArrivalTotals, Placement, Planner, PlanningInput, WaitingRequests},
@@ -67,6 +68,8 @@
     /// Store revision at which `directory` was read, and when.
     directory_read: Option<(u64, Instant)>,
     arrivals: ArrivalTotals,
+    /// Upstreams that told any instance that they leave, as of the last planner run.
+    leaving: BTreeSet<UpstreamProcess>,
     /// Time until which the configurations that were sent last take the instance's bandwidth.
     sending_config_until: Option<Instant>,
 }
@@ -112,6 +115,8 @@
             if self.cx.is_holder() {
                 self.cx.members.borrow_mut().holder = None;
             }
+            let mut directory = self.cx.directory.borrow_mut();
+            directory.set_leaving_elsewhere(BTreeSet::new());
         }
         self.step_needed.notify_one();
     }
@@ -188,6 +193,11 @@
     pub(super) fn run_planners(&self) {
         let now = self.cx.now();
         let config = self.cx.config();
+        let leaving = self.state.borrow_mut().update_leaving(now);
+        self.cx
+            .directory
+            .borrow_mut()
+            .set_leaving_elsewhere(leaving);
         let (directory, read_at): (Vec<_>, _) = {
             let directory = self.cx.directory.borrow();
             let read_at = directory.age(now).and_then(|age| now.checked_sub(age));
@@ -199,8 +209,9 @@
         state.directory_read = read_at;
         let loads = state.loads(now);
         let suspects = state.suspects(now);
+        let closed = self.cx.closures.borrow().ends(now);
         for service in config.services.values() {
-            state.plan_service(service, &directory, (&loads, &suspects), now);
+            state.plan_service(service, &directory, (&loads, &suspects, &closed), now);
         }
         state.update_totals(&loads);
         if state.update_placement() {
@@ -290,6 +301,7 @@
             grants,
             silent: state.grant_allocator.silent_instances(now),
             directory: state.directory_view(request.directory, now),
+            leaving: state.leaving.iter().cloned().collect(),
             config: sends_config.then(|| String::from_utf8_lossy(&value).into_owned()),
             config_version: config.version,
             config_age_ms: self.cx.config_age(now).map_or(u64::MAX, whole_millis),
@@ -355,7 +367,7 @@
         &mut self,
         service: &Service,
         directory: &[Rc<Upstream>],
-        (loads, suspects): (&Loads, &BTreeSet<String>),
+        (loads, suspects, closed): (&Loads, &BTreeSet<String>, &HashMap<String, Instant>),
         now: Instant,
     ) {
         let Some(spec) = &service.engine else { return };
@@ -370,6 +382,7 @@
             loads,
             waiting: &waiting,
             suspects,
+            closed,
             arrivals: &arrivals,
         };
         let actions = planner.step(input, now);
@@ -488,6 +501,13 @@
             .collect()
     }
 
+    /// Collects the upstreams that told any instance that they leave.
+    fn update_leaving(&mut self, now: Instant) -> BTreeSet<UpstreamProcess> {
+        let reports = self.fresh_reports(now);
+        self.leaving = reports.flat_map(|r| r.leaving.iter().cloned()).collect();
+        self.leaving.clone()
+    }
+
     /// Expected time in ms until each artifact is loaded; artifacts without an estimate are left
     /// out.
     fn ready_in(&self, waiting: &[(String, Artifact)], now: Instant) -> Vec<(Artifact, u64)> {
--- a/crates/entry/src/exchange/client.rs
+++ b/crates/entry/src/exchange/client.rs
@@ -222,6 +222,7 @@
         demand: cx.demand.borrow().report(),
         spent: cx.quotas.borrow().totals(cx.now()),
         unreachable: cx.health.borrow().upstreams_in_backoff(cx.now()),
+        leaving: cx.directory.borrow().leaving().cloned().collect(),
         placement: placement.fence_and_version,
         directory: placement.holder_list.version(),
         needs_config: cx
@@ -242,6 +243,8 @@
     cx.apply_grants(&view.grants, reported_at);
     cx.loads.borrow_mut().set_others(view.others, now);
     apply_directory(cx, view.directory, now);
+    let leaving = view.leaving.into_iter().collect();
+    cx.directory.borrow_mut().set_leaving_elsewhere(leaving);
     cx.holder_resigned.set(false);
     let mut placement = cx.placement.borrow_mut();
     placement.confirm(now);
--- a/crates/entry/src/exchange/message.rs
+++ b/crates/entry/src/exchange/message.rs
@@ -3,6 +3,7 @@
 use std::{collections::HashMap, net::SocketAddr, time::Duration};
 
 use comfreyweir_fleet::{
+    directory::UpstreamProcess,
     load::{Load, Loads},
     planner::{DemandReport, Placement},
     quota::{Grant, UsageTotals},
@@ -27,6 +28,8 @@
     pub(crate) spent: HashMap<String, UsageTotals>,
     /// Upstreams that it recently failed to reach.
     pub(crate) unreachable: Vec<String>,
+    /// Listed upstreams that told it that they leave.
+    pub(crate) leaving: Vec<UpstreamProcess>,
     /// Fencing token and version of the placement that it knows.
     pub(crate) placement: (u64, u64),
     /// Version of the holder's list of upstreams that it knows.
@@ -67,6 +70,9 @@
     pub(crate) silent: HashMap<String, Duration>,
     /// The holder's list of upstreams.
     pub(crate) directory: DirectoryView,
+    /// Upstreams that told any instance that they leave. Apart from the list, since an instance that
+    /// has read a newer list ignores the holder's.
+    pub(crate) leaving: Vec<UpstreamProcess>,
     /// The configuration, if the instance needs it.
     pub(crate) config: Option<String>,
     /// Version of the holder's configuration.
--- a/crates/entry/src/metrics.rs
+++ b/crates/entry/src/metrics.rs
@@ -28,6 +28,12 @@
     status: u16,
 }
 
+#[derive(Clone, Debug, PartialEq, Eq, Hash)]
+#[derive(EncodeLabelSet)]
+struct NoticeLabel {
+    notice: String,
+}
+
 #[derive(Clone, Debug, PartialEq, Eq, Hash)]
 #[derive(EncodeLabelSet)]
 struct OrderLabels {
@@ -50,6 +56,7 @@
     answers: Family<AnswerLabels, Counter>,
     refusals: Family<StatusLabel, Counter>,
     orders: Family<OrderLabels, Counter>,
+    notices: Family<NoticeLabel, Counter>,
     first_byte_seconds: Histograms,
 }
 
@@ -61,6 +68,7 @@
             answers: Family::default(),
             refusals: Family::default(),
             orders: Family::default(),
+            notices: Family::default(),
             first_byte_seconds: Family::new_with_constructor(histogram),
         };
         let mut registry = metrics.registry.borrow_mut();
@@ -79,6 +87,11 @@
             "Orders to engines",
             metrics.orders.clone(),
         );
+        registry.register(
+            "comfreyweir_upstream_notices",
+            "What upstreams said of themselves beside answers: that they leave, or want no requests",
+            metrics.notices.clone(),
+        );
         registry.register(
             "comfreyweir_first_byte_seconds",
             "Time from the arrival of a stream's request to the first byte of its answer",
@@ -112,6 +125,14 @@
         self.orders.get_or_create(&labels).inc();
     }
 
+    /// Counts what an upstream said of itself beside an answer.
+    pub(crate) fn count_notice(&self, notice: &str) {
+        let labels = NoticeLabel {
+            notice: notice.to_owned(),
+        };
+        self.notices.get_or_create(&labels).inc();
+    }
+
     /// Records the time to the first byte of a streamed answer.
     pub(crate) fn observe_first_byte(&self, workspace: &str, time: Duration) {
         let labels = WorkspaceLabel {
--- a/crates/entry/src/platform.rs
+++ b/crates/entry/src/platform.rs
@@ -6,7 +6,10 @@
 
 use std::{net::SocketAddr, time::Duration};
 
-use actix_http::header::{HeaderMap, HeaderName};
+use actix_http::{
+    StatusCode,
+    header::{self, HeaderMap, HeaderName},
+};
 use bytes::Bytes;
 use comfreyweir_fleet::{
     config::Config,
@@ -156,10 +159,56 @@
     pub seal: HeaderName,
     /// Set by an upstream that did not run the request.
     pub not_run: HeaderName,
+    /// Set to `1` by an upstream that leaves, in all its answers.
+    pub leaving: HeaderName,
     /// Headers that only the system may set.
     pub reserved: Vec<HeaderName>,
 }
 
+/// Value of the header that says that an upstream leaves.
+const LEAVING: &[u8] = b"1";
+
+impl HeaderNames {
+    /// What an upstream says of itself beside an answer.
+    ///
+    /// An answer with status 421 may be of another process that has taken over the address, so it
+    /// says nothing. A `Retry-After` that is not a positive number of seconds is ignored.
+    pub fn notice(&self, status: StatusCode, headers: &HeaderMap) -> UpstreamNotice {
+        if status == StatusCode::MISDIRECTED_REQUEST {
+            return UpstreamNotice::default();
+        }
+        let leaving = headers.get(&self.leaving);
+        let retry_after = headers
+            .get(header::RETRY_AFTER)
+            .filter(|_| status == StatusCode::SERVICE_UNAVAILABLE)
+            .and_then(|v| v.to_str().ok()?.trim().parse::<f64>().ok())
+            .filter(|seconds| *seconds > 0.0)
+            .map(|seconds| Duration::try_from_secs_f64(seconds).unwrap_or(Duration::MAX));
+        UpstreamNotice {
+            is_leaving: leaving.is_some_and(|v| v.as_bytes().trim_ascii() == LEAVING),
+            closed_for: retry_after,
+        }
+    }
+}
+
+/// What an upstream says of itself beside an answer.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct UpstreamNotice {
+    /// Whether it leaves: it takes no new requests.
+    pub is_leaving: bool,
+    /// Time for which it wants no requests from this instance.
+    pub closed_for: Option<Duration>,
+}
+
+/// Outcome of a call to an engine.
+#[derive(Debug)]
+pub struct EngineAnswer<T> {
+    /// The answer.
+    pub result: Result<T, PlatformError>,
+    /// What the engine said of itself beside it.
+    pub notice: UpstreamNotice,
+}
+
 /// An order to an engine, with the values that the engine checks before it accepts the order.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct OrderCall {
@@ -252,12 +301,8 @@
         upstream: &Upstream,
         call: &OrderCall,
         limit: Duration,
-    ) -> Result<OrderAnswer, PlatformError>;
+    ) -> EngineAnswer<OrderAnswer>;
 
     /// Requests an engine's report of its state.
-    async fn request_report(
-        &self,
-        upstream: &Upstream,
-        limit: Duration,
-    ) -> Result<Report, PlatformError>;
+    async fn request_report(&self, upstream: &Upstream, limit: Duration) -> EngineAnswer<Report>;
 }
--- a/crates/entry/src/serve/attempt.rs
+++ b/crates/entry/src/serve/attempt.rs
@@ -132,6 +132,9 @@
 {
     let mut sent = SentRequest::begin(cx, request, picked);
     note_prompt(cx, request, picked);
+    cx.closures
+        .borrow_mut()
+        .record_sent(&picked.upstream.id, cx.now());
     let progress = CallProgress::new();
     let call = build_call(cx, request, &picked.upstream, last_event);
     let body = if request.body.is_empty() && !request.method_may_have_body() {
@@ -140,10 +143,14 @@
         BoxBody::new(request.body.clone())
     };
     let failure = match timeout(limit, cx.upstreams.send(call, body, &progress)).await {
-        Ok(Ok(answer)) => match check_answer(cx, &answer) {
-            Ok(()) => return AttemptResult::Answered(Box::new(answer), sent),
-            Err(failure) => failure,
-        },
+        Ok(Ok(answer)) => {
+            let notice = cx.platform.headers().notice(answer.status, &answer.headers);
+            cx.record_notice(&picked.upstream, notice);
+            match check_answer(cx, &answer) {
+                Ok(()) => return AttemptResult::Answered(Box::new(answer), sent),
+                Err(failure) => failure,
+            }
+        }
         Ok(Err(e)) if !progress.has_written_bytes() => AttemptResult::NotSent(e.to_string()),
         Ok(Err(e)) => AttemptResult::Failed(e.to_string()),
         Err(_) if progress.has_written_bytes() => AttemptResult::TimedOut,
--- a/crates/entry/src/serve/pick.rs
+++ b/crates/entry/src/serve/pick.rs
@@ -180,11 +180,20 @@
             return Err(Refusal::not_run(reason, RETRY_AFTER));
         }
     }
+    drop(directory);
+    let closed_for = time_closed(cx, request, now);
     let placement = cx.placement.borrow();
     let ready_in = request.artifact().and_then(|artifact| {
         let known = placement.ready_in.iter().find(|(a, _)| a == artifact);
         known.map(|(_, time)| *time)
     });
+    if let Some(closed_for) = closed_for
+        && closed_for > left
+        && ready_in.is_none_or(|time| time > left)
+    {
+        let reason = "all upstreams that could serve the request want none for a time";
+        return Err(Refusal::not_run(reason, closed_for));
+    }
     if ready_in.is_some_and(|time| time > left) {
         let reason = "the model cannot be loaded in time";
         return Err(Refusal::not_run(reason, ready_in.unwrap_or(RETRY_AFTER)));
@@ -192,6 +201,27 @@
     Ok(())
 }
 
+/// Time until one of the upstreams that could run a request wants requests again; none if there is
+/// no such upstream.
+pub(super) fn time_closed<P>(
+    cx: &EntryContext<P>,
+    request: &AdmittedRequest,
+    now: Instant,
+) -> Option<Duration>
+where
+    P: Platform,
+{
+    let directory = cx.directory.borrow();
+    let closures = cx.closures.borrow();
+    let ready = directory.ready(&request.service);
+    let able = ready.filter(|u| {
+        request
+            .artifact()
+            .is_none_or(|a| holds_artifact(cx, u, a, now))
+    });
+    able.map(|u| closures.time_closed(&u.id, now)).min()
+}
+
 fn choose<P>(
     cx: &EntryContext<P>,
     request: &AdmittedRequest,
@@ -203,6 +233,7 @@
 {
     let directory = cx.directory.borrow();
     let health = cx.health.borrow();
+    let closures = cx.closures.borrow();
     let loads = cx.loads.borrow();
     let prefix_caches = cx.prefix_caches.borrow();
     let mut limits = cx.intake_limits.borrow_mut();
@@ -218,6 +249,7 @@
     let usable = |u: &&Rc<Upstream>| {
         !avoided.contains(&u.id, now)
             && !health.is_in_backoff(&u.id, now)
+            && closures.allows(&u.id, now)
             && request
                 .artifact()
                 .is_none_or(|a| holds_artifact(cx, u, a, now))
--- a/crates/entry/src/serve/retry.rs
+++ b/crates/entry/src/serve/retry.rs
@@ -83,7 +83,9 @@
                 state.avoided.avoid_until(&id, cx.now() + avoid);
                 if state.not_run >= MAX_NOT_RUN || !take_retry(cx, request) {
                     let reason = format!("upstreams turned the request away with {status}");
-                    return Err(state.include_earlier_runs(Refusal::not_run(reason, RETRY_AFTER)));
+                    let closed_for = pick::time_closed(cx, request, cx.now());
+                    let retry_after = RETRY_AFTER.max(closed_for.unwrap_or_default());
+                    return Err(state.include_earlier_runs(Refusal::not_run(reason, retry_after)));
                 }
             }
             AttemptResult::Failed(reason) => {
--- a/crates/entry/src/state.rs
+++ b/crates/entry/src/state.rs
@@ -9,9 +9,10 @@
 };
 
 use bytes::Bytes;
-use comfreyweir_clock::{Clock, SystemClock};
+use comfreyweir_clock::{Clock, SystemClock, whole_millis};
 use comfreyweir_config::entry_settings::EntrySettings;
 use comfreyweir_fleet::{
+    closures::Closures,
     config::Config,
     directory::Directory,
     health::Health,
@@ -22,13 +23,18 @@
     quota::{Grant, InstanceQuotas, SILENT_INSTANCE_RESERVE_TIME},
     request::Artifact,
     retry_budget::{BudgetLimits, RetryBudget},
+    upstream::Upstream,
     versioned_list::ListCopy,
 };
 use comfreyweir_http::{shutdown::ShutdownState, upstream::UpstreamClient};
 use comfreyweir_peer::PeerSecret;
 use tokio::sync::Notify;
 
-use crate::{log_limiter::RequestLogLimiter, metrics::Metrics, platform::Platform};
+use crate::{
+    log_limiter::RequestLogLimiter,
+    metrics::Metrics,
+    platform::{Platform, UpstreamNotice},
+};
 
 /// Timeout for opening a connection to an upstream. Far above the round-trip time between
 /// availability zones, and short enough that an upstream that has disappeared doesn't use up much
@@ -67,6 +73,8 @@
     pub(crate) quotas: RefCell<InstanceQuotas>,
     pub(crate) retry_budget: RefCell<RetryBudget>,
     pub(crate) health: RefCell<Health>,
+    /// Upstreams that asked for no requests for a time.
+    pub(crate) closures: RefCell<Closures>,
     pub(crate) prefix_caches: RefCell<PrefixCaches>,
     pub(crate) demand: RefCell<Demand>,
     /// What engines take in at a time, by service.
@@ -303,6 +311,7 @@
             quotas: RefCell::default(),
             retry_budget: RefCell::new(RetryBudget::new(limits)),
             health: RefCell::default(),
+            closures: RefCell::default(),
             prefix_caches: RefCell::default(),
             demand: RefCell::default(),
             intake_limits: RefCell::default(),
@@ -463,7 +472,7 @@
     /// added and removed upstreams are discarded.
     pub(crate) fn replace_directory(
         &self,
-        list: Vec<comfreyweir_fleet::upstream::Upstream>,
+        list: Vec<Upstream>,
         revision: u64,
         at: Instant,
         source: &str,
@@ -475,6 +484,7 @@
         for id in changes.removed.iter().chain(&changes.added) {
             self.prefix_caches.borrow_mut().forget(id);
             self.health.borrow_mut().forget(id);
+            self.closures.borrow_mut().forget(id);
         }
         let (added, removed) = (changes.added.join(" "), changes.removed.join(" "));
         let draining = changes.draining.join(" ");
@@ -485,6 +495,30 @@
         self.state_changed.notify_waiters();
     }
 
+    /// Records what an upstream has said of itself beside an answer.
+    pub(crate) fn record_notice(&self, upstream: &Upstream, notice: UpstreamNotice) {
+        let now = self.now();
+        let id = upstream.id.as_str();
+        if notice.is_leaving && self.directory.borrow_mut().record_leaving(upstream, now) {
+            spdlog::info!("upstream says that it leaves", kv: { upstream = id });
+            self.metrics.count_notice("leaving");
+            self.state_changed.notify_waiters();
+        }
+        let mut closures = self.closures.borrow_mut();
+        let Some(time) = notice.closed_for else {
+            closures.record_answer(id, now);
+            return;
+        };
+        if closures.close(id, time, rand::random(), now).is_some() {
+            self.metrics.count_notice("closed");
+            if self.request_log_limiter.try_acquire(now) {
+                spdlog::info!("upstream wants no requests for a time", kv: {
+                    upstream = id, ms = whole_millis(time)
+                });
+            }
+        }
+    }
+
     /// Applies the holder's grants, the answer to a report built at `reported_at`, to the local
     /// quotas.
     pub(crate) fn apply_grants(&self, grants: &HashMap<String, Grant>, reported_at: Instant) {
--- a/crates/entry/tests/support/platform.rs
+++ b/crates/entry/tests/support/platform.rs
@@ -12,8 +12,8 @@
 use actix_http::header::{HeaderMap, HeaderName};
 use bytes::Bytes;
 use comfreyweir_entry::platform::{
-    CommitOutcome, DecodeError, HeaderNames, Lease, OrderAnswer, OrderCall, Platform,
-    PlatformError, StoreItem, StoreItems, StoreKeys, Transaction, WatchOutcome,
+    CommitOutcome, DecodeError, EngineAnswer, HeaderNames, Lease, OrderAnswer, OrderCall, Platform,
+    PlatformError, StoreItem, StoreItems, StoreKeys, Transaction, UpstreamNotice, WatchOutcome,
 };
 use comfreyweir_fleet::{
     config::{Config, Engine, Model, Route, RouteKind, Service, Target, Workspace},
@@ -42,6 +42,8 @@
     /// Accepted orders with the id of their engine.
     pub orders: RefCell<Vec<(String, OrderCall)>>,
     order_counts: RefCell<BTreeMap<String, u64>>,
+    /// What engines say of themselves in answers to orders and report requests.
+    pub notice: Cell<UpstreamNotice>,
     /// While set, every call to the store fails.
     pub store_is_down: Cell<bool>,
 }
@@ -149,6 +151,7 @@
                 last_event: name("x-last"),
                 seal: name("x-seal"),
                 not_run: name("x-not-run"),
+                leaving: name("x-leaving"),
                 reserved: vec![name("x-workspace"), name("x-expect"), name("x-priority")],
             },
         }
@@ -292,7 +295,7 @@
         upstream: &Upstream,
         call: &OrderCall,
         _: Duration,
-    ) -> Result<OrderAnswer, PlatformError> {
+    ) -> EngineAnswer<OrderAnswer> {
         sleep(Duration::from_millis(2)).await;
         let orders = &self.shared.orders;
         orders
@@ -319,16 +322,15 @@
             },
             Order::Unload(a) => models.retain(|m| m.name != a.model),
         }
-        Ok(OrderAnswer::Result(OrderResult::Accepted))
+        EngineAnswer {
+            result: Ok(OrderAnswer::Result(OrderResult::Accepted)),
+            notice: self.shared.notice.get(),
+        }
     }
 
-    async fn request_report(
-        &self,
-        upstream: &Upstream,
-        _: Duration,
-    ) -> Result<Report, PlatformError> {
+    async fn request_report(&self, upstream: &Upstream, _: Duration) -> EngineAnswer<Report> {
         let upstreams = self.shared.upstreams.borrow();
-        Ok(Report {
+        let report = Report {
             holds: upstreams[&upstream.id].holds.clone(),
             orders: self
                 .shared
@@ -338,7 +340,11 @@
                 .copied()
                 .unwrap_or(0),
             ..Report::default()
-        })
+        };
+        EngineAnswer {
+            result: Ok(report),
+            notice: self.shared.notice.get(),
+        }
     }
 }
 
--- a/crates/entry/tests/support/upstream.rs
+++ b/crates/entry/tests/support/upstream.rs
@@ -15,6 +15,8 @@
 pub enum ScriptStep {
     /// Answers with a status and a body of declared length.
     Answer(u16, &'static str),
+    /// Answers with a status, further header lines and a body of declared length.
+    AnswerWith(u16, &'static str, &'static str),
     /// Answers without a length, and closes or resets the connection after the body.
     Unframed { body: &'static str, reset: bool },
     /// Answers with this status and the header that says that the request did not run.
@@ -137,6 +139,11 @@
             let text = head(status, &rest) + body;
             io.write_all(text.as_bytes()).await.is_ok()
         }
+        ScriptStep::AnswerWith(status, lines, body) => {
+            let rest = format!("{lines}content-length: {}\r\n", body.len());
+            let text = head(status, &rest) + body;
+            io.write_all(text.as_bytes()).await.is_ok()
+        }
         ScriptStep::Unframed { body, reset } => {
             let text = head(200, "") + body;
             let _ = io.write_all(text.as_bytes()).await;
@@ -171,15 +178,7 @@
             breaks_off_after,
             content_type,
         } => {
-            let last_received = header(request, "x-last").and_then(|n| n.parse::<u64>().ok());
-            let breaks_off_after = breaks_off_after.filter(|_| last_received.is_none());
-            let mut text = head(200, content_type);
-            for event in last_received.map_or(1, |n| n + 1)..=breaks_off_after.unwrap_or(last) {
-                let _ = write!(text, "id: {event}\ndata: e{event}\n\n");
-            }
-            if let Some(last) = breaks_off_after {
-                let _ = write!(text, "id: {}\nda", last + 1);
-            }
+            let text = head(200, content_type) + &unframed_events(request, last, breaks_off_after);
             let _ = io.write_all(text.as_bytes()).await;
             false
         }
@@ -220,6 +219,20 @@
     }
 }
 
+/// Events for [`ScriptStep::UnframedEvents`].
+fn unframed_events(request: &str, last: u64, breaks_off_after: Option<u64>) -> String {
+    let last_received = header(request, "x-last").and_then(|n| n.parse::<u64>().ok());
+    let breaks_off_after = breaks_off_after.filter(|_| last_received.is_none());
+    let mut text = String::new();
+    for event in last_received.map_or(1, |n| n + 1)..=breaks_off_after.unwrap_or(last) {
+        let _ = write!(text, "id: {event}\ndata: e{event}\n\n");
+    }
+    if let Some(last) = breaks_off_after {
+        let _ = write!(text, "id: {}\nda", last + 1);
+    }
+    text
+}
+
 async fn read_request(io: &mut TcpStream) -> Option<String> {
     let mut buf = Vec::new();
     loop {
--- a/crates/fleet/src/directory.rs
+++ b/crates/fleet/src/directory.rs
@@ -3,9 +3,13 @@
 //! Entries come from the platform's store. Leases may expire while the store is unavailable, so
 //! entries of live upstreams may be missing right after an outage. Missing entries are therefore
 //! kept for a grace period.
+//!
+//! An upstream that leaves also says so in its answers, at times before its entry does, or without
+//! an entry that does. It then takes no new requests from this instance, whatever later lists say,
+//! until another process is listed under its identifier.
 
 use std::{
-    collections::BTreeMap,
+    collections::{BTreeMap, BTreeSet, HashMap},
     rc::Rc,
     time::{Duration, Instant},
 };
@@ -18,6 +22,10 @@
 /// upstreams are listed again within about two seconds.
 const RETURN_GRACE: Duration = Duration::from_millis(2_200);
 
+/// Time for which an upstream that leaves is remembered after it was last listed. Its entry may come
+/// back after an outage of the store.
+const LEAVING_MEMORY: Duration = Duration::from_mins(10);
+
 /// The known upstreams, by identifier.
 #[derive(Debug, Default)]
 pub struct Directory {
@@ -25,6 +33,31 @@
     revision: u64,
     read_at: Option<Instant>,
     grace_until: Option<Instant>,
+    /// Processes that said in an answer to this instance that they leave, with the time when they
+    /// said so or were last listed.
+    leaving: HashMap<UpstreamProcess, Instant>,
+    /// Processes that said so to other instances, as of their last reports.
+    leaving_elsewhere: BTreeSet<UpstreamProcess>,
+}
+
+/// One process of an upstream.
+#[derive(Clone, Debug, PartialEq, Eq, Hash, PartialOrd, Ord)]
+#[derive(serde::Serialize, serde::Deserialize)]
+pub struct UpstreamProcess {
+    /// Identifier of the upstream.
+    pub id: String,
+    /// Start time of the process, in ms of Unix time, if reported.
+    pub born_ms: Option<u64>,
+}
+
+impl UpstreamProcess {
+    /// The process that an entry describes.
+    pub fn of(upstream: &Upstream) -> Self {
+        Self {
+            id: upstream.id.clone(),
+            born_ms: upstream.born_ms,
+        }
+    }
 }
 
 /// Identifiers of the upstreams that a new list changed.
@@ -56,7 +89,8 @@
         self.record_read(revision, now);
         let in_grace = self.grace_until.is_some_and(|until| now < until);
         let mut old = std::mem::take(&mut self.entries);
-        for upstream in list {
+        for mut upstream in list {
+            self.apply_leaving(&mut upstream, now);
             let before = old.remove(&upstream.id);
             record_change(&mut changes, before.as_deref(), &upstream);
             self.entries.insert(upstream.id.clone(), Rc::new(upstream));
@@ -68,9 +102,52 @@
                 changes.removed.push(id);
             }
         }
+        self.leaving
+            .retain(|_, at| now.saturating_duration_since(*at) < LEAVING_MEMORY);
         changes
     }
 
+    /// Records that an upstream's process has said in an answer that it leaves. Returns whether this
+    /// is new.
+    pub fn record_leaving(&mut self, upstream: &Upstream, now: Instant) -> bool {
+        let process = UpstreamProcess::of(upstream);
+        mark_draining(&mut self.entries, &process);
+        self.leaving.insert(process, now).is_none()
+    }
+
+    /// Listed processes that have said in an answer to this instance that they leave.
+    pub fn leaving(&self) -> impl Iterator<Item = &UpstreamProcess> {
+        self.leaving.keys().filter(|process| {
+            let entry = self.entries.get(&process.id);
+            entry.is_some_and(|entry| entry.born_ms == process.born_ms)
+        })
+    }
+
+    /// Sets which processes have said to other instances that they leave. One that is no longer among
+    /// them is ready again with the next list that has it as ready.
+    pub fn set_leaving_elsewhere(&mut self, processes: BTreeSet<UpstreamProcess>) {
+        for process in processes.difference(&self.leaving_elsewhere) {
+            mark_draining(&mut self.entries, process);
+        }
+        self.leaving_elsewhere = processes;
+    }
+
+    /// Marks an entry as draining if its process is known to leave.
+    fn apply_leaving(&mut self, upstream: &mut Upstream, now: Instant) {
+        if self.leaving.is_empty() && self.leaving_elsewhere.is_empty() {
+            return;
+        }
+        let process = UpstreamProcess::of(upstream);
+        let heard_at = self.leaving.get_mut(&process);
+        let is_leaving = heard_at.is_some() || self.leaving_elsewhere.contains(&process);
+        if let Some(at) = heard_at {
+            *at = now.max(*at);
+        }
+        if is_leaving && upstream.phase == Phase::Ready {
+            upstream.phase = Phase::Draining(None);
+        }
+    }
+
     /// Records that the list is unchanged at a later store revision.
     pub fn confirm(&mut self, revision: u64, now: Instant) {
         if revision >= self.revision {
@@ -114,6 +191,15 @@
     }
 }
 
+fn mark_draining(entries: &mut BTreeMap<String, Rc<Upstream>>, process: &UpstreamProcess) {
+    if let Some(entry) = entries.get_mut(&process.id)
+        && entry.born_ms == process.born_ms
+        && entry.phase == Phase::Ready
+    {
+        Rc::make_mut(entry).phase = Phase::Draining(None);
+    }
+}
+
 fn record_change(changes: &mut Changes, old: Option<&Upstream>, new: &Upstream) {
     match old {
         Some(old) if old.born_ms == new.born_ms => {
--- a/crates/fleet/src/lib.rs
+++ b/crates/fleet/src/lib.rs
@@ -4,6 +4,7 @@
 //! Nothing here does I/O or reads a clock; callers pass the time in. Every decision can thus be
 //! tested under realistic load without a network.
 
+pub mod closures;
 pub mod config;
 pub mod directory;
 pub mod duty;
--- a/crates/fleet/src/planner/engine_state.rs
+++ b/crates/fleet/src/planner/engine_state.rs
@@ -71,6 +71,8 @@
     missed_reports: u32,
     /// Whether an instance failed to reach the engine since its last report.
     is_suspect: bool,
+    /// Time until which the engine wants no calls from the holder.
+    closed_until: Option<Instant>,
     born_ms: Option<u64>,
     holds: Holding,
     /// Number of orders that the engine has accepted; none if unknown.
@@ -143,6 +145,7 @@
             phase: upstream.phase,
             missed_reports: 0,
             is_suspect: false,
+            closed_until: None,
             born_ms: upstream.born_ms,
             holds: upstream.holds.clone(),
             accepted_orders: None,
@@ -193,6 +196,12 @@
         self.is_suspect = true;
     }
 
+    /// Sets the time until which the engine wants no calls. It then gets neither orders nor report
+    /// requests; callers' requests are up to each instance.
+    pub(super) fn set_closed(&mut self, until: Option<Instant>) {
+        self.closed_until = until;
+    }
+
     pub(super) fn holds(&self) -> &Holding {
         &self.holds
     }
@@ -220,6 +229,7 @@
         };
         let pause = self
             .pause_until
+            .max(self.closed_until)
             .map_or(Duration::ZERO, |until| until.saturating_duration_since(now));
         let loading = self
             .loading
@@ -230,17 +240,21 @@
     }
 
     fn is_pausing(&self, now: Instant) -> bool {
-        self.pause_until.is_some_and(|until| now < until)
+        let until = self.pause_until.max(self.closed_until);
+        until.is_some_and(|until| now < until)
     }
 
     /// Whether adapter loads can be planned: no order for a model is planned or in progress, since
     /// they would have to wait for it.
-    pub(super) fn accepts_adapter_loads(&self) -> bool {
+    pub(super) fn accepts_adapter_loads(&self, now: Instant) -> bool {
         let has_no_model_order = self
             .plan
             .iter()
             .all(|p| p.order.artifact().adapter.is_some());
-        self.accepts_requests() && self.loading.is_none() && has_no_model_order
+        self.accepts_requests()
+            && self.closed_until.is_none_or(|until| now >= until)
+            && self.loading.is_none()
+            && has_no_model_order
     }
 
     /// Whether the engine holds a model after all planned orders.
--- a/crates/fleet/src/planner/mod.rs
+++ b/crates/fleet/src/planner/mod.rs
@@ -128,6 +128,8 @@
     pub waiting: &'a [WaitingRequests],
     /// Engines that some instance failed to reach recently.
     pub suspects: &'a BTreeSet<String>,
+    /// Engines that want no calls from the holder for a time, with its end.
+    pub closed: &'a HashMap<String, Instant>,
     /// Requests that arrived since the start of each instance's process, by model.
     pub arrivals: &'a HashMap<String, u64>,
 }
@@ -212,6 +214,7 @@
                 if input.suspects.contains(&upstream.id) {
                     engine.mark_suspect();
                 }
+                engine.set_closed(input.closed.get(&upstream.id).copied());
             } else {
                 let engine = EngineState::new(upstream);
                 self.engines.insert(upstream.id.clone(), engine);
--- a/crates/fleet/tests/directory.rs
+++ b/crates/fleet/tests/directory.rs
@@ -3,7 +3,7 @@
 use std::time::{Duration, Instant};
 
 use comfreyweir_fleet::{
-    directory::Directory,
+    directory::{Directory, UpstreamProcess},
     upstream::{Holding, Phase, Upstream},
 };
 
@@ -89,3 +89,77 @@
     let changes = directory.replace(vec![restarted], 2, start);
     assert_eq!(changes.added, ["a"]);
 }
+
+fn restarted(id: &str) -> Upstream {
+    Upstream {
+        born_ms: Some(2),
+        ..upstream(id, Phase::Ready)
+    }
+}
+
+/// Guards against new requests to an upstream that only says in its answers that it leaves.
+#[test]
+fn upstream_that_says_it_leaves_gets_no_request_whatever_lists_say() {
+    let start = Instant::now();
+    let both = || vec![upstream("a", Phase::Ready), upstream("b", Phase::Ready)];
+    let mut directory = Directory::default();
+    directory.replace(both(), 1, start);
+    assert!(directory.record_leaving(&upstream("a", Phase::Ready), start));
+    assert!(!directory.record_leaving(&upstream("a", Phase::Ready), start));
+    assert_eq!(ids(&directory), ["b"]);
+    for s in 1..2_000 {
+        directory.replace(both(), 1 + s, start + Duration::from_secs(s));
+        assert_eq!(ids(&directory), ["b"], "{s} s");
+    }
+    assert_eq!(
+        directory.get("a").map(|u| u.phase),
+        Some(Phase::Draining(None))
+    );
+}
+
+/// An entry that lapsed with the store and returns must not make its upstream ready again.
+#[test]
+fn upstream_that_leaves_stays_marked_while_its_entry_is_gone() {
+    let start = Instant::now();
+    let mut directory = Directory::default();
+    directory.replace(vec![upstream("a", Phase::Ready)], 1, start);
+    directory.record_leaving(&upstream("a", Phase::Ready), start);
+    directory.replace(Vec::new(), 2, start + Duration::from_secs(1));
+    directory.replace(
+        vec![upstream("a", Phase::Ready)],
+        3,
+        start + Duration::from_secs(30),
+    );
+    assert_eq!(ids(&directory), Vec::<String>::new());
+}
+
+#[test]
+fn new_process_under_the_same_identifier_gets_requests() {
+    let start = Instant::now();
+    let mut directory = Directory::default();
+    directory.replace(vec![upstream("a", Phase::Ready)], 1, start);
+    directory.record_leaving(&upstream("a", Phase::Ready), start);
+    directory.replace(vec![restarted("a")], 2, start);
+    assert_eq!(ids(&directory), ["a"]);
+    // An answer of the process before is still on its way.
+    directory.record_leaving(&upstream("a", Phase::Ready), start);
+    assert_eq!(ids(&directory), ["a"]);
+    assert_eq!(directory.leaving().count(), 0);
+}
+
+/// What other instances heard holds as long as they report it, and is not passed on as one's own.
+#[test]
+fn leaving_heard_elsewhere_lasts_as_long_as_it_is_reported() {
+    let start = Instant::now();
+    let list = || vec![upstream("a", Phase::Ready)];
+    let mut directory = Directory::default();
+    directory.replace(list(), 1, start);
+    directory.set_leaving_elsewhere([UpstreamProcess::of(&list()[0])].into());
+    assert_eq!(ids(&directory), Vec::<String>::new());
+    directory.replace(list(), 1, start);
+    assert_eq!(ids(&directory), Vec::<String>::new());
+    assert_eq!(directory.leaving().count(), 0);
+    directory.set_leaving_elsewhere([UpstreamProcess::of(&restarted("a"))].into());
+    directory.replace(list(), 2, start);
+    assert_eq!(ids(&directory), ["a"]);
+}
--- a/crates/fleet/tests/placement_under_load.rs
+++ b/crates/fleet/tests/placement_under_load.rs
@@ -39,6 +39,35 @@
     );
 }
 
+/// The engine with the copy wants no calls for 10 s. The model is loaded elsewhere meanwhile; the
+/// fleet fails the test if the engine is called.
+#[test]
+fn engine_that_wants_no_calls_gets_neither_orders_nor_report_requests() {
+    let models = [
+        model("busy", LARGE_MB, 0),
+        model("idle", LARGE_MB, 0),
+        model("rare", LARGE_MB, 0),
+        model("later", LARGE_MB, 0),
+    ];
+    let mut with_copy = FakeEngine::new("e2", &["busy", "idle"]);
+    with_copy.disk_copies = vec!["rare".to_owned(), "later".to_owned()];
+    let engines = vec![FakeEngine::new("e1", &["busy", "idle"]), with_copy];
+    let mut fleet = Fleet::new(&models, engines);
+    fleet.run_for(seconds(1.0));
+    let closed_until = fleet.now + seconds(10.0);
+    fleet.closed.insert("e2".to_owned(), closed_until);
+    fleet.suspects.insert("e2".to_owned());
+    fleet.add_waiting("rare", 1);
+    fleet.run_for(seconds(9.0));
+    assert!(fleet.waiting.is_empty(), "{:?}", fleet.sent_orders);
+    assert!(fleet.engines[0].models.contains_key("rare"));
+    fleet.suspects.clear();
+    fleet.run_for(seconds(2.0));
+    fleet.add_waiting("later", 1);
+    fleet.run_for(seconds(3.0));
+    assert!(fleet.engines[1].models.contains_key("later"));
+}
+
 /// A rare model replaces an idle model and not one that is in use.
 #[test]
 fn rare_model_replaces_an_idle_model() {
--- a/crates/fleet/tests/support/mod.rs
+++ b/crates/fleet/tests/support/mod.rs
@@ -265,6 +265,8 @@
     pub arrivals: HashMap<String, u64>,
     pub loads: Loads,
     pub suspects: BTreeSet<String>,
+    /// Ends of the times for which engines want no calls of the holder.
+    pub closed: HashMap<String, Instant>,
     /// Engines that have crashed and are still listed.
     pub crashed: BTreeSet<String>,
     /// Past reports of each engine with their times. A report call returns the one of
@@ -300,6 +302,7 @@
             arrivals: HashMap::new(),
             loads: Loads::new(),
             suspects: BTreeSet::new(),
+            closed: HashMap::new(),
             crashed: BTreeSet::new(),
             reports: BTreeMap::new(),
             deliveries: Vec::new(),
@@ -360,6 +363,7 @@
             })
             .collect();
         let input = PlanningInput {
+            closed: &self.closed,
             upstreams: &upstreams,
             spec: &self.spec,
             loads: &self.loads,
@@ -392,6 +396,9 @@
 
     fn perform(&mut self, action: Action) {
         let now = self.now;
+        let (Action::Report { upstream } | Action::Order { upstream, .. }) = &action;
+        let closed_until = self.closed.get(upstream);
+        assert!(closed_until.is_none_or(|until| now >= *until), "{action:?}");
         match action {
             Action::Report { upstream } if self.crashed.contains(&upstream) => {
                 self.planner.report_failed(&upstream, now);
