Bind a resumed stream to the only version that serves; soak what servers say of themselves

The one version is now named like any other.

The soak's servers say only in their answers that they leave, turn everything away for a time (one or all of a service), break streams off inside an event without a length, and come back with a new software version. Its callers resume broken streams elsewhere. It checks streams, versions, and requests to servers that leave or are closed.

--- a/crates/core/tests/soak.rs
+++ b/crates/core/tests/soak.rs
@@ -4,13 +4,13 @@
 
 use comfreyweir_soak::{SoakSettings, run};
 
-async fn run_soak(seed: u64) {
+async fn run_soak(seed: u64, instances: usize, callers: usize, seconds: u64) {
     let settings = SoakSettings {
         program: PathBuf::from(env!("CARGO_BIN_EXE_comfreyweir-entry")),
         seed,
-        instances: 3,
-        callers: 24,
-        fault_duration: Duration::from_secs(6),
+        instances,
+        callers,
+        fault_duration: Duration::from_secs(seconds),
     };
     let verdict = run(&settings).await.unwrap();
     assert!(
@@ -23,6 +23,15 @@
 #[actix_rt::test]
 async fn overlapping_faults_break_no_promise() {
     for seed in [1, 2] {
-        run_soak(seed).await;
+        run_soak(seed, 3, 24, 6).await;
+    }
+}
+
+/// Seeds that failed: a resumed stream waited for an upstream while only one software version was
+/// listed, and went to one of another version that appeared meanwhile.
+#[actix_rt::test]
+async fn resumed_streams_are_not_joined_with_a_version_that_appears() {
+    for seed in [9_604, 9_608, 9_629] {
+        run_soak(seed, 4, 32, 10).await;
     }
 }
--- a/crates/entry/src/serve/pick.rs
+++ b/crates/entry/src/serve/pick.rs
@@ -98,7 +98,7 @@
             return Ok(picked);
         }
         check_time_left(cx, request, now)?;
-        check_software(cx, request, avoided, now)?;
+        check_software(cx, request, avoided)?;
         if wait.is_none() {
             wait = Some(ArtifactWait::begin(cx, request, avoided.is_empty()));
             log_waiting(cx, request, now);
@@ -219,32 +219,22 @@
     Ok(())
 }
 
-/// Refuses a request that resumes a stream if no upstream of the software version that began it can
-/// run it: a model is not loaded within the time that a caller waits for the next event.
+/// Refuses a request that resumes a stream if no upstream of the software version that began it takes
+/// requests.
 fn check_software<P>(
     cx: &EntryContext<P>,
     request: &AdmittedRequest,
     avoided: &AvoidedUpstreams,
-    now: Instant,
 ) -> Result<(), Refusal>
 where
     P: Platform,
 {
-    if avoided.software.is_none() {
-        return Ok(());
-    }
     let directory = cx.directory.borrow();
-    let ready = directory.ready(&request.service);
-    let mut able = ready.filter(|u| {
-        avoided.has_required_software(u)
-            && request
-                .artifact()
-                .is_none_or(|a| holds_artifact(cx, u, a, now))
-    });
-    if able.next().is_some() {
+    let mut ready = directory.ready(&request.service);
+    if avoided.software.is_none() || ready.any(|u| avoided.has_required_software(u)) {
         return Ok(());
     }
-    let reason = "no upstream of the software version that began the stream can run the request";
+    let reason = "no upstream of the software version that began the stream takes requests";
     Err(Refusal::not_run(reason, RETRY_AFTER))
 }
 
--- a/crates/entry/src/state.rs
+++ b/crates/entry/src/state.rs
@@ -23,7 +23,9 @@
     quota::{Grant, InstanceQuotas, SILENT_INSTANCE_RESERVE_TIME},
     request::Artifact,
     retry_budget::{BudgetLimits, RetryBudget},
-    stream_origins::{Resumption, SETTLE_TIME, SoftwareVersions, StreamKey, StreamOrigins},
+    stream_origins::{
+        Resumption, SETTLE_TIME, ServedSoftware, SoftwareVersions, StreamKey, StreamOrigins,
+    },
     upstream::Upstream,
     versioned_list::ListCopy,
 };
@@ -522,8 +524,12 @@
         let list_age = self.directory.borrow().age(now);
         let is_list_recent = list_age.is_some_and(|age| age < SETTLE_TIME);
         let is_informed = is_list_recent || self.placement.borrow().is_fresh(now);
-        let is_mixed = !is_informed || self.software.borrow().is_mixed(service, now);
-        self.origins.borrow().resumption(stream, is_mixed)
+        let served = if is_informed {
+            self.software.borrow().served(service, now)
+        } else {
+            ServedSoftware::Several
+        };
+        self.origins.borrow().resumption(stream, served)
     }
 
     /// Records what an upstream has said of itself beside an answer.
--- a/crates/entry/tests/resumptions.rs
+++ b/crates/entry/tests/resumptions.rs
@@ -3,8 +3,9 @@
 
 mod support;
 
-use std::rc::Rc;
+use std::{rc::Rc, time::Duration};
 
+use comfreyweir_entry::platform::UpstreamNotice;
 use comfreyweir_fleet::upstream::{Holding, LoadedModel, Phase, Upstream};
 use support::{
     FakeUpstream, Response, ScriptStep, SharedState, TestInstance, get, platform::config,
@@ -172,6 +173,42 @@
     assert!(begin(&restarted, "r2").await.body.starts_with("id: 1\n"));
 }
 
+/// Guards against a stream that goes on at another version, because that appeared while the request
+/// waited for an upstream.
+#[actix_rt::test]
+async fn version_that_appears_while_a_resumed_stream_waits_does_not_get_it() {
+    let old = breaking_engine("u1").await;
+    let shared = shared_state(&[]);
+    let mut without_model = entry_of(&old, "1");
+    without_model.holds.models.clear();
+    shared.add_upstream(without_model);
+    // The engine takes no orders, so that the model is not loaded there.
+    shared.notice.set(UpstreamNotice {
+        is_leaving: false,
+        closed_for: Some(Duration::from_mins(1)),
+    });
+    let instance = start(&shared, "e1").await;
+    wait_until("the engine has turned a call away", async || {
+        let metrics = get(instance.entry.admin_addr(), "/metrics").await.body;
+        metrics.contains("upstream_notices_total{notice=\"closed\"}")
+    })
+    .await;
+    shared.notice.set(UpstreamNotice::default());
+    let addr = instance.entry.addr();
+    let extra = format!("{MODEL}x-last: 3\r\nx-resumes: r1\r\n");
+    let waiting = actix_rt::spawn(async move { send_request(addr, "/tell/", "s1", &extra).await });
+    wait_until("the request waits", async || {
+        let status = get(instance.entry.admin_addr(), "/status").await.body;
+        status.contains("\"in_flight\": 1")
+    })
+    .await;
+    let new = breaking_engine("u2").await;
+    shared.add_upstream(entry_of(&new, "2"));
+    wait_until_listed(&instance, 2).await;
+    assert_eq!(waiting.await.unwrap().status, 503);
+    assert_eq!(new.arrivals(), 0);
+}
+
 /// While one version serves, a stream goes on wherever its caller comes, whatever it names.
 #[actix_rt::test]
 async fn stream_of_the_only_software_version_goes_on_anywhere() {
--- a/crates/fleet/src/stream_origins.rs
+++ b/crates/fleet/src/stream_origins.rs
@@ -66,14 +66,26 @@
 /// Where a stream that a caller resumes may continue.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub enum Resumption {
-    /// At any version: only one serves.
+    /// At any version: none is known.
     Anywhere,
-    /// At the version that began it.
+    /// At the version that began it. If only one serves, it must still be named: another one may
+    /// appear while the request waits for an upstream.
     At(String),
     /// Not known: several versions serve, and this instance has not begun the stream.
     Unknown,
 }
 
+/// Software versions of a service that may have served recently.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum ServedSoftware {
+    /// No upstream is known.
+    None,
+    /// Only this version.
+    One(String),
+    /// Several versions, or it is not known which.
+    Several,
+}
+
 impl StreamOrigins {
     /// Records the version that began a stream. The first record of a stream counts.
     pub fn record(&mut self, stream: StreamKey, service: &str, software: &str, now: Instant) {
@@ -95,13 +107,14 @@
         self.streams.get(&stream).map(|o| &*o.software)
     }
 
-    /// Where a stream may continue. `is_mixed` tells whether several versions of the service may
-    /// have served recently.
-    pub fn resumption(&self, stream: Option<StreamKey>, is_mixed: bool) -> Resumption {
-        match stream.and_then(|stream| self.software(stream)) {
-            Some(software) => Resumption::At(software.to_owned()),
-            None if is_mixed => Resumption::Unknown,
-            None => Resumption::Anywhere,
+    /// Where a stream may continue, given the versions that may have served recently.
+    pub fn resumption(&self, stream: Option<StreamKey>, served: ServedSoftware) -> Resumption {
+        let begun_by = stream.and_then(|stream| self.software(stream));
+        match (begun_by, served) {
+            (Some(software), _) => Resumption::At(software.to_owned()),
+            (None, ServedSoftware::One(software)) => Resumption::At(software),
+            (None, ServedSoftware::Several) => Resumption::Unknown,
+            (None, ServedSoftware::None) => Resumption::Anywhere,
         }
     }
 
@@ -212,6 +225,17 @@
                 .is_some_and(|versions| count_remembered(versions, now) > 1)
     }
 
+    /// The versions of a service that are listed, or were in the last [`SOFTWARE_MEMORY`].
+    pub fn served(&self, service: &str, now: Instant) -> ServedSoftware {
+        if self.is_mixed(service, now) {
+            return ServedSoftware::Several;
+        }
+        let versions = self.services.get(service).into_iter().flatten();
+        let mut remembered = versions.filter(|(_, listed)| !listed.is_forgotten(now));
+        let only = remembered.next().map(|(version, _)| version.clone());
+        only.map_or(ServedSoftware::None, ServedSoftware::One)
+    }
+
     /// Services with several versions in the lists of this instance.
     pub fn mixed(&self, now: Instant) -> Vec<String> {
         let services = self.services.iter();
--- a/crates/fleet/tests/stream_origins.rs
+++ b/crates/fleet/tests/stream_origins.rs
@@ -8,8 +8,8 @@
 
 use comfreyweir_fleet::{
     stream_origins::{
-        ORIGIN_MEMORY, Resumption, SETTLE_TIME, SOFTWARE_MEMORY, SoftwareVersions, StreamKey,
-        StreamOrigins,
+        ORIGIN_MEMORY, Resumption, SETTLE_TIME, SOFTWARE_MEMORY, ServedSoftware, SoftwareVersions,
+        StreamKey, StreamOrigins,
     },
     upstream::{Holding, Phase, Upstream},
 };
@@ -97,13 +97,19 @@
     let stream = StreamKey::of("a");
     origins.record(stream, SERVICE, "1", start);
     origins.record(stream, SERVICE, "2", start);
+    let one = || Resumption::At("1".to_owned());
     assert_eq!(
-        origins.resumption(Some(stream), true),
-        Resumption::At("1".to_owned())
+        origins.resumption(Some(stream), ServedSoftware::Several),
+        one()
     );
     origins.record(StreamKey::of("b"), SERVICE, "2", start + ORIGIN_MEMORY * 2);
-    assert_eq!(origins.resumption(Some(stream), true), Resumption::Unknown);
-    assert_eq!(origins.resumption(None, false), Resumption::Anywhere);
+    for (served, expected) in [
+        (ServedSoftware::Several, Resumption::Unknown),
+        (ServedSoftware::One("1".to_owned()), one()),
+        (ServedSoftware::None, Resumption::Anywhere),
+    ] {
+        assert_eq!(origins.resumption(Some(stream), served), expected);
+    }
 }
 
 /// An instance in the model.
@@ -329,23 +335,28 @@
             return;
         }
         let stream = &self.streams[self.rng.random_range(0..self.streams.len())];
+        let (key, began_by) = (stream.key, stream.software.clone());
         let can_ask = self.reaches_holder(i);
         let instance = &mut self.instances[i];
         let is_recent = |at: Option<Instant>, max| at.is_some_and(|at| now - at < max);
         let is_informed =
             is_recent(instance.read_at, SETTLE_TIME) || is_recent(instance.view_at, MAX_VIEW_AGE);
-        let is_mixed = !is_informed || instance.versions.is_mixed(SERVICE, now);
-        let mut resumption = instance.origins.resumption(Some(stream.key), is_mixed);
+        let served = if is_informed {
+            instance.versions.served(SERVICE, now)
+        } else {
+            ServedSoftware::Several
+        };
+        let mut resumption = instance.origins.resumption(Some(key), served);
         if resumption == Resumption::Unknown
             && can_ask
-            && let Some(software) = self.index.software(stream.key)
+            && let Some(software) = self.index.software(key)
         {
-            instance.origins.record(stream.key, SERVICE, software, now);
+            instance.origins.record(key, SERVICE, software, now);
             resumption = Resumption::At(software.to_owned());
         }
         self.counts.resumed += 1;
-        let serves = |u: &&Rc<Upstream>| u.software == stream.software;
-        let could_go_on = can_ask && instance.list.iter().any(|u| serves(&u));
+        let has_version = |u: &Rc<Upstream>| u.software == began_by;
+        let could_go_on = can_ask && instance.list.iter().any(has_version);
         self.counts.could_go_on += usize::from(could_go_on);
         let software = match &resumption {
             Resumption::Unknown => {
@@ -355,8 +366,14 @@
             Resumption::At(software) => software,
             Resumption::Anywhere => &instance.list[0].software,
         };
-        if instance.list.iter().any(|u| u.software == *software) {
-            self.counts.joined += usize::from(*software != stream.software);
+        // A request may wait for an upstream, and the list change meanwhile.
+        let software = software.clone();
+        if self.rng.random_bool(0.1) {
+            self.read_list(i);
+        }
+        let instance = &self.instances[i];
+        if instance.list.iter().any(|u| u.software == software) {
+            self.counts.joined += usize::from(software != began_by);
             self.counts.went_on += usize::from(could_go_on);
         }
     }
--- a/crates/soak/src/callers.rs
+++ b/crates/soak/src/callers.rs
@@ -8,7 +8,7 @@
 
 use actix_http::StatusCode;
 use actix_rt::time::sleep;
-use comfreyweir_platform_standins::caller::{Call, Caller, Outcome, RequestKind};
+use comfreyweir_platform_standins::caller::{BrokenStream, Call, Caller, Outcome, RequestKind};
 use rand::{RngExt, SeedableRng, seq::IndexedRandom};
 use rand_chacha::ChaCha8Rng;
 use tokio::task::JoinSet;
@@ -19,6 +19,8 @@
 pub(crate) const UNKNOWN_KEY: &str = "never-a-key";
 /// Probability that a request carries the unknown key.
 const UNKNOWN_KEY_PROBABILITY: f64 = 0.02;
+/// Times that a caller resumes a stream.
+const MAX_RESUMPTIONS: u32 = 3;
 /// How long a caller waits for an answer.
 const CALL_DEADLINE: Duration = Duration::from_secs(4);
 
@@ -89,27 +91,53 @@
 ) {
     let mut connection = Caller::default();
     let mut instance = caller_index % cluster.instances.len();
+    // A stream to resume with its model, and how often it was resumed.
+    let (mut to_resume, mut resumptions) = (None::<(BrokenStream, String)>, 0);
     for n in 0.. {
         if stop_requested.get() {
             return;
         }
         let uses_unknown_key = rng.random_bool(UNKNOWN_KEY_PROBABILITY);
+        let kind = *RequestKind::ALL
+            .choose(&mut rng)
+            .unwrap_or(&RequestKind::Read);
+        let model = format!("m{}", rng.random_range(1..=3));
+        let (broken_stream, model) = match to_resume.take() {
+            Some((stream, model)) => (Some(stream), model),
+            None => (None, model),
+        };
         let call = Call {
             id: format!("{caller_index:04x}{n:012x}"),
-            kind: *RequestKind::ALL
-                .choose(&mut rng)
-                .unwrap_or(&RequestKind::Read),
+            kind: if broken_stream.is_some() {
+                RequestKind::Tell
+            } else {
+                kind
+            },
             key: if uses_unknown_key {
                 UNKNOWN_KEY.to_owned()
             } else {
                 cluster.key()
             },
-            model: format!("m{}", rng.random_range(1..=3)),
+            model,
             deadline: CALL_DEADLINE,
+            resumes: broken_stream,
         };
         let sent = Instant::now();
         let addr = cluster.instances[instance].caller_addr;
         let outcome = connection.send(addr, &call).await;
+        resumptions = if call.resumes.is_some() {
+            resumptions
+        } else {
+            0
+        };
+        if call.kind == RequestKind::Tell && resumptions < MAX_RESUMPTIONS {
+            resumptions += 1;
+            let broken_stream = connection.broken_stream().or(match &outcome {
+                Outcome::Answered(status) if !status.is_success() => call.resumes.as_ref(),
+                _ => None,
+            });
+            to_resume = broken_stream.map(|stream| (stream.clone(), call.model.clone()));
+        }
         let has_no_answer = matches!(outcome, Outcome::Broken | Outcome::GaveUp);
         records.borrow_mut().push(Record {
             call,
--- a/crates/soak/src/check.rs
+++ b/crates/soak/src/check.rs
@@ -1,9 +1,12 @@
 //! Checks the daemon's promises against what callers and servers recorded.
 
-use std::time::Duration;
+use std::{
+    collections::HashMap,
+    time::{Duration, Instant},
+};
 
 use actix_http::StatusCode;
-use comfreyweir_platform_standins::caller::Outcome;
+use comfreyweir_platform_standins::{caller::Outcome, server::Arrival};
 
 use crate::{
     callers::{Record, UNKNOWN_KEY},
@@ -22,6 +25,13 @@
 /// Answers of an instance are checked for lateness only for requests sent more than this time
 /// after its process was last disturbed.
 const SETTLE_TIME: Duration = Duration::from_secs(3);
+/// An upstream may get requests that a caller sent up to this time after an instance has passed on
+/// an answer in which it says that it leaves.
+const DRAIN_LIMIT: Duration = Duration::from_secs(2);
+/// Time from a refusal with `Retry-After` until requests to the upstream count.
+const CLOSING_TOLERANCE: Duration = Duration::from_millis(500);
+/// Requests that a closed upstream may get from an instance after a refusal.
+const MAX_AT_CLOSED: usize = 2;
 /// Fewer late answers than this are tolerated.
 const MIN_LATE_ANSWERS: usize = 8;
 
@@ -34,6 +44,7 @@
         }
     }
     broken.extend(late_answers(records, cluster));
+    broken.extend(unheeded_notices(records, cluster));
     broken
 }
 
@@ -88,3 +99,39 @@
         )
     })
 }
+
+/// Reports requests that an instance sent to a server that had told it that it leaves, or that it
+/// wants none for a time. Instances that were paused or restarted since are excused.
+fn unheeded_notices(records: &[Record], cluster: &SoakCluster) -> Vec<String> {
+    let by_request: HashMap<_, _> = records.iter().map(|r| (r.call.id.as_str(), r)).collect();
+    let mut arrivals: HashMap<_, Vec<(Arrival, &Record)>> = HashMap::new();
+    for arrival in cluster.ledger.arrivals() {
+        if let Some(record) = by_request.get(arrival.request.as_str()) {
+            let key = (record.instance, arrival.server.clone());
+            arrivals.entry(key).or_default().push((arrival, record));
+        }
+    }
+    let mut broken = Vec::new();
+    for ((instance, server), arrivals) in arrivals {
+        let last_disturbed = cluster.instances[instance].last_disturbed.get();
+        let heard = arrivals.iter().filter(|(a, _)| a.at > last_disturbed);
+        let told_to_leave = heard.clone().filter(|(a, r)| {
+            let is_passed_on = matches!(r.outcome, Outcome::Answered(_));
+            a.says_leaving && is_passed_on
+        });
+        let heard_leaving = told_to_leave.map(|(_, r)| r.sent + r.took).min();
+        let late = |limit: Instant| arrivals.iter().find(|(_, r)| r.sent > limit + DRAIN_LIMIT);
+        if let Some((arrival, _)) = heard_leaving.and_then(late) {
+            broken.push(format!("instance {instance}: {server} leaves: {arrival:?}"));
+        }
+        for (closing, until) in heard.filter_map(|(a, _)| Some((a, a.closed_until?))) {
+            let closed = closing.at + CLOSING_TOLERANCE..until;
+            let sent = arrivals.iter().filter(|(a, _)| closed.contains(&a.at));
+            if sent.count() > MAX_AT_CLOSED {
+                broken.push(format!("instance {instance}: {server} closed: {closing:?}"));
+                break;
+            }
+        }
+    }
+    broken
+}
--- a/crates/soak/src/cluster.rs
+++ b/crates/soak/src/cluster.rs
@@ -57,9 +57,11 @@
     /// Proxy between all instances and the server.
     pub(crate) link: Proxy,
     addr: SocketAddr,
-    service: &'static str,
+    pub(crate) service: &'static str,
     zone: &'static str,
     start_count: Cell<u32>,
+    /// Number of the software version that servers start with, shared by all slots.
+    software: Rc<Cell<u32>>,
 }
 
 /// The instances under test with their store and servers.
@@ -68,6 +70,8 @@
     pub(crate) slots: Rc<Vec<ServerSlot>>,
     pub(crate) store: Rc<Store>,
     pub(crate) ledger: Rc<ServerRecord>,
+    /// Number of the software version that servers start with.
+    pub(crate) software: Rc<Cell<u32>>,
     /// All callers' keys published so far, oldest first. Only the last one is valid.
     pub(crate) keys: RefCell<Vec<String>>,
     heartbeats: JoinHandle<()>,
@@ -83,6 +87,7 @@
         let folder = tempfile::tempdir()?;
         let store = Rc::new(Store::bind(block.addr(2, 7_000))?);
         let ledger = Rc::<ServerRecord>::default();
+        let software = Rc::new(Cell::new(1));
         let mut slots = Vec::new();
         for index in 0..ENGINE_SERVERS + PLAIN_SERVERS {
             let port = u16::try_from(index).unwrap_or_default();
@@ -100,6 +105,7 @@
                 },
                 zone: ZONES[index % ZONES.len()],
                 start_count: Cell::default(),
+                software: Rc::clone(&software),
             };
             slot.start_server(&ledger)?;
             slots.push(slot);
@@ -122,6 +128,7 @@
             slots,
             store,
             ledger,
+            software,
             keys: RefCell::default(),
             heartbeats: actix_rt::spawn(heartbeat_loop),
             folder: RefCell::new(Some(folder)),
@@ -206,6 +213,7 @@
         key: key.to_owned(),
         model: "m1".to_owned(),
         deadline: Duration::from_secs(3),
+        resumes: None,
     };
     Caller::default().send(instance.caller_addr, &call).await
 }
@@ -224,6 +232,7 @@
             id: format!("s{}-{}", self.addr.port(), self.start_count.get()),
             service: self.service.to_owned(),
             zone: self.zone.to_owned(),
+            software: format!("v{}", self.software.get()),
             models: if is_engine {
                 BTreeMap::from(models)
             } else {
@@ -236,6 +245,13 @@
         Ok(())
     }
 
+    /// Lets the running server, if any, break off streams or not.
+    pub(crate) fn break_streams(&self, breaks: bool) {
+        if let Some(server) = &*self.server.borrow() {
+            server.break_streams(breaks);
+        }
+    }
+
     /// Writes the entry of the running server, if any, to the store.
     pub(crate) fn write_entry(&self, store: &Store, heartbeat: u64) {
         if let Some(server) = &*self.server.borrow() {
--- a/crates/soak/src/faults.rs
+++ b/crates/soak/src/faults.rs
@@ -19,6 +19,8 @@
 
 /// How long a server that leaves goes on serving after it was told to drain.
 const DRAIN_TIME: Duration = Duration::from_millis(2_500);
+/// How long a server goes on serving that says only in its answers that it leaves.
+const UNANNOUNCED_LEAVE_TIME: Duration = Duration::from_millis(4_500);
 /// Delay after which the entry of a crashed server is removed from the store.
 const ENTRY_REMOVAL_DELAY: Duration = Duration::from_millis(1_500);
 /// Interval at which a terminating process is checked for its exit.
@@ -38,6 +40,14 @@
     ServerLink(usize, proxy::Faults),
     Crash(usize),
     Leave(usize),
+    /// The server says only in its answers that it leaves.
+    LeaveUnannounced(usize),
+    /// The server, or all servers of its service, turn everything away.
+    Close(usize, bool),
+    /// The server breaks off the streams that begin.
+    BreakStreams(usize),
+    /// Servers that start from now on have a new software version; this one is replaced.
+    Upgrade(usize),
     ReplaceKey,
 }
 
@@ -69,7 +79,7 @@
     let slot = rng.random_range(0..cluster.slots.len());
     let duration = Duration::from_millis(rng.random_range(100..3_500));
     let link = link_faults(rng);
-    let fault = match rng.random_range(0..20) {
+    let fault = match rng.random_range(0..27) {
         0 | 1 => Fault::Pause(instance),
         2 | 3 => Fault::Kill(instance),
         4 | 5 => Fault::Terminate(instance),
@@ -80,7 +90,11 @@
         12..=15 => Fault::ServerLink(slot, link),
         16 | 17 => Fault::Crash(slot),
         18 => Fault::Leave(slot),
-        _ => Fault::ReplaceKey,
+        19 => Fault::ReplaceKey,
+        20 => Fault::LeaveUnannounced(slot),
+        21 => Fault::Close(slot, rng.random_bool(0.3)),
+        22..=24 => Fault::BreakStreams(slot),
+        _ => Fault::Upgrade(slot),
     };
     (fault, duration)
 }
@@ -147,6 +161,32 @@
         }
         Fault::Crash(i) => replace(&cluster, &cluster.slots[i], Duration::ZERO, duration).await,
         Fault::Leave(i) => replace(&cluster, &cluster.slots[i], DRAIN_TIME, duration).await,
+        Fault::LeaveUnannounced(i) => {
+            if let Some(server) = &*cluster.slots[i].server.borrow() {
+                server.say_leaving();
+            }
+            sleep(UNANNOUNCED_LEAVE_TIME).await;
+            replace(&cluster, &cluster.slots[i], Duration::ZERO, duration).await;
+        }
+        Fault::Close(i, with_service) => {
+            let closed = cluster.slots.iter().enumerate().filter(|(index, slot)| {
+                *index == i || with_service && slot.service == cluster.slots[i].service
+            });
+            for (_, slot) in closed {
+                if let Some(server) = &*slot.server.borrow() {
+                    server.close_for(duration);
+                }
+            }
+        }
+        Fault::BreakStreams(i) => {
+            cluster.slots[i].break_streams(true);
+            sleep(duration).await;
+            cluster.slots[i].break_streams(false);
+        }
+        Fault::Upgrade(i) => {
+            cluster.software.set(cluster.software.get() + 1);
+            replace(&cluster, &cluster.slots[i], DRAIN_TIME, duration).await;
+        }
         Fault::ReplaceKey => cluster.replace_key(),
     }
 }
--- a/crates/soak/src/lib.rs
+++ b/crates/soak/src/lib.rs
@@ -4,7 +4,9 @@
 //! injects faults from outside. A seeded generator draws the faults: processes are paused, killed,
 //! terminated and reloaded; connections are closed, frozen, blocked in one direction or delayed;
 //! the store is down, slow, loses answers or forgets its history; servers crash, leave and come
-//! back under another name; keys are replaced. Faults overlap, and callers reuse their connections.
+//! back under another name; servers say in their answers that they leave or want no requests, break
+//! streams off, and get a new software version; keys are replaced. Faults overlap. Callers reuse
+//! their connections and resume streams that broke off.
 //!
 //! The daemon's promises, such as that a request which must not be repeated runs at most once, are
 //! checked against what callers and servers recorded. After the last fault, every instance must
@@ -48,6 +50,8 @@
     pub requests: usize,
     /// Number of requests answered with status 200.
     pub served: usize,
+    /// Number of requests that resume a stream, and of those answered with status 200.
+    pub resumed: (usize, usize),
     /// Injected faults, each with its start time and duration.
     pub faults: Vec<String>,
     /// Broken promises, one description each; empty if the soak passed.
@@ -96,10 +100,13 @@
     }
     broken.extend(cluster.broken_promises());
     let served = records.iter().filter(|r| r.is_served()).count();
+    let resumptions = records.iter().filter(|r| r.call.resumes.is_some());
+    let went_on = resumptions.clone().filter(|r| r.is_served()).count();
     let logs = (!broken.is_empty()).then(|| cluster.keep_logs());
     Ok(SoakReport {
         requests: records.len(),
         served,
+        resumed: (resumptions.count(), went_on),
         faults,
         broken_promises: broken,
         logs: logs.flatten(),
--- a/crates/soak/src/main.rs
+++ b/crates/soak/src/main.rs
@@ -85,10 +85,13 @@
             }
         };
         println!(
-            "seed {seed}: {} faults, {} of {} requests served, {} promises broken",
+            "seed {seed}: {} faults, {} of {} requests served, {} of {} resumed streams went on, \
+             {} promises broken",
             verdict.faults.len(),
             verdict.served,
             verdict.requests,
+            verdict.resumed.1,
+            verdict.resumed.0,
             verdict.broken_promises.len()
         );
         if !verdict.broken_promises.is_empty() {
