Heed upstreams that drain before the whole list is read

Each page is looked through as it arrives; what drains gets no new requests from then on. The test reads a list of 40 pages and failed without this: the upstream got requests until the list was complete.

The entry that tests of the entry daemon use for upstreams has one place now.

--- a/crates/entry/src/follow/directory.rs
+++ b/crates/entry/src/follow/directory.rs
@@ -10,9 +10,9 @@
 use actix_rt::time::sleep;
 use comfreyweir_fleet::upstream::Upstream;
 
-use super::{RETRY_PAUSE, outage_log::OutageLog, read_all};
+use super::{RETRY_PAUSE, outage_log::OutageLog, read_pages};
 use crate::{
-    platform::{Platform, PlatformError, StoreItem, StoreItems},
+    platform::{Platform, PlatformError, StoreItem},
     state::EntryContext,
 };
 
@@ -81,10 +81,16 @@
     let prefix = cx.platform.keys().upstreams_prefix;
     let limit = cx.settings().timing.store_call_timeout();
     let called_at = cx.now();
-    let StoreItems {
-        items, revision, ..
-    } = read_all(cx, prefix, limit).await?;
-    let list = decoded.decode_all(cx, prefix, items);
+    let mut entries = HashMap::new();
+    let mut list = Vec::new();
+    let revision = read_pages(cx, prefix, limit, |items| {
+        let page = decoded.decode_page(cx, prefix, items, &mut entries);
+        // The whole of a long list takes longer to arrive than upstreams that leave can wait.
+        cx.note_draining(&page);
+        list.extend(page);
+    })
+    .await?;
+    decoded.entries = entries;
     cx.replace_directory(list, revision, called_at, "store");
     Ok(())
 }
@@ -93,30 +99,33 @@
 /// An entry that cannot be decoded is cached as none.
 #[derive(Default)]
 struct DecodedEntries {
-    entries: HashMap<String, (u64, Option<Upstream>)>,
+    entries: DecodedByKey,
 }
 
+type DecodedByKey = HashMap<String, (u64, Option<Upstream>)>;
+
 impl DecodedEntries {
-    fn decode_all<P>(
+    /// Decodes a page of the list and adds its entries to those of the list that is being read.
+    fn decode_page<P>(
         &mut self,
         cx: &EntryContext<P>,
         prefix: &str,
         items: Vec<StoreItem>,
+        entries: &mut DecodedByKey,
     ) -> Vec<Upstream>
     where
         P: Platform,
     {
-        let mut previous = std::mem::take(&mut self.entries);
-        let mut list = Vec::new();
+        let mut page = Vec::new();
         for item in items {
-            let entry = match previous.remove(&item.key) {
+            let entry = match self.entries.remove(&item.key) {
                 Some((revision, entry)) if revision == item.revision => entry,
                 _ => decode_entry(cx, prefix, &item),
             };
-            list.extend(entry.clone());
-            self.entries.insert(item.key, (item.revision, entry));
+            page.extend(entry.clone());
+            entries.insert(item.key, (item.revision, entry));
         }
-        list
+        page
     }
 }
 
--- a/crates/entry/src/follow/mod.rs
+++ b/crates/entry/src/follow/mod.rs
@@ -12,7 +12,7 @@
 
 use self::outage_log::OutageLog;
 use crate::{
-    platform::{Platform, PlatformError, StoreItems, WatchOutcome},
+    platform::{Platform, PlatformError, StoreItem, StoreItems, WatchOutcome},
     state::EntryContext,
 };
 
@@ -63,8 +63,8 @@
     }
 }
 
-/// Reads all items with a prefix, page by page. The result has the revision of the first page;
-/// later pages may be newer.
+/// Reads all items with a prefix. The result has the revision of the first page; later pages may be
+/// newer.
 async fn read_all<P>(
     cx: &Rc<EntryContext<P>>,
     prefix: &str,
@@ -73,12 +73,35 @@
 where
     P: Platform,
 {
-    let (mut all, mut more) = cx.platform.range(prefix, None, limit).await?;
-    while more {
-        let after = all.items.last().map(|item| item.key.clone());
-        let (page, has_more) = cx.platform.range(prefix, after.as_deref(), limit).await?;
-        more = has_more && !page.items.is_empty();
-        all.items.extend(page.items);
+    let mut items = Vec::new();
+    let revision = read_pages(cx, prefix, limit, |page| items.extend(page)).await?;
+    Ok(StoreItems {
+        items,
+        removed: Vec::new(),
+        revision,
+    })
+}
+
+/// Reads all items with a prefix and calls `take_page` with those of each page as it arrives. Returns
+/// the revision of the first page; later pages may be newer.
+async fn read_pages<P, F>(
+    cx: &Rc<EntryContext<P>>,
+    prefix: &str,
+    limit: Duration,
+    mut take_page: F,
+) -> Result<u64, PlatformError>
+where
+    P: Platform,
+    F: FnMut(Vec<StoreItem>),
+{
+    let (mut page, mut has_more) = cx.platform.range(prefix, None, limit).await?;
+    let revision = page.revision;
+    loop {
+        let last = page.items.last().map(|item| item.key.clone());
+        take_page(page.items);
+        if !has_more || last.is_none() {
+            return Ok(revision);
+        }
+        (page, has_more) = cx.platform.range(prefix, last.as_deref(), limit).await?;
     }
-    Ok(all)
 }
--- a/crates/entry/src/state.rs
+++ b/crates/entry/src/state.rs
@@ -511,6 +511,21 @@
         self.state_changed.notify_waiters();
     }
 
+    /// Takes over which upstreams of a part of the list drain, before the whole list is known.
+    pub(crate) fn note_draining(&self, upstreams: &[Upstream]) {
+        let mut directory = self.directory.borrow_mut();
+        let draining = upstreams.iter().filter(|u| directory.record_draining(u));
+        let ids: Vec<_> = draining.map(|u| u.id.as_str()).collect();
+        if ids.is_empty() {
+            return;
+        }
+        spdlog::info!("upstreams changed", kv: {
+            revision = directory.revision(), source = "page", added = "", removed = "",
+            draining = ids.join(" ").as_str()
+        });
+        self.state_changed.notify_waiters();
+    }
+
     /// Where a stream of a service may continue that a caller resumes here.
     ///
     /// Without a recent list of upstreams, this instance cannot tell that only one software version
--- a/crates/entry/tests/notices.rs
+++ b/crates/entry/tests/notices.rs
@@ -6,39 +6,18 @@
 use std::{rc::Rc, time::Duration};
 
 use comfreyweir_entry::platform::UpstreamNotice;
-use comfreyweir_fleet::upstream::{Holding, LoadedModel, Phase, Upstream};
+use comfreyweir_fleet::upstream::{Phase, Upstream};
 use support::{
     FakeUpstream, Response, ScriptStep, SharedState, TestInstance, get, platform::config,
-    send_request, start, wait_until,
+    send_request, start, upstream_entry, wait_until,
 };
 use tokio::time::Instant;
 
-fn entry_of(upstream: &FakeUpstream, service: &str, models: &[&str]) -> Upstream {
-    let models = models.iter().map(|name| LoadedModel {
-        name: (*name).to_owned(),
-        adapters: Vec::new(),
-    });
-    Upstream {
-        id: upstream.id.clone(),
-        service: service.to_owned(),
-        addr: upstream.addr,
-        zone: "a".to_owned(),
-        software: "1".to_owned(),
-        slots: 8,
-        phase: Phase::Ready,
-        born_ms: Some(1),
-        holds: Holding {
-            models: models.collect(),
-            ..Holding::default()
-        },
-    }
-}
-
 fn shared_state(upstreams: &[&FakeUpstream]) -> Rc<SharedState> {
     let shared = SharedState::new();
     shared.publish_config(config(1));
     for upstream in upstreams {
-        shared.add_upstream(entry_of(upstream, "plain", &[]));
+        shared.add_upstream(upstream_entry(upstream, "plain", &[]));
     }
     shared
 }
@@ -128,7 +107,7 @@
     let engine = FakeUpstream::start("u1", &[SERVED]).await;
     let shared = SharedState::new();
     shared.publish_config(config(1));
-    shared.add_upstream(entry_of(&engine, "llm", &["m1"]));
+    shared.add_upstream(upstream_entry(&engine, "llm", &["m1"]));
     shared.notice.set(UpstreamNotice {
         is_leaving: true,
         closed_for: None,
@@ -185,3 +164,33 @@
     assert!(started.elapsed() < Duration::from_millis(500));
     assert_eq!(only.arrivals(), 1);
 }
+
+/// Guards against requests to an upstream that drains while the rest of a long list is read.
+#[actix_rt::test]
+async fn draining_upstream_gets_no_request_before_the_whole_list_is_read() {
+    let upstream = FakeUpstream::start("a0", &[SERVED]).await;
+    let shared = shared_state(&[&upstream]);
+    let entry = upstream_entry(&upstream, "plain", &[]);
+    for i in 1..40 {
+        shared.add_upstream(Upstream {
+            id: format!("b{i}"),
+            service: "other".to_owned(),
+            ..entry.clone()
+        });
+    }
+    let instance = start(&shared, "e1").await;
+    shared.paging.set(Some((1, Duration::from_millis(40))));
+    shared.add_upstream(Upstream {
+        phase: Phase::Draining(None),
+        ..entry
+    });
+    shared.remove_upstream("b39");
+    wait_until("the upstream gets no requests", async || {
+        let extra = "x-deadline: 60\r\n";
+        let response = send_request(instance.entry.addr(), "/read/", "r1", extra).await;
+        response.status == 503
+    })
+    .await;
+    let status = get(instance.entry.admin_addr(), "/status").await.body;
+    assert!(status.contains("\"upstreams\": 40,"), "{status}");
+}
--- a/crates/entry/tests/requests.rs
+++ b/crates/entry/tests/requests.rs
@@ -4,37 +4,13 @@
 
 use std::{rc::Rc, time::Duration};
 
-use comfreyweir_fleet::{
-    config::RouteKind,
-    upstream::{Holding, LoadedModel, Phase, Upstream},
-};
+use comfreyweir_fleet::{config::RouteKind, upstream::Phase};
 use support::{
     FakeUpstream, ScriptStep, SharedState, TestInstance, get, platform::config, read_response,
-    request_text, send_raw, send_request, start, wait_until,
+    request_text, send_raw, send_request, start, upstream_entry, wait_until,
 };
 use tokio::{io::AsyncWriteExt, net::TcpStream, time::Instant};
 
-fn upstream_entry(upstream: &FakeUpstream, service: &str, models: &[&str]) -> Upstream {
-    let models = models.iter().map(|name| LoadedModel {
-        name: (*name).to_owned(),
-        adapters: Vec::new(),
-    });
-    Upstream {
-        id: upstream.id.clone(),
-        service: service.to_owned(),
-        addr: upstream.addr,
-        zone: "a".to_owned(),
-        software: "1".to_owned(),
-        slots: 8,
-        phase: Phase::Ready,
-        born_ms: None,
-        holds: Holding {
-            models: models.collect(),
-            ..Holding::default()
-        },
-    }
-}
-
 async fn start_instance(
     plain: &[&FakeUpstream],
     engines: &[(&FakeUpstream, &[&str])],
--- a/crates/entry/tests/resumptions.rs
+++ b/crates/entry/tests/resumptions.rs
@@ -6,31 +6,19 @@
 use std::{rc::Rc, time::Duration};
 
 use comfreyweir_entry::platform::UpstreamNotice;
-use comfreyweir_fleet::upstream::{Holding, LoadedModel, Phase, Upstream};
+use comfreyweir_fleet::upstream::Upstream;
 use support::{
     FakeUpstream, Response, ScriptStep, SharedState, TestInstance, get, platform::config,
-    send_request, start, wait_until,
+    send_request, start, upstream_entry, wait_until,
 };
 
 const MODEL: &str = "x-model: m1\r\n";
 
-fn entry_of(upstream: &FakeUpstream, software: &str) -> Upstream {
+/// Entry of an engine that holds the model.
+fn entry_of(engine: &FakeUpstream, software: &str) -> Upstream {
     Upstream {
-        id: upstream.id.clone(),
-        service: "llm".to_owned(),
-        addr: upstream.addr,
-        zone: "a".to_owned(),
         software: software.to_owned(),
-        slots: 8,
-        phase: Phase::Ready,
-        born_ms: Some(1),
-        holds: Holding {
-            models: vec![LoadedModel {
-                name: "m1".to_owned(),
-                adapters: Vec::new(),
-            }],
-            ..Holding::default()
-        },
+        ..upstream_entry(engine, "llm", &["m1"])
     }
 }
 
--- a/crates/entry/tests/support/mod.rs
+++ b/crates/entry/tests/support/mod.rs
@@ -18,6 +18,7 @@
     settings::RequestLimits,
 };
 use comfreyweir_entry::{Entry, spawn};
+use comfreyweir_fleet::upstream::{Holding, LoadedModel, Phase, Upstream};
 use tokio::{
     io::{AsyncReadExt, AsyncWriteExt},
     net::TcpStream,
@@ -70,6 +71,28 @@
     }
 }
 
+/// Entry of a ready upstream of software version 1.
+pub fn upstream_entry(upstream: &FakeUpstream, service: &str, models: &[&str]) -> Upstream {
+    let models = models.iter().map(|name| LoadedModel {
+        name: (*name).to_owned(),
+        adapters: Vec::new(),
+    });
+    Upstream {
+        id: upstream.id.clone(),
+        service: service.to_owned(),
+        addr: upstream.addr,
+        zone: "a".to_owned(),
+        software: "1".to_owned(),
+        slots: 8,
+        phase: Phase::Ready,
+        born_ms: Some(1),
+        holds: Holding {
+            models: models.collect(),
+            ..Holding::default()
+        },
+    }
+}
+
 pub struct TestInstance {
     pub entry: Entry<MemoryPlatform>,
     pub shared: Rc<SharedState>,
--- a/crates/entry/tests/support/platform.rs
+++ b/crates/entry/tests/support/platform.rs
@@ -44,6 +44,8 @@
     order_counts: RefCell<BTreeMap<String, u64>>,
     /// What engines say of themselves in answers to orders and report requests.
     pub notice: Cell<UpstreamNotice>,
+    /// Items in a page of a range read, and the time that a page takes; everything at once if none.
+    pub paging: Cell<Option<(usize, Duration)>>,
     /// While set, every call to the store fails.
     pub store_is_down: Cell<bool>,
 }
@@ -212,11 +214,20 @@
     async fn range(
         &self,
         prefix: &str,
-        _: Option<&str>,
+        after: Option<&str>,
         _: Duration,
     ) -> Result<(StoreItems, bool), PlatformError> {
         self.shared.check_store_up()?;
-        Ok((self.shared.items_after(prefix, 0), false))
+        let mut all = self.shared.items_after(prefix, 0);
+        all.items
+            .retain(|item| after.is_none_or(|after| item.key.as_str() > after));
+        let Some((page_size, time)) = self.shared.paging.get() else {
+            return Ok((all, false));
+        };
+        sleep(time).await;
+        let has_more = all.items.len() > page_size;
+        all.items.truncate(page_size);
+        Ok((all, has_more))
     }
 
     async fn watch(
--- a/crates/fleet/src/directory.rs
+++ b/crates/fleet/src/directory.rs
@@ -115,6 +115,21 @@
         self.leaving.insert(process, now).is_none()
     }
 
+    /// Takes over that a listed upstream drains, from an entry that was read after the list. Returns
+    /// whether it was ready.
+    pub fn record_draining(&mut self, upstream: &Upstream) -> bool {
+        let Some(entry) = self.entries.get_mut(&upstream.id) else {
+            return false;
+        };
+        let starts_draining = entry.born_ms == upstream.born_ms
+            && entry.phase == Phase::Ready
+            && upstream.phase != Phase::Ready;
+        if starts_draining {
+            Rc::make_mut(entry).phase = upstream.phase;
+        }
+        starts_draining
+    }
+
     /// Listed processes that have said in an answer to this instance that they leave.
     pub fn leaving(&self) -> impl Iterator<Item = &UpstreamProcess> {
         self.leaving.keys().filter(|process| {
--- a/crates/fleet/tests/directory.rs
+++ b/crates/fleet/tests/directory.rs
@@ -164,3 +164,17 @@
     directory.replace(list(), 2, start);
     assert_eq!(ids(&directory), ["a"]);
 }
+
+/// A page of a list that is being read shows that an upstream drains. A page that was read before
+/// another process took the identifier says nothing of that one.
+#[test]
+fn draining_is_taken_over_from_a_part_of_the_list() {
+    let start = Instant::now();
+    let mut directory = Directory::default();
+    directory.replace(vec![upstream("a", Phase::Ready), restarted("b")], 1, start);
+    assert!(directory.record_draining(&upstream("a", Phase::Draining(None))));
+    assert!(!directory.record_draining(&upstream("a", Phase::Draining(None))));
+    assert!(!directory.record_draining(&upstream("b", Phase::Draining(None))));
+    assert!(!directory.record_draining(&upstream("c", Phase::Draining(None))));
+    assert_eq!(ids(&directory), ["b"]);
+}
