Notice when the store comes back from a copy

Cause: the store may come back from a copy that is some seconds old. Revisions then go back and are given out again, and leases are gone. Fencing tokens, lists, cached entries, watches and conditions trusted that revisions only rise: a new holder's token could be equal to or below an old one's, a watch could go on past changes it never saw, and two instances could give orders.

The adapter joins the store's era (Store-Era) and the revision into one number that rises over all eras. An answer of an earlier era counts as none; watches and conditions of an earlier era are not sent. A holder gives up its duty as soon as an answer shows a new era; the next one waits for the whole time that a lease lets an unaware holder order. Missing upstreams are kept as after an outage. The shared secret is written again by who knows it. A log line and a counter tell of each copy.

The stand-in of the store makes and restores copies, and the soak restores them among its other faults.

--- a/crates/entry/src/duty/coordinator.rs
+++ b/crates/entry/src/duty/coordinator.rs
@@ -41,6 +41,8 @@
 pub(crate) struct Coordinator<P> {
     cx: Rc<EntryContext<P>>,
     tenure: Cell<Option<Tenure>>,
+    /// Era of the store in which the tenure began.
+    tenure_era: Cell<Option<u64>>,
     orders_paused_until: Cell<Duration>,
     /// Whether this instance is giving up the duty and sends no more orders.
     has_stopped_ordering: Cell<bool>,
@@ -85,6 +87,7 @@
         Self {
             cx,
             tenure: Cell::new(None),
+            tenure_era: Cell::default(),
             orders_paused_until: Cell::default(),
             has_stopped_ordering: Cell::default(),
             state: RefCell::default(),
@@ -103,6 +106,7 @@
             ..TenureState::default()
         };
         self.tenure.set(Some(tenure));
+        self.tenure_era.set(self.cx.platform.store_era());
         self.has_stopped_ordering.set(false);
     }
 
@@ -124,6 +128,13 @@
         self.step_needed.notify_one();
     }
 
+    /// Ends a tenure that began in an earlier era of the store.
+    pub(crate) fn end_tenure_before(&self, era: u64) {
+        if self.tenure_era.get() != Some(era) {
+            self.end_tenure();
+        }
+    }
+
     /// The current tenure; none if this instance does not hold the duty.
     pub(super) fn tenure(&self) -> Option<Tenure> {
         self.tenure.get()
--- a/crates/entry/src/duty/election.rs
+++ b/crates/entry/src/duty/election.rs
@@ -162,6 +162,7 @@
     let limit = cx.settings().timing.store_call_timeout();
     let ttl = DUTY_LEASE_TTL.max(Duration::from_millis(cx.settings().store.min_lease_ms));
     let called_at = cx.clock.since_boot();
+    let era = cx.platform.store_era();
     let lease = cx.platform.grant_lease(ttl, limit).await?;
     let key = format!("{}{DUTY_KEY}", cx.platform.keys().own_prefix);
     let holder = Holder {
@@ -193,11 +194,13 @@
     }
     // A duty taken over from an earlier process of this instance needs no delay. Otherwise the
     // previous holder has sent no orders during the last part of its lease, which is subtracted.
-    let order_delay = if revision == 0 {
-        let min_order_gap = Duration::from_millis(cx.settings().timing.order_rest_ms);
-        min_order_gap.saturating_sub(Tenure::order_free_time(DUTY_LEASE_TTL))
-    } else {
+    let min_order_gap = Duration::from_millis(cx.settings().timing.order_rest_ms);
+    let order_delay = if revision > 0 {
         Duration::ZERO
+    } else if cx.platform.store_era() != era || may_have_lost_holder(cx, min_order_gap) {
+        min_order_gap + Tenure::order_time(DUTY_LEASE_TTL)
+    } else {
+        min_order_gap.saturating_sub(Tenure::order_free_time(DUTY_LEASE_TTL))
     };
     let now = cx.clock.since_boot();
     let rest_ms = whole_millis(order_delay);
@@ -212,6 +215,16 @@
     )))
 }
 
+/// Whether the store has come back from a copy so recently that a holder may not know of it whose
+/// lease it has lost. Such a holder gives orders until it should have renewed its lease.
+fn may_have_lost_holder<P>(cx: &EntryContext<P>, min_order_gap: Duration) -> bool
+where
+    P: Platform,
+{
+    let time = cx.time_since_store_copy();
+    time.is_some_and(|time| time < DUTY_LEASE_TTL + min_order_gap)
+}
+
 async fn end_lease<P>(cx: &Rc<EntryContext<P>>, lease: u64)
 where
     P: Platform,
--- a/crates/entry/src/follow/members.rs
+++ b/crates/entry/src/follow/members.rs
@@ -140,15 +140,32 @@
     P: Platform,
 {
     let key = format!("{own_prefix}{SECRET_KEY}");
-    let secret: [u8; SECRET_BYTES] = rand::random();
+    // The store may have lost the secret. The instances that are linked by it keep it.
+    let known = cx.members.borrow().secret_bytes.clone();
+    let secret = known.unwrap_or_else(|| {
+        let secret: [u8; SECRET_BYTES] = rand::random();
+        Bytes::copy_from_slice(&secret)
+    });
     let tx = Transaction {
         expected: vec![(key.clone(), 0)],
-        puts: vec![(key, Bytes::copy_from_slice(&secret), 0)],
+        puts: vec![(key, secret, 0)],
         ..Transaction::default()
     };
     cx.platform.commit(&tx, limit).await.map(|_| ())
 }
 
+/// Writes the shared secret again if the store has lost it.
+pub(super) async fn restore_secret<P>(cx: &Rc<EntryContext<P>>) -> Result<(), PlatformError>
+where
+    P: Platform,
+{
+    if cx.members.borrow().secret_bytes.is_none() {
+        return Ok(());
+    }
+    let limit = cx.settings().timing.store_call_timeout();
+    create_secret(cx, cx.platform.keys().own_prefix, limit).await
+}
+
 fn replace_members<P>(cx: &EntryContext<P>, own_prefix: &str, items: &StoreItems)
 where
     P: Platform,
@@ -224,6 +241,7 @@
         }
     } else if key == SECRET_KEY {
         members.secret = Some(PeerSecret::from_bytes(&item.value));
+        members.secret_bytes = Some(item.value.clone());
     } else if key == DUTY_KEY {
         match serde_json::from_slice::<Holder>(&item.value) {
             Ok(holder) => {
--- a/crates/entry/src/follow/mod.rs
+++ b/crates/entry/src/follow/mod.rs
@@ -3,6 +3,7 @@
 
 pub(crate) mod config;
 pub(crate) mod directory;
+pub(crate) mod era;
 pub(crate) mod members;
 mod outage_log;
 
--- a/crates/entry/src/instance.rs
+++ b/crates/entry/src/instance.rs
@@ -73,6 +73,7 @@
     let tasks = vec![
         actix_rt::spawn(follow::config::run(Rc::clone(&cx))),
         actix_rt::spawn(follow::directory::run(Rc::clone(&cx))),
+        actix_rt::spawn(follow::era::run(Rc::clone(&cx), Rc::clone(&coordinator))),
         actix_rt::spawn(follow::members::run(Rc::clone(&cx))),
         actix_rt::spawn(follow::members::register(Rc::clone(&cx))),
         actix_rt::spawn(duty::run(Rc::clone(&cx), Rc::clone(&coordinator))),
--- a/crates/entry/src/metrics.rs
+++ b/crates/entry/src/metrics.rs
@@ -64,6 +64,7 @@
     orders: Family<OrderLabels, Counter>,
     notices: Family<NoticeLabel, Counter>,
     resumptions: Family<ResumptionLabel, Counter>,
+    store_copies: Counter,
     first_byte_seconds: Histograms,
 }
 
@@ -77,6 +78,7 @@
             orders: Family::default(),
             notices: Family::default(),
             resumptions: Family::default(),
+            store_copies: Counter::default(),
             first_byte_seconds: Family::new_with_constructor(histogram),
         };
         let mut registry = metrics.registry.borrow_mut();
@@ -105,6 +107,11 @@
             "Streams that callers resume, by what is known of the software version that began them",
             metrics.resumptions.clone(),
         );
+        registry.register(
+            "comfreyweir_store_copies",
+            "Times that the store has come back from a copy",
+            metrics.store_copies.clone(),
+        );
         registry.register(
             "comfreyweir_first_byte_seconds",
             "Time from the arrival of a stream's request to the first byte of its answer",
@@ -154,6 +161,11 @@
         self.resumptions.get_or_create(&labels).inc();
     }
 
+    /// Counts that the store has come back from a copy.
+    pub(crate) fn count_store_copy(&self) {
+        self.store_copies.inc();
+    }
+
     /// Records the time to the first byte of a streamed answer.
     pub(crate) fn observe_first_byte(&self, workspace: &str, time: Duration) {
         let labels = WorkspaceLabel {
--- a/crates/entry/src/platform.rs
+++ b/crates/entry/src/platform.rs
@@ -254,6 +254,14 @@
     /// Decodes the entry of an upstream.
     fn decode_upstream(&self, id: &str, value: &[u8]) -> Result<Upstream, DecodeError>;
 
+    /// The latest era of the store that an answer has shown; none if none has yet. It rises when the
+    /// store has come back from a copy and has lost what was written since. Revisions rise over all
+    /// eras.
+    fn store_era(&self) -> Option<u64>;
+
+    /// Waits until the latest era is not `known`, and returns it.
+    async fn store_era_changed(&self, known: Option<u64>) -> Option<u64>;
+
     /// Reads one item, with the revision of the store; none if the key does not exist.
     async fn get(
         &self,
--- /dev/null
+++ b/crates/entry/tests/store_copies.rs
@@ -0,0 +1,93 @@
+//! The store comes back from a copy that is some seconds old.
+
+mod support;
+
+use std::time::Duration;
+
+use support::{
+    FakeUpstream, ScriptStep, SharedState, TestInstance, get, platform::config, send_request,
+    start, upstream_entry, wait_until,
+};
+use tokio::time::Instant;
+
+async fn status(instance: &TestInstance) -> serde_json::Value {
+    let status = get(instance.entry.admin_addr(), "/status").await.body;
+    serde_json::from_str(&status).unwrap()
+}
+
+async fn wait_until_orders(instance: &TestInstance) {
+    wait_until("orders may be given", async || {
+        status(instance).await["duty"]["may_order"] == true
+    })
+    .await;
+}
+
+/// The holder gives up a duty that the store has lost, and the next one waits as long as a holder
+/// that does not know of it may give orders. Tokens rise, and the links keep their secret.
+#[actix_rt::test]
+async fn duty_is_taken_anew_after_the_store_has_lost_it() {
+    let shared = SharedState::new();
+    shared.publish_config(config(1));
+    let copy = shared.copy();
+    let instance = start(&shared, "e1").await;
+    wait_until_orders(&instance).await;
+    let fence = status(&instance).await["duty"]["fence"].as_u64().unwrap();
+    let secret = shared.item("own/secret").unwrap().value;
+    shared.restore(copy);
+    let restored_at = Instant::now();
+    wait_until("the holder gives up the duty", async || {
+        status(&instance).await["duty"]["fence"].as_u64() != Some(fence)
+    })
+    .await;
+    assert!(restored_at.elapsed() < Duration::from_millis(300));
+    wait_until_orders(&instance).await;
+    // Three fifths of the lease of 2 s, and the order rest.
+    assert!(restored_at.elapsed() >= Duration::from_millis(1_300));
+    let fence_after = status(&instance).await["duty"]["fence"].as_u64().unwrap();
+    assert!(fence_after > fence, "{fence_after} {fence}");
+    wait_until("the secret is written again", async || {
+        shared.item("own/secret").is_some()
+    })
+    .await;
+    assert_eq!(shared.item("own/secret").unwrap().value, secret);
+    wait_until("the instance is registered again", async || {
+        shared.item("own/instances/e1").is_some()
+    })
+    .await;
+}
+
+/// Entries of upstreams that the copy lacks are kept until the upstreams can have written them again.
+/// An older configuration in the copy is not put in force.
+#[actix_rt::test]
+async fn requests_are_served_while_the_store_lacks_what_it_has_lost() {
+    let upstream = FakeUpstream::start("u1", &[ScriptStep::Answer(200, "served")]).await;
+    let shared = SharedState::new();
+    shared.publish_config(config(1));
+    let copy = shared.copy();
+    let mut newer = config(2);
+    newer.routes.clear();
+    newer.routes.insert(
+        "h".to_owned(),
+        config(1).routes["h"]
+            .iter()
+            .filter(|r| r.prefix != "/book/")
+            .cloned()
+            .collect(),
+    );
+    shared.publish_config(newer);
+    shared.add_upstream(upstream_entry(&upstream, "plain", &[]));
+    let instance = start(&shared, "e1").await;
+    let addr = instance.entry.addr();
+    assert_eq!(send_request(addr, "/read/", "r1", "").await.status, 200);
+    shared.restore(copy);
+    let restored_at = Instant::now();
+    while restored_at.elapsed() < Duration::from_millis(1_800) {
+        assert_eq!(send_request(addr, "/read/", "r2", "").await.status, 200);
+        assert_eq!(send_request(addr, "/book/", "r3", "").await.status, 404);
+        actix_rt::time::sleep(Duration::from_millis(100)).await;
+    }
+    wait_until("the upstream counts as gone", async || {
+        status(&instance).await["upstreams"] == 0
+    })
+    .await;
+}
--- a/crates/entry/tests/support/platform.rs
+++ b/crates/entry/tests/support/platform.rs
@@ -3,7 +3,7 @@
 
 use std::{
     cell::{Cell, RefCell},
-    collections::BTreeMap,
+    collections::{BTreeMap, BTreeSet},
     net::SocketAddr,
     rc::Rc,
     time::Duration,
@@ -35,6 +35,7 @@
     removed_at: RefCell<BTreeMap<String, u64>>,
     revision: Cell<u64>,
     last_lease_id: Cell<u64>,
+    live_leases: RefCell<BTreeSet<u64>>,
     changed: Notify,
     /// Configurations by version. The store holds only the version number.
     configs: RefCell<BTreeMap<u64, Config>>,
@@ -46,6 +47,8 @@
     pub notice: Cell<UpstreamNotice>,
     /// Items in a page of a range read, and the time that a page takes; everything at once if none.
     pub paging: Cell<Option<(usize, Duration)>>,
+    era: Cell<u64>,
+    era_changed: Notify,
     /// While set, every call to the store fails.
     pub store_is_down: Cell<bool>,
 }
@@ -82,6 +85,26 @@
         }
     }
 
+    /// Replaces what the instances wrote by what `copy` returned, under the next era. All leases are
+    /// gone, with their keys.
+    pub fn restore(&self, items: BTreeMap<String, (StoreItem, u64)>) {
+        self.era.set(self.era.get() + 1);
+        self.revision.set(self.era.get() << 40);
+        let is_kept = |(_, (_, lease)): &(String, (StoreItem, u64))| *lease == 0;
+        *self.items.borrow_mut() = items.into_iter().filter(is_kept).collect();
+        self.live_leases.borrow_mut().clear();
+        self.era_changed.notify_waiters();
+        self.changed.notify_waiters();
+    }
+
+    pub fn copy(&self) -> BTreeMap<String, (StoreItem, u64)> {
+        self.items.borrow().clone()
+    }
+
+    pub fn item(&self, key: &str) -> Option<StoreItem> {
+        self.items.borrow().get(key).map(|(item, _)| item.clone())
+    }
+
     pub fn publish_config(&self, config: Config) {
         let version = config.version;
         self.configs.borrow_mut().insert(version, config);
@@ -200,6 +223,20 @@
         Ok(self.shared.upstreams.borrow()[id].clone())
     }
 
+    fn store_era(&self) -> Option<u64> {
+        Some(self.shared.era.get())
+    }
+
+    async fn store_era_changed(&self, known: Option<u64>) -> Option<u64> {
+        loop {
+            let changed = self.shared.era_changed.notified();
+            if self.store_era() != known {
+                return self.store_era();
+            }
+            changed.await;
+        }
+    }
+
     async fn get(&self, key: &str, _: Duration) -> Result<Option<(StoreItem, u64)>, PlatformError> {
         self.shared.check_store_up()?;
         let item = self
@@ -237,6 +274,9 @@
         wait: Duration,
         _: Duration,
     ) -> Result<WatchOutcome, PlatformError> {
+        if after >> 40 != self.shared.era.get() {
+            return Ok(WatchOutcome::HistoryGone);
+        }
         let watched = async {
             loop {
                 let changed = self.shared.changed.notified();
@@ -246,6 +286,9 @@
                     return Ok(WatchOutcome::Changes(items));
                 }
                 changed.await;
+                if after >> 40 != self.shared.era.get() {
+                    return Ok(WatchOutcome::HistoryGone);
+                }
             }
         };
         match timeout(wait, watched).await {
@@ -282,15 +325,14 @@
         self.shared
             .last_lease_id
             .set(self.shared.last_lease_id.get() + 1);
-        Ok(Lease {
-            id: self.shared.last_lease_id.get(),
-            ttl,
-        })
+        let id = self.shared.last_lease_id.get();
+        self.shared.live_leases.borrow_mut().insert(id);
+        Ok(Lease { id, ttl })
     }
 
-    async fn renew_lease(&self, _: u64, _: Duration) -> Result<bool, PlatformError> {
+    async fn renew_lease(&self, lease: u64, _: Duration) -> Result<bool, PlatformError> {
         self.shared.check_store_up()?;
-        Ok(true)
+        Ok(self.shared.live_leases.borrow().contains(&lease))
     }
 
     async fn end_lease(&self, lease: u64, _: Duration) -> Result<(), PlatformError> {
--- a/crates/fleet/src/directory.rs
+++ b/crates/fleet/src/directory.rs
@@ -170,10 +170,16 @@
         }
     }
 
+    /// Begins the grace period in which missing entries are kept, because the store may have lost
+    /// some.
+    pub fn begin_grace(&mut self, now: Instant) {
+        self.grace_until = Some(now + RETURN_GRACE);
+    }
+
     fn record_read(&mut self, revision: u64, now: Instant) {
         let since_last_read = self.read_at.map(|at| now.saturating_duration_since(at));
         if since_last_read.is_some_and(|elapsed| elapsed > OUTAGE_THRESHOLD) {
-            self.grace_until = Some(now + RETURN_GRACE);
+            self.begin_grace(now);
         }
         self.revision = revision;
         self.read_at = Some(self.read_at.map_or(now, |at| at.max(now)));
--- a/crates/fleet/src/duty.rs
+++ b/crates/fleet/src/duty.rs
@@ -1,7 +1,8 @@
 //! The planning duty: leader election that lets one process at a time give orders to engines.
 //!
 //! The duty is a key in the platform's store that is bound to a lease. Its fencing token is the
-//! store revision at which the key was created, which only increases. A holder that cannot renew
+//! store revision at which the key was created, which only increases, also when the store comes back
+//! from a copy. A holder that cannot renew
 //! its lease stops before the lease expires, by a clock that also runs while the machine is
 //! suspended. A successor gives its first order only a set time after the previous holder's last
 //! possible one.
@@ -48,6 +49,11 @@
         }
     }
 
+    /// Time from a renewal of a lease of length `ttl` to the last possible order.
+    pub fn order_time(ttl: Duration) -> Duration {
+        ttl.mul_f64(SAFE_LEASE_FRACTION)
+    }
+
     /// Time between a holder's last possible order and the end of its lease of length `ttl`.
     pub fn order_free_time(ttl: Duration) -> Duration {
         ttl.mul_f64(1.0 - SAFE_LEASE_FRACTION)
--- a/crates/soak/src/cluster.rs
+++ b/crates/soak/src/cluster.rs
@@ -141,9 +141,16 @@
     /// Publishes a configuration in which a new key replaces the valid one.
     pub(crate) fn replace_key(&self) {
         let mut keys = self.keys.borrow_mut();
-        let version = keys.len() + 1;
-        keys.push(format!("key-{version}"));
-        let version = u64::try_from(version).unwrap_or_default();
+        let key = format!("key-{}", keys.len() + 1);
+        keys.push(key);
+        drop(keys);
+        self.write_config();
+    }
+
+    /// Writes the configuration that was published last.
+    pub(crate) fn write_config(&self) {
+        let keys = self.keys.borrow();
+        let version = u64::try_from(keys.len()).unwrap_or_default();
         let config = configuration(version, &keys[keys.len() - 1..], ROUTE_TIME_LIMIT);
         self.store.put("op/config", &config);
     }
--- a/crates/soak/src/faults.rs
+++ b/crates/soak/src/faults.rs
@@ -21,6 +21,10 @@
 const DRAIN_TIME: Duration = Duration::from_millis(2_500);
 /// How long a server goes on serving that says only in its answers that it leaves.
 const UNANNOUNCED_LEAVE_TIME: Duration = Duration::from_millis(4_500);
+/// Time for which the store is down before it comes back from a copy.
+const RESTORE_TIME: Duration = Duration::from_millis(200);
+/// Time after which the operator writes again what the store has lost.
+const REWRITE_DELAY: Duration = Duration::from_millis(300);
 /// Delay after which the entry of a crashed server is removed from the store.
 const ENTRY_REMOVAL_DELAY: Duration = Duration::from_millis(1_500);
 /// Interval at which a terminating process is checked for its exit.
@@ -37,6 +41,8 @@
     StoreLink(usize, proxy::Faults),
     Store(store::Faults),
     ForgetHistory,
+    /// The store comes back from a copy that is as old as the fault lasts.
+    RestoreStore,
     ServerLink(usize, proxy::Faults),
     Crash(usize),
     Leave(usize),
@@ -79,7 +85,7 @@
     let slot = rng.random_range(0..cluster.slots.len());
     let duration = Duration::from_millis(rng.random_range(100..3_500));
     let link = link_faults(rng);
-    let fault = match rng.random_range(0..27) {
+    let fault = match rng.random_range(0..29) {
         0 | 1 => Fault::Pause(instance),
         2 | 3 => Fault::Kill(instance),
         4 | 5 => Fault::Terminate(instance),
@@ -94,7 +100,8 @@
         20 => Fault::LeaveUnannounced(slot),
         21 => Fault::Close(slot, rng.random_bool(0.3)),
         22..=24 => Fault::BreakStreams(slot),
-        _ => Fault::Upgrade(slot),
+        25 | 26 => Fault::Upgrade(slot),
+        _ => Fault::RestoreStore,
     };
     (fault, duration)
 }
@@ -154,6 +161,7 @@
             cluster.store.set_faults(store::Faults::default());
         }
         Fault::ForgetHistory => cluster.store.forget_history(),
+        Fault::RestoreStore => restore_store(&cluster, duration).await,
         Fault::ServerLink(i, faults) => {
             cluster.slots[i].link.set_faults(faults);
             sleep(duration).await;
@@ -191,6 +199,22 @@
     }
 }
 
+/// Replaces the store's state by a copy of `age` ago, after a moment in which it is down. The operator
+/// writes again what it wrote since; servers do so with their heartbeats.
+async fn restore_store(cluster: &SoakCluster, age: Duration) {
+    let copy = cluster.store.copy();
+    sleep(age).await;
+    cluster.store.set_faults(store::Faults {
+        is_down: true,
+        ..store::Faults::default()
+    });
+    sleep(RESTORE_TIME).await;
+    cluster.store.restore(copy);
+    cluster.store.set_faults(store::Faults::default());
+    sleep(REWRITE_DELAY).await;
+    cluster.write_config();
+}
+
 fn send_signal(instance: &Instance, signal: Signal) {
     // The signal is meaningless for a process that has exited, so a failure is ignored.
     let _ = instance.process.borrow().signal(signal);
--- a/crates/soak/src/lib.rs
+++ b/crates/soak/src/lib.rs
@@ -3,10 +3,10 @@
 //! Runs real daemons on loopback against stand-ins of the platform's store and servers, and
 //! injects faults from outside. A seeded generator draws the faults: processes are paused, killed,
 //! terminated and reloaded; connections are closed, frozen, blocked in one direction or delayed;
-//! the store is down, slow, loses answers or forgets its history; servers crash, leave and come
-//! back under another name; servers say in their answers that they leave or want no requests, break
-//! streams off, and get a new software version; keys are replaced. Faults overlap. Callers reuse
-//! their connections and resume streams that broke off.
+//! the store is down, slow, loses answers, forgets its history or comes back from a copy; servers
+//! crash, leave and come back under another name; servers say in their answers that they leave or
+//! want no requests, break streams off, and get a new software version; keys are replaced. Faults
+//! overlap. Callers reuse their connections and resume streams that broke off.
 //!
 //! The daemon's promises, such as that a request which must not be repeated runs at most once, are
 //! checked against what callers and servers recorded. After the last fault, every instance must
