Remember the version that a resumed stream went on at

A stream that was taken up while one version served was not remembered by the instance that took it up, so that a further try there had to ask, or was refused once another version appeared. The time in the log comes from the clock that is passed in.

--- a/crates/entry/src/serve/resumption.rs
+++ b/crates/entry/src/serve/resumption.rs
@@ -46,10 +46,17 @@
         cx.demand_changed.notify_one();
         let _ = timeout(deadline.saturating_duration_since(now), changed).await;
     };
-    log_resumption(cx, request, &resumption, asked_at.elapsed());
+    let waited = cx.now().saturating_duration_since(asked_at);
+    log_resumption(cx, request, &resumption, waited);
     match resumption {
         Resumption::Anywhere => Ok(None),
-        Resumption::At(software) => Ok(Some(software)),
+        Resumption::At(software) => {
+            if let Some(stream) = stream {
+                let mut origins = cx.origins.borrow_mut();
+                origins.record(stream, &request.service, &software, cx.now());
+            }
+            Ok(Some(software))
+        }
         Resumption::Unknown => Err(Refusal::not_run(
             "it is not known which software version began the stream",
             RETRY_AFTER,
