--- a/crates/entry/src/follow/era.rs
+++ b/crates/entry/src/follow/era.rs
@@ -25,7 +25,7 @@
         let is_holder = coordinator.has_duty();
         spdlog::warn!("the store has come back from a copy", kv: { era, before, is_holder });
         cx.metrics.count_store_copy();
-        cx.begin_store_era(era);
+        cx.record_store_copy();
         coordinator.end_tenure_before(era);
         if is_holder && let Err(e) = members::restore_secret(&cx).await {
             let reason = e.to_string();
--- a/crates/entry/src/state.rs
+++ b/crates/entry/src/state.rs
@@ -115,8 +115,8 @@
     config_confirmed_at: Cell<Option<Instant>>,
     /// Number of instances according to the holder's last answer; 0 before the first one.
     pub(crate) instances_reported: Cell<usize>,
-    /// Latest era of the store that was reacted to, and when, in time since boot.
-    store_era: Cell<Option<(u64, Duration)>>,
+    /// When the store was last seen to have come back from a copy, in time since boot.
+    store_copied_at: Cell<Option<Duration>>,
     /// End of the shutdown's grace period, once a shutdown has begun.
     pub(crate) shutdown_deadline: Cell<Option<Instant>>,
     /// Total size of the bodies of admitted requests, in bytes; bodies that are still being read
@@ -345,7 +345,7 @@
             newer_config_heard: Notify::new(),
             config_confirmed_at: Cell::default(),
             instances_reported: Cell::default(),
-            store_era: Cell::default(),
+            store_copied_at: Cell::default(),
             shutdown_deadline: Cell::default(),
             body_bytes: Rc::default(),
             settings: RefCell::new(Rc::new(settings)),
@@ -516,16 +516,16 @@
         self.state_changed.notify_waiters();
     }
 
-    /// Reacts to an era in which the store has lost what was written for some seconds: entries of
-    /// upstreams may be missing until they are written again.
-    pub(crate) fn begin_store_era(&self, era: u64) {
-        self.store_era.set(Some((era, self.clock.since_boot())));
+    /// Records that the store has come back from a copy. Entries of upstreams may be missing until
+    /// they are written again.
+    pub(crate) fn record_store_copy(&self) {
+        self.store_copied_at.set(Some(self.clock.since_boot()));
         self.directory.borrow_mut().begin_grace(self.now());
     }
 
     /// Time since the store has come back from a copy; none if it has not, as far as is known.
     pub(crate) fn time_since_store_copy(&self) -> Option<Duration> {
-        let (_, at) = self.store_era.get()?;
+        let at = self.store_copied_at.get()?;
         Some(self.clock.since_boot().saturating_sub(at))
     }
 
