--- a/crates/entry/src/follow/directory.rs
+++ b/crates/entry/src/follow/directory.rs
@@ -107,7 +107,7 @@
 impl DecodedEntries {
     /// Decodes a page of the list and adds its entries to those of the list that is being read.
     fn decode_page<P>(
-        &mut self,
+        &self,
         cx: &EntryContext<P>,
         prefix: &str,
         items: Vec<StoreItem>,
@@ -118,8 +118,9 @@
     {
         let mut page = Vec::new();
         for item in items {
-            let entry = match self.entries.remove(&item.key) {
-                Some((revision, entry)) if revision == item.revision => entry,
+            // Entries stay in the cache until the whole list has arrived: a call may fail before.
+            let entry = match self.entries.get(&item.key) {
+                Some((revision, entry)) if *revision == item.revision => entry.clone(),
                 _ => decode_entry(cx, prefix, &item),
             };
             page.extend(entry.clone());
