Log which upstreams are kept though the list lacks them

One line names the upstreams that are kept from now on, with the time since the list before; /status counts them. The fleet test of lapsed entries checks it.

--- a/crates/entry/src/admin.rs
+++ b/crates/entry/src/admin.rs
@@ -74,6 +74,7 @@
         "unready": unready_reason(cx),
         "configuration": cx.config().version,
         "upstreams": directory.iter().count(),
+        "upstreams_missing": directory.missing_count(),
         "upstreams_age_ms": directory.age(now).map(comfreyweir_clock::whole_millis),
         "instances": members.instances,
         "holder": members.holder,
--- a/crates/entry/src/state.rs
+++ b/crates/entry/src/state.rs
@@ -495,6 +495,7 @@
         source: &str,
     ) {
         let mut directory = self.directory.borrow_mut();
+        let age_before = directory.age(at);
         let changes = directory.replace(list, revision, at);
         let mut software = self.software.borrow_mut();
         software.update(directory.iter(), self.now());
@@ -507,8 +508,17 @@
             self.health.borrow_mut().forget(id);
             self.closures.borrow_mut().forget(id);
         }
+        if !changes.kept.is_empty() {
+            spdlog::info!("upstreams are missing and kept", kv: {
+                revision, source, kept = changes.kept.join(" ").as_str(),
+                gap_ms = age_before.map_or(0, whole_millis)
+            });
+        }
         let (added, removed) = (changes.added.join(" "), changes.removed.join(" "));
         let draining = changes.draining.join(" ");
+        if added.is_empty() && removed.is_empty() && draining.is_empty() {
+            return;
+        }
         spdlog::info!("upstreams changed", kv: {
             revision, source, added = added.as_str(), removed = removed.as_str(),
             draining = draining.as_str()
--- a/crates/fleet/src/directory.rs
+++ b/crates/fleet/src/directory.rs
@@ -33,6 +33,8 @@
     revision: u64,
     read_at: Option<Instant>,
     grace_until: Option<Instant>,
+    /// Upstreams that are kept though they are missing from the last list.
+    missing: BTreeSet<String>,
     /// Processes that said in an answer to this instance that they leave, with the time when they
     /// said so or were last listed.
     leaving: HashMap<UpstreamProcess, Instant>,
@@ -69,12 +71,15 @@
     pub removed: Vec<String>,
     /// Upstreams that stopped taking new requests.
     pub draining: Vec<String>,
+    /// Upstreams that are missing from this list for the first time and are kept.
+    pub kept: Vec<String>,
 }
 
 impl Changes {
     /// Whether nothing changed.
     pub fn is_empty(&self) -> bool {
-        self.added.is_empty() && self.removed.is_empty() && self.draining.is_empty()
+        let changed = [&self.added, &self.removed, &self.draining, &self.kept];
+        changed.into_iter().all(Vec::is_empty)
     }
 }
 
@@ -89,6 +94,7 @@
         self.record_read(revision, now);
         let in_grace = self.grace_until.is_some_and(|until| now < until);
         let mut old = std::mem::take(&mut self.entries);
+        let missing_before = std::mem::take(&mut self.missing);
         for mut upstream in list {
             self.apply_leaving(&mut upstream, now);
             let before = old.remove(&upstream.id);
@@ -97,6 +103,10 @@
         }
         for (id, upstream) in old {
             if in_grace {
+                if !missing_before.contains(&id) {
+                    changes.kept.push(id.clone());
+                }
+                self.missing.insert(id.clone());
                 self.entries.insert(id, upstream);
             } else {
                 changes.removed.push(id);
@@ -201,6 +211,11 @@
             .filter(move |u| u.service == service && u.phase == Phase::Ready)
     }
 
+    /// Number of upstreams that are kept though they are missing from the last list.
+    pub fn missing_count(&self) -> usize {
+        self.missing.len()
+    }
+
     /// Store revision at which the list was last read or confirmed.
     pub fn revision(&self) -> u64 {
         self.revision
--- a/crates/fleet/tests/directory.rs
+++ b/crates/fleet/tests/directory.rs
@@ -58,11 +58,13 @@
     let mut kept_until = store_back;
     for ms in (0..4_000).step_by(400) {
         let now = store_back + Duration::from_millis(ms);
-        directory.replace(Vec::new(), 9 + ms, now);
+        let changes = directory.replace(Vec::new(), 9 + ms, now);
+        assert_eq!(!changes.kept.is_empty(), ms == 0, "{ms} ms");
         if !ids(&directory).is_empty() {
             kept_until = now;
         }
     }
+    assert_eq!(directory.missing_count(), 0);
     let kept = kept_until.duration_since(store_back);
     let min_kept = Duration::from_secs(2);
     assert!(
