--- a/crates/entry/tests/notices.rs
+++ b/crates/entry/tests/notices.rs
@@ -9,7 +9,7 @@
 use comfreyweir_fleet::upstream::{Phase, Upstream};
 use support::{
     FakeUpstream, Response, ScriptStep, SharedState, TestInstance, get, platform::config,
-    send_request, start, upstream_entry, wait_until,
+    send_request, start, start_with, upstream_entry, wait_until,
 };
 use tokio::time::Instant;
 
@@ -165,6 +165,30 @@
     assert_eq!(only.arrivals(), 1);
 }
 
+/// Guards against requests to an upstream whose entry is removed while the lists come slowly: the
+/// instance took the time between two of them for an outage of the store.
+#[actix_rt::test]
+async fn removed_upstream_is_out_of_use_in_time_while_lists_come_slowly() {
+    let removed = FakeUpstream::start("u1", &[SERVED]).await;
+    let stays = FakeUpstream::start("u2", &[SERVED]).await;
+    let shared = shared_state(&[&removed, &stays]);
+    let drain_ms = 4_000;
+    let instance = start_with(&shared, "e1", |settings| {
+        settings.timing.drain_ms = drain_ms
+    })
+    .await;
+    let page_time = Duration::from_millis(1_600);
+    shared.paging.set(Some((100, page_time)));
+    actix_rt::time::sleep(page_time * 3).await;
+    shared.remove_upstream("u1");
+    actix_rt::time::sleep(Duration::from_millis(drain_ms)).await;
+    let before = removed.arrivals();
+    for i in 0..20 {
+        assert_eq!(ask(&instance, "/read/", &format!("r{i}")).await.status, 200);
+    }
+    assert_eq!(removed.arrivals(), before);
+}
+
 /// Guards against requests to an upstream that drains while the rest of a long list is read.
 #[actix_rt::test]
 async fn draining_upstream_gets_no_request_before_the_whole_list_is_read() {
--- a/crates/fleet/tests/directory.rs
+++ b/crates/fleet/tests/directory.rs
@@ -47,6 +47,21 @@
     assert!(directory.get("a").is_some());
 }
 
+/// Guards against an upstream that stays in use because each long gap between two lists counts as an
+/// outage of the store.
+#[test]
+fn removed_upstream_is_dropped_however_far_apart_the_lists_are() {
+    for gap_ms in (400..=4_000).step_by(100) {
+        let mut now = Instant::now();
+        let mut directory = Directory::default();
+        let both = vec![upstream("a", Phase::Ready), upstream("b", Phase::Ready)];
+        directory.replace(both, 1, now);
+        now += Duration::from_millis(gap_ms);
+        directory.replace(vec![upstream("a", Phase::Ready)], 2, now);
+        assert_eq!(ids(&directory), ["a"], "{gap_ms} ms");
+    }
+}
+
 /// The store was out of reach for 6 s and the leases lapsed. Its entries are kept for 2 s after it
 /// answers again, so that upstreams have time to write them anew.
 #[test]
