Keep missing upstreams only after an outage of the store that was seen

Cause: any gap of more than 1.5 s between two lists was taken for an outage of the store, in which entries of live upstreams lapse, and began a grace of 2.2 s anew. In a fleet of 295, an instance reads the list by itself at an age of 1.88 s, and a change of the holder or a busy holder gives such gaps too, so that a removed upstream stayed for 1.9 + 2.2 s, or for good. No news was taken for a failure.

Change: an outage needs calls that failed, and no answer of any kind for two heartbeats of upstreams, the time without which no entry can lapse (a setting, filled in by the platform). The grace has one end. An entry that was written since the first list after the outage belongs to an upstream that reaches the store: if it then goes, it was removed, and is dropped at once. The list of another instance holds as it is, since its reader has decided. A list that was read while the store came back from a copy begins the grace too, which the gap did before by chance.

--- a/crates/config/src/entry_settings.rs
+++ b/crates/config/src/entry_settings.rs
@@ -99,6 +99,9 @@
     pub stop_notice_ms: u64,
     /// Time within which an upstream that is leaving must stop getting new requests, in ms.
     pub drain_ms: u64,
+    /// Period at which upstreams write their entries in the store, in ms. An entry lapses after
+    /// three of them without a write.
+    pub upstream_heartbeat_ms: u64,
     /// Time limit for a new configuration to take effect, in ms.
     pub config_ms: u64,
     /// Minimum time between the last order of one holder of the planning duty and the first order
@@ -118,6 +121,7 @@
             grace_s: 8.0,
             stop_notice_ms: 2_500,
             drain_ms: 2_000,
+            upstream_heartbeat_ms: 1_200,
             config_ms: 2_000,
             order_rest_ms: 3_000,
             thaw_ms: 300,
@@ -168,6 +172,7 @@
         check.require_fixed_port("listen.peer", self.listen.peer);
         let timing = &self.timing;
         check.require_positive("timing.drain_ms", timing.drain_ms);
+        check.require_positive("timing.upstream_heartbeat_ms", timing.upstream_heartbeat_ms);
         check.require_positive("timing.config_ms", timing.config_ms);
         check.require_positive("timing.store_call_ms", timing.store_call_ms);
         check.require_positive("timing.exchange_ms", timing.exchange_ms);
@@ -211,6 +216,11 @@
         Duration::from_millis(self.drain_ms)
     }
 
+    /// Period at which upstreams write their entries in the store.
+    pub fn upstream_heartbeat(&self) -> Duration {
+        Duration::from_millis(self.upstream_heartbeat_ms)
+    }
+
     /// Time limit for a new configuration to take effect.
     pub fn max_config_delay(&self) -> Duration {
         Duration::from_millis(self.config_ms)
--- a/crates/entry/src/duty/election.rs
+++ b/crates/entry/src/duty/election.rs
@@ -284,14 +284,19 @@
         sleep(RENEW_PERIOD).await;
         let called_at = cx.clock.since_boot();
         match cx.platform.renew_lease(tenure.lease, limit).await {
-            Ok(true) => coordinator.record_renewal(called_at),
+            Ok(true) => {
+                cx.record_store_answer();
+                coordinator.record_renewal(called_at);
+            }
             Ok(false) => {
+                cx.record_store_answer();
                 spdlog::warn!("planning duty lost: its lease has ended", kv: {
                     fence = tenure.fence
                 });
                 coordinator.end_tenure();
             }
             Err(e) => {
+                cx.record_store_failure(&e);
                 let reason = e.to_string();
                 spdlog::warn!("planning duty could not be renewed", kv: {
                     fence = tenure.fence, reason = reason.as_str()
--- a/crates/entry/src/exchange/client.rs
+++ b/crates/entry/src/exchange/client.rs
@@ -320,5 +320,5 @@
     }
     let list = placement.holder_list.list();
     drop(placement);
-    cx.replace_directory(list, directory.revision, read_at, "holder");
+    cx.replace_directory(list, directory.revision, read_at);
 }
--- a/crates/entry/src/follow/directory.rs
+++ b/crates/entry/src/follow/directory.rs
@@ -8,7 +8,7 @@
 use std::{collections::HashMap, rc::Rc, time::Duration};
 
 use actix_rt::time::sleep;
-use comfreyweir_fleet::upstream::Upstream;
+use comfreyweir_fleet::{directory::StoredUpstream, upstream::Upstream};
 
 use super::{RETRY_PAUSE, outage_log::OutageLog, read_pages};
 use crate::{
@@ -19,8 +19,7 @@
 /// Period at which the holder reads the list, as a fraction of the time within which a leaving
 /// upstream must stop getting new requests. The rest is for the call and for sending the list on.
 const HOLDER_READ_AGE_RATIO: f64 = 0.225;
-/// Upper bound of that period. Twice this is below the time without a read that is treated as an
-/// outage of the store, after which missing entries are kept for a while.
+/// Upper bound of that period.
 const MAX_HOLDER_READ_AGE: Duration = Duration::from_millis(700);
 /// Age of the list at which other instances read it themselves, as a fraction of the time within
 /// which a leaving upstream must stop getting new requests.
@@ -45,6 +44,7 @@
             continue;
         }
         if let Err(e) = read_upstreams(&cx, &mut decoded).await {
+            cx.record_store_failure(&e);
             outage_log.record_failure(&e, cx.now());
             sleep(RETRY_PAUSE).await;
             continue;
@@ -81,6 +81,7 @@
     let prefix = cx.platform.keys().upstreams_prefix;
     let limit = cx.settings().timing.store_call_timeout();
     let called_at = cx.now();
+    let era = cx.platform.store_era();
     let mut entries = HashMap::new();
     let mut list = Vec::new();
     let revision = read_pages(cx, prefix, limit, |items| {
@@ -91,7 +92,12 @@
     })
     .await?;
     decoded.entries = entries;
-    cx.replace_directory(list, revision, called_at, "store");
+    cx.record_store_answer();
+    if era.is_some() && cx.platform.store_era() != era {
+        // The list is the first of a restored copy, perhaps before the change of the era is handled.
+        cx.directory.borrow_mut().begin_grace(cx.now());
+    }
+    cx.replace_directory_read(list, revision, called_at);
     Ok(())
 }
 
@@ -112,7 +118,7 @@
         prefix: &str,
         items: Vec<StoreItem>,
         entries: &mut DecodedByKey,
-    ) -> Vec<Upstream>
+    ) -> Vec<StoredUpstream>
     where
         P: Platform,
     {
@@ -123,7 +129,10 @@
                 Some((revision, entry)) if *revision == item.revision => entry.clone(),
                 _ => decode_entry(cx, prefix, &item),
             };
-            page.extend(entry.clone());
+            page.extend(entry.clone().map(|upstream| StoredUpstream {
+                upstream,
+                written_at: item.revision,
+            }));
             entries.insert(item.key, (item.revision, entry));
         }
         page
--- a/crates/entry/src/follow/members.rs
+++ b/crates/entry/src/follow/members.rs
@@ -73,12 +73,19 @@
     loop {
         sleep(RENEW_PERIOD).await;
         match cx.platform.renew_lease(lease.id, limit).await {
-            Ok(true) => outage_log.record_success(cx.now()),
+            Ok(true) => {
+                cx.record_store_answer();
+                outage_log.record_success(cx.now());
+            }
             Ok(false) => {
+                cx.record_store_answer();
                 sleep(RETRY_PAUSE).await;
                 return Ok(());
             }
-            Err(e) => outage_log.record_failure(&e, cx.now()),
+            Err(e) => {
+                cx.record_store_failure(&e);
+                outage_log.record_failure(&e, cx.now());
+            }
         }
     }
 }
--- a/crates/entry/src/follow/mod.rs
+++ b/crates/entry/src/follow/mod.rs
@@ -30,6 +30,7 @@
     let mut outage_log = OutageLog::new(dependency);
     loop {
         if let Err(e) = follow(&cx, &mut outage_log).await {
+            cx.record_store_failure(&e);
             outage_log.record_failure(&e, cx.now());
             sleep(RETRY_PAUSE).await;
         }
@@ -58,6 +59,7 @@
             Ok(None)
         }
         WatchOutcome::Changes(changes) => {
+            cx.record_store_answer();
             outage_log.record_success(cx.now());
             Ok(Some(changes))
         }
--- a/crates/entry/src/platform.rs
+++ b/crates/entry/src/platform.rs
@@ -115,6 +115,16 @@
     },
 }
 
+/// Status of the answer to a call beyond the rate that the platform allows.
+const TOO_MANY_REQUESTS: u16 = 429;
+
+impl PlatformError {
+    /// Whether the call was refused because there were too many.
+    pub fn is_rate_limit(&self) -> bool {
+        matches!(self, Self::Refused { status, .. } if *status == TOO_MANY_REQUESTS)
+    }
+}
+
 /// Data written by the operator or an upstream that cannot be decoded or used.
 #[derive(Debug)]
 #[derive(Snafu)]
--- a/crates/entry/src/state.rs
+++ b/crates/entry/src/state.rs
@@ -14,7 +14,7 @@
 use comfreyweir_fleet::{
     closures::Closures,
     config::Config,
-    directory::Directory,
+    directory::{Changes, Directory, StoredUpstream},
     health::Health,
     intake::{IntakeLimit, WaitingLines},
     load::LoadTracker,
@@ -23,6 +23,7 @@
     quota::{Grant, InstanceQuotas, SILENT_INSTANCE_RESERVE_TIME},
     request::Artifact,
     retry_budget::{BudgetLimits, RetryBudget},
+    store_contact::StoreContact,
     stream_origins::{
         Resumption, SETTLE_TIME, ServedSoftware, SoftwareVersions, StreamKey, StreamOrigins,
     },
@@ -36,7 +37,7 @@
 use crate::{
     log_limiter::RequestLogLimiter,
     metrics::Metrics,
-    platform::{Platform, UpstreamNotice},
+    platform::{Platform, PlatformError, UpstreamNotice},
 };
 
 /// Timeout for opening a connection to an upstream. Far above the round-trip time between
@@ -70,6 +71,7 @@
     config: RefCell<Rc<Config>>,
     config_value: RefCell<Bytes>,
     pub(crate) directory: RefCell<Directory>,
+    store_contact: RefCell<StoreContact>,
     /// Software versions in the list of upstreams.
     pub(crate) software: RefCell<SoftwareVersions>,
     /// Software versions that began the streams that this instance knows.
@@ -318,6 +320,7 @@
             config: RefCell::default(),
             config_value: RefCell::default(),
             directory: RefCell::default(),
+            store_contact: RefCell::default(),
             software: RefCell::default(),
             origins: RefCell::default(),
             origin_queries: RefCell::default(),
@@ -485,21 +488,42 @@
         self.instances_reported.get().max(registered).max(1)
     }
 
-    /// Replaces the list of upstreams with one read at `at`. Health records and prefix caches of
-    /// added and removed upstreams are discarded.
-    pub(crate) fn replace_directory(
+    /// Replaces the list of upstreams with the holder's, which it read at `at`.
+    pub(crate) fn replace_directory(&self, list: Vec<Upstream>, revision: u64, at: Instant) {
+        let mut directory = self.directory.borrow_mut();
+        let age_before = directory.age(at);
+        let changes = directory.replace(list, revision, at);
+        drop(directory);
+        self.announce_upstreams(&changes, revision, age_before, "holder");
+    }
+
+    /// Replaces the list of upstreams with one that this instance has read from the store by a call
+    /// that began at `called_at`.
+    pub(crate) fn replace_directory_read(
         &self,
-        list: Vec<Upstream>,
+        list: Vec<StoredUpstream>,
         revision: u64,
-        at: Instant,
-        source: &str,
+        called_at: Instant,
     ) {
         let mut directory = self.directory.borrow_mut();
-        let age_before = directory.age(at);
-        let changes = directory.replace(list, revision, at);
-        let mut software = self.software.borrow_mut();
-        software.update(directory.iter(), self.now());
-        drop((directory, software));
+        let age_before = directory.age(called_at);
+        let changes = directory.replace_read(list, revision, called_at);
+        drop(directory);
+        self.announce_upstreams(&changes, revision, age_before, "store");
+    }
+
+    /// Logs changes of the list, discards health records and prefix caches of added and removed
+    /// upstreams, and notifies waiting requests.
+    fn announce_upstreams(
+        &self,
+        changes: &Changes,
+        revision: u64,
+        age_before: Option<Duration>,
+        source: &str,
+    ) {
+        self.software
+            .borrow_mut()
+            .update(self.directory.borrow().iter(), self.now());
         if changes.is_empty() {
             return;
         }
@@ -526,6 +550,30 @@
         self.state_changed.notify_waiters();
     }
 
+    /// Records that the store has answered a call. After an outage, upstreams that are missing from
+    /// the list are kept for a while.
+    pub(crate) fn record_store_answer(&self) {
+        let now = self.now();
+        let heartbeat = self.settings().timing.upstream_heartbeat();
+        let outage = self
+            .store_contact
+            .borrow_mut()
+            .record_answer(heartbeat, now);
+        if let Some(outage) = outage {
+            spdlog::warn!("the store answers again after an outage", kv: {
+                ms = whole_millis(outage)
+            });
+            self.directory.borrow_mut().begin_grace(now);
+        }
+    }
+
+    /// Records that a call to the store has failed.
+    pub(crate) fn record_store_failure(&self, e: &PlatformError) {
+        if !e.is_rate_limit() {
+            self.store_contact.borrow_mut().record_failure();
+        }
+    }
+
     /// Records that the store has come back from a copy. Entries of upstreams may be missing until
     /// they are written again.
     pub(crate) fn record_store_copy(&self) {
@@ -540,9 +588,10 @@
     }
 
     /// Takes over which upstreams of a part of the list drain, before the whole list is known.
-    pub(crate) fn note_draining(&self, upstreams: &[Upstream]) {
+    pub(crate) fn note_draining(&self, page: &[StoredUpstream]) {
         let mut directory = self.directory.borrow_mut();
-        let draining = upstreams.iter().filter(|u| directory.record_draining(u));
+        let upstreams = page.iter().map(|entry| &entry.upstream);
+        let draining = upstreams.filter(|u| directory.record_draining(u));
         let ids: Vec<_> = draining.map(|u| u.id.as_str()).collect();
         if ids.is_empty() {
             return;
--- a/crates/entry/tests/notices.rs
+++ b/crates/entry/tests/notices.rs
@@ -174,7 +174,7 @@
     let shared = shared_state(&[&removed, &stays]);
     let drain_ms = 4_000;
     let instance = start_with(&shared, "e1", |settings| {
-        settings.timing.drain_ms = drain_ms
+        settings.timing.drain_ms = drain_ms;
     })
     .await;
     let page_time = Duration::from_millis(1_600);
--- a/crates/entry/tests/store_copies.rs
+++ b/crates/entry/tests/store_copies.rs
@@ -1,4 +1,4 @@
-//! The store comes back from a copy that is some seconds old.
+//! The store comes back after an outage, or from a copy that is some seconds old.
 
 mod support;
 
@@ -6,7 +6,7 @@
 
 use support::{
     FakeUpstream, ScriptStep, SharedState, TestInstance, get, platform::config, send_request,
-    start, upstream_entry, wait_until,
+    start, start_with, upstream_entry, wait_until,
 };
 use tokio::time::Instant;
 
@@ -91,3 +91,32 @@
     })
     .await;
 }
+
+/// Entries that lapse while the store is out of reach are kept until the upstreams can have written
+/// them again.
+#[actix_rt::test]
+async fn requests_are_served_while_entries_that_lapsed_in_an_outage_are_missing() {
+    let upstream = FakeUpstream::start("u1", &[ScriptStep::Answer(200, "served")]).await;
+    let shared = SharedState::new();
+    shared.publish_config(config(1));
+    shared.add_upstream(upstream_entry(&upstream, "plain", &[]));
+    let heartbeat_ms = 500;
+    let instance = start_with(&shared, "e1", |settings| {
+        settings.timing.upstream_heartbeat_ms = heartbeat_ms;
+    })
+    .await;
+    let addr = instance.entry.addr();
+    shared.store_is_down.set(true);
+    actix_rt::time::sleep(Duration::from_millis(heartbeat_ms * 3)).await;
+    shared.remove_upstream("u1");
+    shared.store_is_down.set(false);
+    let returned_at = Instant::now();
+    while returned_at.elapsed() < Duration::from_millis(1_900) {
+        assert_eq!(send_request(addr, "/read/", "r1", "").await.status, 200);
+        actix_rt::time::sleep(Duration::from_millis(100)).await;
+    }
+    wait_until("the upstream counts as gone", async || {
+        status(&instance).await["upstreams"] == 0
+    })
+    .await;
+}
--- a/crates/fleet/src/directory.rs
+++ b/crates/fleet/src/directory.rs
@@ -1,8 +1,9 @@
 //! Directory of the upstreams that this instance knows.
 //!
 //! Entries come from the platform's store. Leases may expire while the store is unavailable, so
-//! entries of live upstreams may be missing right after an outage. Missing entries are therefore
-//! kept for a grace period.
+//! entries of live upstreams may be missing right after an outage. An instance that has seen one
+//! keeps missing entries for a grace period, unless their upstreams have written them since: those
+//! were removed. Lists of other instances hold as they are, since their readers have decided.
 //!
 //! An upstream that leaves also says so in its answers, at times before its entry does, or without
 //! an entry that does. It then takes no new requests from this instance, whatever later lists say,
@@ -16,8 +17,6 @@
 
 use crate::upstream::{Phase, Upstream};
 
-/// Time without a read after which entries of live upstreams may have expired.
-const OUTAGE_THRESHOLD: Duration = Duration::from_millis(1_500);
 /// Grace period after an outage in which missing entries are kept. The platform promises that live
 /// upstreams are listed again within about two seconds.
 const RETURN_GRACE: Duration = Duration::from_millis(2_200);
@@ -32,7 +31,7 @@
     entries: BTreeMap<String, Rc<Upstream>>,
     revision: u64,
     read_at: Option<Instant>,
-    grace_until: Option<Instant>,
+    grace: Option<Grace>,
     /// Upstreams that are kept though they are missing from the last list.
     missing: BTreeSet<String>,
     /// Processes that said in an answer to this instance that they leave, with the time when they
@@ -42,6 +41,40 @@
     leaving_elsewhere: BTreeSet<UpstreamProcess>,
 }
 
+/// An upstream's entry as read from the store.
+#[derive(Clone, Debug, PartialEq)]
+pub struct StoredUpstream {
+    /// The upstream.
+    pub upstream: Upstream,
+    /// Store revision at which the entry was last written.
+    pub written_at: u64,
+}
+
+/// Period after an outage of the store in which entries that may have lapsed are kept.
+#[derive(Debug)]
+struct Grace {
+    until: Instant,
+    /// Store revision of the first list that was read in this period.
+    first_revision: Option<u64>,
+    /// Upstreams that have written their entries after that list. They reach the store again.
+    rewritten: BTreeSet<String>,
+}
+
+impl Grace {
+    /// Records a list that was read from the store.
+    fn record_list(&mut self, list: &[StoredUpstream], revision: u64) {
+        let first_revision = *self.first_revision.get_or_insert(revision);
+        let rewritten = list.iter().filter(|e| e.written_at > first_revision);
+        self.rewritten
+            .extend(rewritten.map(|e| e.upstream.id.clone()));
+    }
+
+    /// Whether the entry of an upstream that is missing from a list may have lapsed.
+    fn may_have_lapsed(&self, upstream: &str) -> bool {
+        !self.rewritten.contains(upstream)
+    }
+}
+
 /// One process of an upstream.
 #[derive(Clone, Debug, PartialEq, Eq, Hash, PartialOrd, Ord)]
 #[derive(serde::Serialize, serde::Deserialize)]
@@ -84,15 +117,44 @@
 }
 
 impl Directory {
-    /// Replaces the entries by a full list that was read at a store revision. A list of an older
-    /// revision is ignored.
+    /// Replaces the entries by a full list that another instance read at a store revision. A list of
+    /// an older revision is ignored.
     pub fn replace(&mut self, list: Vec<Upstream>, revision: u64, now: Instant) -> Changes {
-        let mut changes = Changes::default();
         if revision < self.revision {
-            return changes;
+            return Changes::default();
         }
+        self.apply(list, |_| false, revision, now)
+    }
+
+    /// Replaces the entries by a full list that this instance has read from the store, at a revision
+    /// and by a call that began at `now`. A list of an older revision is ignored.
+    pub fn replace_read(
+        &mut self,
+        list: Vec<StoredUpstream>,
+        revision: u64,
+        now: Instant,
+    ) -> Changes {
+        if revision < self.revision {
+            return Changes::default();
+        }
+        let mut grace = self.grace.take().filter(|grace| now < grace.until);
+        if let Some(grace) = &mut grace {
+            grace.record_list(&list, revision);
+        }
+        let list = list.into_iter().map(|entry| entry.upstream).collect();
+        let is_kept = |id: &str| grace.as_ref().is_some_and(|g| g.may_have_lapsed(id));
+        let changes = self.apply(list, is_kept, revision, now);
+        self.grace = grace;
+        changes
+    }
+
+    /// Replaces the entries by a full list, and keeps missing ones that `is_kept` names.
+    fn apply<F>(&mut self, list: Vec<Upstream>, is_kept: F, revision: u64, now: Instant) -> Changes
+    where
+        F: Fn(&str) -> bool,
+    {
+        let mut changes = Changes::default();
         self.record_read(revision, now);
-        let in_grace = self.grace_until.is_some_and(|until| now < until);
         let mut old = std::mem::take(&mut self.entries);
         let missing_before = std::mem::take(&mut self.missing);
         for mut upstream in list {
@@ -102,7 +164,7 @@
             self.entries.insert(upstream.id.clone(), Rc::new(upstream));
         }
         for (id, upstream) in old {
-            if in_grace {
+            if is_kept(&id) {
                 if !missing_before.contains(&id) {
                     changes.kept.push(id.clone());
                 }
@@ -180,17 +242,17 @@
         }
     }
 
-    /// Begins the grace period in which missing entries are kept, because the store may have lost
-    /// some.
+    /// Begins the grace period in which missing entries are kept: the store answers again at `now`
+    /// and may have lost some.
     pub fn begin_grace(&mut self, now: Instant) {
-        self.grace_until = Some(now + RETURN_GRACE);
+        self.grace = Some(Grace {
+            until: now + RETURN_GRACE,
+            first_revision: None,
+            rewritten: BTreeSet::new(),
+        });
     }
 
     fn record_read(&mut self, revision: u64, now: Instant) {
-        let since_last_read = self.read_at.map(|at| now.saturating_duration_since(at));
-        if since_last_read.is_some_and(|elapsed| elapsed > OUTAGE_THRESHOLD) {
-            self.begin_grace(now);
-        }
         self.revision = revision;
         self.read_at = Some(self.read_at.map_or(now, |at| at.max(now)));
     }
--- a/crates/fleet/src/lib.rs
+++ b/crates/fleet/src/lib.rs
@@ -17,6 +17,7 @@
 pub mod quota;
 pub mod request;
 pub mod retry_budget;
+pub mod store_contact;
 pub mod stream_origins;
 pub mod upstream;
 pub mod upstream_choice;
--- a/crates/fleet/tests/directory.rs
+++ b/crates/fleet/tests/directory.rs
@@ -3,7 +3,8 @@
 use std::time::{Duration, Instant};
 
 use comfreyweir_fleet::{
-    directory::{Directory, UpstreamProcess},
+    directory::{Directory, StoredUpstream, UpstreamProcess},
+    store_contact::StoreContact,
     upstream::{Holding, Phase, Upstream},
 };
 
@@ -62,32 +63,107 @@
     }
 }
 
-/// The store was out of reach for 6 s and the leases lapsed. Its entries are kept for 2 s after it
-/// answers again, so that upstreams have time to write them anew.
-#[test]
-fn entries_that_lapsed_with_the_store_are_kept_until_they_can_be_back() {
+fn stored(id: &str, written_at: u64) -> StoredUpstream {
+    StoredUpstream {
+        upstream: upstream(id, Phase::Ready),
+        written_at,
+    }
+}
+
+const HEARTBEAT: Duration = Duration::from_millis(1_200);
+
+/// A directory that has listed "a" and "b" before an outage of 6 s, and when the store answers again.
+fn after_outage() -> (Directory, Instant) {
     let start = Instant::now();
     let mut directory = Directory::default();
-    directory.replace(vec![upstream("a", Phase::Ready)], 1, start);
+    let mut contact = StoreContact::default();
+    assert_eq!(contact.record_answer(HEARTBEAT, start), None);
+    directory.replace_read(vec![stored("a", 1), stored("b", 1)], 1, start);
+    contact.record_failure();
     let store_back = start + Duration::from_secs(6);
-    let mut kept_until = store_back;
-    for ms in (0..4_000).step_by(400) {
-        let now = store_back + Duration::from_millis(ms);
-        let changes = directory.replace(Vec::new(), 9 + ms, now);
-        assert_eq!(!changes.kept.is_empty(), ms == 0, "{ms} ms");
-        if !ids(&directory).is_empty() {
-            kept_until = now;
+    let outage = contact.record_answer(HEARTBEAT, store_back);
+    assert_eq!(outage, Some(Duration::from_secs(6)));
+    directory.begin_grace(store_back);
+    (directory, store_back)
+}
+
+/// The store was out of reach for 6 s and the leases lapsed. Its entries are kept for 2 s after it
+/// answers again, so that upstreams have time to write them anew. Lists that are far apart do not
+/// prolong that time.
+#[test]
+fn entries_that_lapsed_with_the_store_are_kept_until_they_can_be_back() {
+    for read_period_ms in [200, 400, 1_000, 1_900] {
+        let (mut directory, store_back) = after_outage();
+        let mut kept_until = store_back;
+        for ms in (0..6_000).step_by(read_period_ms) {
+            let now = store_back + Duration::from_millis(ms);
+            let changes = directory.replace_read(Vec::new(), 9 + ms, now);
+            assert_eq!(!changes.kept.is_empty(), ms == 0, "{ms} ms");
+            if !ids(&directory).is_empty() {
+                kept_until = now;
+            }
         }
+        assert_eq!(directory.missing_count(), 0);
+        let kept = kept_until.duration_since(store_back).as_millis();
+        let max_kept = 2_200;
+        let read_period_ms = u128::try_from(read_period_ms).unwrap();
+        assert!(
+            kept + read_period_ms >= 2_000 && kept < max_kept,
+            "{kept} {read_period_ms}"
+        );
     }
-    assert_eq!(directory.missing_count(), 0);
-    let kept = kept_until.duration_since(store_back);
-    let min_kept = Duration::from_secs(2);
-    assert!(
-        kept >= min_kept && kept < min_kept + Duration::from_millis(400),
-        "{kept:?}"
+}
+
+/// An upstream that has written its entry since the outage reaches the store: it has left, if its
+/// entry then goes. One that has not may still lapse.
+#[test]
+fn entry_that_was_written_after_the_outage_and_is_removed_is_dropped_at_once() {
+    let (mut directory, store_back) = after_outage();
+    directory.replace_read(vec![stored("a", 1), stored("b", 1)], 10, store_back);
+    let later = store_back + Duration::from_millis(400);
+    directory.replace_read(vec![stored("a", 11), stored("b", 1)], 12, later);
+    let later = store_back + Duration::from_millis(800);
+    let changes = directory.replace_read(Vec::new(), 14, later);
+    assert_eq!(
+        (changes.removed, changes.kept),
+        (vec!["a".to_owned()], vec!["b".to_owned()])
+    );
+    assert_eq!(ids(&directory), ["b"]);
+}
+
+/// The instance that read a list has decided what it keeps. Another one does not keep more.
+#[test]
+fn list_of_another_instance_holds_as_it_is() {
+    let (mut directory, store_back) = after_outage();
+    directory.replace_read(Vec::new(), 10, store_back);
+    assert_eq!(ids(&directory), ["a", "b"]);
+    let changes = directory.replace(vec![upstream("a", Phase::Ready)], 10, store_back);
+    assert_eq!(changes.removed, ["b"]);
+    assert_eq!(
+        (ids(&directory), directory.missing_count()),
+        (vec!["a".to_owned()], 0)
     );
 }
 
+/// Guards against graces without an outage: nobody may have called the store for long, or a call may
+/// have failed for another reason.
+#[test]
+fn outage_needs_failed_calls_for_as_long_as_entries_need_to_lapse() {
+    let start = Instant::now();
+    let at = |ms| start + Duration::from_millis(ms);
+    let mut contact = StoreContact::default();
+    contact.record_failure();
+    assert_eq!(contact.record_answer(HEARTBEAT, at(0)), None);
+    assert_eq!(contact.record_answer(HEARTBEAT, at(30_000)), None);
+    contact.record_failure();
+    assert_eq!(contact.record_answer(HEARTBEAT, at(32_300)), None);
+    assert_eq!(contact.record_answer(HEARTBEAT, at(40_000)), None);
+    contact.record_failure();
+    let outage = contact.record_answer(HEARTBEAT, at(42_400));
+    assert_eq!(outage, Some(Duration::from_millis(2_400)));
+    assert_eq!(contact.record_answer(HEARTBEAT, at(50_000)), None);
+}
+
 #[test]
 fn older_list_is_ignored() {
     let start = Instant::now();
