Tell whether the holder's list is in force by its version, not its length

The directory now remembers of which copy it is. The test failed with the comparison of lengths: a list of another upstream, one long, was confirmed instead of put in force.

--- a/crates/entry/src/exchange/client.rs
+++ b/crates/entry/src/exchange/client.rs
@@ -304,21 +304,10 @@
     P: Platform,
 {
     let mut placement = cx.placement.borrow_mut();
-    let has_changed = directory.changes.is_some();
     if let Some(changes) = directory.changes {
         placement.holder_list.apply(changes);
     }
     let Some(age) = directory.age_ms else { return };
     let read_at = now.checked_sub(Duration::from_millis(age)).unwrap_or(now);
-    // The list in force may also differ because this instance has read it itself, or has kept
-    // entries for a while.
-    let is_same = placement.holder_list.len() == cx.directory.borrow().iter().count();
-    if is_same && !has_changed {
-        let mut known = cx.directory.borrow_mut();
-        known.confirm(directory.revision, read_at);
-        return;
-    }
-    let list = placement.holder_list.list();
-    drop(placement);
-    cx.replace_directory(list, directory.revision, read_at);
+    cx.replace_directory(&placement.holder_list, directory.revision, read_at);
 }
--- a/crates/entry/src/state.rs
+++ b/crates/entry/src/state.rs
@@ -489,7 +489,7 @@
     }
 
     /// Replaces the list of upstreams with the holder's, which it read at `at`.
-    pub(crate) fn replace_directory(&self, list: Vec<Upstream>, revision: u64, at: Instant) {
+    pub(crate) fn replace_directory(&self, list: &ListCopy, revision: u64, at: Instant) {
         let mut directory = self.directory.borrow_mut();
         let age_before = directory.age(at);
         let changes = directory.replace(list, revision, at);
--- a/crates/fleet/src/directory.rs
+++ b/crates/fleet/src/directory.rs
@@ -15,7 +15,10 @@
     time::{Duration, Instant},
 };
 
-use crate::upstream::{Phase, Upstream};
+use crate::{
+    upstream::{Phase, Upstream},
+    versioned_list::{ListCopy, ListVersion},
+};
 
 /// Grace period after an outage in which missing entries are kept. The platform promises that live
 /// upstreams are listed again within about two seconds.
@@ -29,6 +32,9 @@
 #[derive(Debug, Default)]
 pub struct Directory {
     entries: BTreeMap<String, Rc<Upstream>>,
+    /// Version of the other instance's list that the entries are; none if this instance has read
+    /// them itself.
+    copied: Option<ListVersion>,
     revision: u64,
     read_at: Option<Instant>,
     grace: Option<Grace>,
@@ -117,13 +123,18 @@
 }
 
 impl Directory {
-    /// Replaces the entries by a full list that another instance read at a store revision. A list of
-    /// an older revision is ignored.
-    pub fn replace(&mut self, list: Vec<Upstream>, revision: u64, now: Instant) -> Changes {
+    /// Replaces the entries by the copy of a list that another instance read at a store revision, or
+    /// confirms them if they are that copy already. A list of an older revision is ignored.
+    pub fn replace(&mut self, copy: &ListCopy, revision: u64, now: Instant) -> Changes {
         if revision < self.revision {
             return Changes::default();
         }
-        self.apply(list, |_| false, revision, now)
+        if self.copied == Some(copy.version()) {
+            self.record_read(revision, now);
+            return Changes::default();
+        }
+        self.copied = Some(copy.version());
+        self.apply(copy.list(), |_| false, revision, now)
     }
 
     /// Replaces the entries by a full list that this instance has read from the store, at a revision
@@ -137,6 +148,7 @@
         if revision < self.revision {
             return Changes::default();
         }
+        self.copied = None;
         let mut grace = self.grace.take().filter(|grace| now < grace.until);
         if let Some(grace) = &mut grace {
             grace.record_list(&list, revision);
@@ -235,13 +247,6 @@
         }
     }
 
-    /// Records that the list is unchanged at a later store revision.
-    pub fn confirm(&mut self, revision: u64, now: Instant) {
-        if revision >= self.revision {
-            self.record_read(revision, now);
-        }
-    }
-
     /// Begins the grace period in which missing entries are kept: the store answers again at `now`
     /// and may have lost some.
     pub fn begin_grace(&mut self, now: Instant) {
--- a/crates/fleet/src/versioned_list.rs
+++ b/crates/fleet/src/versioned_list.rs
@@ -126,16 +126,6 @@
         self.version = changes.version;
     }
 
-    /// Number of entries.
-    pub fn len(&self) -> usize {
-        self.entries.len()
-    }
-
-    /// Whether there are no entries.
-    pub fn is_empty(&self) -> bool {
-        self.entries.is_empty()
-    }
-
     /// All entries.
     pub fn list(&self) -> Vec<Upstream> {
         self.entries.values().cloned().collect()
--- a/crates/fleet/tests/directory.rs
+++ b/crates/fleet/tests/directory.rs
@@ -1,11 +1,16 @@
 //! Changes of the list of upstreams: added, draining, removed and lapsed ones.
 
-use std::time::{Duration, Instant};
+use std::{
+    rc::Rc,
+    sync::atomic::{AtomicU64, Ordering},
+    time::{Duration, Instant},
+};
 
 use comfreyweir_fleet::{
     directory::{Directory, StoredUpstream, UpstreamProcess},
     store_contact::StoreContact,
     upstream::{Holding, Phase, Upstream},
+    versioned_list::{ListCopy, VersionedList},
 };
 
 fn upstream(id: &str, phase: Phase) -> Upstream {
@@ -22,6 +27,18 @@
     }
 }
 
+/// A copy of another instance's list, which no other copy equals.
+fn copy(list: &[Upstream]) -> ListCopy {
+    static LISTS: AtomicU64 = AtomicU64::new(1);
+    let mut sent = VersionedList::new(LISTS.fetch_add(1, Ordering::Relaxed));
+    sent.update(&list.iter().cloned().map(Rc::new).collect::<Vec<_>>());
+    let mut copy = ListCopy::default();
+    if let Some(changes) = sent.changes_since(copy.version()) {
+        copy.apply(changes);
+    }
+    copy
+}
+
 fn ids(directory: &Directory) -> Vec<String> {
     directory.ready("llm").map(|u| u.id.clone()).collect()
 }
@@ -31,8 +48,8 @@
     let start = Instant::now();
     let mut directory = Directory::default();
     let both = vec![upstream("a", Phase::Ready), upstream("b", Phase::Ready)];
-    directory.replace(both, 1, start);
-    let changes = directory.replace(vec![upstream("a", Phase::Ready)], 2, start);
+    directory.replace(&copy(&both), 1, start);
+    let changes = directory.replace(&copy(&[upstream("a", Phase::Ready)]), 2, start);
     assert_eq!(changes.removed, ["b"]);
     assert_eq!(ids(&directory), ["a"]);
 }
@@ -41,8 +58,8 @@
 fn draining_upstream_gets_no_request_and_is_still_known() {
     let start = Instant::now();
     let mut directory = Directory::default();
-    directory.replace(vec![upstream("a", Phase::Ready)], 1, start);
-    let changes = directory.replace(vec![upstream("a", Phase::Draining(None))], 2, start);
+    directory.replace(&copy(&[upstream("a", Phase::Ready)]), 1, start);
+    let changes = directory.replace(&copy(&[upstream("a", Phase::Draining(None))]), 2, start);
     assert_eq!(changes.draining, ["a"]);
     assert_eq!(ids(&directory), Vec::<String>::new());
     assert!(directory.get("a").is_some());
@@ -56,9 +73,9 @@
         let mut now = Instant::now();
         let mut directory = Directory::default();
         let both = vec![upstream("a", Phase::Ready), upstream("b", Phase::Ready)];
-        directory.replace(both, 1, now);
+        directory.replace(&copy(&both), 1, now);
         now += Duration::from_millis(gap_ms);
-        directory.replace(vec![upstream("a", Phase::Ready)], 2, now);
+        directory.replace(&copy(&[upstream("a", Phase::Ready)]), 2, now);
         assert_eq!(ids(&directory), ["a"], "{gap_ms} ms");
     }
 }
@@ -137,7 +154,7 @@
     let (mut directory, store_back) = after_outage();
     directory.replace_read(Vec::new(), 10, store_back);
     assert_eq!(ids(&directory), ["a", "b"]);
-    let changes = directory.replace(vec![upstream("a", Phase::Ready)], 10, store_back);
+    let changes = directory.replace(&copy(&[upstream("a", Phase::Ready)]), 10, store_back);
     assert_eq!(changes.removed, ["b"]);
     assert_eq!(
         (ids(&directory), directory.missing_count()),
@@ -145,6 +162,33 @@
     );
 }
 
+/// Guards against taking the list of another instance for the one in force because it is as long.
+#[test]
+fn list_of_the_same_length_is_not_taken_for_the_same() {
+    let start = Instant::now();
+    let mut directory = Directory::default();
+    let a = copy(&[upstream("a", Phase::Ready)]);
+    directory.replace(&a, 10, start);
+    directory.replace_read(vec![stored("b", 15)], 20, start);
+    assert_eq!(ids(&directory), ["b"]);
+    // An older list changes nothing. A newer one holds, though the copy is known from before.
+    assert!(directory.replace(&a, 19, start).is_empty());
+    assert_eq!(ids(&directory), ["b"]);
+    let changes = directory.replace(&a, 30, start);
+    assert_eq!(
+        (changes.added, changes.removed),
+        (vec!["a".to_owned()], vec!["b".to_owned()])
+    );
+    assert_eq!(ids(&directory), ["a"]);
+    // Confirmed by the same copy.
+    let later = start + Duration::from_secs(1);
+    assert!(directory.replace(&a, 31, later).is_empty());
+    assert_eq!(
+        (directory.revision(), directory.age(later)),
+        (31, Some(Duration::ZERO))
+    );
+}
+
 /// Guards against graces without an outage: nobody may have called the store for long, or a call may
 /// have failed for another reason.
 #[test]
@@ -168,8 +212,8 @@
 fn older_list_is_ignored() {
     let start = Instant::now();
     let mut directory = Directory::default();
-    directory.replace(vec![upstream("a", Phase::Ready)], 5, start);
-    directory.replace(vec![upstream("b", Phase::Ready)], 4, start);
+    directory.replace(&copy(&[upstream("a", Phase::Ready)]), 5, start);
+    directory.replace(&copy(&[upstream("b", Phase::Ready)]), 4, start);
     assert_eq!(ids(&directory), ["a"]);
 }
 
@@ -177,10 +221,10 @@
 fn restarted_upstream_counts_as_added() {
     let start = Instant::now();
     let mut directory = Directory::default();
-    directory.replace(vec![upstream("a", Phase::Ready)], 1, start);
+    directory.replace(&copy(&[upstream("a", Phase::Ready)]), 1, start);
     let mut restarted = upstream("a", Phase::Ready);
     restarted.born_ms = Some(2);
-    let changes = directory.replace(vec![restarted], 2, start);
+    let changes = directory.replace(&copy(&[restarted]), 2, start);
     assert_eq!(changes.added, ["a"]);
 }
 
@@ -197,12 +241,12 @@
     let start = Instant::now();
     let both = || vec![upstream("a", Phase::Ready), upstream("b", Phase::Ready)];
     let mut directory = Directory::default();
-    directory.replace(both(), 1, start);
+    directory.replace(&copy(&both()), 1, start);
     assert!(directory.record_leaving(&upstream("a", Phase::Ready), start));
     assert!(!directory.record_leaving(&upstream("a", Phase::Ready), start));
     assert_eq!(ids(&directory), ["b"]);
     for s in 1..2_000 {
-        directory.replace(both(), 1 + s, start + Duration::from_secs(s));
+        directory.replace(&copy(&both()), 1 + s, start + Duration::from_secs(s));
         assert_eq!(ids(&directory), ["b"], "{s} s");
     }
     assert_eq!(
@@ -216,11 +260,11 @@
 fn upstream_that_leaves_stays_marked_while_its_entry_is_gone() {
     let start = Instant::now();
     let mut directory = Directory::default();
-    directory.replace(vec![upstream("a", Phase::Ready)], 1, start);
+    directory.replace(&copy(&[upstream("a", Phase::Ready)]), 1, start);
     directory.record_leaving(&upstream("a", Phase::Ready), start);
-    directory.replace(Vec::new(), 2, start + Duration::from_secs(1));
+    directory.replace(&copy(&[]), 2, start + Duration::from_secs(1));
     directory.replace(
-        vec![upstream("a", Phase::Ready)],
+        &copy(&[upstream("a", Phase::Ready)]),
         3,
         start + Duration::from_secs(30),
     );
@@ -231,9 +275,9 @@
 fn new_process_under_the_same_identifier_gets_requests() {
     let start = Instant::now();
     let mut directory = Directory::default();
-    directory.replace(vec![upstream("a", Phase::Ready)], 1, start);
+    directory.replace(&copy(&[upstream("a", Phase::Ready)]), 1, start);
     directory.record_leaving(&upstream("a", Phase::Ready), start);
-    directory.replace(vec![restarted("a")], 2, start);
+    directory.replace(&copy(&[restarted("a")]), 2, start);
     assert_eq!(ids(&directory), ["a"]);
     // An answer of the process before is still on its way.
     directory.record_leaving(&upstream("a", Phase::Ready), start);
@@ -247,14 +291,14 @@
     let start = Instant::now();
     let list = || vec![upstream("a", Phase::Ready)];
     let mut directory = Directory::default();
-    directory.replace(list(), 1, start);
+    directory.replace(&copy(&list()), 1, start);
     directory.set_leaving_elsewhere([UpstreamProcess::of(&list()[0])].into());
     assert_eq!(ids(&directory), Vec::<String>::new());
-    directory.replace(list(), 1, start);
+    directory.replace(&copy(&list()), 1, start);
     assert_eq!(ids(&directory), Vec::<String>::new());
     assert_eq!(directory.leaving().count(), 0);
     directory.set_leaving_elsewhere([UpstreamProcess::of(&restarted("a"))].into());
-    directory.replace(list(), 2, start);
+    directory.replace(&copy(&list()), 2, start);
     assert_eq!(ids(&directory), ["a"]);
 }
 
@@ -264,7 +308,11 @@
 fn draining_is_taken_over_from_a_part_of_the_list() {
     let start = Instant::now();
     let mut directory = Directory::default();
-    directory.replace(vec![upstream("a", Phase::Ready), restarted("b")], 1, start);
+    directory.replace(
+        &copy(&[upstream("a", Phase::Ready), restarted("b")]),
+        1,
+        start,
+    );
     assert!(directory.record_draining(&upstream("a", Phase::Draining(None))));
     assert!(!directory.record_draining(&upstream("a", Phase::Draining(None))));
     assert!(!directory.record_draining(&upstream("b", Phase::Draining(None))));
