Limit the bytes of an answer that bring its body no further

Upstreams may send bytes without end that are no answer. Informational answers, digits and extensions of chunk headers and trailers were read at full speed until the deadline: the tests failed after the 20 s that the call had. Such bytes are now limited to 256 KiB and 16 times the body; the call then fails and the connection is closed. The test of heads without end passed before.

--- a/crates/http/src/upstream/answer.rs
+++ b/crates/http/src/upstream/answer.rs
@@ -103,6 +103,7 @@
         match piece {
             Some(Ok(bytes)) => {
                 self.bytes_read += bytes.len() as u64;
+                self.progress.record_body(bytes.len() as u64);
                 if let Some(events) = &mut self.events {
                     events.advance(&bytes);
                 }
--- a/crates/http/src/upstream/connection.rs
+++ b/crates/http/src/upstream/connection.rs
@@ -26,6 +26,12 @@
 /// Size of the buffer for reads until the head of the answer is complete, in bytes.
 const HEAD_BUFFER_BYTES: usize = 4096;
 
+/// Most bytes of an answer that belong to no body, such as heads, informational answers, chunk
+/// headers and trailers, beside those that [`MAX_OVERHEAD_RATIO`] allows.
+const MAX_OVERHEAD_BYTES: u64 = 256 << 10;
+/// Most bytes that are received for each byte of the body. Chunks of one byte need six.
+const MAX_OVERHEAD_RATIO: u64 = 16;
+
 /// Progress of the connection of one call.
 #[derive(Debug, Default)]
 pub struct CallProgress {
@@ -33,6 +39,8 @@
     ended: Cell<bool>,
     failed: Cell<bool>,
     reusable: Cell<bool>,
+    received_bytes: Cell<u64>,
+    body_bytes: Cell<u64>,
 }
 
 impl CallProgress {
@@ -56,6 +64,24 @@
         self.failed.get()
     }
 
+    /// Records bytes of the answer's body.
+    pub(super) fn record_body(&self, bytes: u64) {
+        self.body_bytes.set(self.body_bytes.get() + bytes);
+    }
+
+    /// Records bytes that were read from the connection. Fails if too many of them bring the body no
+    /// further: the upstream may send such bytes without end.
+    fn record_received(&self, bytes: usize) -> io::Result<()> {
+        let received = self.received_bytes.get() + bytes as u64;
+        self.received_bytes.set(received);
+        let allowed = self.body_bytes.get() * MAX_OVERHEAD_RATIO + MAX_OVERHEAD_BYTES;
+        if received > allowed {
+            let reason = "too many bytes that belong to no body";
+            return Err(io::Error::new(io::ErrorKind::InvalidData, reason));
+        }
+        Ok(())
+    }
+
     /// Lets the connection be reused, because its answer was read completely.
     pub(super) fn set_reusable(&self) {
         self.reusable.set(true);
@@ -94,14 +120,18 @@
         self.io.as_ref().expect("the socket is present until drop")
     }
 
-    /// Reads from the socket and records its end.
+    /// Reads from the socket and records what was read, and the end.
     fn read_and_record(
         &mut self,
         cx: &mut Context<'_>,
         buf: &mut ReadBuf<'_>,
     ) -> Poll<io::Result<()>> {
         let before = buf.filled().len();
-        let poll = Pin::new(&mut *self).pin_io().poll_read(cx, buf);
+        let mut poll = Pin::new(&mut *self).pin_io().poll_read(cx, buf);
+        if let Poll::Ready(Ok(())) = &poll {
+            let received = self.progress.record_received(buf.filled().len() - before);
+            poll = Poll::Ready(received);
+        }
         match &poll {
             Poll::Ready(Ok(())) if buf.filled().len() == before => self.progress.ended.set(true),
             Poll::Ready(Err(_)) => {
