Limit the size of one event of a stream

An event without end was buffered without limit where a stream may be resumed, 54 MB in 2 s on instances of 160 MB, and passed on to the deadline elsewhere. Events are limited to 256 KiB; a larger one breaks the stream off, which then goes on at another upstream if it may. The test failed after the 20 s that the call had.

--- a/crates/http/src/upstream/answer.rs
+++ b/crates/http/src/upstream/answer.rs
@@ -15,12 +15,19 @@
 use futures_util::StreamExt;
 use tokio::time::timeout;
 
-use super::{CallError, IncompleteSnafu, StalledSnafu, TooLargeSnafu, connection::CallProgress};
+use super::{
+    CallError, EventTooLargeSnafu, IncompleteSnafu, StalledSnafu, TooLargeSnafu,
+    connection::CallProgress,
+};
 use crate::event_stream::EventPosition;
 
 /// Media type of a stream of server-sent events.
 const EVENT_STREAM: &str = "text/event-stream";
 
+/// Largest event of a stream, in bytes. Events are buffered until they are complete where a stream
+/// may be resumed.
+const MAX_EVENT_BYTES: u64 = 256 << 10;
+
 /// An upstream's answer: the head, and the body that is yet to be read.
 pub struct UpstreamAnswer {
     /// Status code.
@@ -106,6 +113,10 @@
                 self.progress.record_body(bytes.len() as u64);
                 if let Some(events) = &mut self.events {
                     events.advance(&bytes);
+                    if events.unfinished_bytes() > MAX_EVENT_BYTES {
+                        let limit = MAX_EVENT_BYTES;
+                        return EventTooLargeSnafu { addr, limit }.fail();
+                    }
                 }
                 Ok(Some(bytes))
             }
--- a/crates/http/src/upstream/mod.rs
+++ b/crates/http/src/upstream/mod.rs
@@ -95,6 +95,14 @@
         /// The limit that was exceeded.
         after: Duration,
     },
+    /// An event of the stream exceeds the limit.
+    #[snafu(display("an event of upstream {addr} is larger than {limit} bytes"))]
+    EventTooLarge {
+        /// Address of the upstream.
+        addr: SocketAddr,
+        /// The limit in bytes.
+        limit: u64,
+    },
     /// The body of the answer exceeds the limit.
     #[snafu(display("answer of upstream {addr} is larger than {limit} bytes"))]
     TooLarge {
--- a/crates/http/tests/endless_answers.rs
+++ b/crates/http/tests/endless_answers.rs
@@ -113,3 +113,27 @@
         assert_eq!(bytes, 5);
     }
 }
+
+/// Guards against an event that is buffered without limit.
+#[actix_rt::test]
+async fn event_without_end_fails_the_call() {
+    let framings = [
+        "",
+        "transfer-encoding: chunked\r\n",
+        "content-length: 999999999999\r\n",
+    ];
+    for framing in framings {
+        let head = format!("HTTP/1.1 200 OK\r\ncontent-type: text/event-stream\r\n{framing}\r\n");
+        let pattern = if framing.contains("chunked") {
+            "8\r\ndata: a\n\r\n"
+        } else {
+            "data: a\n"
+        };
+        let (bytes, e) = call(start_endless(&head, pattern).await).await;
+        assert!(
+            matches!(e, CallError::EventTooLarge { .. }),
+            "{framing}: {e}"
+        );
+        assert!(bytes <= 1 << 20, "{bytes}");
+    }
+}
