Read a stream that is cut between CR and LF as incomplete

A stream whose lines end in CR LF was complete, and passed on one byte short, if it broke off after the last CR. Once a line of the stream has ended in CR LF, the event ends with the LF. The test failed before; streams whose lines end in CR alone are complete as before.

--- a/crates/http/src/event_stream.rs
+++ b/crates/http/src/event_stream.rs
@@ -4,19 +4,32 @@
 
 /// Where a position in an event stream lies: between two events, or inside one.
 ///
-/// A blank line ends an event. Lines end with LF, CR LF or CR.
+/// A blank line ends an event. Lines end with LF, CR LF or CR. Where an earlier line has ended with
+/// CR LF, a CR alone at the end of an event is one whose LF is missing.
 #[derive(Clone, Copy, Debug)]
 pub struct EventPosition {
     line_is_blank: bool,
-    after_cr: bool,
+    has_seen_crlf: bool,
+    line_break: LineBreak,
     unfinished_bytes: u64,
 }
 
+/// Whether the last byte may be the first half of a CR LF.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+enum LineBreak {
+    Complete,
+    /// After a CR. An LF belongs to the line that it has ended.
+    AfterCr,
+    /// After a CR at the end of an event, which the LF that is due completes.
+    LfDue,
+}
+
 impl Default for EventPosition {
     fn default() -> Self {
         Self {
             line_is_blank: true,
-            after_cr: false,
+            has_seen_crlf: false,
+            line_break: LineBreak::Complete,
             unfinished_bytes: 0,
         }
     }
@@ -37,19 +50,26 @@
     }
 
     fn advance_by_one(&mut self, byte: u8) {
-        let ends_line = match byte {
-            // The second byte of CR LF belongs to the line that the CR has ended.
-            b'\n' if self.after_cr => {
-                self.after_cr = false;
-                self.unfinished_bytes += u64::from(self.unfinished_bytes > 0);
-                return;
-            }
-            b'\n' | b'\r' => true,
-            _ => false,
-        };
-        self.after_cr = byte == b'\r';
+        let before = std::mem::replace(&mut self.line_break, LineBreak::Complete);
+        if before == LineBreak::LfDue {
+            self.unfinished_bytes = 0;
+        }
+        if byte == b'\n' && before != LineBreak::Complete {
+            self.has_seen_crlf = true;
+            self.unfinished_bytes += u64::from(self.unfinished_bytes > 0);
+            return;
+        }
+        let ends_line = matches!(byte, b'\n' | b'\r');
+        let ends_event = ends_line && self.line_is_blank;
+        if byte == b'\r' {
+            self.line_break = if ends_event && self.has_seen_crlf {
+                LineBreak::LfDue
+            } else {
+                LineBreak::AfterCr
+            };
+        }
         self.unfinished_bytes += 1;
-        if ends_line && self.line_is_blank {
+        if ends_event && self.line_break != LineBreak::LfDue {
             self.unfinished_bytes = 0;
         }
         self.line_is_blank = ends_line;
--- a/crates/http/tests/answer_end.rs
+++ b/crates/http/tests/answer_end.rs
@@ -94,6 +94,21 @@
     }
 }
 
+/// Guards against a stream that is cut between the CR and the LF of its last line being read as
+/// complete, one byte short.
+#[actix_rt::test]
+async fn event_stream_that_ends_inside_a_line_end_is_incomplete() {
+    for frame in FRAMINGS {
+        for body in ["data: a\r\n\r", "data: a\r\n\r\ndata: b\r\n\r"] {
+            let read = body_of(&frame("text/event-stream", body)).await;
+            assert!(
+                matches!(read, Err(CallError::Incomplete { .. })),
+                "{body:?}: {read:?}"
+            );
+        }
+    }
+}
+
 /// Guards against a stream that its upstream broke off before the first event being read as
 /// complete.
 #[actix_rt::test]
@@ -108,7 +123,12 @@
 #[actix_rt::test]
 async fn event_stream_that_ends_between_events_is_complete() {
     for frame in FRAMINGS {
-        for body in [EVENTS, "data: a\r\n\r\n", ": comment\n\ndata: a\n\n"] {
+        for body in [
+            EVENTS,
+            "data: a\r\n\r\n",
+            "data: a\r\r",
+            ": comment\n\ndata: a\n\n",
+        ] {
             let read = body_of(&frame("Text/Event-Stream", body)).await;
             assert_eq!(read.unwrap(), body);
         }
