Limit the bytes of answers of engines and the store as they arrive

Reports, orders and calls to the store limited the body only, so that chunk headers and trailers without end were read at full speed until the call timed out; the tests failed after the 20 s that the calls had.

--- a/crates/http/src/lib.rs
+++ b/crates/http/src/lib.rs
@@ -7,6 +7,7 @@
 pub mod caller;
 pub mod event_stream;
 pub mod headers;
+pub mod limited_client;
 pub mod listener;
 pub mod shutdown;
 pub mod upstream;
