Search each byte of an answer's head once

The search for the blank line began at the first byte with each piece that arrived, which costs the square of a long head that comes in small pieces. It now goes on where it stopped. The new test covers heads that are cut anywhere; it passes before and after, since only the time changes.

--- a/crates/http/src/upstream/head_filter.rs
+++ b/crates/http/src/upstream/head_filter.rs
@@ -23,6 +23,8 @@
 #[derive(Debug)]
 pub(super) struct HeadFilter {
     buf: BytesMut,
+    /// Bytes at the begin of the buffer that are known not to begin the blank line.
+    searched: usize,
     /// Whether buffered bytes may be pulled.
     is_released: bool,
 }
@@ -33,6 +35,7 @@
     pub(super) fn new(has_body: bool) -> Self {
         Self {
             buf: BytesMut::new(),
+            searched: 0,
             is_released: !has_body,
         }
     }
@@ -46,10 +49,13 @@
     pub(super) fn push(&mut self, bytes: &[u8]) {
         self.buf.extend_from_slice(bytes);
         while !self.is_released {
-            let Some(length) = head_length(&self.buf) else {
+            let Some(blank_line) = find_blank_line(&self.buf[self.searched..]) else {
+                self.searched = self.buf.len().saturating_sub(BLANK_LINE.len() - 1);
                 self.is_released = self.buf.len() > MAX_HEAD_BYTES;
                 return;
             };
+            let length = self.searched + blank_line + BLANK_LINE.len();
+            self.searched = 0;
             let head = &mut self.buf[..length];
             if is_informational(head) {
                 self.buf.advance(length);
@@ -82,10 +88,13 @@
 const HTTP_10: &[u8] = b"HTTP/1.0";
 const HTTP_11: &[u8] = b"HTTP/1.1";
 
-/// Length of the head in bytes, with the blank line; `None` while it is incomplete.
-fn head_length(buf: &[u8]) -> Option<usize> {
-    let blank_line = buf.windows(4).position(|window| window == b"\r\n\r\n")?;
-    Some(blank_line + 4)
+/// End of the last line of a head, and the blank line after it.
+const BLANK_LINE: &[u8] = b"\r\n\r\n";
+
+/// Position of the blank line that ends a head; `None` if it is not there yet.
+fn find_blank_line(buf: &[u8]) -> Option<usize> {
+    buf.windows(BLANK_LINE.len())
+        .position(|window| window == BLANK_LINE)
 }
 
 /// Status code as three digits; empty if the head is too short for one.
--- a/crates/http/tests/answer_end.rs
+++ b/crates/http/tests/answer_end.rs
@@ -161,3 +161,35 @@
         );
     }
 }
+
+/// Sends a request to a server that answers with a few bytes at a time.
+async fn body_of_dripped(answer: &'static str, piece_bytes: usize) -> Result<Bytes, CallError> {
+    let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+    let addr = listener.local_addr().unwrap();
+    actix_rt::spawn(async move {
+        let (mut io, _) = listener.accept().await.unwrap();
+        io.set_nodelay(true).unwrap();
+        let mut buf = [0; 4096];
+        assert!(io.read(&mut buf).await.unwrap() > 0);
+        for piece in answer.as_bytes().chunks(piece_bytes) {
+            io.write_all(piece).await.unwrap();
+            tokio::task::yield_now().await;
+        }
+    });
+    let progress = CallProgress::new();
+    let answer = UpstreamClient::default()
+        .send(call(addr), Bytes::new(), &progress)
+        .await;
+    answer?.body.read_all(MAX_BODY_BYTES, STALL_TIMEOUT).await
+}
+
+/// The blank lines that end heads are found wherever the answer is cut into pieces.
+#[actix_rt::test]
+async fn answer_in_small_pieces_is_read_to_its_end() {
+    const ANSWER: &str = "HTTP/1.1 103 Early Hints\r\nlink: </a>\r\n\r\n\
+        HTTP/1.1 200 OK\r\ncontent-type: text/plain\r\n\r\nserved\r\n\r\n";
+    for piece_bytes in 1..=9 {
+        let body = body_of_dripped(ANSWER, piece_bytes).await.unwrap();
+        assert_eq!(body, "served\r\n\r\n", "{piece_bytes}");
+    }
+}
