Keep upstreams draining that an older copy of their entry has as ready

A process that drains never becomes ready again, so that the directory now remembers it as it does one that says so in an answer.

--- a/crates/fleet/src/directory.rs
+++ b/crates/fleet/src/directory.rs
@@ -7,7 +7,8 @@
 //!
 //! An upstream that leaves also says so in its answers, at times before its entry does, or without
 //! an entry that does. It then takes no new requests from this instance, whatever later lists say,
-//! until another process is listed under its identifier.
+//! until another process is listed under its identifier. The same holds for one whose entry once
+//! said so: the store may come back from a copy of before.
 
 use std::{
     collections::{BTreeMap, BTreeSet, HashMap},
@@ -40,6 +41,9 @@
     grace: Option<Grace>,
     /// Upstreams that are kept though they are missing from the last list.
     missing: BTreeSet<String>,
+    /// Processes that entries had as draining, by identifier: their start time in ms of Unix time, and
+    /// when an entry last said so.
+    drained: HashMap<String, (u64, Instant)>,
     /// Processes that said in an answer to this instance that they leave, with the time when they
     /// said so or were last listed.
     leaving: HashMap<UpstreamProcess, Instant>,
@@ -170,6 +174,7 @@
         let mut old = std::mem::take(&mut self.entries);
         let missing_before = std::mem::take(&mut self.missing);
         for mut upstream in list {
+            self.apply_drained(&mut upstream, now);
             self.apply_leaving(&mut upstream, now);
             let before = old.remove(&upstream.id);
             record_change(&mut changes, before.as_deref(), &upstream);
@@ -186,8 +191,9 @@
                 changes.removed.push(id);
             }
         }
-        self.leaving
-            .retain(|_, at| now.saturating_duration_since(*at) < LEAVING_MEMORY);
+        let is_remembered = |at: Instant| now.saturating_duration_since(at) < LEAVING_MEMORY;
+        self.leaving.retain(|_, at| is_remembered(*at));
+        self.drained.retain(|_, (_, at)| is_remembered(*at));
         changes
     }
 
@@ -231,6 +237,21 @@
         self.leaving_elsewhere = processes;
     }
 
+    /// Marks an entry as draining if an entry had its process so before: the store may have come back
+    /// from an older copy. A process without a start time cannot be told from the next one.
+    fn apply_drained(&mut self, upstream: &mut Upstream, now: Instant) {
+        let Some(born_ms) = upstream.born_ms else {
+            return;
+        };
+        if upstream.phase != Phase::Ready {
+            self.drained.insert(upstream.id.clone(), (born_ms, now));
+        } else if let Some((drained_ms, _)) = self.drained.get(&upstream.id)
+            && *drained_ms == born_ms
+        {
+            upstream.phase = Phase::Draining(None);
+        }
+    }
+
     /// Marks an entry as draining if its process is known to leave.
     fn apply_leaving(&mut self, upstream: &mut Upstream, now: Instant) {
         if self.leaving.is_empty() && self.leaving_elsewhere.is_empty() {
--- a/crates/fleet/tests/directory.rs
+++ b/crates/fleet/tests/directory.rs
@@ -319,3 +319,32 @@
     assert!(!directory.record_draining(&upstream("c", Phase::Draining(None))));
     assert_eq!(ids(&directory), ["b"]);
 }
+
+/// Guards against requests to an upstream that drains, because the store has come back from a copy of
+/// before. A process that drains never becomes ready again; another one under its identifier is.
+#[test]
+fn upstream_that_drains_is_not_ready_again_with_an_older_copy_of_its_entry() {
+    let start = Instant::now();
+    let mut directory = Directory::default();
+    let draining = upstream("a", Phase::Draining(None));
+    let read = |upstream: Upstream, written_at| {
+        vec![StoredUpstream {
+            upstream,
+            written_at,
+        }]
+    };
+    directory.replace_read(read(draining, 8), 9, start);
+    directory.begin_grace(start);
+    for (revision, list) in [
+        (20, read(upstream("a", Phase::Ready), 15)),
+        (21, Vec::new()),
+        (22, read(upstream("a", Phase::Ready), 15)),
+    ] {
+        let now = start + Duration::from_secs(revision);
+        directory.replace_read(list, revision, now);
+        assert_eq!(ids(&directory), Vec::<String>::new(), "{revision}");
+    }
+    let now = start + Duration::from_secs(23);
+    directory.replace_read(read(restarted("a"), 23), 23, now);
+    assert_eq!(ids(&directory), ["a"]);
+}
