Close a caller's connection that sends what belongs to no body without end

Chunk headers and trailers of a request do not count as its body, so that a caller could keep the processor busy with them until the stall limit of 30 s, and on. The connection now receives at most 16 times the largest body and 256 KiB for a request.

--- a/crates/entry/src/serve/mod.rs
+++ b/crates/entry/src/serve/mod.rs
@@ -38,6 +38,9 @@
         cx.shutdown.track_request(),
         caller.as_ref().map(CallerConnection::begin_request),
     );
+    if let Some(caller) = &caller {
+        caller.limit_body(cx.config().limits.body_bytes);
+    }
     let declared = cx.platform.parse_declared(req.headers());
     let id = declared.id.clone();
     let artifact = declared.artifact.as_ref().map(Artifact::key);
--- a/crates/entry/tests/requests.rs
+++ b/crates/entry/tests/requests.rs
@@ -602,3 +602,21 @@
     let first = first.await.unwrap();
     assert_ne!(first.status, 200, "{first:?}");
 }
+
+/// Guards against a caller that keeps the processor busy with bytes that belong to no body.
+#[actix_rt::test]
+async fn chunk_header_of_a_caller_without_end_closes_its_connection() {
+    let upstream = start_upstream("u1", &[]).await;
+    let instance = start_instance(&[&upstream], &[]).await;
+    let mut io = TcpStream::connect(instance.entry.addr()).await.unwrap();
+    let head = "POST /read/ HTTP/1.1\r\nhost: h\r\nx-id: r1\r\nx-key: secret-key\r\n\
+                transfer-encoding: chunked\r\n\r\n1;";
+    io.write_all(head.as_bytes()).await.unwrap();
+    let piece = vec![b'a'; 64 << 10];
+    let began_at = Instant::now();
+    while io.write_all(&piece).await.is_ok() {
+        let elapsed = began_at.elapsed();
+        assert!(elapsed < Duration::from_secs(15), "{elapsed:?}");
+    }
+    assert_eq!(upstream.arrivals(), 0);
+}
--- a/crates/http/src/caller.rs
+++ b/crates/http/src/caller.rs
@@ -29,6 +29,12 @@
 /// readable all the time.
 const POLL_INTERVAL: Duration = Duration::from_millis(50);
 
+/// Most bytes of a request with a body that belong to no body, such as chunk headers and trailers,
+/// beside those that [`MAX_OVERHEAD_RATIO`] allows.
+const MAX_OVERHEAD_BYTES: u64 = 256 << 10;
+/// Most bytes that are received for each byte that the body may have. Chunks of one byte need six.
+const MAX_OVERHEAD_RATIO: u64 = 16;
+
 /// Timeouts of a caller's connection.
 #[derive(Clone, Copy, Debug)]
 pub struct CallerTimeouts {
@@ -67,6 +73,8 @@
     active_requests: Cell<usize>,
     /// Whether any bytes were read since the last request began or ended.
     has_read_since_request: Cell<bool>,
+    /// Bytes that the connection may still receive before the next request.
+    receivable_bytes: Cell<u64>,
 }
 
 /// What a connection waits for while no request is being answered.
@@ -80,6 +88,21 @@
     Close,
 }
 
+impl SharedConnection {
+    fn record_received(&self, bytes: usize) -> io::Result<()> {
+        let receivable = self.receivable_bytes.get();
+        if receivable == u64::MAX {
+            return Ok(());
+        }
+        let Some(rest) = receivable.checked_sub(bytes as u64) else {
+            let reason = "too many bytes that belong to no body";
+            return Err(io::Error::new(io::ErrorKind::InvalidData, reason));
+        };
+        self.receivable_bytes.set(rest);
+        Ok(())
+    }
+}
+
 impl CallerStream {
     /// Wraps a connection.
     pub fn new(io: TcpStream, timeouts: CallerTimeouts, shutdown: Rc<ShutdownState>) -> Self {
@@ -87,6 +110,7 @@
             io,
             active_requests: Cell::new(0),
             has_read_since_request: Cell::new(false),
+            receivable_bytes: Cell::new(u64::MAX),
         };
         Self {
             shared: Rc::new(shared),
@@ -156,9 +180,18 @@
     pub fn begin_request(&self) -> ActiveRequest {
         self.0.active_requests.set(self.0.active_requests.get() + 1);
         self.0.has_read_since_request.set(false);
+        self.0.receivable_bytes.set(u64::MAX);
         ActiveRequest(Rc::clone(&self.0))
     }
 
+    /// Limits what the connection receives until the next request begins, for a body of at most
+    /// `body_bytes`. Bytes that belong to no body do not count as its length.
+    pub fn limit_body(&self, body_bytes: usize) {
+        let bytes = (body_bytes as u64).saturating_mul(MAX_OVERHEAD_RATIO);
+        let receivable = bytes.saturating_add(MAX_OVERHEAD_BYTES);
+        self.0.receivable_bytes.set(receivable);
+    }
+
     /// Completes when the caller has closed its side of the connection, or the connection has
     /// failed.
     pub async fn disconnected(&self) {
@@ -176,6 +209,7 @@
     fn drop(&mut self) {
         self.0.active_requests.set(self.0.active_requests.get() - 1);
         self.0.has_read_since_request.set(false);
+        self.0.receivable_bytes.set(u64::MAX);
     }
 }
 
@@ -193,6 +227,7 @@
             match self.shared.io.try_read(buf.initialize_unfilled()) {
                 Ok(n) => {
                     self.shared.has_read_since_request.set(true);
+                    self.shared.record_received(n)?;
                     buf.advance(n);
                     return Poll::Ready(Ok(()));
                 }
