Read software versions from a list only when it is put in force

Reading the diff: since the holder's list is told by its version, a list that is only confirmed was searched for software versions at each exchange, 327 entries twice a second on each instance of a large fleet. It is not, as before.

--- a/crates/entry/src/state.rs
+++ b/crates/entry/src/state.rs
@@ -488,12 +488,16 @@
         self.instances_reported.get().max(registered).max(1)
     }
 
-    /// Replaces the list of upstreams with the holder's, which it read at `at`.
+    /// Replaces the list of upstreams with the holder's, which it read at `at`, or confirms it.
     pub(crate) fn replace_directory(&self, list: &ListCopy, revision: u64, at: Instant) {
         let mut directory = self.directory.borrow_mut();
         let age_before = directory.age(at);
+        let is_confirmed = directory.is_copy(list);
         let changes = directory.replace(list, revision, at);
         drop(directory);
+        if is_confirmed {
+            return;
+        }
         self.announce_upstreams(&changes, revision, age_before, "holder");
     }
 
@@ -512,8 +516,8 @@
         self.announce_upstreams(&changes, revision, age_before, "store");
     }
 
-    /// Logs changes of the list, discards health records and prefix caches of added and removed
-    /// upstreams, and notifies waiting requests.
+    /// Takes over the software versions of a new list, logs its changes, discards health records and
+    /// prefix caches of added and removed upstreams, and notifies waiting requests.
     fn announce_upstreams(
         &self,
         changes: &Changes,
--- a/crates/fleet/src/directory.rs
+++ b/crates/fleet/src/directory.rs
@@ -127,13 +127,18 @@
 }
 
 impl Directory {
+    /// Whether the entries are this copy of another instance's list.
+    pub fn is_copy(&self, copy: &ListCopy) -> bool {
+        self.copied == Some(copy.version())
+    }
+
     /// Replaces the entries by the copy of a list that another instance read at a store revision, or
     /// confirms them if they are that copy already. A list of an older revision is ignored.
     pub fn replace(&mut self, copy: &ListCopy, revision: u64, now: Instant) -> Changes {
         if revision < self.revision {
             return Changes::default();
         }
-        if self.copied == Some(copy.version()) {
+        if self.is_copy(copy) {
             self.record_read(revision, now);
             return Changes::default();
         }
