Log where the processor time of an instance goes, and count the holder's views

The logs of the incident name the grant that a refusal was decided by, but not whose processor time is used up, on what, nor how long an exchange takes. Every 5 s each instance now logs the time, the turns and the longest turn of each part of its work, and the longest exchange; the holder also its views. No decision changes.

--- a/crates/clock/src/lib.rs
+++ b/crates/clock/src/lib.rs
@@ -9,6 +9,8 @@
     time::{Duration, Instant, SystemTime, UNIX_EPOCH},
 };
 
+use rustix::time::ClockId;
+
 /// A source of monotonic and wall-clock time.
 pub trait Clock: Clone + 'static {
     /// Monotonic time of this process. It does not advance while the machine is suspended.
@@ -18,6 +20,9 @@
     /// measured with it, because a lease also expires during a suspension.
     fn since_boot(&self) -> Duration;
 
+    /// Processor time that the calling thread has used.
+    fn processor(&self) -> Duration;
+
     /// Wall-clock time, for logs and for records that people read. It can jump, so correctness
     /// must not depend on it.
     fn wall(&self) -> SystemTime;
@@ -33,10 +38,11 @@
     }
 
     fn since_boot(&self) -> Duration {
-        let time = rustix::time::clock_gettime(rustix::time::ClockId::Boottime);
-        let seconds = u64::try_from(time.tv_sec).unwrap_or_default();
-        let nanos = u32::try_from(time.tv_nsec).unwrap_or_default();
-        Duration::new(seconds, nanos)
+        read_clock(ClockId::Boottime)
+    }
+
+    fn processor(&self) -> Duration {
+        read_clock(ClockId::ThreadCPUTime)
     }
 
     fn wall(&self) -> SystemTime {
@@ -44,6 +50,13 @@
     }
 }
 
+fn read_clock(id: ClockId) -> Duration {
+    let time = rustix::time::clock_gettime(id);
+    let seconds = u64::try_from(time.tv_sec).unwrap_or_default();
+    let nanos = u32::try_from(time.tv_nsec).unwrap_or_default();
+    Duration::new(seconds, nanos)
+}
+
 /// Clock for tests and simulations that only advances through [`ManualClock::advance`]. Clones
 /// share the same time.
 #[derive(Clone, Debug)]
@@ -87,6 +100,10 @@
         self.elapsed.get()
     }
 
+    fn processor(&self) -> Duration {
+        self.elapsed.get()
+    }
+
     fn wall(&self) -> SystemTime {
         UNIX_EPOCH + self.elapsed.get()
     }
--- a/crates/entry/src/duty/actions.rs
+++ b/crates/entry/src/duty/actions.rs
@@ -14,6 +14,7 @@
 use crate::{
     platform::{OrderAnswer, OrderCall, Platform},
     state::EntryContext,
+    work_times::Work,
 };
 
 /// Timeout of a call to an engine. Engines answer an order before they carry it out.
@@ -34,27 +35,40 @@
     for (service, action) in coordinator.take_actions(may_order) {
         let (cx, coordinator) = (Rc::clone(cx), Rc::clone(coordinator));
         actix_rt::spawn(async move {
-            match action {
-                Action::Report { upstream } => report(&cx, &coordinator, &service, &upstream).await,
-                Action::Order {
-                    upstream,
-                    order,
-                    expected,
-                } => {
-                    let call = OrderCall {
-                        order,
-                        expected,
-                        holder: cx.process.clone(),
-                        fence: tenure.fence,
-                    };
-                    execute_order(&cx, &coordinator, &service, &upstream, call).await;
-                }
-            }
+            let run = run_action(&cx, &coordinator, tenure, &service, action);
+            cx.work_times.measure(&cx.clock, Work::Orders, run).await;
             coordinator.request_step();
         });
     }
 }
 
+async fn run_action<P>(
+    cx: &Rc<EntryContext<P>>,
+    coordinator: &Rc<Coordinator<P>>,
+    tenure: Tenure,
+    service: &str,
+    action: Action,
+) where
+    P: Platform,
+{
+    match action {
+        Action::Report { upstream } => report(cx, coordinator, service, &upstream).await,
+        Action::Order {
+            upstream,
+            order,
+            expected,
+        } => {
+            let call = OrderCall {
+                order,
+                expected,
+                holder: cx.process.clone(),
+                fence: tenure.fence,
+            };
+            execute_order(cx, coordinator, service, &upstream, call).await;
+        }
+    }
+}
+
 /// Requests an engine's report and passes it, or the failure, to the service's planner.
 async fn report<P>(
     cx: &Rc<EntryContext<P>>,
--- a/crates/entry/src/duty/coordinator.rs
+++ b/crates/entry/src/duty/coordinator.rs
@@ -96,6 +96,11 @@
         }
     }
 
+    /// State of the instance that this coordinator belongs to.
+    pub(crate) fn context(&self) -> &EntryContext<P> {
+        &self.cx
+    }
+
     /// Begins a tenure, discarding the state of an earlier one.
     pub(super) fn begin_tenure(&self, tenure: Tenure) {
         let now = self.cx.now();
@@ -228,6 +233,8 @@
             state.plan_service(service, &directory, (&loads, &suspects, &closed), now);
         }
         state.update_totals(&loads);
+        let wanted = state.planners.values().map(Planner::wanted_count).sum();
+        self.cx.work_times.record_wanted(wanted);
         if state.update_placement() {
             self.placement_changed.notify_waiters();
         }
--- a/crates/entry/src/exchange/client.rs
+++ b/crates/entry/src/exchange/client.rs
@@ -259,6 +259,8 @@
     P: Platform,
 {
     let now = cx.now();
+    let exchange_time = now.saturating_duration_since(reported_at);
+    cx.work_times.record_exchange(exchange_time);
     if let Some(config) = view.config {
         cx.apply_config(&Bytes::from(config), "holder");
     }
--- a/crates/entry/src/exchange/server.rs
+++ b/crates/entry/src/exchange/server.rs
@@ -6,7 +6,7 @@
 use comfreyweir_peer::{LinkError, PeerServer, bind, peer_capnp::entry};
 
 use super::message::InstanceReport;
-use crate::{duty::Coordinator, platform::Platform, state::EntryContext};
+use crate::{duty::Coordinator, platform::Platform, state::EntryContext, work_times::Work};
 
 /// Pause before another attempt to open the port.
 const BIND_PAUSE: Duration = Duration::from_secs(1);
@@ -64,6 +64,22 @@
         self: Rc<Self>,
         params: entry::ExchangeParams,
         mut results: entry::ExchangeResults,
+    ) -> Result<(), capnp::Error> {
+        let cx = self.coordinator.context();
+        let answer = self.answer(params, &mut results);
+        let times = &cx.work_times;
+        times.measure(&cx.clock, Work::Views, answer).await
+    }
+}
+
+impl<P> ExchangeService<P>
+where
+    P: Platform,
+{
+    async fn answer(
+        &self,
+        params: entry::ExchangeParams,
+        results: &mut entry::ExchangeResults,
     ) -> Result<(), capnp::Error> {
         let params = params.get()?;
         let wait = Duration::from_millis(params.get_wait_ms().into());
@@ -72,6 +88,9 @@
         let answer = self.coordinator.exchange(report, wait).await;
         let view = postcard::to_allocvec(&answer)
             .map_err(|e| capnp::Error::failed(format!("view cannot be encoded: {e}")))?;
+        let cx = self.coordinator.context();
+        cx.work_times.record_view(view.len());
+        cx.metrics.count_view(view.len());
         results.get().set_view(&view);
         Ok(())
     }
--- a/crates/entry/src/instance.rs
+++ b/crates/entry/src/instance.rs
@@ -12,7 +12,13 @@
 use snafu::{ResultExt, Snafu};
 use tokio::time::timeout;
 
-use crate::{admin, duty, exchange, follow, platform::Platform, serve, state::EntryContext};
+use crate::{
+    admin, duty, exchange, follow,
+    platform::Platform,
+    serve,
+    state::EntryContext,
+    work_times::{self, Work},
+};
 
 /// Part of the shutdown grace period that is held in reserve, so that the process exits by itself
 /// before it is killed.
@@ -60,7 +66,15 @@
         settings.listen.callers,
         limits,
         Rc::clone(&cx.shutdown),
-        move |req| serve::serve(Rc::clone(&callers_cx), req),
+        move |req| {
+            let cx = Rc::clone(&callers_cx);
+            async move {
+                let serving = serve::serve(Rc::clone(&cx), req);
+                cx.work_times
+                    .measure(&cx.clock, Work::Requests, serving)
+                    .await
+            }
+        },
     );
     let addr = settings.listen.callers;
     let callers = callers.await.context(ListenSnafu { addr })?;
@@ -70,17 +84,24 @@
         admin::serve_admin(cx, &admin_coordinator, req)
     };
     let admin = bind_side_port(&cx, settings.listen.admin, limits, admin_handler).await?;
+    let shared = || (Rc::clone(&cx), Rc::clone(&coordinator));
+    let (duty_cx, duty_coordinator) = shared();
+    let (exchange_cx, exchange_coordinator) = shared();
+    let (era_cx, era_coordinator) = shared();
+    let (times_cx, times_coordinator) = shared();
     let tasks = vec![
-        actix_rt::spawn(follow::config::run(Rc::clone(&cx))),
-        actix_rt::spawn(follow::directory::run(Rc::clone(&cx))),
-        actix_rt::spawn(follow::era::run(Rc::clone(&cx), Rc::clone(&coordinator))),
-        actix_rt::spawn(follow::members::run(Rc::clone(&cx))),
-        actix_rt::spawn(follow::members::register(Rc::clone(&cx))),
-        actix_rt::spawn(duty::run(Rc::clone(&cx), Rc::clone(&coordinator))),
-        actix_rt::spawn(exchange::client::run(
-            Rc::clone(&cx),
-            Rc::clone(&coordinator),
-        )),
+        spawn_task(&cx, Work::Store, follow::config::run(Rc::clone(&cx))),
+        spawn_task(&cx, Work::Store, follow::directory::run(Rc::clone(&cx))),
+        spawn_task(&cx, Work::Store, follow::era::run(era_cx, era_coordinator)),
+        spawn_task(&cx, Work::Store, follow::members::run(Rc::clone(&cx))),
+        spawn_task(&cx, Work::Store, follow::members::register(Rc::clone(&cx))),
+        spawn_task(&cx, Work::Planning, duty::run(duty_cx, duty_coordinator)),
+        spawn_task(
+            &cx,
+            Work::Exchange,
+            exchange::client::run(exchange_cx, exchange_coordinator),
+        ),
+        actix_rt::spawn(work_times::run(times_cx, times_coordinator)),
         exchange::server::spawn(Rc::clone(&cx), Rc::clone(&coordinator)),
     ];
     Ok(Entry {
@@ -93,6 +114,16 @@
     })
 }
 
+/// Spawns a background task and measures its processor time.
+fn spawn_task<P, F>(cx: &Rc<EntryContext<P>>, work: Work, task: F) -> JoinHandle<()>
+where
+    P: Platform,
+    F: Future<Output = ()> + 'static,
+{
+    let cx = Rc::clone(cx);
+    actix_rt::spawn(async move { cx.work_times.measure(&cx.clock, work, task).await })
+}
+
 /// Binds the readiness or admin port. `handler` answers from local state, without waiting; shutdown
 /// does not wait for its requests.
 async fn bind_side_port<P, F>(
--- a/crates/entry/src/lib.rs
+++ b/crates/entry/src/lib.rs
@@ -16,5 +16,6 @@
 pub mod platform;
 mod serve;
 mod state;
+mod work_times;
 
 pub use crate::instance::{Entry, EntryError, spawn};
--- a/crates/entry/src/metrics.rs
+++ b/crates/entry/src/metrics.rs
@@ -65,6 +65,8 @@
     notices: Family<NoticeLabel, Counter>,
     resumptions: Family<ResumptionLabel, Counter>,
     store_copies: Counter,
+    views: Counter,
+    view_bytes: Counter,
     first_byte_seconds: Histograms,
 }
 
@@ -79,6 +81,8 @@
             notices: Family::default(),
             resumptions: Family::default(),
             store_copies: Counter::default(),
+            views: Counter::default(),
+            view_bytes: Counter::default(),
             first_byte_seconds: Family::new_with_constructor(histogram),
         };
         let mut registry = metrics.registry.borrow_mut();
@@ -112,6 +116,16 @@
             "Times that the store has come back from a copy",
             metrics.store_copies.clone(),
         );
+        registry.register(
+            "comfreyweir_views",
+            "Views of the whole system that this instance sent to others as the holder",
+            metrics.views.clone(),
+        );
+        registry.register(
+            "comfreyweir_view_bytes",
+            "Bytes of these views",
+            metrics.view_bytes.clone(),
+        );
         registry.register(
             "comfreyweir_first_byte_seconds",
             "Time from the arrival of a stream's request to the first byte of its answer",
@@ -166,6 +180,13 @@
         self.store_copies.inc();
     }
 
+    /// Counts a view that was sent to another instance.
+    pub(crate) fn count_view(&self, bytes: usize) {
+        self.views.inc();
+        let bytes = u64::try_from(bytes).unwrap_or(u64::MAX);
+        self.view_bytes.inc_by(bytes);
+    }
+
     /// Records the time to the first byte of a streamed answer.
     pub(crate) fn observe_first_byte(&self, workspace: &str, time: Duration) {
         let labels = WorkspaceLabel {
--- a/crates/entry/src/serve/relay.rs
+++ b/crates/entry/src/serve/relay.rs
@@ -28,7 +28,7 @@
     pick::{self, AvoidedUpstreams},
     retry::take_retry,
 };
-use crate::{platform::Platform, state::EntryContext};
+use crate::{platform::Platform, state::EntryContext, work_times::Work};
 
 /// Maximum size of a buffered answer, in bytes.
 const MAX_BUFFERED_BYTES: usize = 8 << 20;
@@ -122,7 +122,11 @@
         possible_runs,
         chunk_times: ChunkTimes::default(),
     };
-    actix_rt::spawn(relay.run());
+    let cx = Rc::clone(cx);
+    actix_rt::spawn(async move {
+        let times = &cx.work_times;
+        times.measure(&cx.clock, Work::Requests, relay.run()).await;
+    });
     with_body(res, BoxBody::new(RelayedBody::new(rx, length)))
 }
 
--- a/crates/entry/src/state.rs
+++ b/crates/entry/src/state.rs
@@ -38,6 +38,7 @@
     log_limiter::RequestLogLimiter,
     metrics::Metrics,
     platform::{Platform, PlatformError, UpstreamNotice},
+    work_times::WorkTimes,
 };
 
 /// Timeout for opening a connection to an upstream. Far above the round-trip time between
@@ -108,6 +109,7 @@
     pub(crate) upstreams: UpstreamClient,
     pub(crate) shutdown: Rc<ShutdownState>,
     pub(crate) metrics: Metrics,
+    pub(crate) work_times: WorkTimes,
     pub(crate) request_log_limiter: RequestLogLimiter,
     /// Version of a configuration that is newer than the one in force, and when it was heard of.
     newer_config: Cell<Option<(u64, Instant)>>,
@@ -343,6 +345,7 @@
             upstreams: UpstreamClient::new(CONNECT_TIMEOUT),
             shutdown: Rc::default(),
             metrics: Metrics::new(),
+            work_times: WorkTimes::default(),
             request_log_limiter: RequestLogLimiter::default(),
             newer_config: Cell::default(),
             newer_config_heard: Notify::new(),
--- a/crates/fleet/src/planner/load_planning.rs
+++ b/crates/fleet/src/planner/load_planning.rs
@@ -36,6 +36,7 @@
             .map(|(model, queue)| (queue * CROWDED_REQUEST_WEIGHT, LoadCause::Crowded(model)));
         let mut wanted: Vec<_> = awaited.chain(crowded).collect();
         wanted.sort_by(|a, b| b.0.total_cmp(&a.0).then_with(|| a.1.cmp(&b.1)));
+        self.wanted = wanted.len();
         for (requests, cause) in wanted {
             match cause {
                 LoadCause::Awaited(artifact) => self.place_awaited(input, &artifact, requests, now),
--- a/crates/fleet/src/planner/mod.rs
+++ b/crates/fleet/src/planner/mod.rs
@@ -104,6 +104,8 @@
     expected: HashMap<String, Instant>,
     /// Number of models that wait for the weight store.
     waiting_for_store: usize,
+    /// Number of loads that the last step had to decide on.
+    wanted: usize,
 }
 
 /// Number of engines that hold a model.
@@ -193,6 +195,11 @@
         &self.placement
     }
 
+    /// Number of loads that the last step had to decide on.
+    pub fn wanted_count(&self) -> usize {
+        self.wanted
+    }
+
     /// Estimated time until requests for an artifact can run; none if it is not known: no engine
     /// holds it or plans to load it, or it is an adapter of a loaded model, which takes little.
     pub fn ready_in(&self, artifact: &Artifact, now: Instant) -> Option<Duration> {
