Ask the holder for larger grants beside the reports

At 295 instances, what is granted in advance is less than one request costs, so nearly each request needed a larger grant. It came with a report and a view of 10 kB, so that the holder was late for all when many requests came: the longest exchanges of half of the instances took 265 to 300 ms where requests wait for 150 ms.

Larger grants are now asked for by a message of their own, with the workspaces concerned only. The holder answers it to processes that have reported recently; it is no report, since grants and equal shares of other workspaces do not go on with it. An instance asks again for what the holder could not spare 200 ms before. The random interleavings have such requests, delayed answers and links that keep their order; an earlier grant of the same holder no longer replaces a later one. Tests that change the holder now give each its own fencing token.

--- a/crates/entry/src/duty/coordinator.rs
+++ b/crates/entry/src/duty/coordinator.rs
@@ -25,7 +25,7 @@
 use tokio::{sync::Notify, time::timeout};
 
 use crate::{
-    exchange::message::{DirectoryView, ExchangeAnswer, InstanceReport, SystemView},
+    exchange::message::{DirectoryView, ExchangeAnswer, GrantRequest, InstanceReport, SystemView},
     platform::Platform,
     state::EntryContext,
 };
@@ -274,6 +274,29 @@
         }
     }
 
+    /// Answers a request for larger grants.
+    pub(crate) fn grants(&self, request: &GrantRequest) -> ExchangeAnswer {
+        if !self.has_duty() {
+            let members = self.cx.members.borrow();
+            return ExchangeAnswer::Elsewhere(members.holder.as_ref().map(|h| h.peer));
+        }
+        let now = self.cx.now();
+        let config = self.cx.config();
+        let allowance = |name: &str| config.workspaces.get(name)?.allowance;
+        let GrantRequest { process, spent } = request;
+        let mut state = self.state.borrow_mut();
+        let allocator = &mut state.grant_allocator;
+        let mut grants = HashMap::new();
+        if allocator.record_partial_usage(process, spent, allowance, now) {
+            for workspace in spent.keys() {
+                let allowance = allowance(workspace);
+                let grant = allowance.and_then(|a| allocator.grant(process, workspace, a, now));
+                grants.extend(grant.map(|grant| (workspace.clone(), grant)));
+            }
+        }
+        ExchangeAnswer::Grants(grants)
+    }
+
     fn record_report(&self, report: InstanceReport) {
         let now = self.cx.now();
         let config = self.cx.config();
--- a/crates/entry/src/exchange/client.rs
+++ b/crates/entry/src/exchange/client.rs
@@ -15,7 +15,7 @@
 use snafu::{ResultExt, Snafu};
 use tokio::time::timeout;
 
-use super::message::{DirectoryView, ExchangeAnswer, InstanceReport, SystemView};
+use super::message::{DirectoryView, ExchangeAnswer, InstanceCall, InstanceReport, SystemView};
 use crate::{duty::Coordinator, follow::members, platform::Platform, state::EntryContext};
 
 /// Time beyond that delay after which a call to the holder times out.
@@ -31,7 +31,8 @@
 /// Why an exchange failed.
 #[derive(Debug)]
 #[derive(Snafu)]
-enum ExchangeError {
+#[snafu(visibility(pub(super)))]
+pub(super) enum ExchangeError {
     #[snafu(display("{source}"))]
     Link { source: LinkError },
     #[snafu(display("view of {addr} cannot be decoded: {source}"))]
@@ -41,6 +42,8 @@
     },
     #[snafu(display("no holder of the planning duty is known"))]
     NoHolder,
+    #[snafu(display("the holder of the planning duty sent an answer of another kind"))]
+    UnexpectedAnswer,
 }
 
 /// Reports to the holder periodically. Does not return.
@@ -77,13 +80,12 @@
     }
 }
 
-/// How long the holder may delay its answer until it has news for waiting requests. Zero while
-/// requests wait for quota, since new grants come with the answer.
+/// How long the holder may delay its answer until it has news for waiting requests.
 fn answer_wait<P>(cx: &EntryContext<P>, pacing: &ReportPacing) -> Duration
 where
     P: Platform,
 {
-    if !cx.quotas.borrow().has_waiting() && cx.demand.borrow().has_waiting() {
+    if cx.demand.borrow().has_waiting() {
         pacing.answer_wait(cx.exchange_period())
     } else {
         Duration::ZERO
@@ -117,10 +119,9 @@
     timeout(pause, cx.demand_changed.notified()).await.is_ok()
 }
 
-/// Connection to the holder, and how to find it.
+/// How to find the holder.
 #[derive(Default)]
 struct HolderSession {
-    link: Option<PeerLink<entry::Client>>,
     search: HolderSearch,
 }
 
@@ -136,10 +137,10 @@
     {
         let report = build_report(cx);
         let reported_at = cx.now();
+        let arrivals = report.demand.arrivals.clone();
+        let begun = report.begun.clone();
         if coordinator.has_duty() {
-            self.link = None;
-            let arrivals = report.demand.arrivals.clone();
-            let begun = report.begun.clone();
+            cx.set_holder_link(None);
             if let ExchangeAnswer::View(mut view) = coordinator.exchange(report, wait).await {
                 cx.demand.borrow_mut().acknowledge(arrivals);
                 cx.origins
@@ -153,11 +154,11 @@
             return Ok(());
         }
         let addr = self.target_addr(cx).ok_or(ExchangeError::NoHolder)?;
-        match self.call(cx, addr, &report, wait).await {
+        match report_to(cx, addr, report, wait).await {
             Ok(ExchangeAnswer::View(view)) => {
-                cx.demand.borrow_mut().acknowledge(report.demand.arrivals);
+                cx.demand.borrow_mut().acknowledge(arrivals);
                 let mut origins = cx.origins.borrow_mut();
-                origins.acknowledge(&report.begun, view.placement.0);
+                origins.acknowledge(&begun, view.placement.0);
                 drop(origins);
                 self.search.record_found();
                 apply_view(cx, *view, reported_at);
@@ -168,12 +169,13 @@
                 let named = hint.filter(|hint| *hint != own);
                 let is_named = self.search.record_elsewhere(addr, named);
                 cx.holder_resigned.set(!is_named);
-                self.link = None;
+                cx.set_holder_link(None);
                 Err(ExchangeError::NoHolder)
             }
+            Ok(ExchangeAnswer::Grants(_)) => UnexpectedAnswerSnafu.fail(),
             Err(e) => {
                 self.search.record_failure();
-                self.link = None;
+                cx.set_holder_link(None);
                 Err(e)
             }
         }
@@ -190,37 +192,48 @@
         let others: Vec<_> = others.filter(|addr| *addr != own).collect();
         self.search.next(holder.filter(|h| *h != own), &others)
     }
+}
 
-    async fn call<P>(
-        &mut self,
-        cx: &EntryContext<P>,
-        addr: SocketAddr,
-        report: &InstanceReport,
-        wait: Duration,
-    ) -> Result<ExchangeAnswer, ExchangeError>
-    where
-        P: Platform,
-    {
-        let is_usable = |link: &PeerLink<entry::Client>| link.addr() == addr && !link.is_closed();
-        if !self.link.as_ref().is_some_and(is_usable) {
-            let secret = cx.members.borrow().secret.clone();
-            let secret = secret.ok_or(ExchangeError::NoHolder)?;
-            self.link = Some(open(addr, &secret).await.context(LinkSnafu)?);
-        }
-        let Some(link) = &self.link else {
-            return Err(ExchangeError::NoHolder);
-        };
-        let report = postcard::to_allocvec(report).context(DecodeSnafu { addr })?;
-        let mut req = link.client().exchange_request();
-        req.get().set_report(&report);
-        req.get().set_wait_ms(wire_millis(wait));
-        let call = async { Ok(req.send().promise.await?.get()?.get_view()?.to_vec()) };
-        let answer = link
-            .call(wait + ANSWER_TIMEOUT_MARGIN, call)
-            .await
-            .context(LinkSnafu)?;
-        postcard::from_bytes(&answer).context(DecodeSnafu { addr })
-    }
+/// Sends a report to the instance at `addr`.
+async fn report_to<P>(
+    cx: &EntryContext<P>,
+    addr: SocketAddr,
+    report: InstanceReport,
+    wait: Duration,
+) -> Result<ExchangeAnswer, ExchangeError>
+where
+    P: Platform,
+{
+    let known = cx.holder_link.borrow().clone();
+    let usable = known.filter(|link| link.addr() == addr && !link.is_closed());
+    let link = if let Some(link) = usable {
+        link
+    } else {
+        let secret = cx.members.borrow().secret.clone();
+        let secret = secret.ok_or_else(|| NoHolderSnafu.build())?;
+        let link = Rc::new(open(addr, &secret).await.context(LinkSnafu)?);
+        cx.set_holder_link(Some(Rc::clone(&link)));
+        link
+    };
+    let call = InstanceCall::Report(Box::new(report));
+    call_holder(&link, &call, wait, wait + ANSWER_TIMEOUT_MARGIN).await
+}
+
+/// Sends a message over a link and returns the answer, which may be delayed for at most `wait`.
+pub(super) async fn call_holder(
+    link: &PeerLink<entry::Client>,
+    message: &InstanceCall,
+    wait: Duration,
+    limit: Duration,
+) -> Result<ExchangeAnswer, ExchangeError> {
+    let addr = link.addr();
+    let message = postcard::to_allocvec(message).context(DecodeSnafu { addr })?;
+    let mut req = link.client().exchange_request();
+    req.get().set_report(&message);
+    req.get().set_wait_ms(wire_millis(wait));
+    let call = async { Ok(req.send().promise.await?.get()?.get_view()?.to_vec()) };
+    let answer = link.call(limit, call).await.context(LinkSnafu)?;
+    postcard::from_bytes(&answer).context(DecodeSnafu { addr })
 }
 
 /// Builds the report of this instance's current state.
--- a/crates/entry/src/exchange/message.rs
+++ b/crates/entry/src/exchange/message.rs
@@ -15,6 +15,27 @@
 
 use crate::state::Holder;
 
+/// What an instance sends to the holder.
+#[derive(Clone, Debug, PartialEq)]
+#[derive(Serialize, Deserialize)]
+pub(crate) enum InstanceCall {
+    /// Its local state. The answer is a view.
+    Report(Box<InstanceReport>),
+    /// A request for larger grants, between two reports. The answer is grants.
+    Grants(GrantRequest),
+}
+
+/// A request for larger grants.
+#[derive(Clone, Debug, Default, PartialEq)]
+#[derive(Serialize, Deserialize)]
+pub(crate) struct GrantRequest {
+    /// Name of the process.
+    pub(crate) process: String,
+    /// Quota units that workspaces have requested and spent through it, of the workspaces whose
+    /// requests wait for a grant.
+    pub(crate) spent: HashMap<String, UsageTotals>,
+}
+
 /// An instance's local state, as reported to the holder.
 #[derive(Clone, Debug, Default, PartialEq)]
 #[derive(Serialize, Deserialize)]
@@ -45,12 +66,14 @@
     pub(crate) needs_config: bool,
 }
 
-/// Answer to a report.
+/// Answer of the instance that was called.
 #[derive(Clone, Debug, PartialEq)]
 #[derive(Serialize, Deserialize)]
 pub(crate) enum ExchangeAnswer {
     /// The combined state of all instances.
     View(Box<SystemView>),
+    /// Grants by workspace. Empty if the instance has to report first.
+    Grants(HashMap<String, Grant>),
     /// The called instance does not hold the duty. The holder's peer address, if it knows one.
     Elsewhere(Option<SocketAddr>),
 }
--- a/crates/entry/src/exchange/server.rs
+++ b/crates/entry/src/exchange/server.rs
@@ -5,7 +5,7 @@
 use actix_rt::task::JoinHandle;
 use comfreyweir_peer::{LinkError, PeerServer, bind, peer_capnp::entry};
 
-use super::message::InstanceReport;
+use super::message::{ExchangeAnswer, InstanceCall};
 use crate::{duty::Coordinator, platform::Platform, state::EntryContext, work_times::Work};
 
 /// Pause before another attempt to open the port.
@@ -83,14 +83,23 @@
     ) -> Result<(), capnp::Error> {
         let params = params.get()?;
         let wait = Duration::from_millis(params.get_wait_ms().into());
-        let report: InstanceReport = postcard::from_bytes(params.get_report()?)
+        let call: InstanceCall = postcard::from_bytes(params.get_report()?)
             .map_err(|e| capnp::Error::failed(format!("report cannot be decoded: {e}")))?;
-        let answer = self.coordinator.exchange(report, wait).await;
+        let answer = match call {
+            InstanceCall::Report(report) => self.coordinator.exchange(*report, wait).await,
+            InstanceCall::Grants(request) => self.coordinator.grants(&request),
+        };
         let view = postcard::to_allocvec(&answer)
             .map_err(|e| capnp::Error::failed(format!("view cannot be encoded: {e}")))?;
         let cx = self.coordinator.context();
-        cx.work_times.record_view(view.len());
-        cx.metrics.count_view(view.len());
+        match answer {
+            ExchangeAnswer::View(_) => {
+                cx.work_times.record_view(view.len());
+                cx.metrics.count_view(view.len());
+            }
+            ExchangeAnswer::Grants(_) => cx.metrics.count_grants_answer(),
+            ExchangeAnswer::Elsewhere(_) => {}
+        }
         results.get().set_view(&view);
         Ok(())
     }
--- a/crates/entry/src/follow/mod.rs
+++ b/crates/entry/src/follow/mod.rs
@@ -5,7 +5,7 @@
 pub(crate) mod directory;
 pub(crate) mod era;
 pub(crate) mod members;
-mod outage_log;
+pub(crate) mod outage_log;
 
 use std::{rc::Rc, time::Duration};
 
--- a/crates/entry/src/instance.rs
+++ b/crates/entry/src/instance.rs
@@ -87,6 +87,7 @@
     let shared = || (Rc::clone(&cx), Rc::clone(&coordinator));
     let (duty_cx, duty_coordinator) = shared();
     let (exchange_cx, exchange_coordinator) = shared();
+    let (grants_cx, grants_coordinator) = shared();
     let (era_cx, era_coordinator) = shared();
     let (times_cx, times_coordinator) = shared();
     let tasks = vec![
@@ -101,6 +102,11 @@
             Work::Exchange,
             exchange::client::run(exchange_cx, exchange_coordinator),
         ),
+        spawn_task(
+            &cx,
+            Work::Exchange,
+            exchange::grants::run(grants_cx, grants_coordinator),
+        ),
         actix_rt::spawn(work_times::run(times_cx, times_coordinator)),
         exchange::server::spawn(Rc::clone(&cx), Rc::clone(&coordinator)),
     ];
--- a/crates/entry/src/metrics.rs
+++ b/crates/entry/src/metrics.rs
@@ -67,6 +67,7 @@
     store_copies: Counter,
     views: Counter,
     view_bytes: Counter,
+    grant_answers: Counter,
     first_byte_seconds: Histograms,
 }
 
@@ -83,6 +84,7 @@
             store_copies: Counter::default(),
             views: Counter::default(),
             view_bytes: Counter::default(),
+            grant_answers: Counter::default(),
             first_byte_seconds: Family::new_with_constructor(histogram),
         };
         let mut registry = metrics.registry.borrow_mut();
@@ -126,6 +128,11 @@
             "Bytes of these views",
             metrics.view_bytes.clone(),
         );
+        registry.register(
+            "comfreyweir_grant_answers",
+            "Answers of this instance, as the holder, to requests for larger grants",
+            metrics.grant_answers.clone(),
+        );
         registry.register(
             "comfreyweir_first_byte_seconds",
             "Time from the arrival of a stream's request to the first byte of its answer",
@@ -187,6 +194,11 @@
         self.view_bytes.inc_by(bytes);
     }
 
+    /// Counts an answer to a request for larger grants.
+    pub(crate) fn count_grants_answer(&self) {
+        self.grant_answers.inc();
+    }
+
     /// Records the time to the first byte of a streamed answer.
     pub(crate) fn observe_first_byte(&self, workspace: &str, time: Duration) {
         let labels = WorkspaceLabel {
--- a/crates/entry/src/serve/admit.rs
+++ b/crates/entry/src/serve/admit.rs
@@ -183,7 +183,8 @@
     while let Err(over) = taken
         && over.may_grant_more
     {
-        let changed = cx.state_changed.notified();
+        let changed = cx.grants_changed.notified();
+        cx.grant_wanted.notify_one();
         let left = deadline.saturating_duration_since(cx.now());
         if timeout(left, changed).await.is_err() {
             break;
@@ -228,7 +229,6 @@
 {
     fn begin(cx: &'a EntryContext<P>, workspace: &'a str, cost: u64) -> Self {
         cx.quotas.borrow_mut().begin_wait(workspace, cost);
-        cx.demand_changed.notify_one();
         Self {
             cx,
             workspace,
--- a/crates/entry/src/state.rs
+++ b/crates/entry/src/state.rs
@@ -31,7 +31,7 @@
     versioned_list::ListCopy,
 };
 use comfreyweir_http::{shutdown::ShutdownState, upstream::UpstreamClient};
-use comfreyweir_peer::PeerSecret;
+use comfreyweir_peer::{PeerLink, PeerSecret, peer_capnp::entry};
 use tokio::sync::Notify;
 
 use crate::{
@@ -99,6 +99,12 @@
     /// Notifies waiting requests that the configuration, upstreams, placement or grants may have
     /// changed.
     pub(crate) state_changed: Notify,
+    /// Link to the holder, while this instance has one.
+    pub(crate) holder_link: RefCell<Option<Rc<PeerLink<entry::Client>>>>,
+    /// Notified when a request waits for a larger grant of its workspace's allowance.
+    pub(crate) grant_wanted: Notify,
+    /// Notified when the holder has sent grants.
+    pub(crate) grants_changed: Notify,
     /// Notified when new demand has to be reported to the holder at once.
     pub(crate) demand_changed: Notify,
     /// Set when an instance that was called as the holder answers that it doesn't hold the duty
@@ -339,6 +345,9 @@
             waiting_lines: RefCell::default(),
             intake_changed: Notify::new(),
             state_changed: Notify::new(),
+            holder_link: RefCell::default(),
+            grant_wanted: Notify::new(),
+            grants_changed: Notify::new(),
             demand_changed: Notify::new(),
             holder_resigned: Cell::new(false),
             members_changed: Notify::new(),
@@ -379,6 +388,11 @@
         spdlog::info!("settings in force", kv: { needs_restart });
     }
 
+    /// Replaces the link to the holder. Calls on the one before go on to their end.
+    pub(crate) fn set_holder_link(&self, link: Option<Rc<PeerLink<entry::Client>>>) {
+        *self.holder_link.borrow_mut() = link;
+    }
+
     /// Current monotonic time.
     pub(crate) fn now(&self) -> Instant {
         self.clock.now()
@@ -663,6 +677,8 @@
         for (workspace, grant) in grants {
             quotas.apply_grant(workspace, *grant, reported_at, now);
         }
+        drop(quotas);
+        self.grants_changed.notify_waiters();
     }
 }
 
--- a/crates/fleet/src/quota/holder.rs
+++ b/crates/fleet/src/quota/holder.rs
@@ -80,6 +80,17 @@
     }
 }
 
+/// What the holder knew of a process before it reported usage.
+#[derive(Clone, Copy, Debug)]
+struct Contact {
+    /// Whether the process has reported to this holder before.
+    is_known: bool,
+    /// Whether it has not reported for so long that a part of the refill was reserved for it.
+    was_silent: bool,
+    /// Whether grants of the previous holder may still be in force at any process.
+    has_old_grants: bool,
+}
+
 /// Reported usage of one workspace by one process, and the process's current grant.
 #[derive(Clone, Copy, Debug)]
 struct WorkspaceUsage {
@@ -208,24 +219,73 @@
             self.charge_expired_grants(now);
             self.count_processes(now);
         }
+        let contact = Contact {
+            is_known,
+            was_silent,
+            has_old_grants,
+        };
+        self.record_totals(name, totals, allowance, contact, now);
+    }
+
+    /// Records the usage of some workspaces by a process between two of its reports, so that it can be
+    /// granted more of them. Returns whether the process may be granted anything: it must have
+    /// reported recently.
+    ///
+    /// This is no sign of life. Without reports, the grants of other workspaces expire, and the process
+    /// may use its equal shares of them.
+    pub fn record_partial_usage<F>(
+        &mut self,
+        name: &str,
+        totals: &HashMap<String, UsageTotals>,
+        allowance: F,
+        now: Instant,
+    ) -> bool
+    where
+        F: Fn(&str) -> Option<Allowance>,
+    {
+        let process = self.processes.get(name);
+        if !process.is_some_and(|process| process.is_live(now)) {
+            return false;
+        }
+        let contact = Contact {
+            is_known: true,
+            was_silent: false,
+            has_old_grants: self.has_old_grants(now),
+        };
+        self.record_totals(name, totals, allowance, contact, now);
+        true
+    }
+
+    fn record_totals<F>(
+        &mut self,
+        name: &str,
+        totals: &HashMap<String, UsageTotals>,
+        allowance: F,
+        contact: Contact,
+        now: Instant,
+    ) where
+        F: Fn(&str) -> Option<Allowance>,
+    {
         let silent_ratio = self.silent_ratio;
-        let process = self.processes.get_mut(name).expect("inserted above");
+        let Some(process) = self.processes.get_mut(name) else {
+            return;
+        };
         for (workspace, totals) in totals {
             let Some(allowance) = allowance(workspace) else {
                 continue;
             };
             let before = process.usage.get(workspace).copied();
             let shared = shared_bucket(&mut self.buckets, workspace, allowance, now);
-            if !has_old_grants {
+            if !contact.has_old_grants {
                 shared.refill(allowance, silent_ratio, now);
             }
             match before {
                 Some(before) => {
                     let spent = totals.spent - before.totals.spent;
-                    shared.charge(spent - before.presumed_spent, was_silent);
+                    shared.charge(spent - before.presumed_spent, contact.was_silent);
                 }
-                None if is_known => shared.charge(totals.spent, was_silent),
-                None => shared.restore(totals, was_silent, now),
+                None if contact.is_known => shared.charge(totals.spent, contact.was_silent),
+                None => shared.restore(totals, contact.was_silent, now),
             }
             let mut usage = WorkspaceUsage::after(before, *totals, now);
             if totals.last_grant.map(|g| g.id) == Some(usage.granted.id) {
--- a/crates/fleet/src/quota/instance.rs
+++ b/crates/fleet/src/quota/instance.rs
@@ -10,6 +10,8 @@
 
 /// `retry_after` of an instance that has been without a holder for too long to use its equal share.
 const NO_HOLDER_RETRY_AFTER: Duration = Duration::from_secs(1);
+/// Age of a grant from which the holder is asked again for what it could not spare then.
+const ASK_AGAIN_AFTER: Duration = Duration::from_millis(200);
 
 /// Usage and current grant of each workspace at this instance.
 #[derive(Debug, Default)]
@@ -50,12 +52,22 @@
     spare: f64,
 }
 
+impl ReceivedGrant {
+    /// Level of the bucket shared by all instances, if no other instance has taken anything since this
+    /// grant.
+    fn bucket_level_at(&self, allowance: Allowance, spent: f64, now: Instant) -> f64 {
+        let age = now.saturating_duration_since(self.received_at);
+        let refilled = self.bucket_level + allowance.per_s * age.as_secs_f64();
+        refilled.min(allowance.burst) - (spent - self.included).max(0.0)
+    }
+}
+
 /// Refusal of a request that exceeds its workspace's allowance.
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub struct OverQuota {
     /// Time after which the allowance suffices if no other request takes it; from 10 ms to 60 s.
     pub retry_after: Duration,
-    /// Whether the holder had enough left to grant the request if asked now.
+    /// Whether the holder may grant the request if asked now.
     pub may_grant_more: bool,
     /// Units that the instance could admit.
     pub level: f64,
@@ -120,25 +132,22 @@
 
     /// Usage to report to the holder, by workspace.
     pub fn totals(&self, now: Instant) -> HashMap<String, UsageTotals> {
-        let totals = self.workspaces.iter().map(|(name, s)| {
-            let totals = UsageTotals {
-                spent: s.spent,
-                asked: s.asked,
-                awaited: s.awaited,
-                last_grant: s.grant.map(|grant| LastGrant {
-                    id: grant.id,
-                    bucket_level: grant.bucket_level,
-                    age: now.saturating_duration_since(grant.received_at),
-                    included: grant.included,
-                }),
-            };
-            (name.clone(), totals)
-        });
-        totals.collect()
+        let workspaces = self.workspaces.iter();
+        workspaces
+            .map(|(name, s)| (name.clone(), s.totals(now)))
+            .collect()
+    }
+
+    /// Usage of the workspaces for which requests wait for a larger grant, to ask the holder for it.
+    pub fn awaited_totals(&self, now: Instant) -> HashMap<String, UsageTotals> {
+        let awaited = self.workspaces.iter().filter(|(_, s)| s.awaited > 0.0);
+        awaited
+            .map(|(name, s)| (name.clone(), s.totals(now)))
+            .collect()
     }
 
     /// Replaces the grant of a workspace by one that the holder sent in answer to a report built at
-    /// `reported_at`.
+    /// `reported_at`. An earlier grant of the same holder has no effect.
     pub fn apply_grant(
         &mut self,
         workspace: &str,
@@ -147,6 +156,11 @@
         now: Instant,
     ) {
         let quota = self.workspace_quota(workspace, now);
+        let is_older =
+            |known: GrantId| known.fence == grant.id.fence && known.number > grant.id.number;
+        if quota.grant.is_some_and(|known| is_older(known.id)) {
+            return;
+        }
         quota.equal_share_until = quota.equal_share_until.max(reported_at + EQUAL_SHARE_TIME);
         quota.grant = Some(ReceivedGrant {
             id: grant.id,
@@ -179,6 +193,20 @@
 }
 
 impl WorkspaceQuota {
+    fn totals(&self, now: Instant) -> UsageTotals {
+        UsageTotals {
+            spent: self.spent,
+            asked: self.asked,
+            awaited: self.awaited,
+            last_grant: self.grant.map(|grant| LastGrant {
+                id: grant.id,
+                bucket_level: grant.bucket_level,
+                age: now.saturating_duration_since(grant.received_at),
+                included: grant.included,
+            }),
+        }
+    }
+
     fn take(
         &mut self,
         allowance: Allowance,
@@ -189,6 +217,9 @@
         let Allowance { per_s, burst, .. } = allowance;
         let grant = self.grant.as_mut();
         let fresh_grant = grant.filter(|g| now < g.expires_at);
+        let bucket_now = fresh_grant
+            .as_ref()
+            .map(|g| g.bucket_level_at(allowance, self.spent, now));
         let spare = fresh_grant.as_ref().map_or(0.0, |g| g.spare);
         let grant_age = fresh_grant
             .as_ref()
@@ -220,10 +251,11 @@
         // A request larger than the burst is admitted when the bucket is full.
         let wanted = cost.min(burst);
         if level < wanted {
-            let wait_s = (wanted - level) / per_s.max(f64::MIN_POSITIVE);
+            let is_left = bucket_now.is_some_and(|bucket| bucket >= wanted);
+            let may_have_changed = grant_age.is_some_and(|age| age >= ASK_AGAIN_AFTER);
             return Err(OverQuota {
-                retry_after: Duration::from_secs_f64(wait_s.clamp(0.01, 60.0)),
-                may_grant_more: wanted <= level + spare,
+                retry_after: refill_time(wanted - level, per_s),
+                may_grant_more: wanted <= level + spare || is_left && may_have_changed,
                 level,
                 grant_age,
                 bucket_level,
@@ -235,6 +267,12 @@
     }
 }
 
+/// Time in which a bucket is refilled by `missing` units, from 10 ms to 60 s.
+fn refill_time(missing: f64, per_s: f64) -> Duration {
+    let time_s = missing / per_s.max(f64::MIN_POSITIVE);
+    Duration::from_secs_f64(time_s.clamp(0.01, 60.0))
+}
+
 #[allow(clippy::cast_precision_loss)]
 fn units(cost: u64) -> f64 {
     cost as f64
--- a/crates/fleet/src/quota/mod.rs
+++ b/crates/fleet/src/quota/mod.rs
@@ -4,7 +4,8 @@
 //! instance a share of every workspace's token bucket in proportion to recent demand there. An
 //! instance admits requests against its grant, less what it has spent since. An instance whose
 //! grant is too small for a request, while the bucket holds enough, asks for a larger grant at
-//! once. Without a fresh grant, an instance admits against an equal share of the allowance.
+//! once. In a large fleet nearly each request needs that, so an instance asks only for what it needs,
+//! beside its reports. Without a fresh grant, an instance admits against an equal share of the allowance.
 //!
 //! The allowance holds for any number of instances, whatever is cut off, killed or replaced,
 //! because at any time each unit of it can be spent by one instance only:
--- a/crates/fleet/tests/quota.rs
+++ b/crates/fleet/tests/quota.rs
@@ -26,6 +26,7 @@
 struct Fleet {
     instances: Vec<InstanceQuotas>,
     allocator: GrantAllocator,
+    fence: u64,
     now: Instant,
     exchange_interval: Duration,
     admitted: f64,
@@ -38,6 +39,7 @@
         Self {
             instances: (0..instances).map(|_| InstanceQuotas::default()).collect(),
             allocator: GrantAllocator::default(),
+            fence: 0,
             now: Instant::now(),
             exchange_interval: EXCHANGE_INTERVAL,
             admitted: 0.0,
@@ -45,6 +47,12 @@
         }
     }
 
+    /// Begins the tenure of a new holder, with the next fencing token, that knows of no instance.
+    fn replace_holder(&mut self) {
+        self.fence += 1;
+        self.allocator = GrantAllocator::begin(self.fence, [], self.now);
+    }
+
     fn exchange(&mut self, instance: usize) {
         let totals = self.instances[instance].totals(self.now);
         let known = |name: &str| (name == "w").then(allowance);
@@ -306,7 +314,7 @@
     fleet.send_for(500, Duration::from_secs(4), |_| true);
     fleet.admitted = 0.0;
     for _ in 0..8 {
-        fleet.allocator = GrantAllocator::default();
+        fleet.replace_holder();
         fleet.send_for(500, Duration::from_secs(1), |_| true);
     }
     // At the first exchange, a new holder may grant tokens that another instance already holds from
@@ -324,7 +332,7 @@
 fn new_holder_takes_over_a_full_bucket() {
     let mut fleet = Fleet::new(6);
     fleet.send_for(0, Duration::from_secs(4), |_| true);
-    fleet.allocator = GrantAllocator::default();
+    fleet.replace_holder();
     // The first exchange computes shares from the instances that have reported so far.
     fleet.send_for(0, 3 * EXCHANGE_INTERVAL, |_| true);
     assert!(fleet.send_request(0, 15_000, true));
@@ -339,7 +347,7 @@
     fleet.admitted = 0.0;
     fleet.send_for(500, Duration::from_secs(4), |_| true);
     fleet.instances = (0..count).map(|_| InstanceQuotas::default()).collect();
-    fleet.allocator = GrantAllocator::default();
+    fleet.replace_holder();
     fleet.send_for(500, Duration::from_secs(1), |_| false);
     fleet.send_for(500, Duration::from_secs(3), |_| true);
     let allowed = (RATE_PER_S * 8.0 + BURST) * 1.1;
--- a/crates/fleet/tests/quota_interleavings.rs
+++ b/crates/fleet/tests/quota_interleavings.rs
@@ -20,7 +20,9 @@
 const RUN: Duration = Duration::from_secs(40);
 const STEP: Duration = Duration::from_millis(10);
 const REPORT_PERIOD: Duration = Duration::from_millis(200);
-/// Time after which an instance gives up a call to the holder.
+/// Longest time for which the holder delays its answer to a report.
+const MAX_ANSWER_DELAY: Duration = Duration::from_millis(600);
+/// Time, beyond that delay, after which an instance gives up a call to the holder.
 const CALL_TIMEOUT: Duration = Duration::from_millis(500);
 /// Time for which a request waits for a larger grant.
 const GRANT_WAIT: Duration = Duration::from_millis(150);
@@ -45,7 +47,31 @@
 #[derive(Clone)]
 enum Body {
     Report(HashMap<String, UsageTotals>),
-    Answer(Option<Grant>, BTreeSet<usize>),
+    /// Answer to a report, with the time for which the holder delayed it.
+    Answer(Option<Grant>, BTreeSet<usize>, Duration),
+    /// A request for a larger grant, between two reports.
+    Request(HashMap<String, UsageTotals>),
+    Granted(Option<Grant>),
+}
+
+/// A report that the holder answers later.
+#[derive(Clone, Copy)]
+struct HeldReport {
+    instance: usize,
+    process: u32,
+    reported_at: Instant,
+    received_at: Instant,
+    answer_at: Instant,
+}
+
+impl Body {
+    /// Time for which the holder delayed an answer.
+    fn delay(&self) -> Duration {
+        match self {
+            Self::Answer(_, _, delay) => *delay,
+            _ => Duration::ZERO,
+        }
+    }
 }
 
 struct Instance {
@@ -53,6 +79,9 @@
     process: u32,
     next_report: Instant,
     is_calling: bool,
+    is_requesting: bool,
+    /// Times at which the last message to the holder and from it arrive: each link keeps the order.
+    last_arrivals: [Instant; 2],
     dead_until: Option<Instant>,
     cut_until: Option<Instant>,
     /// Last time at which its entry in the store was renewed.
@@ -69,6 +98,7 @@
     allowance: Allowance,
     instances: Vec<Instance>,
     messages: Vec<Message>,
+    held_reports: Vec<HeldReport>,
     /// Holder, with its process.
     holder: Option<(usize, u32)>,
     allocator: GrantAllocator,
@@ -106,6 +136,8 @@
             process: 0,
             next_report: now + ms(&mut rng, 0, 200),
             is_calling: false,
+            is_requesting: false,
+            last_arrivals: [now; 2],
             dead_until: None,
             cut_until: None,
             renewed_at: now,
@@ -119,6 +151,7 @@
             allowance,
             instances,
             messages: Vec::new(),
+            held_reports: Vec::new(),
             holder: Some((0, 0)),
             allocator: GrantAllocator::default(),
             fence: 1,
@@ -156,6 +189,7 @@
                 instance.quotas = InstanceQuotas::default();
                 instance.silent.clear();
                 instance.is_calling = false;
+                instance.is_requesting = false;
                 instance.waiting.clear();
                 instance.next_report = now;
             }
@@ -165,7 +199,9 @@
         }
         self.elect();
         self.send_reports();
+        self.request_grants();
         self.deliver();
+        self.answer_held_reports();
         self.end_waits();
     }
 
@@ -206,11 +242,10 @@
         self.next_holder_at = Some(self.now + ms(&mut self.rng, from_ms, to_ms));
     }
 
-    /// Starts the calls to the holder that are due, at once for waiting requests.
+    /// Sends the reports that are due.
     fn send_reports(&mut self) {
         for i in 0..self.instances.len() {
-            let is_due =
-                self.now >= self.instances[i].next_report || !self.instances[i].waiting.is_empty();
+            let is_due = self.now >= self.instances[i].next_report;
             if !self.is_up(i) || self.instances[i].is_calling || !is_due {
                 continue;
             }
@@ -222,6 +257,22 @@
         }
     }
 
+    /// Asks for larger grants where requests wait for them.
+    fn request_grants(&mut self) {
+        for i in 0..self.instances.len() {
+            let instance = &mut self.instances[i];
+            if instance.dead_until.is_some()
+                || instance.is_requesting
+                || instance.waiting.is_empty()
+            {
+                continue;
+            }
+            instance.is_requesting = true;
+            let body = Body::Request(instance.quotas.awaited_totals(self.now));
+            self.send(i, self.now, body);
+        }
+    }
+
     fn send(&mut self, instance: usize, reported_at: Instant, body: Body) {
         let delay = match self.rng.random_range(0..100) {
             0 => ms(&mut self.rng, 100, 700),
@@ -229,8 +280,12 @@
             _ => ms(&mut self.rng, 1, 20),
         };
         let process = self.instances[instance].process;
+        let is_answer = matches!(body, Body::Answer(..) | Body::Granted(_));
+        let last_arrival = &mut self.instances[instance].last_arrivals[usize::from(is_answer)];
+        let at = (self.now + delay).max(*last_arrival + Duration::from_nanos(1));
+        *last_arrival = at;
         self.messages.push(Message {
-            at: self.now + delay,
+            at,
             instance,
             process,
             reported_at,
@@ -248,37 +303,101 @@
             let is_lost = self.is_cut(i)
                 || !self.is_up(i)
                 || self.instances[i].process != message.process
-                || now - message.reported_at > CALL_TIMEOUT;
+                || now - message.reported_at > CALL_TIMEOUT + message.body.delay();
             match message.body {
                 Body::Report(totals) if !is_lost && self.holder.is_some() => {
-                    let (grant, silent) = self.answer(i, message.process, &totals);
-                    self.send(i, message.reported_at, Body::Answer(grant, silent));
+                    self.record_report(i, message.process, &totals, message.reported_at);
                 }
-                Body::Answer(grant, silent) if !is_lost => {
+                Body::Answer(grant, silent, delay) if !is_lost => {
                     let instance = &mut self.instances[i];
                     instance.is_calling = false;
                     instance.silent = silent;
+                    if let Some(grant) = grant {
+                        let granted_at = message.reported_at + delay;
+                        instance.quotas.apply_grant("w", grant, granted_at, now);
+                    }
+                    self.retry_waiting(i);
+                }
+                Body::Request(totals) if !is_lost && self.holder.is_some() => {
+                    let grant = self.grant_on_request(i, message.process, &totals);
+                    self.send(i, message.reported_at, Body::Granted(grant));
+                }
+                Body::Granted(grant) if !is_lost => {
+                    let instance = &mut self.instances[i];
+                    instance.is_requesting = false;
                     if let Some(grant) = grant {
                         let reported_at = message.reported_at;
                         instance.quotas.apply_grant("w", grant, reported_at, now);
                     }
                     self.retry_waiting(i);
                 }
-                _ => self.instances[i].is_calling = false,
+                Body::Report(_) | Body::Answer(..) => self.instances[i].is_calling = false,
+                Body::Request(_) | Body::Granted(_) => self.instances[i].is_requesting = false,
             }
         }
     }
 
-    fn answer(
+    /// Records a report, and answers it at once or later.
+    fn record_report(
+        &mut self,
+        instance: usize,
+        process: u32,
+        totals: &HashMap<String, UsageTotals>,
+        reported_at: Instant,
+    ) {
+        let allowance = self.allowance;
+        let known = |workspace: &str| (workspace == "w").then_some(allowance);
+        let name = format!("{}/{process}", name(instance));
+        self.allocator.record_usage(&name, totals, known, self.now);
+        let delay = if self.rng.random_bool(0.3) {
+            self.rng.random_range(Duration::ZERO..MAX_ANSWER_DELAY)
+        } else {
+            Duration::ZERO
+        };
+        self.held_reports.push(HeldReport {
+            instance,
+            process,
+            reported_at,
+            received_at: self.now,
+            answer_at: self.now + delay,
+        });
+    }
+
+    /// Answers reports whose delay is over. A new holder does not know of those to the one before.
+    fn answer_held_reports(&mut self) {
+        if self.holder.is_none() {
+            for held in self.held_reports.drain(..) {
+                self.instances[held.instance].is_calling = false;
+            }
+        }
+        let now = self.now;
+        let held = std::mem::take(&mut self.held_reports);
+        let (due, left) = held.into_iter().partition(|held| held.answer_at <= now);
+        self.held_reports = left;
+        for held in due {
+            let (grant, silent) = self.answer(held.instance, held.process);
+            let body = Body::Answer(grant, silent, now - held.received_at);
+            self.send(held.instance, held.reported_at, body);
+        }
+    }
+
+    fn grant_on_request(
         &mut self,
         i: usize,
         process: u32,
         totals: &HashMap<String, UsageTotals>,
-    ) -> (Option<Grant>, BTreeSet<usize>) {
+    ) -> Option<Grant> {
         let (now, allowance) = (self.now, self.allowance);
         let process = format!("{}/{process}", name(i));
         let known = |workspace: &str| (workspace == "w").then_some(allowance);
-        self.allocator.record_usage(&process, totals, known, now);
+        let allocator = &mut self.allocator;
+        let may_grant = allocator.record_partial_usage(&process, totals, known, now);
+        may_grant.then(|| allocator.grant(&process, "w", allowance, now))?
+    }
+
+    fn answer(&mut self, i: usize, process: u32) -> (Option<Grant>, BTreeSet<usize>) {
+        let (now, allowance) = (self.now, self.allowance);
+        let process = format!("{}/{process}", name(i));
         let grant = self.allocator.grant(&process, "w", allowance, now);
         let silent = self.allocator.silent_instances(now);
         let silent = silent.keys().map(|name| name[1..].parse().unwrap());
