Do not call an allowance exhausted while the holder is late

Callers were refused with 429 and told to come back after up to a minute, the time in which the instance's own share of the refill would suffice, while most of the allowance was left: a request waited 150 ms for a larger grant and was then refused. Some were refused at once, by what the holder could spare at the last exchange.

A request now waits for a grant for a quarter of its time.

--- a/crates/entry/src/serve/admit.rs
+++ b/crates/entry/src/serve/admit.rs
@@ -1,6 +1,9 @@
 //! Admission: routing, authentication, reading the body and taking the workspace's allowance.
 
-use std::{rc::Rc, time::Duration};
+use std::{
+    rc::Rc,
+    time::{Duration, Instant},
+};
 
 use actix_http::{
     HttpMessage, Payload, Request, StatusCode,
@@ -28,9 +31,10 @@
 const CONFIG_RETRY_AFTER: Duration = Duration::from_millis(500);
 /// `Retry-After` of an instance that buffers too many request bodies.
 const MEMORY_RETRY_AFTER: Duration = Duration::from_millis(500);
-/// Maximum wait for a larger allowance grant; long enough for many round trips to the holder of the
-/// planning duty, which makes the grants.
-const GRANT_WAIT: Duration = Duration::from_millis(150);
+/// Maximum wait for a larger allowance grant, as a fraction of the time until the request's deadline.
+/// Long enough for many round trips to the holder of the planning duty, which makes the grants, also
+/// when it is late.
+const GRANT_WAIT_FRACTION: f64 = 0.25;
 /// Total size of buffered request bodies, in bytes, above which no further body is read. A small
 /// part of the memory of the smallest instances.
 const MAX_BUFFERED_BODY_BYTES: usize = 48 << 20;
@@ -67,7 +71,11 @@
         .unwrap_or(Duration::from_millis(limits.deadline_ms));
     let deadline = arrived + requested_time.min(route.time_limit);
     let body = read_request_body(cx, req.headers(), payload, config.limits.body_bytes).await?;
-    let cost = take_allowance(cx, workspace.as_deref(), &declared).await?;
+    let grant_deadline = arrived
+        + deadline
+            .saturating_duration_since(arrived)
+            .mul_f64(GRANT_WAIT_FRACTION);
+    let cost = take_allowance(cx, workspace.as_deref(), &declared, grant_deadline).await?;
     let uri = req.uri();
     let path = uri.path_and_query().map_or(uri.path(), |p| p.as_str());
     if let Some(artifact) = &declared.artifact {
@@ -154,12 +162,13 @@
 }
 
 /// Charges the request's cost to its workspace's allowance and returns the cost. If this instance's
-/// grant is too small but the allowance is not exhausted, asks for a larger grant and waits for up
-/// to [`GRANT_WAIT`].
+/// grant is too small but the allowance is not exhausted, asks for a larger grant and waits for it
+/// until `wait_until`.
 async fn take_allowance<P>(
     cx: &Rc<EntryContext<P>>,
     workspace: Option<&Workspace>,
     declared: &RequestMetadata,
+    wait_until: Instant,
 ) -> Result<u64, Refusal>
 where
     P: Platform,
@@ -179,20 +188,23 @@
     let _wait = taken
         .is_err_and(|over| over.may_grant_more)
         .then(|| GrantWait::begin(cx, name, cost));
-    let deadline = cx.now() + GRANT_WAIT;
     while let Err(over) = taken
         && over.may_grant_more
     {
         let changed = cx.grants_changed.notified();
         cx.grant_wanted.notify_one();
-        let left = deadline.saturating_duration_since(cx.now());
+        let left = wait_until.saturating_duration_since(cx.now());
         if timeout(left, changed).await.is_err() {
             break;
         }
         taken = take();
     }
     taken.map_err(|over| Refusal {
-        status: StatusCode::TOO_MANY_REQUESTS,
+        status: if over.is_exhausted {
+            StatusCode::TOO_MANY_REQUESTS
+        } else {
+            StatusCode::SERVICE_UNAVAILABLE
+        },
         ..Refusal::not_run(over_quota_reason(name, cost, &over), over.retry_after)
     })?;
     Ok(cost)
@@ -201,6 +213,11 @@
 /// Reason of a refusal, with the figures that decided it.
 fn over_quota_reason(workspace: &str, cost: u64, over: &OverQuota) -> String {
     let level = over.level;
+    let result = if over.is_exhausted {
+        "is beyond its allowance"
+    } else {
+        "has no grant for the request here"
+    };
     let from = match (over.grant_age, over.bucket_level) {
         (Some(age), Some(bucket)) => {
             let age_ms = whole_millis(age);
@@ -208,9 +225,7 @@
         }
         _ => "its equal share, without a grant".to_owned(),
     };
-    format!(
-        "workspace {workspace} is beyond its allowance: {cost} asked, {level:.0} left of {from}"
-    )
+    format!("workspace {workspace} {result}: {cost} asked, {level:.0} left of {from}")
 }
 
 /// Registers a request as waiting for a larger allowance grant until dropped.
--- a/crates/fleet/src/quota/instance.rs
+++ b/crates/fleet/src/quota/instance.rs
@@ -8,8 +8,9 @@
 use super::{Bucket, EQUAL_SHARE_TIME, GRANT_TTL, Grant, GrantId, LastGrant, UsageTotals};
 use crate::config::Allowance;
 
-/// `retry_after` of an instance that has been without a holder for too long to use its equal share.
-const NO_HOLDER_RETRY_AFTER: Duration = Duration::from_secs(1);
+/// Longest `retry_after` of an instance that does not know what is left of the allowance: the caller
+/// may reach another instance.
+const UNKNOWN_RETRY_AFTER: Duration = Duration::from_secs(1);
 /// Age of a grant from which the holder is asked again for what it could not spare then.
 const ASK_AGAIN_AFTER: Duration = Duration::from_millis(200);
 
@@ -69,6 +70,9 @@
     pub retry_after: Duration,
     /// Whether the holder may grant the request if asked now.
     pub may_grant_more: bool,
+    /// Whether the holder has said lately that the allowance of all instances together does not
+    /// suffice.
+    pub is_exhausted: bool,
     /// Units that the instance could admit.
     pub level: f64,
     /// Age of the grant that decided; none if the equal share did.
@@ -239,8 +243,9 @@
             let level = self.equal_share.refill(per_s, burst, now);
             if now >= self.equal_share_until {
                 return Err(OverQuota {
-                    retry_after: NO_HOLDER_RETRY_AFTER,
+                    retry_after: UNKNOWN_RETRY_AFTER,
                     may_grant_more: false,
+                    is_exhausted: false,
                     level: 0.0,
                     grant_age,
                     bucket_level,
@@ -251,11 +256,18 @@
         // A request larger than the burst is admitted when the bucket is full.
         let wanted = cost.min(burst);
         if level < wanted {
+            let wait = if grant_age.is_some() {
+                refill_time(wanted - level - spare, allowance.per_s)
+            } else {
+                UNKNOWN_RETRY_AFTER
+            };
             let is_left = bucket_now.is_some_and(|bucket| bucket >= wanted);
             let may_have_changed = grant_age.is_some_and(|age| age >= ASK_AGAIN_AFTER);
+            let may_grant_more = wanted <= level + spare || is_left && may_have_changed;
             return Err(OverQuota {
-                retry_after: refill_time(wanted - level, per_s),
-                may_grant_more: wanted <= level + spare || is_left && may_have_changed,
+                retry_after: refill_time(wanted - level, per_s).min(wait),
+                may_grant_more,
+                is_exhausted: grant_age.is_some() && !may_grant_more,
                 level,
                 grant_age,
                 bucket_level,
