Grant nothing in advance in parts in which no request fits

Requests were refused of workspaces that stayed inside their allowance.

An instance whose part is less than the mean cost of the workspace's requests now gets none, and asks for each request.

--- a/crates/entry/src/duty/coordinator.rs
+++ b/crates/entry/src/duty/coordinator.rs
@@ -290,7 +290,8 @@
         if allocator.record_partial_usage(process, spent, allowance, now) {
             for workspace in spent.keys() {
                 let allowance = allowance(workspace);
-                let grant = allowance.and_then(|a| allocator.grant(process, workspace, a, now));
+                let grant =
+                    allowance.and_then(|a| allocator.grant_more(process, workspace, a, now));
                 grants.extend(grant.map(|grant| (workspace.clone(), grant)));
             }
         }
--- a/crates/fleet/src/quota/holder.rs
+++ b/crates/fleet/src/quota/holder.rs
@@ -51,6 +51,8 @@
     /// Number of silent instances per reporting instance.
     silent_ratio: f64,
     buckets: HashMap<String, SharedBucket>,
+    /// Costs of requests, by workspace.
+    costs: HashMap<String, RequestCosts>,
     processes: HashMap<String, ReportingProcess>,
     /// Instances of which only the previous holder or the store told, by name, with the time since
     /// which they are silent.
@@ -107,6 +109,27 @@
     summed_demand_per_s: f64,
 }
 
+/// Costs of all requests for a workspace.
+#[derive(Clone, Copy, Debug, Default)]
+struct RequestCosts {
+    units: f64,
+    requests: f64,
+}
+
+impl RequestCosts {
+    /// Adds the requests between two reports of a process.
+    fn record(&mut self, before: Option<&UsageTotals>, after: &UsageTotals) {
+        let before = before.copied().unwrap_or_default();
+        self.units += (after.asked - before.asked).max(0.0);
+        self.requests += (after.requests - before.requests).max(0.0);
+    }
+
+    /// Mean cost of a request in units; 0 if there was none.
+    fn mean(self) -> f64 {
+        self.units / self.requests.max(1.0)
+    }
+}
+
 /// Sums over all processes for one workspace.
 #[derive(Clone, Copy, Debug)]
 struct ProcessSums {
@@ -275,6 +298,8 @@
                 continue;
             };
             let before = process.usage.get(workspace).copied();
+            let costs = self.costs.entry(workspace.clone()).or_default();
+            costs.record(before.map(|usage| usage.totals).as_ref(), totals);
             let shared = shared_bucket(&mut self.buckets, workspace, allowance, now);
             if !contact.has_old_grants {
                 shared.refill(allowance, silent_ratio, now);
@@ -308,6 +333,30 @@
         workspace: &str,
         allowance: Allowance,
         now: Instant,
+    ) -> Option<Grant> {
+        self.issue(process, workspace, allowance, false, now)
+    }
+
+    /// Computes and records a grant between two reports of a process. It leaves the process what it
+    /// may have left of its earlier grant: the answers to two calls are on their way at a time, and
+    /// nothing tells when each of them arrives.
+    pub fn grant_more(
+        &mut self,
+        process: &str,
+        workspace: &str,
+        allowance: Allowance,
+        now: Instant,
+    ) -> Option<Grant> {
+        self.issue(process, workspace, allowance, true, now)
+    }
+
+    fn issue(
+        &mut self,
+        process: &str,
+        workspace: &str,
+        allowance: Allowance,
+        keeps_earlier: bool,
+        now: Instant,
     ) -> Option<Grant> {
         if self.has_old_grants(now) {
             return None;
@@ -317,18 +366,37 @@
         let level = shared.refill(allowance, self.silent_ratio, now);
         let live = self.live.max(1.0);
         let sums = self.sums(workspace, now);
+        let mean_cost = self.costs.get(workspace).map_or(0.0, |costs| costs.mean());
         let share = self.demand_share(process, workspace, per_s / live, sums, now);
         let own = self.own_usage(process, workspace);
         let own_outstanding = own.map_or(0.0, |own| own.summed_outstanding);
         let free = level - (sums.outstanding - own_outstanding).max(0.0);
         let advance_share = ADVANCE_GRANT_FRACTION
             * ((1.0 - EQUAL_SPLIT_FRACTION) * share + EQUAL_SPLIT_FRACTION / live);
+        // Parts in which no request fits would be lost to all instances until the next report.
+        let advance = level * advance_share;
+        let is_useful = advance + per_s * share * GRANT_TTL.as_secs_f64() >= mean_cost;
+        let (advance, share) = if is_useful {
+            (advance, share)
+        } else {
+            (0.0, 0.0)
+        };
         let Some(process) = self.processes.get_mut(process) else {
             return Some(Grant::default());
         };
         let own = process.usage.entry(workspace.to_owned());
         let own = own.or_insert_with(|| WorkspaceUsage::new(UsageTotals::default(), now));
-        let wanted = own.totals.awaited.max(level * advance_share);
+        let awaited = own.totals.awaited;
+        let awaited = if !is_useful && free < awaited.min(mean_cost) {
+            0.0
+        } else {
+            awaited
+        };
+        let before = own.granted;
+        let spent_since = own.totals.spent - before.included;
+        let left = (before.outstanding(now) - spent_since).max(0.0);
+        let kept = if keeps_earlier { left } else { 0.0 };
+        let wanted = awaited.max(advance).max(kept);
         // Outstanding grants lower a grant to 0 at most; a negative level is granted as it is.
         let granted = wanted.min(free.max(level.min(0.0)));
         self.grants += 1;
@@ -336,13 +404,11 @@
             fence: self.fence,
             number: self.grants,
         };
-        let before = own.granted;
-        let spent_since = own.totals.spent - before.included;
         own.granted = IssuedGrant {
             id,
             level: granted,
             per_s: per_s * share,
-            carried: (before.outstanding(now) - spent_since).max(0.0),
+            carried: left,
             carried_per_s: before.per_s.max(before.carried_per_s),
             included: own.totals.spent,
             issued_at: Some(now),
--- a/crates/fleet/src/quota/instance.rs
+++ b/crates/fleet/src/quota/instance.rs
@@ -26,6 +26,8 @@
     spent: f64,
     /// Units asked for since the start of the process.
     asked: f64,
+    /// Number of the requests that asked for them.
+    requests: f64,
     /// Units of the requests that currently wait for a larger grant.
     awaited: f64,
     grant: Option<ReceivedGrant>,
@@ -87,6 +89,7 @@
     pub fn record_demand(&mut self, workspace: &str, cost: u64) {
         if let Some(quota) = self.workspaces.get_mut(workspace) {
             quota.asked += units(cost);
+            quota.requests += 1.0;
         }
     }
 
@@ -183,6 +186,7 @@
             let quota = WorkspaceQuota {
                 spent: 0.0,
                 asked: 0.0,
+                requests: 0.0,
                 awaited: 0.0,
                 grant: None,
                 // Other instances may have spent the whole allowance right before this process
@@ -201,6 +205,7 @@
         UsageTotals {
             spent: self.spent,
             asked: self.asked,
+            requests: self.requests,
             awaited: self.awaited,
             last_grant: self.grant.map(|grant| LastGrant {
                 id: grant.id,
--- a/crates/fleet/src/quota/mod.rs
+++ b/crates/fleet/src/quota/mod.rs
@@ -77,6 +77,8 @@
     pub spent: f64,
     /// Units of all requests that arrived, whether admitted or refused.
     pub asked: f64,
+    /// Number of these requests.
+    pub requests: f64,
     /// Units of the requests that currently wait for a larger grant.
     pub awaited: f64,
     /// Bucket state in the last grant that the process received.
--- a/crates/fleet/tests/quota.rs
+++ b/crates/fleet/tests/quota.rs
@@ -298,6 +298,7 @@
     let totals = UsageTotals {
         spent: 1e9,
         asked: 1e9,
+        requests: 1e6,
         awaited: 0.0,
         last_grant: None,
     };
--- a/crates/fleet/tests/quota_interleavings.rs
+++ b/crates/fleet/tests/quota_interleavings.rs
@@ -17,6 +17,8 @@
 use rand::{RngExt, SeedableRng, rngs::StdRng};
 
 const SEEDS: u64 = 60;
+/// Number of seeds in which a holder with a fault must be found: it exceeds allowances in one of fifty.
+const SEEDS_WITH_FAULT: u64 = 400;
 const RUN: Duration = Duration::from_secs(40);
 const STEP: Duration = Duration::from_millis(10);
 const REPORT_PERIOD: Duration = Duration::from_millis(200);
@@ -392,7 +394,7 @@
         let known = |workspace: &str| (workspace == "w").then_some(allowance);
         let allocator = &mut self.allocator;
         let may_grant = allocator.record_partial_usage(&process, totals, known, now);
-        may_grant.then(|| allocator.grant(&process, "w", allowance, now))?
+        may_grant.then(|| allocator.grant_more(&process, "w", allowance, now))?
     }
 
     fn answer(&mut self, i: usize, process: u32) -> (Option<Grant>, BTreeSet<usize>) {
@@ -563,7 +565,7 @@
 /// Shows that the simulation finds a holder that has never heard of instances that are cut off.
 #[test]
 fn holder_that_does_not_know_of_cut_off_instances_is_found() {
-    assert!((0..SEEDS).any(|seed| worst_excess(seed, false) > 1.0));
+    assert!((0..SEEDS_WITH_FAULT).any(|seed| worst_excess(seed, false) > 1.0));
 }
 
 /// Without faults, a workspace that asks for more than its rate gets most of it.
