Leave what engines hold out of the changes of the list of upstreams

Under load a view had 15 to 19 kB, most of it entries of the list whose engine had loaded or unloaded something: with 320 engines about a third of the list changes between two reports, and each instance copied the whole list with each change. Instances get what engines hold with the placement, which is no older than the holder's list. Entries of an instance's own list still tell it when the placement is out of date.

what_engines_hold_is_not_sent_as_a_change fails before.

--- a/crates/entry/src/serve/pick.rs
+++ b/crates/entry/src/serve/pick.rs
@@ -350,7 +350,7 @@
 
 /// Whether an engine has an artifact loaded, according to the placement received from the holder of
 /// the planning duty. If that is out of date or does not list the engine, the engine's entry in the
-/// list of upstreams decides.
+/// list of upstreams decides, if this instance has read it from the store.
 fn holds_artifact<P>(
     cx: &EntryContext<P>,
     upstream: &Upstream,
@@ -362,7 +362,9 @@
 {
     let placement = cx.placement.borrow();
     let planned = placement.engines.get(&upstream.id);
-    match planned.filter(|_| placement.is_fresh(now)) {
+    // The holder's list comes with the placement and is no newer.
+    let is_newest = placement.is_fresh(now) || cx.directory.borrow().is_any_copy();
+    match planned.filter(|_| is_newest) {
         Some(models) => models.get(&artifact.model).is_some_and(|adapters| {
             let adapter = artifact.adapter.as_ref();
             adapter.is_none_or(|adapter| adapters.contains(adapter))
--- a/crates/fleet/src/directory.rs
+++ b/crates/fleet/src/directory.rs
@@ -132,6 +132,11 @@
         self.copied == Some(copy.version())
     }
 
+    /// Whether the entries are a copy of another instance's list. What engines hold in it may be old.
+    pub fn is_any_copy(&self) -> bool {
+        self.copied.is_some()
+    }
+
     /// Replaces the entries by the copy of a list that another instance read at a store revision, or
     /// confirms them if they are that copy already. A list of an older revision is ignored.
     pub fn replace(&mut self, copy: &ListCopy, revision: u64, now: Instant) -> Changes {
--- a/crates/fleet/src/upstream.rs
+++ b/crates/fleet/src/upstream.rs
@@ -28,6 +28,26 @@
     pub holds: Holding,
 }
 
+impl Upstream {
+    /// Whether two entries differ at most in what an engine holds.
+    pub fn is_same_but_for_holding(&self, other: &Self) -> bool {
+        let Self {
+            id,
+            service,
+            addr,
+            zone,
+            software,
+            slots,
+            phase,
+            born_ms,
+            holds: _,
+        } = self;
+        (id, service, addr, zone) == (&other.id, &other.service, &other.addr, &other.zone)
+            && (software, slots) == (&other.software, &other.slots)
+            && (phase, born_ms) == (&other.phase, &other.born_ms)
+    }
+}
+
 /// Whether an upstream takes new requests.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 #[derive(serde::Serialize, serde::Deserialize)]
--- a/crates/fleet/src/versioned_list.rs
+++ b/crates/fleet/src/versioned_list.rs
@@ -1,7 +1,8 @@
 //! Sends a list of upstreams as differences.
 //!
-//! The list changes with each model and adapter that an engine loads, and each change goes to all
-//! instances. As a whole, the list would take most of the holder's bandwidth in large fleets.
+//! Each change goes to all instances. As a whole, the list would take most of the holder's bandwidth
+//! in large fleets. What engines hold changes all the time and is not sent as a change: instances get
+//! it with the placement.
 
 use std::{
     collections::{BTreeMap, HashMap},
@@ -22,7 +23,7 @@
     pub number: u64,
 }
 
-/// Changes from one version of a list to another.
+/// Changes from one version of a list to another, but for those of what engines hold.
 #[derive(Clone, Debug, Default, PartialEq)]
 #[derive(Serialize, Deserialize)]
 pub struct ListChanges {
@@ -63,7 +64,9 @@
             let old = before.remove(&upstream.id);
             // Entries are the same `Rc` until the list is read again, which saves comparing
             // contents.
-            let is_same = old.is_some_and(|old| Rc::ptr_eq(&old, upstream) || old == *upstream);
+            let is_same = old.is_some_and(|old| {
+                Rc::ptr_eq(&old, upstream) || old.is_same_but_for_holding(upstream)
+            });
             if !is_same {
                 has_changed = true;
                 self.changed_at.insert(upstream.id.clone(), number);
--- a/crates/fleet/tests/versioned_list.rs
+++ b/crates/fleet/tests/versioned_list.rs
@@ -43,6 +43,25 @@
     assert_eq!((changes.upstreams.len(), changes.removed.len()), (1, 1));
 }
 
+/// Guards against lists that are sent to all instances whenever an engine loads an adapter.
+#[test]
+fn what_engines_hold_is_not_sent_as_a_change() {
+    let before = upstream(1, 1);
+    let mut list = VersionedList::new(7);
+    list.update(&[Rc::clone(&before)]);
+    let mut copy = ListCopy::default();
+    copy.apply(list.changes_since(copy.version()).unwrap());
+    let mut loaded = (*before).clone();
+    loaded.holds.in_memory.push("m1".to_owned());
+    list.update(&[Rc::new(loaded.clone())]);
+    assert_eq!(list.changes_since(copy.version()), None);
+    let mut drained = loaded;
+    drained.phase = Phase::Draining(None);
+    list.update(&[Rc::new(drained.clone())]);
+    copy.apply(list.changes_since(copy.version()).unwrap());
+    assert_eq!(copy.list(), [drained]);
+}
+
 /// An empty list is a list too: a receiver must learn that there are no upstreams.
 #[test]
 fn empty_list_is_sent() {
