Wake only the delayed answers that have news, and count silent instances once

An answer that was delayed past the end of the tenure now says so, and has no grants of a holder that is none any more.

--- a/crates/entry/src/duty/coordinator.rs
+++ b/crates/entry/src/duty/coordinator.rs
@@ -50,8 +50,8 @@
     state: RefCell<TenureState>,
     /// Notified when the planners should run without waiting for the next periodic step.
     step_needed: Notify,
-    /// Notified when a planner's view of what engines have loaded changes.
-    placement_changed: Notify,
+    /// Reports whose answers are delayed until there is news for them.
+    held_reports: RefCell<HeldReports>,
 }
 
 /// What the holder knows; discarded when the next tenure begins.
@@ -90,7 +90,7 @@
             has_stopped_ordering: Cell::default(),
             state: RefCell::default(),
             step_needed: Notify::new(),
-            placement_changed: Notify::new(),
+            held_reports: RefCell::default(),
         }
     }
 
@@ -234,7 +234,7 @@
         let wanted = state.planners.values().map(Planner::wanted_count).sum();
         self.cx.work_times.record_wanted(wanted);
         if state.update_placement() {
-            self.placement_changed.notify_waiters();
+            self.held_reports.borrow().notify(&state.placement);
         }
     }
 
@@ -254,31 +254,34 @@
     /// `wait`.
     pub(crate) async fn exchange(&self, report: InstanceReport, wait: Duration) -> ExchangeAnswer {
         if !self.has_duty() {
-            let members = self.cx.members.borrow();
-            return ExchangeAnswer::Elsewhere(members.holder.as_ref().map(|h| h.peer));
+            return self.elsewhere();
         }
         let request = ViewRequest::of(&report);
         self.record_report(report);
         let received_at = self.cx.now();
-        let deadline = received_at + wait;
-        loop {
-            let placement_changed = self.placement_changed.notified();
-            let now = self.cx.now();
-            let remaining = deadline.saturating_duration_since(now);
-            if remaining.is_zero() || self.has_news(&request) {
-                let mut view = self.view(&request);
-                view.delay = now.saturating_duration_since(received_at);
-                return ExchangeAnswer::View(Box::new(view));
+        if !wait.is_zero() && !self.has_news(&request) {
+            let held = HeldReport::hold(&self.held_reports, &request);
+            let _ = timeout(wait, held.news.notified()).await;
+            // The duty may have ended meanwhile, and grants of it must not be given any more.
+            if !self.has_duty() {
+                return self.elsewhere();
             }
-            let _ = timeout(remaining, placement_changed).await;
         }
+        let mut view = self.view(&request);
+        view.delay = self.cx.now().saturating_duration_since(received_at);
+        ExchangeAnswer::View(Box::new(view))
+    }
+
+    /// Where the holder is, as far as this instance knows.
+    fn elsewhere(&self) -> ExchangeAnswer {
+        let members = self.cx.members.borrow();
+        ExchangeAnswer::Elsewhere(members.holder.as_ref().map(|h| h.peer))
     }
 
     /// Answers a request for larger grants.
     pub(crate) fn grants(&self, request: &GrantRequest) -> ExchangeAnswer {
         if !self.has_duty() {
-            let members = self.cx.members.borrow();
-            return ExchangeAnswer::Elsewhere(members.holder.as_ref().map(|h| h.peer));
+            return self.elsewhere();
         }
         let now = self.cx.now();
         let config = self.cx.config();
@@ -421,6 +424,52 @@
     }
 }
 
+/// Reports whose answers are delayed.
+#[derive(Default)]
+struct HeldReports {
+    last_id: u64,
+    /// The artifacts that each instance awaits, the placement version that it knows, and what wakes
+    /// its answer.
+    reports: HashMap<u64, (Vec<Artifact>, u64, Rc<Notify>)>,
+}
+
+impl HeldReports {
+    /// Wakes the answers for which the placement has news.
+    fn notify(&self, placement: &PlacementLog) {
+        for (awaited, known_version, news) in self.reports.values() {
+            if placement.has_gained(awaited, *known_version) {
+                news.notify_one();
+            }
+        }
+    }
+}
+
+/// A report whose answer is delayed until this is dropped.
+struct HeldReport<'a> {
+    held: &'a RefCell<HeldReports>,
+    id: u64,
+    news: Rc<Notify>,
+}
+
+impl<'a> HeldReport<'a> {
+    fn hold(held: &'a RefCell<HeldReports>, request: &ViewRequest) -> Self {
+        let mut reports = held.borrow_mut();
+        reports.last_id += 1;
+        let id = reports.last_id;
+        let awaited = request.waiting.iter().map(|(_, artifact)| artifact.clone());
+        let news = Rc::new(Notify::new());
+        let report = (awaited.collect(), request.placement.1, Rc::clone(&news));
+        reports.reports.insert(id, report);
+        Self { held, id, news }
+    }
+}
+
+impl Drop for HeldReport<'_> {
+    fn drop(&mut self) {
+        self.held.borrow_mut().reports.remove(&self.id);
+    }
+}
+
 impl TenureState {
     /// The list of upstreams as of the last planner run, for an instance that knows a version of it.
     fn directory_view(&self, known_version: ListVersion, now: Instant) -> DirectoryView {
--- a/crates/fleet/src/quota/holder.rs
+++ b/crates/fleet/src/quota/holder.rs
@@ -50,6 +50,8 @@
     grants: u64,
     /// Number of silent instances per reporting instance.
     silent_ratio: f64,
+    /// Silent instances at the last count, with the time of their last report.
+    silent: HashMap<String, Instant>,
     buckets: HashMap<String, SharedBucket>,
     /// Costs of requests, by workspace.
     costs: HashMap<String, RequestCosts>,
@@ -158,8 +160,24 @@
     }
 
     /// Instances that stopped reporting and may admit requests against an equal share, with the
-    /// time since their last report.
+    /// time since their last report. In large fleets, as of the last count.
     pub fn silent_instances(&self, now: Instant) -> HashMap<String, Duration> {
+        let age = |since: Instant| now.saturating_duration_since(since);
+        let ages = |silent: &HashMap<String, Instant>| {
+            let silent = silent.iter();
+            silent
+                .map(|(name, since)| (name.clone(), age(*since)))
+                .collect()
+        };
+        if self.is_recent(self.counted_at, now) {
+            ages(&self.silent)
+        } else {
+            ages(&self.find_silent(now))
+        }
+    }
+
+    /// Finds the silent instances, with the time of their last report.
+    fn find_silent(&self, now: Instant) -> HashMap<String, Instant> {
         let mut live = HashSet::new();
         let mut silent: HashMap<&str, Instant> = HashMap::new();
         for (name, process) in &self.processes {
@@ -175,10 +193,11 @@
             silent.entry(name).or_insert(*since);
         }
         let age = |since: Instant| now.saturating_duration_since(since);
-        let silent = silent.into_iter().map(|(name, since)| (name, age(since)));
+        let silent = silent.into_iter().filter(|(name, since)| {
+            !live.contains(name) && age(*since) < SILENT_INSTANCE_RESERVE_TIME
+        });
         silent
-            .filter(|(name, age)| !live.contains(name) && *age < SILENT_INSTANCE_RESERVE_TIME)
-            .map(|(name, age)| (name.to_owned(), age))
+            .map(|(name, since)| (name.to_owned(), since))
             .collect()
     }
 
@@ -438,12 +457,12 @@
     fn count_processes(&mut self, now: Instant) {
         let live = self.processes.iter().filter(|(_, p)| p.is_live(now));
         let instances: HashSet<_> = live.clone().map(|(name, _)| instance_of(name)).collect();
-        let silent = self.silent_instances(now).len();
+        self.silent = self.find_silent(now);
         #[allow(clippy::cast_precision_loss)]
         let (live, instances, silent) = (
             live.count().max(1) as f64,
             instances.len().max(1) as f64,
-            silent as f64,
+            self.silent.len() as f64,
         );
         self.live = live;
         self.silent_ratio = silent / instances;
