Encode the loads of all upstreams once for all views

Most of a view under load was the loads of 320 engines, 8 of 10 kB: for each instance the holder looked up what that one had reported, subtracted it and encoded the rest. The sums are now encoded once in a planner run, and each instance subtracts what it has reported itself.

--- a/crates/entry/src/duty/coordinator.rs
+++ b/crates/entry/src/duty/coordinator.rs
@@ -8,12 +8,13 @@
     time::{Duration, Instant},
 };
 
+use bytes::Bytes;
 use comfreyweir_clock::{Clock, whole_millis};
 use comfreyweir_fleet::{
     config::Service,
     directory::UpstreamProcess,
     duty::Tenure,
-    load::{self, Load, Loads},
+    load::{self, Loads},
     placement_log::PlacementLog,
     planner::{Action, ArrivalTotals, Placement, Planner, PlanningInput, WaitingRequests},
     quota::GrantAllocator,
@@ -61,8 +62,8 @@
     actions: Vec<(String, Action)>,
     reports: HashMap<String, (InstanceReport, Instant)>,
     grant_allocator: GrantAllocator,
-    /// Requests at upstreams, from all instances, as of the last planner run.
-    totals: HashMap<String, Load>,
+    /// Requests at upstreams, from all instances, as of the last planner run, as views have them.
+    totals: Bytes,
     /// Placement in this tenure.
     placement: PlacementLog,
     directory: VersionedList,
@@ -365,7 +366,7 @@
             engines: state.engines_changed_since(placement.0, request.placement),
             delay: Duration::ZERO,
             ready_in_ms: state.ready_in(&request.waiting, now),
-            others: state.loads_of_others(&request.process, now),
+            totals: state.totals.clone(),
             grants,
             silent: state.grant_allocator.silent_instances(now),
             directory: state.directory_view(request.directory, now),
@@ -530,24 +531,19 @@
         sum
     }
 
+    /// Encodes the sums of the loads for the views of all instances.
     fn update_totals(&mut self, loads: &Loads) {
-        let totals = loads.keys();
-        self.totals = totals
-            .map(|id| (id.clone(), load::of_upstream(loads, id)))
-            .collect();
-    }
-
-    /// Total requests by upstream, without those of one process.
-    fn loads_of_others(&self, process: &str, now: Instant) -> HashMap<String, Load> {
-        let is_fresh = |at: Instant| now.saturating_duration_since(at) < REPORT_MAX_AGE;
-        let own = self.reports.get(process).filter(|(_, at)| is_fresh(*at));
-        let others = self.totals.iter().map(|(id, total)| {
-            let own = own.map_or_else(Load::default, |(r, _)| load::of_upstream(&r.loads, id));
-            (id.clone(), total.without(own))
-        });
-        others
-            .filter(|(_, load)| *load != Load::default())
-            .collect()
+        let totals = loads.keys().map(|id| (id, load::of_upstream(loads, id)));
+        let totals: Vec<_> = totals.collect();
+        match postcard::to_allocvec(&totals) {
+            Ok(totals) => self.totals = Bytes::from(totals),
+            Err(e) => {
+                let reason = e.to_string();
+                spdlog::error!("loads cannot be encoded; keeping the previous ones", kv: {
+                    reason = reason.as_str()
+                });
+            }
+        }
     }
 
     /// Merges the planners' placements; returns whether anything changed.
--- a/crates/entry/src/exchange/client.rs
+++ b/crates/entry/src/exchange/client.rs
@@ -9,7 +9,10 @@
 use actix_rt::time::sleep;
 use bytes::Bytes;
 use comfreyweir_fleet::{
-    holder_search::HolderSearch, report_pacing::ReportPacing, stream_origins::ReportedOrigins,
+    holder_search::HolderSearch,
+    load::{Load, Loads},
+    report_pacing::ReportPacing,
+    stream_origins::ReportedOrigins,
 };
 use comfreyweir_peer::{LinkError, PeerLink, open, peer_capnp::entry, wire_millis};
 use snafu::{ResultExt, Snafu};
@@ -137,6 +140,7 @@
     {
         let report = build_report(cx);
         let reported_at = cx.now();
+        let loads = report.loads.clone();
         let arrivals = report.demand.arrivals.clone();
         let begun = report.begun.clone();
         if coordinator.has_duty() {
@@ -149,7 +153,7 @@
                 // The view has the list as of the last planner run. This instance may have read a
                 // newer one since, which the older one must not replace.
                 view.directory = DirectoryView::default();
-                apply_view(cx, *view, reported_at);
+                apply_view(cx, *view, &loads, reported_at);
             }
             return Ok(());
         }
@@ -161,7 +165,7 @@
                 origins.acknowledge(&begun, view.placement.0);
                 drop(origins);
                 self.search.record_found();
-                apply_view(cx, *view, reported_at);
+                apply_view(cx, *view, &loads, reported_at);
                 Ok(())
             }
             Ok(ExchangeAnswer::Elsewhere(hint)) => {
@@ -272,9 +276,14 @@
     origins.unreported(fence, |service| software.is_mixed(service, now))
 }
 
-/// Applies the holder's view, its answer to a report built at `reported_at`, to the local state.
-fn apply_view<P>(cx: &Rc<EntryContext<P>>, view: SystemView, reported_at: Instant)
-where
+/// Applies the holder's view to the local state: its answer to a report built at `reported_at` with
+/// these loads.
+fn apply_view<P>(
+    cx: &Rc<EntryContext<P>>,
+    view: SystemView,
+    reported_loads: &Loads,
+    reported_at: Instant,
+) where
     P: Platform,
 {
     let now = cx.now();
@@ -287,7 +296,7 @@
     // The holder has issued the grants no earlier than this.
     let granted_at = reported_at + view.delay;
     cx.apply_grants(&view.grants, granted_at);
-    cx.loads.borrow_mut().set_others(view.others, now);
+    apply_totals(cx, &view.totals, reported_loads, now);
     apply_directory(cx, view.directory, now);
     let leaving = view.leaving.into_iter().collect();
     cx.directory.borrow_mut().set_leaving_elsewhere(leaving);
@@ -322,6 +331,25 @@
     cx.state_changed.notify_waiters();
 }
 
+fn apply_totals<P>(cx: &EntryContext<P>, totals: &[u8], reported: &Loads, now: Instant)
+where
+    P: Platform,
+{
+    // A holder that has not run its planners yet has no loads.
+    if totals.is_empty() {
+        return;
+    }
+    match postcard::from_bytes::<Vec<(String, Load)>>(totals) {
+        Ok(totals) => cx.loads.borrow_mut().set_totals(totals, reported, now),
+        Err(e) => {
+            let reason = e.to_string();
+            spdlog::error!("loads of the holder cannot be decoded; keeping the previous ones", kv: {
+                reason = reason.as_str()
+            });
+        }
+    }
+}
+
 /// Applies the holder's list of upstreams.
 fn apply_directory<P>(cx: &EntryContext<P>, directory: DirectoryView, now: Instant)
 where
--- a/crates/entry/src/exchange/message.rs
+++ b/crates/entry/src/exchange/message.rs
@@ -2,9 +2,10 @@
 
 use std::{collections::HashMap, net::SocketAddr, time::Duration};
 
+use bytes::Bytes;
 use comfreyweir_fleet::{
     directory::UpstreamProcess,
-    load::{Load, Loads},
+    load::Loads,
     planner::{DemandReport, Placement},
     quota::{Grant, UsageTotals},
     request::Artifact,
@@ -93,8 +94,10 @@
     pub(crate) is_whole: bool,
     /// Expected time in ms until the artifacts that the instance's requests wait for are ready.
     pub(crate) ready_in_ms: Vec<(Artifact, u64)>,
-    /// Requests that the other instances have in flight, by upstream.
-    pub(crate) others: HashMap<String, Load>,
+    /// Requests that all instances have in flight, by upstream: a list of pairs of an upstream's
+    /// identifier and its load, encoded with postcard. It is encoded once for all instances, since
+    /// in large fleets it is most of a view.
+    pub(crate) totals: Bytes,
     /// The instance's share of each workspace's allowance. Empty while grants of the previous holder
     /// may be in force.
     pub(crate) grants: HashMap<String, Grant>,
--- a/crates/fleet/src/load.rs
+++ b/crates/fleet/src/load.rs
@@ -126,9 +126,19 @@
         &self.own
     }
 
-    /// Replaces the load by requests of the other instances, by upstream.
-    pub fn set_others(&mut self, others: HashMap<String, Load>, now: Instant) {
-        self.others = others;
+    /// Replaces the load by requests of the other instances. `totals` are the sums over all instances,
+    /// by upstream, in which this one counts with `reported`.
+    pub fn set_totals<I>(&mut self, totals: I, reported: &Loads, now: Instant)
+    where
+        I: IntoIterator<Item = (String, Load)>,
+    {
+        let others = totals.into_iter().map(|(id, total)| {
+            let own = of_upstream(reported, &id);
+            (id, total.without(own))
+        });
+        self.others = others
+            .filter(|(_, load)| *load != Load::default())
+            .collect();
         self.others_at = Some(now);
     }
 
--- a/crates/fleet/tests/intake.rs
+++ b/crates/fleet/tests/intake.rs
@@ -5,7 +5,7 @@
 
 use comfreyweir_fleet::{
     intake::{IntakeLimit, Urgency, WaitingLines},
-    load::{Load, LoadTracker},
+    load::{Load, LoadTracker, Loads},
 };
 
 const PAUSE_GOAL: Duration = Duration::from_millis(200);
@@ -167,7 +167,7 @@
         uncached_tokens: 4_000,
     };
     let mut tracker = LoadTracker::default();
-    tracker.set_others([("u".to_owned(), load)].into(), now);
+    tracker.set_totals([("u".to_owned(), load)], &Loads::new(), now);
     assert_eq!(tracker.total("u", now), load);
     let later = tracker.total("u", now + ms(200));
     assert_eq!(later.running, 4);
