Do not offer a grant that the holder declines

What is declined is no longer offered, and calls are 2 ms apart. holder_does_not_offer_what_it_does_not_grant failed before.

--- a/crates/entry/src/exchange/grants.rs
+++ b/crates/entry/src/exchange/grants.rs
@@ -17,6 +17,8 @@
 
 /// Timeout of a call to the holder.
 const CALL_TIMEOUT: Duration = Duration::from_millis(500);
+/// Shortest pause between two calls, in which further requests join the next one.
+const MIN_PAUSE: Duration = Duration::from_millis(2);
 /// Pause after a failed call. The exchange finds out whether the holder is lost.
 const RETRY_PAUSE: Duration = Duration::from_millis(50);
 
@@ -32,7 +34,10 @@
             continue;
         }
         match request_grants(&cx, &coordinator).await {
-            Ok(()) => outage_log.record_success(cx.now()),
+            Ok(()) => {
+                outage_log.record_success(cx.now());
+                sleep(MIN_PAUSE).await;
+            }
             Err(e) => {
                 outage_log.record_failure(&e, cx.now());
                 sleep(RETRY_PAUSE).await;
--- a/crates/entry/src/work_times.rs
+++ b/crates/entry/src/work_times.rs
@@ -27,7 +27,7 @@
     Requests,
     /// Reports to the holder and applying its views.
     Exchange,
-    /// Answers of the holder to reports.
+    /// Answers of the holder to reports and to requests for grants.
     Views,
     /// Planning and the election of the holder.
     Planning,
--- a/crates/fleet/src/quota/holder.rs
+++ b/crates/fleet/src/quota/holder.rs
@@ -413,11 +413,8 @@
         let own = process.usage.entry(workspace.to_owned());
         let own = own.or_insert_with(|| WorkspaceUsage::new(UsageTotals::default(), now));
         let awaited = own.totals.awaited;
-        let awaited = if !is_useful && free < awaited.min(mean_cost) {
-            0.0
-        } else {
-            awaited
-        };
+        let is_declined = !is_useful && free < awaited.min(mean_cost);
+        let awaited = if is_declined { 0.0 } else { awaited };
         let before = own.granted;
         let spent_since = own.totals.spent - before.included;
         let left = (before.outstanding(now) - spent_since).max(0.0);
@@ -452,7 +449,12 @@
             level: granted,
             share,
             included: own.totals.spent,
-            spare: (free - granted).max(0.0),
+            // What is declined must not be offered, or the process would ask again at once.
+            spare: if is_declined {
+                0.0
+            } else {
+                (free - granted).max(0.0)
+            },
         })
     }
 
--- a/crates/fleet/tests/quota_of_large_fleets.rs
+++ b/crates/fleet/tests/quota_of_large_fleets.rs
@@ -135,3 +135,39 @@
         );
     }
 }
+
+/// Guards against an instance that asks again and again for what the holder says it can spare and does
+/// not grant: several small requests wait where less is left than an average request costs.
+#[test]
+fn holder_does_not_offer_what_it_does_not_grant() {
+    let mut fleet = Fleet::new(1);
+    fleet.send_for(Duration::from_secs(6), 3.0, COST);
+    let (i, small) = (3, COST / 5);
+    for _ in 0..200 {
+        fleet.step();
+        let mut waiting = 3_usize;
+        for _ in 0..waiting {
+            fleet.instances[i].begin_wait("w", small);
+        }
+        let mut asked = 0;
+        while waiting > 0 {
+            asked += 1;
+            assert!(asked <= 4, "{waiting} requests still wait");
+            let totals = fleet.instances[i].awaited_totals(fleet.now);
+            let known = |_: &str| Some(allowance());
+            let process = format!("p{i}");
+            let allocator = &mut fleet.allocator;
+            assert!(allocator.record_partial_usage(&process, &totals, known, fleet.now));
+            let grant = allocator.grant_more(&process, "w", allowance(), fleet.now);
+            fleet.instances[i].apply_grant("w", grant.unwrap(), fleet.now, fleet.now);
+            let quotas = &mut fleet.instances[i];
+            let is_settled = |_: &usize| {
+                let taken = quotas.take("w", allowance(), small, INSTANCES, fleet.now);
+                !taken.is_err_and(|over| over.may_grant_more)
+            };
+            let settled = (0..waiting).filter(is_settled).count();
+            (0..settled).for_each(|_| quotas.end_wait("w", small));
+            waiting -= settled;
+        }
+    }
+}
