Let callers come back only once the holder is asked again

A caller that was refused because the holder could not spare enough was told to come back in 10 ms if little was missing. The instance asks the holder again after 200 ms at the earliest and refuses until then. The test fails before.

--- a/crates/fleet/src/quota/instance.rs
+++ b/crates/fleet/src/quota/instance.rs
@@ -262,7 +262,8 @@
         let wanted = cost.min(burst);
         if level < wanted {
             let wait = if grant_age.is_some() {
-                refill_time(wanted - level - spare, allowance.per_s)
+                // Before that, the holder is not asked again.
+                refill_time(wanted - level - spare, allowance.per_s).max(ASK_AGAIN_AFTER)
             } else {
                 UNKNOWN_RETRY_AFTER
             };
--- a/crates/fleet/tests/quota.rs
+++ b/crates/fleet/tests/quota.rs
@@ -282,6 +282,24 @@
     assert!(quotas.take("w", allowance(), 5_000, 1, later).is_ok());
 }
 
+/// Guards against callers that come back while the instance still refuses them by what the holder said.
+#[test]
+fn refused_caller_does_not_come_back_before_the_holder_is_asked_again() {
+    let now = Instant::now();
+    let grant = Grant {
+        bucket_level: BURST,
+        spare: 4_999.0,
+        ..Grant::default()
+    };
+    let mut quotas = InstanceQuotas::default();
+    quotas.apply_grant("w", grant, now, now);
+    let refusal = quotas.take("w", allowance(), 5_000, 1, now).unwrap_err();
+    assert!(refusal.is_exhausted);
+    let later = now + refusal.retry_after;
+    let refusal = quotas.take("w", allowance(), 5_000, 1, later).unwrap_err();
+    assert!(refusal.may_grant_more);
+}
+
 #[test]
 fn what_did_not_run_is_given_back() {
     let now = Instant::now();
