Log the parts of a request's prompt, and whether any of its answer came

The lines of the requests under which upstreams ended could not be related to each other: they name neither the prompt's parts nor, for a stream that was broken before its first byte, that none came.

--- a/crates/entry/src/serve/attempt.rs
+++ b/crates/entry/src/serve/attempt.rs
@@ -268,9 +268,10 @@
     }
     let ms = whole_millis(sent.elapsed());
     let artifact = request.artifact_key();
+    let prompt = request.declared.prompt_text();
     spdlog::info!("upstream did not serve the request", kv: {
         request_id = request.id.as_str(), upstream = sent.upstream.id.as_str(), outcome,
-        artifact = artifact.as_str(), reason = reason.as_str(), ms
+        artifact = artifact.as_str(), prompt = prompt.as_str(), reason = reason.as_str(), ms
     });
 }
 
--- a/crates/entry/src/serve/mod.rs
+++ b/crates/entry/src/serve/mod.rs
@@ -44,6 +44,7 @@
     let declared = cx.platform.parse_declared(req.headers());
     let id = declared.id.clone();
     let artifact = declared.artifact.as_ref().map(Artifact::key);
+    let prompt = declared.prompt_text();
     let answer = answer(&cx, &req, payload, declared, caller.clone());
     let answered = match &caller {
         Some(caller) => tokio::select! {
@@ -58,8 +59,8 @@
     let mut res = match answered {
         Ok(res) => res,
         Err(refusal) => {
-            let id_and_artifact = (id.as_deref(), artifact.as_deref());
-            log_refused(&cx, id_and_artifact, &refusal, arrived);
+            let request = (id.as_deref(), artifact.as_deref(), prompt.as_str());
+            log_refused(&cx, request, &refusal, arrived);
             refusal.to_response()
         }
     };
@@ -104,7 +105,7 @@
 
 fn log_refused<P>(
     cx: &EntryContext<P>,
-    (id, artifact): (Option<&str>, Option<&str>),
+    (id, artifact, prompt): (Option<&str>, Option<&str>, &str),
     refusal: &Refusal,
     arrived: std::time::Instant,
 ) where
@@ -125,7 +126,7 @@
     spdlog::info!("request refused", kv: {
         request_id, status, ms, may_have_run = refusal.may_have_run, retry_ms,
         reason = refusal.reason.as_str(), artifact = artifact.unwrap_or_default(),
-        config = cx.config().version, config_age_ms = age_ms(cx.config_age(now)),
+        prompt, config = cx.config().version, config_age_ms = age_ms(cx.config_age(now)),
         upstreams = cx.directory.borrow().revision(),
         upstreams_age_ms = age_ms(cx.directory.borrow().age(now)),
         placement = placement.fence_and_version.1, fence = placement.fence_and_version.0,
--- a/crates/entry/src/serve/relay.rs
+++ b/crates/entry/src/serve/relay.rs
@@ -171,11 +171,13 @@
     first: Option<Instant>,
     last: Option<Instant>,
     longest_gap: Duration,
+    count: u64,
 }
 
 impl ChunkTimes {
     /// Records the arrival of a chunk. Returns whether it is the first.
     fn record_chunk(&mut self, now: Instant) -> bool {
+        self.count += 1;
         if let Some(last) = self.last.replace(now) {
             let gap = now.saturating_duration_since(last);
             self.longest_gap = self.longest_gap.max(gap);
@@ -405,6 +407,7 @@
         .first
         .map(|at| at.saturating_duration_since(request.arrived));
     let artifact = request.artifact_key();
+    let prompt = request.declared.prompt_text();
     let framing = body.map_or("", |body| body.framing().name());
     let unfinished_event_bytes = body.map_or(0, AnswerBody::unfinished_event_bytes);
     spdlog::info!("request answered", kv: {
@@ -412,6 +415,6 @@
         upstream = sent.upstream.id.as_str(), artifact = artifact.as_str(), status, outcome, ms,
         upstream_ms = whole_millis(sent.elapsed()), unread = sent.uncached_tokens(),
         first_ms = first.map_or(ms, whole_millis), gap_ms = whole_millis(chunk_times.longest_gap),
-        framing, unfinished_event_bytes
+        framing, unfinished_event_bytes, chunks = chunk_times.count, prompt = prompt.as_str()
     });
 }
--- a/crates/fleet/src/request.rs
+++ b/crates/fleet/src/request.rs
@@ -1,6 +1,9 @@
 //! Request metadata that the caller declares.
 
-use std::time::Duration;
+use std::{fmt::Write as _, time::Duration};
+
+/// Most parts of a prompt that [`RequestMetadata::prompt_text`] names.
+const MAX_NAMED_PARTS: usize = 8;
 
 /// Model and adapter that a request asks for.
 #[derive(Clone, Debug, PartialEq, Eq, Hash, PartialOrd, Ord)]
@@ -78,6 +81,17 @@
         self.tokens.map_or(0, |(prompt, _)| prompt)
     }
 
+    /// Identifiers of the prompt's first parts, for logs: hexadecimal, separated by commas.
+    pub fn prompt_text(&self) -> String {
+        let mut text = String::new();
+        for (i, part) in self.prompt.iter().take(MAX_NAMED_PARTS).enumerate() {
+            let comma = if i == 0 { "" } else { "," };
+            // Writing to a string cannot fail.
+            let _ = write!(text, "{comma}{:x}", part.id);
+        }
+        text
+    }
+
     /// Identifier of the last prompt part that other requests may share: the last but one. None for
     /// prompts of fewer than two parts.
     pub fn shared_prefix_id(&self) -> Option<u64> {
