--- a/crates/entry/tests/support/mod.rs
+++ b/crates/entry/tests/support/mod.rs
@@ -1,6 +1,7 @@
 //! An in-memory platform, scripted upstreams, and a client that speaks raw HTTP.
 #![allow(dead_code, unused_imports)]
 
+pub mod engines;
 pub mod platform;
 pub mod upstream;
 
@@ -26,6 +27,7 @@
 };
 
 pub use self::{
+    engines::Engines,
     platform::{MemoryPlatform, SharedState},
     upstream::{FakeUpstream, ScriptStep},
 };
--- a/crates/entry/tests/support/platform.rs
+++ b/crates/entry/tests/support/platform.rs
@@ -18,7 +18,7 @@
 use comfreyweir_fleet::{
     config::{Config, Engine, Model, Route, RouteKind, Service, Target, Workspace},
     planner::{Order, OrderResult},
-    request::{Artifact, RequestMetadata},
+    request::{Artifact, PromptPart, RequestMetadata},
     upstream::{LoadedModel, Report, Upstream},
 };
 use tokio::{
@@ -206,6 +206,7 @@
             artifact: text("x-model").map(|m| Artifact::parse(&m)),
             last_event: text("x-last").and_then(|n| n.parse().ok()),
             resumes: text("x-resumes"),
+            prompt: text("x-prompt").map_or_else(Vec::new, |text| parse_prompt(&text)),
             ..RequestMetadata::default()
         }
     }
@@ -362,7 +363,15 @@
             .entry(upstream.id.clone())
             .or_default() += 1;
         let mut upstreams = self.shared.upstreams.borrow_mut();
-        let models = &mut upstreams.get_mut(&upstream.id).unwrap().holds.models;
+        let Some(known) = upstreams.get_mut(&upstream.id) else {
+            let reason = "connection refused".to_owned();
+            let addr = upstream.addr;
+            return EngineAnswer {
+                result: Err(PlatformError::NoAnswer { addr, reason }),
+                notice: UpstreamNotice::default(),
+            };
+        };
+        let models = &mut known.holds.models;
         match &call.order {
             Order::Load(a) => match &a.adapter {
                 None => models.push(LoadedModel {
@@ -384,8 +393,16 @@
 
     async fn request_report(&self, upstream: &Upstream, _: Duration) -> EngineAnswer<Report> {
         let upstreams = self.shared.upstreams.borrow();
+        let Some(known) = upstreams.get(&upstream.id) else {
+            let reason = "connection refused".to_owned();
+            let addr = upstream.addr;
+            return EngineAnswer {
+                result: Err(PlatformError::NoAnswer { addr, reason }),
+                notice: UpstreamNotice::default(),
+            };
+        };
         let report = Report {
-            holds: upstreams[&upstream.id].holds.clone(),
+            holds: known.holds.clone(),
             orders: self
                 .shared
                 .order_counts
@@ -402,6 +419,18 @@
     }
 }
 
+/// Parses `ID:TOKENS,...`, with identifiers in hexadecimal.
+fn parse_prompt(text: &str) -> Vec<PromptPart> {
+    let parts = text.split(',').map(|part| {
+        let (id, tokens) = part.split_once(':').unwrap();
+        PromptPart {
+            id: u64::from_str_radix(id, 16).unwrap(),
+            tokens: tokens.parse().unwrap(),
+        }
+    });
+    parts.collect()
+}
+
 pub fn route(prefix: &str, kind: RouteKind, service: &str) -> Route {
     Route {
         name: prefix.trim_matches('/').to_owned(),
--- a/crates/entry/tests/support/upstream.rs
+++ b/crates/entry/tests/support/upstream.rs
@@ -233,7 +233,7 @@
     text
 }
 
-async fn read_request(io: &mut TcpStream) -> Option<String> {
+pub async fn read_request(io: &mut TcpStream) -> Option<String> {
     let mut buf = Vec::new();
     loop {
         let text = String::from_utf8_lossy(&buf).into_owned();
