Soak prompt parts that end engines

The address of an engine that has ended refuses connections now, also where it crashed for another reason. Broken: more than three such requests reach engines later than 3 s after the fifth end, from instances that were in touch.

Answers whose callers got 502, 504 or nothing no longer count.

--- a/crates/soak/src/callers.rs
+++ b/crates/soak/src/callers.rs
@@ -21,6 +21,14 @@
 const UNKNOWN_KEY_PROBABILITY: f64 = 0.02;
 /// Times that a caller resumes a stream.
 const MAX_RESUMPTIONS: u32 = 3;
+/// Identifier of the first part of all prompts.
+const FIRST_PART: u64 = 0x100;
+/// Identifier from which on parts belong to one request.
+const OWN_PART: u64 = 1 << 32;
+/// Number of second parts without a fatal part.
+const SHARED_PARTS: u64 = 5;
+/// One in so many streams has the fatal part.
+const FATAL_PERIOD: u64 = 8;
 /// How long a caller waits for an answer.
 const CALL_DEADLINE: Duration = Duration::from_secs(4);
 
@@ -80,6 +88,23 @@
     }
 }
 
+/// Parts of a prompt: one that all share, one that many share, and the request's own. One in
+/// [`FATAL_PERIOD`] has the part that ends engines, if there is one.
+fn prompt(cluster: &SoakCluster, (caller_index, n): (usize, u64)) -> Vec<u64> {
+    let number = u64::try_from(caller_index).unwrap_or_default() + n;
+    let fatal_part = cluster.ledger.fatal_part();
+    let second = if fatal_part > 0 && number.is_multiple_of(FATAL_PERIOD) {
+        fatal_part
+    } else {
+        FIRST_PART + 1 + number % SHARED_PARTS
+    };
+    vec![
+        FIRST_PART,
+        second,
+        OWN_PART + rand::random_range(0..OWN_PART),
+    ]
+}
+
 /// Sends requests one after the other until a stop is requested. Draws an instance anew only after
 /// a request without a complete answer.
 async fn run_caller(
@@ -93,7 +118,7 @@
     let mut instance = caller_index % cluster.instances.len();
     // A stream to resume with its model, and how often it was resumed.
     let (mut to_resume, mut resumptions) = (None::<(BrokenStream, String)>, 0);
-    for n in 0.. {
+    for n in 0_u64.. {
         if stop_requested.get() {
             return;
         }
@@ -119,6 +144,7 @@
                 cluster.key()
             },
             model,
+            prompt: prompt(&cluster, (caller_index, n)),
             deadline: CALL_DEADLINE,
             resumes: broken_stream,
         };
--- a/crates/soak/src/check.rs
+++ b/crates/soak/src/check.rs
@@ -37,6 +37,12 @@
 const CLOSING_TOLERANCE: Duration = Duration::from_millis(500);
 /// Requests that a closed upstream may get from an instance after a refusal.
 const MAX_AT_CLOSED: usize = 2;
+/// Ends of engines under one prompt part after which the part must be known.
+const MANY_ENDS: usize = 5;
+/// Time in which it must be known to all instances.
+const FATAL_LIMIT: Duration = Duration::from_secs(3);
+/// Requests with the part that may still reach engines then.
+const MAX_FATAL_REQUESTS: usize = 3;
 /// Fewer late answers than this are tolerated.
 const MIN_LATE_ANSWERS: usize = 8;
 
@@ -50,9 +56,30 @@
     }
     broken.extend(late_answers(records, cluster));
     broken.extend(unheeded_notices(records, cluster));
+    broken.extend(late_fatal_requests(records, cluster));
     broken
 }
 
+/// Reports prompts with a part that ends engines, if more than [`MAX_FATAL_REQUESTS`] reach engines
+/// later than [`FATAL_LIMIT`] after the fifth end, from instances that were in touch.
+fn late_fatal_requests(records: &[Record], cluster: &SoakCluster) -> Option<String> {
+    let ends: Vec<_> = cluster.ledger.ended();
+    let (_, part, fifth) = ends.get(MANY_ENDS - 1)?;
+    let by_request: HashMap<_, _> = records.iter().map(|r| (r.call.id.as_str(), r)).collect();
+    let arrivals = cluster.ledger.arrivals();
+    let late = arrivals.iter().filter(|arrival| {
+        let instance = by_request.get(arrival.request.as_str()).map(|r| r.instance);
+        arrival.parts.contains(part)
+            && arrival.at > *fifth + FATAL_LIMIT
+            && instance.is_some_and(|i| cluster.instances[i].was_in_touch(arrival.at, FATAL_LIMIT))
+    });
+    let late: Vec<_> = late.collect();
+    (late.len() > MAX_FATAL_REQUESTS).then(|| {
+        let (late, ends) = (late.len(), ends.len());
+        format!("{late} requests with part {part:x} reached engines after five ends, {ends} ends")
+    })
+}
+
 /// Describes the first promise that was broken for a request, if any. The promises are: the answer
 /// is the right one, the request ran unchanged and only with a known key, one that was served did
 /// run, and one that may not be repeated ran at most once, and not at all if it was refused as not
@@ -137,7 +164,8 @@
         if let Some((arrival, _)) = heard_leaving.and_then(late) {
             broken.push(format!("instance {instance}: {server} leaves: {arrival:?}"));
         }
-        for (closing, until) in heard.filter_map(|(a, _)| Some((a, a.closed_until?))) {
+        let refused = heard.filter(|(_, r)| !has_lost_answer(&r.outcome));
+        for (closing, until) in refused.filter_map(|(a, _)| Some((a, a.closed_until?))) {
             let closed = closing.at + CLOSING_TOLERANCE..until;
             let sent = arrivals.iter().filter(|(a, _)| closed.contains(&a.at));
             if sent.count() > MAX_AT_CLOSED {
@@ -149,6 +177,20 @@
     broken
 }
 
+/// Whether the instance may not have got the server's answer, so that it could not know what the
+/// server said.
+fn has_lost_answer(outcome: &Outcome) -> bool {
+    match outcome {
+        Outcome::Answered(status) => {
+            matches!(
+                *status,
+                StatusCode::BAD_GATEWAY | StatusCode::GATEWAY_TIMEOUT
+            )
+        }
+        _ => true,
+    }
+}
+
 /// Whether an instance sent a request to a server whose entry had been removed for too long when the
 /// caller sent it. The time counts from the end of the last trouble of the instance or its store.
 fn is_after_removal(arrival: &Arrival, record: &Record, instance: &Instance) -> bool {
--- a/crates/soak/src/cluster.rs
+++ b/crates/soak/src/cluster.rs
@@ -47,6 +47,8 @@
     pub(crate) is_restarting: Cell<bool>,
     /// When the process was last started, was sent a signal that ends it, or resumed from a pause.
     pub(crate) last_disturbed: Cell<Instant>,
+    /// All these times.
+    pub(crate) disturbances: RefCell<Vec<Instant>>,
     /// Times in which the store or the link to it was in trouble.
     pub(crate) store_troubles: RefCell<Vec<Range<Instant>>>,
 }
@@ -230,6 +232,7 @@
         kind,
         key: key.to_owned(),
         model: "m1".to_owned(),
+        prompt: Vec::new(),
         deadline: Duration::from_secs(3),
         resumes: None,
     };
@@ -240,6 +243,25 @@
     Outcome::Answered(StatusCode::OK)
 }
 
+impl Instance {
+    /// Records that the process was started, sent a signal or resumed.
+    pub(crate) fn record_disturbance(&self) {
+        let now = Instant::now();
+        self.last_disturbed.set(now);
+        self.disturbances.borrow_mut().push(now);
+    }
+
+    /// Whether the process and its store were undisturbed for `time` before `at`.
+    pub(crate) fn was_in_touch(&self, at: Instant, time: Duration) -> bool {
+        let disturbances = self.disturbances.borrow();
+        let troubles = self.store_troubles.borrow();
+        !disturbances.iter().any(|d| (*d..*d + time).contains(&at))
+            && !troubles
+                .iter()
+                .any(|t| (t.start..t.end + time).contains(&at))
+    }
+}
+
 impl ServerSlot {
     /// Starts a server under a new id at the slot's address.
     pub(crate) fn start_server(&self, ledger: &Rc<ServerRecord>) -> Result<(), SoakError> {
@@ -259,6 +281,7 @@
             model_memory_mb: if is_engine { 25 } else { 0 },
         };
         let server = Server::bind(self.addr, spec, Rc::clone(ledger))?;
+        self.link.accept_again()?;
         *self.server.borrow_mut() = Some(server);
         Ok(())
     }
@@ -298,9 +321,10 @@
         }
     }
 
-    /// Stops the server, if one runs, and returns the key of its entry, which stays in the store.
+    /// Stops the server, if one runs, so that its address refuses connections, and returns the key of its entry, which stays in the store.
     pub(crate) fn stop(&self) -> Option<String> {
         let server = self.server.borrow_mut().take()?;
+        self.link.refuse();
         Some(server.key())
     }
 }
@@ -357,6 +381,7 @@
         store_proxy,
         is_restarting: Cell::default(),
         last_disturbed: Cell::new(Instant::now()),
+        disturbances: RefCell::default(),
         store_troubles: RefCell::default(),
     })
 }
--- a/crates/soak/src/faults.rs
+++ b/crates/soak/src/faults.rs
@@ -62,6 +62,15 @@
     ReplaceKey,
 }
 
+/// Number of the random stream that fatal parts are drawn from.
+const FATAL_PARTS_STREAM: u64 = 2;
+/// Fatal parts have this identifier or a higher one.
+pub(crate) const FIRST_FATAL_PART: u64 = 1 << 24;
+/// Time after which an engine that has ended under a fatal part is back, beside the removal of its
+/// entry.
+const FATAL_DOWNTIME: Duration = Duration::from_millis(800);
+/// Longest time until a request with a fatal part has ended an engine.
+const FATAL_REQUEST_TIME: Duration = Duration::from_secs(1);
 /// Number of the random stream that the faults of [`draw_added_fault`] are drawn from.
 const ADDED_FAULTS_STREAM: u64 = 1;
 
@@ -74,14 +83,64 @@
 ) -> Vec<String> {
     let mut added_rng = rng.clone();
     added_rng.set_stream(ADDED_FAULTS_STREAM);
-    let (mut injected, added) = tokio::join!(
+    let mut fatal_rng = rng.clone();
+    fatal_rng.set_stream(FATAL_PARTS_STREAM);
+    let (mut injected, added, fatal) = tokio::join!(
         inject_drawn(cluster, time, rng, draw_fault, 50..1_000),
         inject_drawn(cluster, time, &mut added_rng, draw_added_fault, 500..4_000),
+        inject_fatal_parts(cluster, time, &mut fatal_rng),
     );
     injected.extend(added);
+    injected.extend(fatal);
     injected
 }
 
+/// Lets callers send prompts with a part that ends engines, in half of the runs, for most of the time.
+async fn inject_fatal_parts(
+    cluster: &Rc<SoakCluster>,
+    time: Duration,
+    rng: &mut ChaCha8Rng,
+) -> Option<String> {
+    if rng.random_bool(0.5) {
+        return None;
+    }
+    let start = time.mul_f64(rng.random_range(0.0..0.3));
+    sleep(start).await;
+    let part = FIRST_FATAL_PART + rng.random_range(0..FIRST_FATAL_PART);
+    cluster.ledger.set_fatal_part(part);
+    let ending = actix_rt::spawn(end_servers(Rc::clone(cluster)));
+    sleep(time.saturating_sub(start)).await;
+    cluster.ledger.set_fatal_part(0);
+    sleep(FATAL_REQUEST_TIME).await;
+    ending.abort();
+    Some(format!("{start:?}: prompts with the fatal part {part:x}"))
+}
+
+/// Ends the engines that have begun to write on a fatal part, and starts others instead. Does not
+/// return.
+async fn end_servers(cluster: Rc<SoakCluster>) {
+    let mut ended = 0;
+    loop {
+        for (id, _, _) in cluster.ledger.ended().into_iter().skip(ended) {
+            ended += 1;
+            let key = format!("servers/{id}");
+            let is_slot = |slot: &&ServerSlot| {
+                let server = slot.server.borrow();
+                server.as_ref().is_some_and(|server| server.key() == key)
+            };
+            let slots = Rc::clone(&cluster.slots);
+            let Some(index) = slots.iter().position(|slot| is_slot(&slot)) else {
+                continue;
+            };
+            let cluster = Rc::clone(&cluster);
+            actix_rt::spawn(async move {
+                replace(&cluster, &slots[index], Duration::ZERO, FATAL_DOWNTIME).await;
+            });
+        }
+        cluster.ledger.end_due().await;
+    }
+}
+
 /// Starts faults from `draw`, with pauses in ms from a range.
 async fn inject_drawn<F>(
     cluster: &Rc<SoakCluster>,
@@ -281,10 +340,11 @@
 }
 
 async fn pause(instance: &Instance, duration: Duration) {
+    instance.record_disturbance();
     send_signal(instance, Signal::STOP);
     sleep(duration).await;
     send_signal(instance, Signal::CONT);
-    instance.last_disturbed.set(Instant::now());
+    instance.record_disturbance();
 }
 
 /// Ends the daemon by a signal, waits for its exit, and starts it again after `downtime`. Does
@@ -294,7 +354,7 @@
         return;
     }
     let clear_flag = ClearOnDrop(&instance.is_restarting);
-    instance.last_disturbed.set(Instant::now());
+    instance.record_disturbance();
     send_signal(instance, signal);
     while instance.process.borrow_mut().exit_status().is_none() {
         sleep(EXIT_POLL_INTERVAL).await;
@@ -302,7 +362,7 @@
     sleep(downtime).await;
     let started = instance.process.borrow_mut().start();
     assert!(started.is_ok(), "the daemon cannot be started: {started:?}");
-    instance.last_disturbed.set(Instant::now());
+    instance.record_disturbance();
     drop(clear_flag);
 }
 
--- a/crates/standins/src/proxy.rs
+++ b/crates/standins/src/proxy.rs
@@ -112,7 +112,9 @@
 /// A running proxy. Dropping it closes all connections.
 pub struct Proxy {
     addr: SocketAddr,
-    accept: JoinHandle<()>,
+    upstream: SocketAddr,
+    /// None while connections are refused.
+    accept: RefCell<Option<JoinHandle<()>>>,
     control: Option<Server>,
     shared: Shared,
 }
@@ -145,7 +147,8 @@
     };
     Ok(Proxy {
         addr,
-        accept,
+        upstream: settings.upstream,
+        accept: RefCell::new(Some(accept)),
         control,
         shared,
     })
@@ -172,11 +175,30 @@
     pub fn set_faults(&self, faults: Faults) {
         self.shared.faults.send_replace(faults);
     }
+
+    /// Closes all connections and refuses new ones, as a process that has ended.
+    pub fn refuse(&self) {
+        if let Some(accept) = self.accept.borrow_mut().take() {
+            accept.abort();
+        }
+    }
+
+    /// Accepts connections again.
+    pub fn accept_again(&self) -> Result<(), StandinError> {
+        let mut accept = self.accept.borrow_mut();
+        if accept.is_none() {
+            let addr = self.addr;
+            let listener = listen(addr).context(BindSnafu { addr })?;
+            let accept_all = accept_all(listener, self.upstream, self.shared.clone());
+            *accept = Some(actix_rt::spawn(accept_all));
+        }
+        Ok(())
+    }
 }
 
 impl Drop for Proxy {
     fn drop(&mut self) {
-        self.accept.abort();
+        self.refuse();
     }
 }
 
