Let requests have their own trials after a single end

Now a trial excludes only others for the same parts, unless one of its parts has had two ends.

A trial beside others confirms nothing by itself; a part whose ends a confirmed one explains is no longer suspect.

--- a/crates/fleet/src/quarantine/ledger.rs
+++ b/crates/fleet/src/quarantine/ledger.rs
@@ -8,7 +8,7 @@
 use super::{
     BEGUN_PER_END, EvidenceReport, MANY_ENDS, MAX_LATE_TRIALS, MIN_ENDS, ObservedEnd, PartId,
     PartRecord, QuarantineView, TRIAL_TIMEOUT, TRIAL_WEIGHT, TrialAnswer, TrialId, TrialOutcome,
-    trial_delay,
+    WEIGHT_AFTER_FAILURE, trial_delay,
 };
 use crate::directory::UpstreamProcess;
 
@@ -81,6 +81,8 @@
     number: u64,
     until: Instant,
     is_late: bool,
+    /// Whether it is the only one of its kind, since a part has had several ends.
+    is_exclusive: bool,
 }
 
 impl PartLedger {
@@ -165,21 +167,20 @@
         let explained = entry.upstreams.clone();
         for (other, entry) in &mut self.parts {
             if *other != part && !entry.is_confirmed {
+                let before = entry.ends();
                 entry.upstreams.retain(|u| !explained.contains(u));
+                if entry.ends() < before && entry.ends() < MIN_ENDS {
+                    if std::mem::take(&mut entry.is_suspect) {
+                        let (ends, begun) = (entry.ends(), entry.begun());
+                        self.events.push(LedgerEvent::Cleared(*other, ends, begun));
+                    }
+                    entry.noted_at = None;
+                    entry.failed_trials = 0;
+                    entry.next_trial = None;
+                }
             }
         }
-        let mut cleared = Vec::new();
-        for (other, entry) in &self.parts {
-            if entry.ends() == 0 {
-                cleared.push((*other, entry.is_suspect, entry.begun()));
-            }
-        }
-        for (other, was_suspect, begun) in cleared {
-            self.parts.remove(&other);
-            if was_suspect {
-                self.events.push(LedgerEvent::Cleared(other, 0, begun));
-            }
-        }
+        self.parts.retain(|_, entry| entry.ends() > 0);
     }
 
     fn evict(&mut self) {
@@ -284,12 +285,16 @@
 
     /// Answers a request for a trial of a prompt with these parts.
     pub fn request_trial(&mut self, parts: &[PartId], now: Instant) -> TrialAnswer {
-        let mut is_needed = false;
+        let (mut is_needed, mut is_exclusive) = (false, false);
         for part in parts {
             let Some(entry) = self.parts.get(part).filter(|e| !e.is_cleared()) else {
                 continue;
             };
             is_needed = true;
+            is_exclusive |= entry.ends() >= MIN_ENDS;
+            if entry.trial.is_some() {
+                return TrialAnswer::Busy;
+            }
             let trial_in = entry
                 .next_trial_at(now)
                 .map(|at| at.saturating_duration_since(now));
@@ -300,9 +305,11 @@
         if !is_needed {
             return TrialAnswer::NotNeeded;
         }
-        // Two trials at one upstream could not be told apart.
-        let is_on_trial = self.parts.values().any(|e| e.trial.is_some());
-        if is_on_trial || self.begun_at.is_some() {
+        // Two trials at one upstream could not be told apart. After a single end the request under which
+        // it came is mostly sound, and many may have one at once.
+        let open = self.parts.values().filter_map(|e| e.trial);
+        let is_taken = is_exclusive && open.into_iter().any(|trial| trial.is_exclusive);
+        if is_taken || self.begun_at.is_some() {
             return TrialAnswer::Busy;
         }
         self.last_trial += 1;
@@ -315,6 +322,7 @@
                     number,
                     until: now + TRIAL_TIMEOUT,
                     is_late,
+                    is_exclusive,
                 });
             }
         }
@@ -359,8 +367,9 @@
                 }
                 outcome => outcome,
             };
-            // An earlier holder knew of begun answers that this one does not.
-            entry.is_confirmed |= outcome == TrialOutcome::Ended && blamed == 1 && is_own;
+            // Beside other trials, or with less knowledge than an earlier holder, it is not certain.
+            let is_exclusive = entry.trial.is_some_and(|trial| trial.is_exclusive);
+            entry.is_confirmed |= outcome == TrialOutcome::Ended && blamed == 1 && is_exclusive;
             let event = entry.end_trial(*part, outcome, now);
             self.events.push(event);
             self.explain_ends(*part);
@@ -389,7 +398,11 @@
     fn begun(&self) -> u32 {
         let begun: u32 = self.begun.values().sum();
         // A part under which an upstream has ended in a trial may end others only at times.
-        let weight = if self.is_confirmed { 1 } else { TRIAL_WEIGHT };
+        let weight = if self.failed_trials > 0 {
+            WEIGHT_AFTER_FAILURE
+        } else {
+            TRIAL_WEIGHT
+        };
         begun + self.begun_trials * weight
     }
 
@@ -427,7 +440,7 @@
             TrialOutcome::Begun => {
                 self.begun_trials += 1;
                 // A part that ends upstreams only at times must not get trials without end.
-                self.late_trials -= u32::from(was_late && !self.is_confirmed);
+                self.late_trials -= u32::from(was_late && self.failed_trials == 0);
                 self.next_trial = Some(now + trial_delay(self.failed_trials));
             }
             TrialOutcome::Ended | TrialOutcome::Unknown => {
--- a/crates/fleet/src/quarantine/mod.rs
+++ b/crates/fleet/src/quarantine/mod.rs
@@ -25,6 +25,8 @@
 const BEGUN_PER_END: u32 = 3;
 /// Begun answers for which one counts that was begun in a trial.
 const TRIAL_WEIGHT: u32 = 3;
+/// The same after a trial without a begun answer.
+const WEIGHT_AFTER_FAILURE: u32 = 2;
 /// Ends after which only [`MAX_LATE_TRIALS`] are given.
 const MANY_ENDS: u32 = 5;
 /// Most trials of a part after [`MANY_ENDS`].
--- a/crates/fleet/tests/quarantine.rs
+++ b/crates/fleet/tests/quarantine.rs
@@ -101,6 +101,8 @@
     prompt: Vec<u64>,
     parts: Vec<PartId>,
     arrived: Instant,
+    /// Whether an engine has ended under it.
+    is_second_try: bool,
     trial: Option<(TrialId, Vec<PartId>)>,
 }
 
@@ -261,10 +263,17 @@
             parts: comfreyweir_fleet::quarantine::shared_parts(&prompt_parts),
             prompt,
             arrived: self.now,
+            is_second_try: false,
             trial: None,
         };
+        self.try_to_send(request);
+    }
+
+    /// Sends a request unless it has to wait or is refused.
+    fn try_to_send(&mut self, request: Request) {
+        let instance = request.instance;
         let evidence = &self.instances[instance].evidence;
-        match evidence.check(&request.parts, false, self.now) {
+        match evidence.check(&request.parts, request.is_second_try, self.now) {
             PartCheck::Free => self.send(request),
             PartCheck::Blocked(..) => self.finish(&request, false),
             PartCheck::NeedsTrial => {
@@ -280,6 +289,7 @@
             .iter()
             .find(|part| [FATAL, SECOND_FATAL].contains(part));
         match fatal {
+            None if request.is_second_try => {}
             None => {
                 self.outcome.sound.push((request.arrived, is_sent));
                 if request.prompt.contains(&UNLUCKY) {
@@ -379,7 +389,12 @@
             let instance = run.request.instance;
             let evidence = &mut self.instances[instance].evidence;
             evidence.record_end(ended.clone(), &run.request.parts, self.now);
-            self.end_trial(run.request.trial, instance, TrialOutcome::Ended);
+            let Run { mut request, .. } = run;
+            self.end_trial(request.trial.take(), instance, TrialOutcome::Ended);
+            if !request.is_second_try {
+                request.is_second_try = true;
+                self.try_to_send(request);
+            }
         }
     }
 
