Count an end in a trial beside others only as an end

Such a trial is one of many at a time, and the crash had another cause. Its end now counts as any other, and the next trial of the part excludes others.

--- a/crates/fleet/src/quarantine/ledger.rs
+++ b/crates/fleet/src/quarantine/ledger.rs
@@ -356,6 +356,12 @@
             let Some(entry) = self.parts.get_mut(part).filter(|e| on_trial(e)) else {
                 continue;
             };
+            let is_exclusive = entry.trial.is_some_and(|trial| trial.is_exclusive);
+            if outcome == TrialOutcome::Ended && !is_exclusive && is_own {
+                // It is one more end, beside other trials, and the next trial excludes them.
+                entry.trial = None;
+                continue;
+            }
             let is_blamed = Some(entry.begun()) == least_begun;
             let outcome = match outcome {
                 TrialOutcome::Ended if !is_blamed => TrialOutcome::Unused,
@@ -367,8 +373,7 @@
                 }
                 outcome => outcome,
             };
-            // Beside other trials, or with less knowledge than an earlier holder, it is not certain.
-            let is_exclusive = entry.trial.is_some_and(|trial| trial.is_exclusive);
+            // With less knowledge than an earlier holder it is not certain.
             entry.is_confirmed |= outcome == TrialOutcome::Ended && blamed == 1 && is_exclusive;
             let event = entry.end_trial(*part, outcome, now);
             self.events.push(event);
