--- a/crates/fleet/src/quarantine/ledger.rs
+++ b/crates/fleet/src/quarantine/ledger.rs
@@ -16,8 +16,8 @@
 const FORGOTTEN_BEGUN_PER_END: u32 = 10;
 /// Most parts with an end. Those with the fewest ends and trials yield first, the oldest first.
 const MAX_PARTS: usize = 1_024;
-/// Delay until the next trial of a part after one whose outcome was not reported.
-const TRIAL_TIMEOUT_DELAY: Duration = Duration::from_secs(1);
+/// Delay until the next trial of a part after one whose outcome is not known.
+const UNKNOWN_OUTCOME_DELAY: Duration = Duration::from_secs(1);
 /// Delay until the next trial of a part after the first one that may have failed because of another
 /// part.
 const SHARED_BLAME_DELAY: Duration = Duration::from_secs(1);
@@ -203,7 +203,7 @@
         for (part, entry) in &mut self.parts {
             if entry.trial.is_some_and(|trial| trial.until <= now) {
                 entry.trial = None;
-                entry.next_trial = Some(now + TRIAL_TIMEOUT_DELAY);
+                entry.next_trial = Some(now + UNKNOWN_OUTCOME_DELAY);
             }
             let begun = entry.begun();
             if begun >= entry.ends() * BEGUN_PER_END {
@@ -357,11 +357,17 @@
                 continue;
             };
             let is_exclusive = entry.trial.is_some_and(|trial| trial.is_exclusive);
-            if outcome == TrialOutcome::Ended && !is_exclusive && is_own {
-                // It is one more end, beside other trials, and the next trial excludes them.
+            let is_beside_others = is_own && !is_exclusive;
+            if outcome == TrialOutcome::Ended && is_beside_others {
+                // It is one more end, and the next trial excludes others.
                 entry.trial = None;
                 continue;
             }
+            if outcome == TrialOutcome::Unknown && entry.ends() < MANY_ENDS {
+                entry.trial = None;
+                entry.next_trial = (!is_beside_others).then_some(now + UNKNOWN_OUTCOME_DELAY);
+                continue;
+            }
             let is_blamed = Some(entry.begun()) == least_begun;
             let outcome = match outcome {
                 TrialOutcome::Ended if !is_blamed => TrialOutcome::Unused,
--- a/crates/fleet/tests/quarantine.rs
+++ b/crates/fleet/tests/quarantine.rs
@@ -725,3 +725,27 @@
         }
     }
 }
+
+/// Guards against a sound part being refused after a trial that told nothing.
+#[test]
+fn trial_without_an_outcome_keeps_no_part_back_for_long() {
+    let now = Instant::now();
+    let mut ledger = PartLedger::begin(1, now);
+    let mut evidence = PartEvidence::default();
+    let parts = [PartId::from(RARE)];
+    let upstream = UpstreamProcess {
+        id: "e1".to_owned(),
+        born_ms: None,
+    };
+    evidence.record_end(upstream, &parts, now);
+    ledger.record_report("i1", &evidence.report(), now);
+    let now = now + Duration::from_secs(1);
+    ledger.update(Duration::from_millis(400), now);
+    let TrialAnswer::Granted(id) = ledger.request_trial(&parts, now) else {
+        panic!("a part with an end has trials");
+    };
+    ledger.record_outcome(id, &parts, TrialOutcome::Unknown, now);
+    ledger.update(Duration::from_millis(400), now);
+    let answer = ledger.request_trial(&parts, now);
+    assert!(matches!(answer, TrialAnswer::Granted(_)), "{answer:?}");
+}
