Do not clear a part again by answers that began before it ended another upstream

A part that ends four engines in five was cleared by lucky trials, ended an engine, and was cleared again by one trial more. Answers that began before the last suspicion no longer count after a failed trial.

--- a/crates/fleet/src/quarantine/ledger.rs
+++ b/crates/fleet/src/quarantine/ledger.rs
@@ -69,6 +69,8 @@
     /// Begun answers by process of an instance.
     begun: HashMap<String, u32>,
     begun_trials: u32,
+    /// Begun answers that no longer count.
+    discounted: u32,
     failed_trials: u32,
     late_trials: u32,
     next_trial: Option<Instant>,
@@ -222,6 +224,10 @@
             let is_suspect = entry.is_suspect || entry.noted_at.is_some_and(is_known);
             if is_suspect && !entry.is_suspect {
                 entry.is_suspect = true;
+                if entry.failed_trials > 0 {
+                    // It was cleared by luck: what has begun before says no more.
+                    entry.discounted = entry.all_begun();
+                }
                 self.events
                     .push(LedgerEvent::Suspect(*part, entry.ends(), begun));
             }
@@ -407,6 +413,10 @@
     }
 
     fn begun(&self) -> u32 {
+        self.all_begun().saturating_sub(self.discounted)
+    }
+
+    fn all_begun(&self) -> u32 {
         let begun: u32 = self.begun.values().sum();
         // A part under which an upstream has ended in a trial may end others only at times.
         let weight = if self.failed_trials > 0 {
