--- a/crates/entry/tests/prompt_parts.rs
+++ b/crates/entry/tests/prompt_parts.rs
@@ -3,12 +3,12 @@
 
 mod support;
 
-use std::{cell::RefCell, collections::HashMap, rc::Rc, time::Duration};
+use std::{cell::RefCell, rc::Rc, time::Duration};
 
 use actix_rt::{task::JoinHandle, time::sleep};
 use support::{
-    Engines, Response, SharedState, TestInstance, get, platform::config, send_request, start,
-    wait_until,
+    Engines, FakeUpstream, Response, ScriptStep, SharedState, TestInstance, get, platform::config,
+    send_request, start, upstream_entry, wait_until,
 };
 use tokio::time::Instant;
 
@@ -27,7 +27,8 @@
 struct Callers {
     instances: Rc<Vec<TestInstance>>,
     outcomes: Outcomes,
-    refused: Rc<RefCell<HashMap<u16, usize>>>,
+    /// Requests with a fatal part that were not served: their identifier and status.
+    refused: Rc<RefCell<Vec<(String, u16)>>>,
     tasks: Vec<JoinHandle<()>>,
 }
 
@@ -86,7 +87,7 @@
                         let is_served = res.status == 200 && res.complete;
                         outcomes.borrow_mut().push((sent, is_served));
                     } else if res.status != 200 {
-                        *refused.borrow_mut().entry(res.status).or_default() += 1;
+                        refused.borrow_mut().push((id, res.status));
                     }
                 });
                 sleep(interval).await;
@@ -147,6 +148,35 @@
     }
 }
 
+/// Fails if a request that was answered 503 has reached an engine.
+fn assert_refused_have_not_run(engines: &Engines, callers: &Callers) {
+    let arrivals = engines.arrivals.borrow();
+    for (id, status) in callers.refused.borrow().iter() {
+        let has_arrived = arrivals.iter().any(|arrival| arrival.id == *id);
+        assert!(*status == 502 || *status == 503, "{id}: {status}");
+        assert!(
+            *status != 503 || !has_arrived,
+            "{id} was refused and has run"
+        );
+    }
+}
+
+async fn wait_until_suspect(instance: &TestInstance, part: u64) {
+    wait_until("the part is suspect", async || {
+        let status = get(instance.entry.admin_addr(), "/status").await.body;
+        status.contains(&format!("\"part\": \"{part:x}\""))
+            && status.contains("\"is_suspect\": true")
+    })
+    .await;
+}
+
+/// Sends requests with the fatal part until it is suspect, and then some that are refused.
+async fn get_suspect(callers: &mut Callers) {
+    callers.send_fatal(Duration::from_secs(3));
+    wait_until_suspect(&callers.instances[0], FATAL).await;
+    callers.join().await;
+}
+
 /// Guards against BUDGET of the incident: requests with a part under which five engines had ended went
 /// on being sent, and ended the engines one after the other.
 #[actix_rt::test]
@@ -162,9 +192,8 @@
     assert_bounded(&engines, FATAL);
     let served = callers.served(begin + CONTACT * 2, begin + time);
     assert!(served >= 0.9, "{served} of the sound requests served");
-    // What is refused has not run, and is told so.
-    let refused = callers.refused.borrow();
-    assert!(refused.get(&503).is_some_and(|n| *n > 50), "{refused:?}");
+    assert_refused_have_not_run(&engines, &callers);
+    assert!(callers.refused.borrow().len() > 50);
 }
 
 /// Ends for other reasons keep no sound part from being served.
@@ -183,3 +212,89 @@
     let served = callers.served(begin, begin + Duration::from_secs(5));
     assert!(served >= 0.98, "{served} of the sound requests served");
 }
+
+/// All instances are restarted, and the part is known from the store.
+#[actix_rt::test]
+async fn part_stays_suspect_when_all_instances_are_restarted() {
+    let (shared, engines, mut callers) = start_fleet(8, &["i1", "i2", "i3"]).await;
+    engines.fatal_parts.borrow_mut().insert(FATAL);
+    get_suspect(&mut callers).await;
+    wait_until("the records are stored", async || {
+        let item = shared.item("own/quarantine");
+        item.is_some_and(|item| item.value.len() > 2)
+    })
+    .await;
+    drop(callers);
+    let before = engines.arrivals.borrow().len();
+    let instance = start(&shared, "i4").await;
+    for n in 0..10 {
+        let prompt = format!("{FIRST:x}:100,{FATAL:x}:50,{n:x}:20");
+        let res = stream(&instance, &format!("again{n}"), &prompt).await;
+        assert_eq!(res.status, 503);
+        assert!(res.header("retry-after").is_some());
+    }
+    assert_eq!(engines.arrivals.borrow().len(), before);
+}
+
+/// The holder writes the records again after the store has lost them.
+#[actix_rt::test]
+async fn records_are_written_again_when_the_store_comes_back_from_a_copy() {
+    let (shared, engines, mut callers) = start_fleet(8, &["i1", "i2", "i3"]).await;
+    let copy = shared.copy();
+    engines.fatal_parts.borrow_mut().insert(FATAL);
+    get_suspect(&mut callers).await;
+    let has_records = || {
+        let item = shared.item("own/quarantine");
+        item.is_some_and(|item| String::from_utf8_lossy(&item.value).contains("\"part\""))
+    };
+    wait_until("the records are stored", async || has_records()).await;
+    shared.restore(copy);
+    assert!(!has_records());
+    wait_until("the records are stored again", async || has_records()).await;
+}
+
+/// An operator releases a part, through any instance.
+#[actix_rt::test]
+async fn released_part_is_sent_again() {
+    let (_, engines, mut callers) = start_fleet(8, &["i1", "i2", "i3"]).await;
+    engines.fatal_parts.borrow_mut().insert(FATAL);
+    get_suspect(&mut callers).await;
+    engines.fatal_parts.borrow_mut().clear();
+    let admin = callers.instances[2].entry.admin_addr();
+    let path = format!("/quarantine/release?part={FATAL:x}");
+    assert_eq!(get(admin, &path).await.status, 405);
+    let post = format!("POST {path} HTTP/1.1\r\nhost: h\r\ncontent-length: 0\r\n\r\n");
+    assert_eq!(support::send_raw(admin, &post).await.status, 202);
+    let prompt = format!("{FIRST:x}:100,{FATAL:x}:50,1:20");
+    let mut asked = 0;
+    wait_until("requests with the part are served", async || {
+        asked += 1;
+        let id = format!("released{asked}");
+        stream(&callers.instances[0], &id, &prompt).await.status == 200
+    })
+    .await;
+}
+
+/// A connection that is closed is no end: the upstream accepts others.
+#[actix_rt::test]
+async fn closed_connections_make_no_part_suspect() {
+    let shared = SharedState::new();
+    shared.publish_config(config(1));
+    let upstreams = [
+        FakeUpstream::start("u1", &[ScriptStep::Close]).await,
+        FakeUpstream::start("u2", &[ScriptStep::Close]).await,
+        FakeUpstream::start("u3", &[ScriptStep::Close]).await,
+    ];
+    for upstream in &upstreams {
+        shared.add_upstream(upstream_entry(upstream, "llm", &["m1"]));
+    }
+    let instance = start(&shared, "i1").await;
+    let prompt = format!("{FIRST:x}:100,{FATAL:x}:50,1:20");
+    for n in 0..12 {
+        let res = stream(&instance, &format!("closed{n}"), &prompt).await;
+        assert_ne!(res.status, 200);
+        assert!(!res.body.contains("part"), "{}", res.body);
+    }
+    let status = get(instance.entry.admin_addr(), "/status").await.body;
+    assert!(status.contains("\"prompt_parts\": []"), "{status}");
+}
