Let the test of a released part fail without the release

Its part was due for a trial anyway. Sound requests beside tell it from the first part, which is suspect with it where the two always come together.

--- a/crates/entry/tests/prompt_parts.rs
+++ b/crates/entry/tests/prompt_parts.rs
@@ -170,9 +170,12 @@
     .await;
 }
 
-/// Sends requests with the fatal part until it is suspect, and then some that are refused.
+/// Sends requests with the fatal part, so that it is suspect and the next trial is a minute off, and sound
+/// ones, which tell it from the first part.
 async fn get_suspect(callers: &mut Callers) {
-    callers.send_fatal(Duration::from_secs(3));
+    callers.send_sound(Duration::from_secs(8));
+    sleep(Duration::from_secs(1)).await;
+    callers.send_fatal(Duration::from_secs(7));
     wait_until_suspect(&callers.instances[0], FATAL).await;
     callers.join().await;
 }
