Keep slow streams that no other upstream can continue, and leave stalled ones that send bytes

A resumable stream without data for 1.5 s was given up before it was known whether another upstream could continue it; if none could, its caller got a broken stream though the upstream went on. And bytes inside an event put the 1.5 s off, each time, until the deadline.

A stall is now a time without an event. The stream moves only if another upstream can take it, and otherwise stays for as long as its caller waits.

--- a/crates/entry/src/serve/pick.rs
+++ b/crates/entry/src/serve/pick.rs
@@ -274,6 +274,18 @@
     able.map(|u| closures.time_closed(&u.id, now)).min()
 }
 
+/// Whether an upstream can run the request now.
+pub(super) fn can_choose<P>(
+    cx: &EntryContext<P>,
+    request: &AdmittedRequest,
+    avoided: &AvoidedUpstreams,
+) -> bool
+where
+    P: Platform,
+{
+    choose(cx, request, avoided, cx.now()).is_some()
+}
+
 fn choose<P>(
     cx: &EntryContext<P>,
     request: &AdmittedRequest,
--- a/crates/entry/src/serve/relay.rs
+++ b/crates/entry/src/serve/relay.rs
@@ -35,9 +35,12 @@
 const MAX_BUFFERED_BYTES: usize = 8 << 20;
 /// Chunks of a stream that are buffered for a slow caller.
 const CHANNEL_CAPACITY: usize = 16;
-/// Time without data, after the first chunk, after which a resumable stream continues at another
-/// upstream.
+/// Time without an event, after the first chunk, after which a resumable stream continues at another
+/// upstream if one can take it. If none can, the upstream may be slow but sound, and the stream is kept
+/// for as long as its caller waits.
 const STALL_TIMEOUT: Duration = Duration::from_millis(1_500);
+/// Pause until it is checked again whether another upstream can take a stalled stream.
+const STALL_RECHECK: Duration = Duration::from_millis(250);
 /// Time for which a stream is not resumed at an upstream that failed it.
 const AVOID_AFTER_FAILURE: Duration = Duration::from_secs(10);
 
@@ -124,6 +127,7 @@
         has_passed_events: request.declared.last_event.is_some(),
         possible_runs,
         chunk_times: ChunkTimes::default(),
+        last_event_at: cx.now(),
     };
     let cx = Rc::clone(cx);
     actix_rt::spawn(async move {
@@ -166,6 +170,8 @@
     /// Upstreams that may have run the request.
     possible_runs: u32,
     chunk_times: ChunkTimes,
+    /// When the upstream last brought an event, or the stream began there.
+    last_event_at: Instant,
 }
 
 /// Arrival times of a stream's chunks.
@@ -268,11 +274,7 @@
             if left.is_zero() {
                 return StreamEnd::OutOfTime;
             }
-            let stall_timeout = if self.events.is_some() && self.chunk_times.first.is_some() {
-                STALL_TIMEOUT.min(left)
-            } else {
-                left
-            };
+            let stall_timeout = self.time_to_stall_check().min(left);
             let Some(body) = &mut self.body else {
                 return StreamEnd::OutOfTime;
             };
@@ -289,6 +291,7 @@
                 {
                     return StreamEnd::OutOfTime;
                 }
+                Err(CallError::Stalled { .. }) if self.keeps_stalled() => continue,
                 Err(e) => return StreamEnd::Failed(e),
             };
             if self.chunk_times.record_chunk(self.cx.now()) {
@@ -308,7 +311,12 @@
                 None => piece,
             };
             if !bytes.is_empty() {
+                self.last_event_at = self.cx.now();
                 self.record_origin();
+            } else if self.has_stalled() && !self.keeps_stalled() {
+                let addr = self.sent.upstream.addr;
+                let after = self.time_without_event();
+                return StreamEnd::Failed(CallError::Stalled { addr, after });
             }
             if !bytes.is_empty() && self.tx.send(BodyPiece::Bytes(bytes)).await.is_err() {
                 return StreamEnd::CallerLeft;
@@ -316,6 +324,50 @@
         }
     }
 
+    fn time_without_event(&self) -> Duration {
+        self.cx.now().saturating_duration_since(self.last_event_at)
+    }
+
+    /// Whether a resumable stream has brought no event for so long that it should go on elsewhere.
+    fn has_stalled(&self) -> bool {
+        self.events.is_some()
+            && self.chunk_times.first.is_some()
+            && self.time_without_event() >= STALL_TIMEOUT
+    }
+
+    /// Time without data after which a stall is to be considered.
+    fn time_to_stall_check(&self) -> Duration {
+        if self.events.is_none() || self.chunk_times.first.is_none() {
+            return Duration::MAX;
+        }
+        let left = STALL_TIMEOUT.saturating_sub(self.time_without_event());
+        left.max(STALL_RECHECK)
+    }
+
+    /// Whether a stalled stream stays at its upstream: no other one can take it, and its caller still
+    /// waits.
+    fn keeps_stalled(&self) -> bool {
+        let waited = self.time_without_event();
+        if waited < STALL_TIMEOUT {
+            return true;
+        }
+        if waited >= self.request.route.stream_idle_timeout {
+            return false;
+        }
+        let may_run_again = self.possible_runs < self.request.route.max_upstreams;
+        !may_run_again || !pick::can_choose(&self.cx, &self.request, &self.avoided())
+    }
+
+    /// The upstreams that cannot continue the stream.
+    fn avoided(&self) -> AvoidedUpstreams {
+        let mut avoided = AvoidedUpstreams::default();
+        avoided.avoid_until(&self.sent.upstream.id, self.cx.now() + AVOID_AFTER_FAILURE);
+        if self.has_passed_events {
+            avoided.require_software(&self.sent.upstream.software);
+        }
+        avoided
+    }
+
     /// Records which software version began the stream, before the caller gets its first event.
     fn record_origin(&mut self) {
         if self.has_passed_events || !self.request.route.is_resumable {
@@ -338,11 +390,7 @@
         // Close the connection first: only one engine at a time may work on a request.
         self.body = None;
         let last_event = events.last_id();
-        let mut avoided = AvoidedUpstreams::default();
-        avoided.avoid_until(&self.sent.upstream.id, self.cx.now() + AVOID_AFTER_FAILURE);
-        if self.has_passed_events {
-            avoided.require_software(&self.sent.upstream.software);
-        }
+        let mut avoided = self.avoided();
         let mut trial = None;
         while self.possible_runs < self.request.route.max_upstreams {
             let picked = tokio::select! {
@@ -382,6 +430,7 @@
                     answer.body.expect_events();
                     self.sent = sent;
                     self.body = Some(answer.body);
+                    self.last_event_at = self.cx.now();
                     self.possible_runs += 1;
                     return true;
                 }
--- a/crates/entry/tests/support/mod.rs
+++ b/crates/entry/tests/support/mod.rs
@@ -160,9 +160,14 @@
 }
 
 pub fn request_text(path: &str, id: &str, extra: &str) -> String {
+    let deadline = if extra.contains("x-deadline") {
+        ""
+    } else {
+        "x-deadline: 3000\r\n"
+    };
     format!(
         "POST {path} HTTP/1.1\r\nhost: h\r\nx-id: {id}\r\nx-key: secret-key\r\n\
-         x-deadline: 3000\r\n{extra}content-length: 4\r\n\r\nbody"
+         {deadline}{extra}content-length: 4\r\n\r\nbody"
     )
 }
 
--- a/crates/entry/tests/support/upstream.rs
+++ b/crates/entry/tests/support/upstream.rs
@@ -37,6 +37,8 @@
     },
     /// Sends events 1 to `last`, then nothing, and keeps the connection open.
     EventsThenSilence { last: u64 },
+    /// Sends events 1 to `last`, then a byte of the next one every `interval`, without end.
+    EventsThenBytes { last: u64, interval: Duration },
     /// Sends the events after the one that the request names as last received, up to `last`, then
     /// ends the stream, or with `disconnects` closes the connection in the middle of an event.
     Events {
@@ -183,17 +185,18 @@
             false
         }
         ScriptStep::EventsThenSilence { last } => {
-            let rest = "content-type: text/event-stream\r\ntransfer-encoding: chunked\r\n";
-            let _ = io.write_all(head(200, rest).as_bytes()).await;
-            for event in 1..=last {
-                let text = format!("id: {event}\ndata: e{event}\n\n");
-                let chunk = format!("{:x}\r\n{text}\r\n", text.len());
-                let _ = io.write_all(chunk.as_bytes()).await;
-            }
+            send_events(io, &head, last).await;
             let mut byte = [0];
             let _ = io.read(&mut byte).await;
             false
         }
+        ScriptStep::EventsThenBytes { last, interval } => {
+            send_events(io, &head, last).await;
+            while io.write_all(b"1\r\n:\r\n").await.is_ok() {
+                sleep(interval).await;
+            }
+            false
+        }
         ScriptStep::Events {
             last,
             disconnects,
@@ -219,6 +222,20 @@
     }
 }
 
+/// Sends the head of a stream and its events from 1 to `last`.
+async fn send_events<F>(io: &mut TcpStream, head: F, last: u64)
+where
+    F: Fn(u16, &str) -> String,
+{
+    let rest = "content-type: text/event-stream\r\ntransfer-encoding: chunked\r\n";
+    let _ = io.write_all(head(200, rest).as_bytes()).await;
+    for event in 1..=last {
+        let text = format!("id: {event}\ndata: e{event}\n\n");
+        let chunk = format!("{:x}\r\n{text}\r\n", text.len());
+        let _ = io.write_all(chunk.as_bytes()).await;
+    }
+}
+
 /// Events for [`ScriptStep::UnframedEvents`].
 fn unframed_events(request: &str, last: u64, breaks_off_after: Option<u64>) -> String {
     let last_received = header(request, "x-last").and_then(|n| n.parse::<u64>().ok());
