--- a/crates/soak/src/callers.rs
+++ b/crates/soak/src/callers.rs
@@ -24,7 +24,7 @@
 /// Identifier of the first part of all prompts.
 const FIRST_PART: u64 = 0x100;
 /// Identifier from which on parts belong to one request.
-const OWN_PART: u64 = 1 << 32;
+pub(crate) const OWN_PART: u64 = 1 << 32;
 /// Number of second parts without a fatal part.
 const SHARED_PARTS: u64 = 5;
 /// One in so many streams has the fatal part.
--- a/crates/soak/src/check.rs
+++ b/crates/soak/src/check.rs
@@ -9,8 +9,9 @@
 use comfreyweir_platform_standins::{caller::Outcome, server::Arrival};
 
 use crate::{
-    callers::{Record, UNKNOWN_KEY},
+    callers::{OWN_PART, Record, UNKNOWN_KEY},
     cluster::{Instance, ROUTE_TIME_LIMIT, SoakCluster},
+    faults::FIRST_FATAL_PART,
 };
 
 /// Statuses by which the daemon states that a request has not run and never will.
@@ -60,6 +61,15 @@
     broken
 }
 
+/// Number of engines that ended under a fatal prompt part, and of requests with such a part that reached
+/// engines.
+pub(crate) fn fatal_requests(cluster: &SoakCluster) -> (usize, usize) {
+    let arrivals = cluster.ledger.arrivals();
+    let is_fatal = |part: &u64| (FIRST_FATAL_PART..OWN_PART).contains(part);
+    let fatal = arrivals.iter().filter(|a| a.parts.iter().any(is_fatal));
+    (cluster.ledger.ended().len(), fatal.count())
+}
+
 /// Reports prompts with a part that ends engines, if more than [`MAX_FATAL_REQUESTS`] reach engines
 /// later than [`FATAL_LIMIT`] after the fifth end, from instances that were in touch.
 fn late_fatal_requests(records: &[Record], cluster: &SoakCluster) -> Option<String> {
--- a/crates/soak/src/lib.rs
+++ b/crates/soak/src/lib.rs
@@ -52,6 +52,9 @@
     pub served: usize,
     /// Number of requests that resume a stream, and of those answered with status 200.
     pub resumed: (usize, usize),
+    /// Number of engines that ended under a fatal prompt part, and of requests with such a part that
+    /// reached engines.
+    pub fatal: (usize, usize),
     /// Injected faults, each with its start time and duration.
     pub faults: Vec<String>,
     /// Broken promises, one description each; empty if the soak passed.
@@ -107,6 +110,7 @@
         requests: records.len(),
         served,
         resumed: (resumptions.count(), went_on),
+        fatal: check::fatal_requests(&cluster),
         faults,
         broken_promises: broken,
         logs: logs.flatten(),
--- a/crates/soak/src/main.rs
+++ b/crates/soak/src/main.rs
@@ -86,12 +86,14 @@
         };
         println!(
             "seed {seed}: {} faults, {} of {} requests served, {} of {} resumed streams went on, \
-             {} promises broken",
+             {} engines ended under {} requests with a fatal part, {} promises broken",
             verdict.faults.len(),
             verdict.served,
             verdict.requests,
             verdict.resumed.1,
             verdict.resumed.0,
+            verdict.fatal.0,
+            verdict.fatal.1,
             verdict.broken_promises.len()
         );
         if !verdict.broken_promises.is_empty() {
