Name the fields of the ledger's events, and publish late trials at once

Reading: fields instead of positions, one name for the begin of a tenure, one condition for a cleared part. A trial that is given after five ends is now a change of the records, so that a new holder and the store know of it before it has ended.

--- a/crates/entry/src/metrics.rs
+++ b/crates/entry/src/metrics.rs
@@ -199,10 +199,10 @@
     /// Counts a decision of the holder on a prompt part.
     pub(crate) fn count_quarantine(&self, event: LedgerEvent) {
         let name = match event {
-            LedgerEvent::Suspect(..) => "suspect",
-            LedgerEvent::Cleared(..) => "cleared",
-            LedgerEvent::Tried(..) => "tried",
-            LedgerEvent::Released(_) => "released",
+            LedgerEvent::Suspect { .. } => "suspect",
+            LedgerEvent::Cleared { .. } => "cleared",
+            LedgerEvent::Tried { .. } => "tried",
+            LedgerEvent::Released { .. } => "released",
         };
         self.count_quarantine_event(name);
     }
--- a/crates/fleet/src/quarantine/ledger.rs
+++ b/crates/fleet/src/quarantine/ledger.rs
@@ -31,7 +31,7 @@
 pub struct PartLedger {
     fence: u64,
     /// Begin of the tenure, until all instances have reported.
-    begun_at: Option<Instant>,
+    tenure_began_at: Option<Instant>,
     parts: BTreeMap<PartId, Entry>,
     /// The records that instances are told of, and their version.
     records: Vec<(PartRecord, Option<Instant>)>,
@@ -43,14 +43,38 @@
 /// A change of what the holder thinks of a part, for logs and metrics.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum LedgerEvent {
-    /// A part became suspect, after these ends and begun answers.
-    Suspect(PartId, u32, u32),
-    /// Begun answers cleared a part.
-    Cleared(PartId, u32, u32),
-    /// A trial has ended; with the trials without a begun answer so far.
-    Tried(PartId, TrialOutcome, u32),
+    /// A part became suspect.
+    Suspect {
+        /// The part.
+        part: PartId,
+        /// Ends that count against it.
+        ends: u32,
+        /// Begun answers that count for it.
+        begun: u32,
+    },
+    /// Begun answers cleared a part, or its ends were explained by another one.
+    Cleared {
+        /// The part.
+        part: PartId,
+        /// Ends that count against it.
+        ends: u32,
+        /// Begun answers that count for it.
+        begun: u32,
+    },
+    /// A trial has ended.
+    Tried {
+        /// The part.
+        part: PartId,
+        /// How it ended.
+        outcome: TrialOutcome,
+        /// Trials without a begun answer so far.
+        failed: u32,
+    },
     /// An operator released a part.
-    Released(PartId),
+    Released {
+        /// The part.
+        part: PartId,
+    },
 }
 
 #[derive(Debug, Default)]
@@ -93,7 +117,7 @@
     pub fn begin(fence: u64, now: Instant) -> Self {
         Self {
             fence,
-            begun_at: Some(now),
+            tenure_began_at: Some(now),
             ..Self::default()
         }
     }
@@ -134,13 +158,14 @@
 
     fn record_end(&mut self, process: &str, end: &ObservedEnd, now: Instant) {
         let is_confirmed = |part: &PartId| self.parts.get(part).is_some_and(|e| e.is_confirmed);
-        let confirmed: Vec<_> = end.parts.iter().map(|(part, _)| *part).collect();
-        let confirmed: Vec<_> = confirmed.into_iter().filter(is_confirmed).collect();
+        let parts = end.parts.iter().map(|(part, _)| *part);
+        let confirmed: Vec<_> = parts.filter(is_confirmed).collect();
         let is_explained =
             |entry: &Entry| entry.is_confirmed && entry.upstreams.contains(&end.upstream);
         if confirmed.is_empty() && self.parts.values().any(is_explained) {
             return;
         }
+        // A confirmed part explains the end; the other parts of the prompt are not charged with it.
         for (part, begun) in &end.parts {
             if !confirmed.is_empty() && !confirmed.contains(part) {
                 continue;
@@ -174,7 +199,8 @@
                 if entry.ends() < before && entry.ends() < MIN_ENDS {
                     if std::mem::take(&mut entry.is_suspect) {
                         let (ends, begun) = (entry.ends(), entry.begun());
-                        self.events.push(LedgerEvent::Cleared(*other, ends, begun));
+                        let part = *other;
+                        self.events.push(LedgerEvent::Cleared { part, ends, begun });
                     }
                     entry.noted_at = None;
                     entry.failed_trials = 0;
@@ -199,7 +225,7 @@
     /// Decides which parts are suspect. Without many ends, a part is not before `round` has passed since
     /// it had enough, in which all instances learn of it and report the answers begun on it.
     pub fn update(&mut self, round: Duration, now: Instant) {
-        self.begun_at
+        self.tenure_began_at
             .take_if(|at| now.saturating_duration_since(*at) >= round);
         let mut forgotten = Vec::new();
         for (part, entry) in &mut self.parts {
@@ -207,19 +233,17 @@
                 entry.trial = None;
                 entry.next_trial = Some(now + UNKNOWN_OUTCOME_DELAY);
             }
-            let begun = entry.begun();
-            if begun >= entry.ends() * BEGUN_PER_END {
-                if begun >= entry.ends() * FORGOTTEN_BEGUN_PER_END {
-                    forgotten.push(*part);
+            let (part, ends, begun) = (*part, entry.ends(), entry.begun());
+            if entry.is_cleared() {
+                if begun >= ends * FORGOTTEN_BEGUN_PER_END {
+                    forgotten.push(part);
                 }
-                if entry.is_suspect {
-                    entry.is_suspect = false;
-                    self.events
-                        .push(LedgerEvent::Cleared(*part, entry.ends(), begun));
+                if std::mem::take(&mut entry.is_suspect) {
+                    self.events.push(LedgerEvent::Cleared { part, ends, begun });
                 }
                 continue;
             }
-            let is_clear = entry.ends() >= MANY_ENDS && begun < entry.ends();
+            let is_clear = ends >= MANY_ENDS && begun < ends;
             let is_known = |at| is_clear || now.saturating_duration_since(at) >= round;
             let is_suspect = entry.is_suspect || entry.noted_at.is_some_and(is_known);
             if is_suspect && !entry.is_suspect {
@@ -228,8 +252,7 @@
                     // It was cleared by luck: what has begun before says no more.
                     entry.discounted = entry.all_begun();
                 }
-                self.events
-                    .push(LedgerEvent::Suspect(*part, entry.ends(), begun));
+                self.events.push(LedgerEvent::Suspect { part, ends, begun });
             }
         }
         for part in forgotten {
@@ -252,8 +275,10 @@
         });
         let records: Vec<_> = records.collect();
         let is_same = |a: &(PartRecord, Option<Instant>), b: &(PartRecord, Option<Instant>)| {
-            let without_time = |r: &PartRecord| (r.part, r.ends, r.failed_trials, r.is_suspect);
-            without_time(&a.0) == without_time(&b.0) && a.1 == b.1
+            let trials = |r: &PartRecord| (r.failed_trials, r.late_trials);
+            (a.0.part, a.0.ends, a.0.is_suspect) == (b.0.part, b.0.ends, b.0.is_suspect)
+                && trials(&a.0) == trials(&b.0)
+                && a.1 == b.1
         };
         let is_unchanged = records.len() == self.records.len()
             && records
@@ -315,7 +340,7 @@
         // it came is mostly sound, and many may have one at once.
         let open = self.parts.values().filter_map(|e| e.trial);
         let is_taken = is_exclusive && open.into_iter().any(|trial| trial.is_exclusive);
-        if is_taken || self.begun_at.is_some() {
+        if is_taken || self.tenure_began_at.is_some() {
             return TrialAnswer::Busy;
         }
         self.last_trial += 1;
@@ -396,7 +421,7 @@
     /// Forgets a part, as an operator wants.
     pub fn release(&mut self, part: PartId) {
         if self.parts.remove(&part).is_some() {
-            self.events.push(LedgerEvent::Released(part));
+            self.events.push(LedgerEvent::Released { part });
         }
     }
 
@@ -471,6 +496,10 @@
             }
             TrialOutcome::Unused => self.late_trials -= u32::from(was_late),
         }
-        LedgerEvent::Tried(part, outcome, self.failed_trials)
+        LedgerEvent::Tried {
+            part,
+            outcome,
+            failed: self.failed_trials,
+        }
     }
 }
