Log what the holder knows when the origin of a resumed stream is unknown

A refusal told neither whether the holder was asked and answered, nor for how long it has had the duty, nor how many streams it remembers, so that an origin that was never reported could not be told from one that was lost with the holder or from an answer that never came.

--- a/crates/entry/src/duty/coordinator.rs
+++ b/crates/entry/src/duty/coordinator.rs
@@ -28,8 +28,8 @@
 
 use crate::{
     exchange::message::{
-        DirectoryView, ExchangeAnswer, GrantRequest, InstanceReport, SystemView, TrialRequest,
-        Trials,
+        DirectoryView, ExchangeAnswer, GrantRequest, InstanceReport, OriginsView, SystemView,
+        TrialRequest, Trials,
     },
     platform::Platform,
     state::EntryContext,
@@ -445,7 +445,7 @@
             silent: state.grant_allocator.silent_instances(now),
             directory: state.directory_view(request.directory, now),
             leaving: state.leaving.iter().cloned().collect(),
-            origins: state.origins_of(&request.resumes),
+            origins: self.origins_view(&state, &request.resumes),
             mixed: state.mixed_services(now),
             quarantine: state.quarantine.view(request.quarantine, now),
             config: sends_config.then(|| String::from_utf8_lossy(&value).into_owned()),
@@ -456,6 +456,20 @@
         }
     }
 
+    /// What this holder knows of the given streams; none if there are none.
+    fn origins_view(&self, state: &TenureState, streams: &[StreamKey]) -> Option<OriginsView> {
+        let tenure = self.tenure.get().filter(|_| !streams.is_empty())?;
+        let versions = streams.iter().map(|stream| {
+            let software = state.origins.software(*stream);
+            (*stream, software.map(str::to_owned))
+        });
+        Some(OriginsView {
+            streams: versions.collect(),
+            remembered: state.origins.count(),
+            tenure: tenure.age(self.cx.clock.since_boot()),
+        })
+    }
+
     /// Whether a configuration may be sent now: one after the other, so that they leave bandwidth
     /// for everything else. If so, it counts as sent.
     fn may_send_config(&self, state: &mut TenureState, now: Instant) -> bool {
@@ -702,15 +716,6 @@
             .collect()
     }
 
-    /// Software versions that began the given streams, as far as they are known.
-    fn origins_of(&self, streams: &[StreamKey]) -> Vec<(StreamKey, String)> {
-        let known = streams.iter().filter_map(|stream| {
-            let software = self.origins.software(*stream)?;
-            Some((*stream, software.to_owned()))
-        });
-        known.collect()
-    }
-
     /// Services of which any instance has recently listed several software versions.
     fn mixed_services(&self, now: Instant) -> Vec<String> {
         let reports = self.fresh_reports(now);
--- a/crates/entry/src/exchange/client.rs
+++ b/crates/entry/src/exchange/client.rs
@@ -18,7 +18,9 @@
 use snafu::{ResultExt, Snafu};
 use tokio::time::timeout;
 
-use super::message::{DirectoryView, ExchangeAnswer, InstanceCall, InstanceReport, SystemView};
+use super::message::{
+    DirectoryView, ExchangeAnswer, InstanceCall, InstanceReport, OriginsView, SystemView,
+};
 use crate::{duty::Coordinator, follow::members, platform::Platform, state::EntryContext};
 
 /// Time beyond that delay after which a call to the holder times out.
@@ -309,11 +311,8 @@
     let leaving = view.leaving.into_iter().collect();
     cx.directory.borrow_mut().set_leaving_elsewhere(leaving);
     cx.software.borrow_mut().set_mixed_elsewhere(view.mixed);
-    for (stream, software) in view.origins {
-        if let Some((service, _)) = cx.origin_queries.borrow().get(&stream) {
-            let mut origins = cx.origins.borrow_mut();
-            origins.record(stream, service, &software, now);
-        }
+    if let Some(origins) = view.origins {
+        apply_origins(cx, origins, now);
     }
     if let Some(quarantine) = view.quarantine {
         cx.quarantine.apply(quarantine, now);
@@ -342,6 +341,26 @@
     cx.state_changed.notify_waiters();
 }
 
+/// Takes over what the holder knows of the streams that were asked for.
+fn apply_origins<P>(cx: &EntryContext<P>, view: OriginsView, now: Instant)
+where
+    P: Platform,
+{
+    let mut queries = cx.origin_queries.borrow_mut();
+    for (stream, software) in view.streams {
+        let Some(query) = queries.get_mut(&stream) else {
+            continue;
+        };
+        query.answers += 1;
+        query.holder_remembers = view.remembered;
+        query.holder_tenure = view.tenure;
+        if let Some(software) = software {
+            let mut origins = cx.origins.borrow_mut();
+            origins.record(stream, &query.service, &software, now);
+        }
+    }
+}
+
 fn apply_totals<P>(cx: &EntryContext<P>, totals: &[u8], reported: &Loads, now: Instant)
 where
     P: Platform,
--- a/crates/entry/src/exchange/message.rs
+++ b/crates/entry/src/exchange/message.rs
@@ -144,8 +144,8 @@
     /// Upstreams that told any instance that they leave. Apart from the list, since an instance that
     /// has read a newer list ignores the holder's.
     pub(crate) leaving: Vec<UpstreamProcess>,
-    /// Versions that began the streams that the instance asks for, as far as they are known.
-    pub(crate) origins: Vec<(StreamKey, String)>,
+    /// Versions that began the streams that the instance asks for; none if it asks for none.
+    pub(crate) origins: Option<OriginsView>,
     /// Services of which any instance has recently listed several software versions.
     pub(crate) mixed: Vec<String>,
     /// The holder's records of prompt parts, if the instance knows another version.
@@ -163,6 +163,18 @@
     pub(crate) holder: Option<Holder>,
 }
 
+/// What the holder knows of the streams that an instance asks for.
+#[derive(Clone, Debug, Default, PartialEq)]
+#[derive(Serialize, Deserialize)]
+pub(crate) struct OriginsView {
+    /// The version that began each stream, if it is known.
+    pub(crate) streams: Vec<(StreamKey, Option<String>)>,
+    /// Number of streams whose version the holder remembers.
+    pub(crate) remembered: usize,
+    /// Time since the holder took the duty.
+    pub(crate) tenure: Duration,
+}
+
 /// The holder's list of upstreams.
 #[derive(Clone, Debug, Default, PartialEq)]
 #[derive(Serialize, Deserialize)]
--- a/crates/entry/src/serve/resumption.rs
+++ b/crates/entry/src/serve/resumption.rs
@@ -7,7 +7,10 @@
 use tokio::time::timeout;
 
 use super::{Refusal, admitted::AdmittedRequest};
-use crate::{platform::Platform, state::EntryContext};
+use crate::{
+    platform::Platform,
+    state::{EntryContext, OriginQuery},
+};
 
 /// Time in addition to an exchange period for which the holder is asked. The instance that began the
 /// stream may not have reported it yet.
@@ -42,12 +45,13 @@
         if now >= deadline || !cx.is_holder_responding() {
             break resumption;
         }
-        query.get_or_insert_with(|| OriginQuery::begin(cx, stream, &request.service));
+        query.get_or_insert_with(|| PendingQuery::begin(cx, stream, &request.service));
         cx.demand_changed.notify_one();
         let _ = timeout(deadline.saturating_duration_since(now), changed).await;
     };
     let waited = cx.now().saturating_duration_since(asked_at);
-    log_resumption(cx, request, &resumption, waited);
+    let query = query.map(|query| query.state()).unwrap_or_default();
+    log_resumption(cx, request, &resumption, &query, waited);
     match resumption {
         Resumption::Anywhere => Ok(None),
         Resumption::At(software) => {
@@ -68,6 +72,7 @@
     cx: &EntryContext<P>,
     request: &AdmittedRequest,
     resumption: &Resumption,
+    query: &OriginQuery,
     time: Duration,
 ) where
     P: Platform,
@@ -82,14 +87,17 @@
         return;
     }
     let resumes = request.declared.resumes.as_deref().unwrap_or_default();
+    let up_ms = whole_millis(cx.now().saturating_duration_since(cx.started_at));
     spdlog::info!("caller resumes a stream", kv: {
         request_id = request.id.as_str(), resumes, outcome, software,
-        last_event = request.declared.last_event.unwrap_or_default(), ms = whole_millis(time)
+        last_event = request.declared.last_event.unwrap_or_default(), ms = whole_millis(time),
+        answers = query.answers, holder_remembers = query.holder_remembers,
+        holder_ms = whole_millis(query.holder_tenure), up_ms
     });
 }
 
 /// Asks the holder for the origin of a stream, with each report, until dropped.
-struct OriginQuery<'a, P>
+struct PendingQuery<'a, P>
 where
     P: Platform,
 {
@@ -97,29 +105,35 @@
     stream: StreamKey,
 }
 
-impl<'a, P> OriginQuery<'a, P>
+impl<'a, P> PendingQuery<'a, P>
 where
     P: Platform,
 {
     fn begin(cx: &'a EntryContext<P>, stream: StreamKey, service: &str) -> Self {
         let mut queries = cx.origin_queries.borrow_mut();
-        let (_, requests) = queries
-            .entry(stream)
-            .or_insert_with(|| (service.to_owned(), 0));
-        *requests += 1;
+        let query = queries.entry(stream).or_insert_with(|| OriginQuery {
+            service: service.to_owned(),
+            ..OriginQuery::default()
+        });
+        query.requests += 1;
         Self { cx, stream }
     }
+
+    fn state(&self) -> OriginQuery {
+        let queries = self.cx.origin_queries.borrow();
+        queries.get(&self.stream).cloned().unwrap_or_default()
+    }
 }
 
-impl<P> Drop for OriginQuery<'_, P>
+impl<P> Drop for PendingQuery<'_, P>
 where
     P: Platform,
 {
     fn drop(&mut self) {
         let mut queries = self.cx.origin_queries.borrow_mut();
-        if let Some((_, requests)) = queries.get_mut(&self.stream) {
-            *requests -= 1;
-            if *requests == 0 {
+        if let Some(query) = queries.get_mut(&self.stream) {
+            query.requests -= 1;
+            if query.requests == 0 {
                 queries.remove(&self.stream);
             }
         }
--- a/crates/entry/src/state.rs
+++ b/crates/entry/src/state.rs
@@ -69,6 +69,8 @@
     pub(crate) platform: P,
     settings: RefCell<Rc<EntrySettings>>,
     pub(crate) clock: SystemClock,
+    /// When this process started.
+    pub(crate) started_at: Instant,
     /// Name of this process: the instance's name and a random number drawn at start.
     pub(crate) process: String,
     config: RefCell<Rc<Config>>,
@@ -79,8 +81,8 @@
     pub(crate) software: RefCell<SoftwareVersions>,
     /// Software versions that began the streams that this instance knows.
     pub(crate) origins: RefCell<StreamOrigins>,
-    /// Streams whose origin requests wait for, with their service and the number of requests.
-    pub(crate) origin_queries: RefCell<HashMap<StreamKey, (String, u32)>>,
+    /// Streams whose origin requests wait for.
+    pub(crate) origin_queries: RefCell<HashMap<StreamKey, OriginQuery>>,
     pub(crate) members: RefCell<Members>,
     pub(crate) placement: RefCell<PlacementView>,
     pub(crate) loads: RefCell<LoadTracker>,
@@ -138,6 +140,20 @@
     pub(crate) body_bytes: Rc<Cell<usize>>,
 }
 
+/// A stream whose origin the holder is asked for.
+#[derive(Clone, Debug, Default)]
+pub(crate) struct OriginQuery {
+    pub(crate) service: String,
+    /// Requests that wait for the answer.
+    pub(crate) requests: u32,
+    /// Answers of the holder so far.
+    pub(crate) answers: u32,
+    /// Number of streams whose origin the holder remembered at its last answer.
+    pub(crate) holder_remembers: usize,
+    /// Time for which the holder had the duty at its last answer.
+    pub(crate) holder_tenure: Duration,
+}
+
 /// The instances of the system and the holder of the planning duty, as read from the store.
 #[derive(Default)]
 pub(crate) struct Members {
@@ -330,6 +346,7 @@
         Self {
             platform,
             clock: SystemClock,
+            started_at: SystemClock.now(),
             process,
             config: RefCell::default(),
             config_value: RefCell::default(),
--- a/crates/fleet/src/duty.rs
+++ b/crates/fleet/src/duty.rs
@@ -27,6 +27,8 @@
     renewed_at: Duration,
     /// Time from which orders may be given.
     may_order_from: Duration,
+    /// When the term began.
+    began_at: Duration,
 }
 
 impl Tenure {
@@ -46,9 +48,15 @@
             ttl,
             renewed_at: called_at,
             may_order_from: now + order_delay,
+            began_at: now,
         }
     }
 
+    /// Time since the term began.
+    pub fn age(&self, now: Duration) -> Duration {
+        now.saturating_sub(self.began_at)
+    }
+
     /// Time from a renewal of a lease of length `ttl` to the last possible order.
     pub fn order_time(ttl: Duration) -> Duration {
         ttl.mul_f64(SAFE_LEASE_FRACTION)
--- a/crates/fleet/src/stream_origins.rs
+++ b/crates/fleet/src/stream_origins.rs
@@ -102,6 +102,11 @@
         self.recorded.push_back((now, stream));
     }
 
+    /// Number of streams whose version is remembered.
+    pub fn count(&self) -> usize {
+        self.streams.len()
+    }
+
     /// The version that began a stream, if it is known.
     pub fn software(&self, stream: StreamKey) -> Option<&str> {
         self.streams.get(&stream).map(|o| &*o.software)
