Show that resumed streams are refused, or joined with another version, after a restart

Four tests of a service whose software versions change, as a caller sees it. Two fail with 503 though an upstream of the version that began the stream serves: the holder answers, and remembers no stream. Two fail since a stream of a version that has left goes on at the next one: no process is left that has seen the first one.

--- a/crates/entry/tests/resumptions.rs
+++ b/crates/entry/tests/resumptions.rs
@@ -5,6 +5,7 @@
 
 use std::{rc::Rc, time::Duration};
 
+use actix_rt::time::sleep;
 use comfreyweir_entry::platform::UpstreamNotice;
 use comfreyweir_fleet::upstream::Upstream;
 use support::{
@@ -12,6 +13,9 @@
     send_request, start, upstream_entry, wait_until,
 };
 
+/// Time for which streams have been under way when instances are killed.
+const TIME_BEFORE_KILL: Duration = Duration::from_secs(1);
+
 const MODEL: &str = "x-model: m1\r\n";
 
 /// Entry of an engine that holds the model.
@@ -65,6 +69,29 @@
     }
 }
 
+/// Kills all instances, and waits until the leases of their entries have run out.
+fn kill_all(shared: &SharedState, instances: (TestInstance, TestInstance)) {
+    drop(instances);
+    for key in ["own/duty", "own/instances/e1", "own/instances/e2"] {
+        shared.lapse(key);
+    }
+}
+
+fn assert_goes_on(response: &Response) {
+    assert!(response.complete, "{response:?}");
+    assert!(response.body.starts_with("id: 4\n"), "{response:?}");
+}
+
+/// Whether an engine has got both requests, or none of them.
+fn has_both_or_none(engine: &FakeUpstream, ids: [&str; 2]) -> bool {
+    let observed = engine.observed.borrow();
+    let has = |id: &str| {
+        let line = format!("x-id: {id}\r\n");
+        observed.requests.iter().any(|text| text.contains(&line))
+    };
+    has(ids[0]) == has(ids[1])
+}
+
 async fn begin(instance: &TestInstance, id: &str) -> Response {
     send_request(instance.entry.addr(), "/tell/", id, MODEL).await
 }
@@ -207,3 +234,99 @@
     let response = send_request(instance.entry.addr(), "/tell/", "s2", &extra).await;
     assert!(response.complete, "{response:?}");
 }
+
+/// Guards against refusing resumed streams because every process that knew their software version was
+/// killed.
+#[actix_rt::test]
+async fn streams_go_on_after_all_instances_were_killed() {
+    let engines = [breaking_engine("u1").await, breaking_engine("u2").await];
+    let shared = shared_state(&[(&engines[0], "1"), (&engines[1], "2")]);
+    let (first, second) = start_two(&shared).await;
+    for i in 0..8 {
+        let instance = if i % 2 == 0 { &first } else { &second };
+        assert!(!begin(instance, &format!("r{i}")).await.complete);
+    }
+    sleep(TIME_BEFORE_KILL).await;
+    kill_all(&shared, (first, second));
+    let (first, second) = start_two(&shared).await;
+    for i in 0..8 {
+        let instance = if i % 3 == 0 { &first } else { &second };
+        let (began, id) = (format!("r{i}"), format!("s{i}"));
+        assert_goes_on(&resume(instance, &id, &began).await);
+        for engine in &engines {
+            assert!(
+                has_both_or_none(engine, [&began, &id]),
+                "{id} {}",
+                engine.id
+            );
+        }
+    }
+}
+
+/// Guards against refusing resumed streams because the holder was killed together with the instance
+/// that began them.
+#[actix_rt::test]
+async fn streams_go_on_after_the_holder_was_killed_with_the_instance_that_began_them() {
+    let engines = [breaking_engine("u1").await, breaking_engine("u2").await];
+    let shared = shared_state(&[(&engines[0], "1"), (&engines[1], "2")]);
+    let (holder, other) = start_two(&shared).await;
+    let third = start(&shared, "e3").await;
+    wait_until_holder_answers(&third).await;
+    for i in 0..4 {
+        assert!(!begin(&other, &format!("r{i}")).await.complete);
+    }
+    sleep(TIME_BEFORE_KILL).await;
+    drop((holder, other));
+    shared.lapse("own/duty");
+    for i in 0..4 {
+        let (began, id) = (format!("r{i}"), format!("s{i}"));
+        assert_goes_on(&resume(&third, &id, &began).await);
+        for engine in &engines {
+            assert!(
+                has_both_or_none(engine, [&began, &id]),
+                "{id} {}",
+                engine.id
+            );
+        }
+    }
+}
+
+/// Plays a stream that was begun by a version whose last upstream has just left, when all instances
+/// are killed. Returns what the caller gets who resumes it, and the requests at the new version.
+async fn resume_after_version_has_gone(loses_writes: bool) -> (Response, usize) {
+    let old = breaking_engine("u1").await;
+    let shared = shared_state(&[(&old, "1")]);
+    let (first, second) = start_two(&shared).await;
+    assert!(!begin(&second, "r1").await.complete);
+    sleep(TIME_BEFORE_KILL).await;
+    let copy = shared.copy();
+    let new = breaking_engine("u2").await;
+    shared.add_upstream(entry_of(&new, "2"));
+    wait_until_listed(&first, 2).await;
+    shared.remove_upstream("u1");
+    wait_until_listed(&second, 1).await;
+    kill_all(&shared, (first, second));
+    if loses_writes {
+        shared.restore(copy);
+        shared.remove_upstream("u1");
+        shared.add_upstream(entry_of(&new, "2"));
+    }
+    let (first, _second) = start_two(&shared).await;
+    let response = resume(&first, "s1", "r1").await;
+    (response, new.arrivals())
+}
+
+/// Guards against joining streams of two software versions because no process is left that has seen
+/// the first one.
+#[actix_rt::test]
+async fn stream_of_a_version_that_has_gone_is_not_joined_after_all_instances_were_killed() {
+    let (response, arrivals) = resume_after_version_has_gone(false).await;
+    assert_eq!((response.status, arrivals), (503, 0), "{response:?}");
+}
+
+/// The same where the store has also lost what was written last.
+#[actix_rt::test]
+async fn stream_of_a_version_that_has_gone_is_not_joined_after_the_store_came_back_from_a_copy() {
+    let (response, arrivals) = resume_after_version_has_gone(true).await;
+    assert_eq!((response.status, arrivals), (503, 0), "{response:?}");
+}
--- a/crates/entry/tests/support/platform.rs
+++ b/crates/entry/tests/support/platform.rs
@@ -85,6 +85,11 @@
         }
     }
 
+    /// Removes a key whose lease has run out.
+    pub fn lapse(&self, key: &str) {
+        self.remove(key);
+    }
+
     /// Replaces what the instances wrote by what `copy` returned, under the next era. All leases are
     /// gone, with their keys.
     pub fn restore(&self, items: BTreeMap<String, (StoreItem, u64)>) {
