Record in the store which software versions serve

Callers that resumed a stream after all instances had been killed could get the rest of it from another software version: the instances had started anew, and took the versions that were listed for the only ones, though a version that had just left had begun the stream. With one process left the others learn from it that the version is remembered; with none there was nobody to tell.

The holder now records the versions that are listed, or were in the last minute, in the store, where they outlive all instances and, since versions stay in it after they have left, a copy that is some seconds old. An instance takes a version for the only one once it has read the record, or knows from the holder that there is one; until then it waits, and refuses if it must.

--- a/crates/entry/src/duty/coordinator.rs
+++ b/crates/entry/src/duty/coordinator.rs
@@ -447,6 +447,7 @@
             leaving: state.leaving.iter().cloned().collect(),
             origins: self.origins_view(&state, &request.resumes),
             mixed: state.mixed_services(now),
+            recorded: self.cx.software.borrow().recorded().cloned().collect(),
             quarantine: state.quarantine.view(request.quarantine, now),
             config: sends_config.then(|| String::from_utf8_lossy(&value).into_owned()),
             config_version: config.version,
--- a/crates/entry/src/duty/mod.rs
+++ b/crates/entry/src/duty/mod.rs
@@ -5,9 +5,11 @@
 mod coordinator;
 mod election;
 mod records;
+mod software;
 
 pub(crate) use self::{
     coordinator::Coordinator,
     election::{release, run},
     records::keep_records,
+    software::keep_software,
 };
--- a/crates/entry/src/exchange/client.rs
+++ b/crates/entry/src/exchange/client.rs
@@ -310,7 +310,10 @@
     apply_directory(cx, view.directory, now);
     let leaving = view.leaving.into_iter().collect();
     cx.directory.borrow_mut().set_leaving_elsewhere(leaving);
-    cx.software.borrow_mut().set_mixed_elsewhere(view.mixed);
+    let mut versions = cx.software.borrow_mut();
+    versions.set_mixed_elsewhere(view.mixed);
+    versions.set_recorded_elsewhere(view.recorded);
+    drop(versions);
     if let Some(origins) = view.origins {
         apply_origins(cx, origins, now);
     }
--- a/crates/entry/src/exchange/message.rs
+++ b/crates/entry/src/exchange/message.rs
@@ -148,6 +148,8 @@
     pub(crate) origins: Option<OriginsView>,
     /// Services of which any instance has recently listed several software versions.
     pub(crate) mixed: Vec<String>,
+    /// Services whose software versions are recorded in the store.
+    pub(crate) recorded: Vec<String>,
     /// The holder's records of prompt parts, if the instance knows another version.
     pub(crate) quarantine: Option<QuarantineView>,
     /// The configuration, if the instance needs it.
--- a/crates/entry/src/follow/members.rs
+++ b/crates/entry/src/follow/members.rs
@@ -9,6 +9,7 @@
 
 use actix_rt::time::sleep;
 use bytes::Bytes;
+use comfreyweir_fleet::stream_origins::SoftwareRecord;
 use comfreyweir_peer::PeerSecret;
 
 use super::{RETRY_PAUSE, outage_log::OutageLog, read_all};
@@ -38,6 +39,8 @@
 const SECRET_KEY: &str = "secret";
 /// Key of the records of suspect prompt parts, relative to the same prefix.
 pub(crate) const QUARANTINE_KEY: &str = "quarantine";
+/// Key of the software versions that serve or served recently, relative to the same prefix.
+pub(crate) const SOFTWARE_KEY: &str = "software";
 /// Key of the planning duty, relative to the same prefix.
 pub(crate) const DUTY_KEY: &str = "duty";
 
@@ -175,10 +178,24 @@
     create_secret(cx, cx.platform.keys().own_prefix, limit).await
 }
 
+/// Takes over the software versions that the store has, if they were written since `before`.
+fn apply_software<P>(cx: &EntryContext<P>, before: u64)
+where
+    P: Platform,
+{
+    let members = cx.members.borrow();
+    let (record, revision) = &members.software;
+    if *revision != before {
+        cx.software.borrow_mut().remember(record, cx.now());
+        cx.state_changed.notify_waiters();
+    }
+}
+
 fn replace_members<P>(cx: &EntryContext<P>, own_prefix: &str, items: &StoreItems)
 where
     P: Platform,
 {
+    let software_before = cx.members.borrow().software.1;
     {
         let mut members = cx.members.borrow_mut();
         let before = std::mem::take(&mut members.instances);
@@ -187,6 +204,7 @@
         members.holder = None;
         members.duty_revision = 0;
         members.quarantine.clear();
+        members.software = (SoftwareRecord::new(), 0);
         for item in &items.items {
             apply_item(&mut members, own_prefix, item);
         }
@@ -196,6 +214,7 @@
             }
         }
     }
+    apply_software(cx, software_before);
     announce_members(cx);
 }
 
@@ -206,6 +225,7 @@
     if changes.items.is_empty() && changes.removed.is_empty() {
         return;
     }
+    let software_before = cx.members.borrow().software.1;
     {
         let mut members = cx.members.borrow_mut();
         members.revision = changes.revision;
@@ -217,6 +237,7 @@
             apply_item(&mut members, own_prefix, item);
         }
     }
+    apply_software(cx, software_before);
     announce_members(cx);
 }
 
@@ -259,6 +280,11 @@
             Ok(records) => members.quarantine = records,
             Err(e) => log_ignored(item, &e.to_string()),
         }
+    } else if key == SOFTWARE_KEY {
+        match serde_json::from_slice(&item.value) {
+            Ok(record) => members.software = (record, item.revision),
+            Err(e) => log_ignored(item, &e.to_string()),
+        }
     } else if key == DUTY_KEY {
         match serde_json::from_slice::<Holder>(&item.value) {
             Ok(holder) => {
--- a/crates/entry/src/instance.rs
+++ b/crates/entry/src/instance.rs
@@ -90,6 +90,7 @@
     let (grants_cx, grants_coordinator) = shared();
     let (trials_cx, trials_coordinator) = shared();
     let (records_cx, records_coordinator) = shared();
+    let (software_cx, software_coordinator) = shared();
     let (era_cx, era_coordinator) = shared();
     let (times_cx, times_coordinator) = shared();
     let tasks = vec![
@@ -119,6 +120,11 @@
             Work::Store,
             duty::keep_records(records_cx, records_coordinator),
         ),
+        spawn_task(
+            &cx,
+            Work::Store,
+            duty::keep_software(software_cx, software_coordinator),
+        ),
         actix_rt::spawn(work_times::run(times_cx, times_coordinator)),
         exchange::server::spawn(Rc::clone(&cx), Rc::clone(&coordinator)),
     ];
--- a/crates/entry/src/serve/resumption.rs
+++ b/crates/entry/src/serve/resumption.rs
@@ -39,13 +39,16 @@
         let changed = cx.state_changed.notified();
         let now = cx.now();
         let resumption = cx.resumption(&request.service, stream, now);
-        let Some(stream) = stream.filter(|_| resumption == Resumption::Unknown) else {
+        let is_recorded = cx.software.borrow().is_recorded(&request.service);
+        if resumption != Resumption::Unknown || (stream.is_none() && is_recorded) {
             break resumption;
-        };
-        if now >= deadline || !cx.is_holder_responding() {
+        }
+        if now >= deadline || (is_recorded && !cx.is_holder_responding()) {
             break resumption;
         }
-        query.get_or_insert_with(|| PendingQuery::begin(cx, stream, &request.service));
+        if let Some(stream) = stream {
+            query.get_or_insert_with(|| PendingQuery::begin(cx, stream, &request.service));
+        }
         cx.demand_changed.notify_one();
         let _ = timeout(deadline.saturating_duration_since(now), changed).await;
     };
--- a/crates/entry/src/state.rs
+++ b/crates/entry/src/state.rs
@@ -26,7 +26,8 @@
     retry_budget::{BudgetLimits, RetryBudget},
     store_contact::StoreContact,
     stream_origins::{
-        Resumption, SETTLE_TIME, ServedSoftware, SoftwareVersions, StreamKey, StreamOrigins,
+        Resumption, SETTLE_TIME, ServedSoftware, SoftwareRecord, SoftwareVersions, StreamKey,
+        StreamOrigins,
     },
     upstream::Upstream,
     versioned_list::ListCopy,
@@ -169,6 +170,8 @@
     pub(crate) secret_bytes: Option<Bytes>,
     /// Records of prompt parts that the store has.
     pub(crate) quarantine: Vec<PartRecord>,
+    /// Software versions that the store has, with the revision of that record.
+    pub(crate) software: (SoftwareRecord, u64),
     /// Store revision of the last read or change.
     pub(crate) revision: u64,
     /// Whether the entries have been read at least once.
--- a/crates/fleet/src/stream_origins.rs
+++ b/crates/fleet/src/stream_origins.rs
@@ -162,12 +162,19 @@
     }
 }
 
+/// Software versions by service that serve, or may have served recently. The holder keeps them in the
+/// store, where they outlive all instances.
+pub type SoftwareRecord = BTreeMap<String, BTreeSet<String>>;
+
 /// Software versions of each service that are or were listed.
 #[derive(Debug, Default)]
 pub struct SoftwareVersions {
     services: HashMap<String, BTreeMap<String, Listed>>,
     /// Services with several versions in the lists of any instance, according to the holder.
     mixed_elsewhere: BTreeSet<String>,
+    /// Services whose versions are recorded in the store, so that none is unknown which served before
+    /// this instance started.
+    recorded: BTreeSet<String>,
     is_known: bool,
 }
 
@@ -220,6 +227,46 @@
         self.mixed_elsewhere = services.into_iter().collect();
     }
 
+    /// Takes over a record of the store. Versions that are not listed count as gone since now.
+    pub fn remember(&mut self, record: &SoftwareRecord, now: Instant) {
+        for (service, recorded) in record {
+            self.recorded.insert(service.clone());
+            let versions = self.services.entry(service.clone()).or_default();
+            for version in recorded {
+                versions.entry(version.clone()).or_insert(Listed {
+                    since: None,
+                    gone_at: Some(now),
+                });
+            }
+        }
+    }
+
+    /// Records that the holder has a record of these services.
+    pub fn set_recorded_elsewhere(&mut self, services: Vec<String>) {
+        self.recorded.extend(services);
+    }
+
+    /// Services whose versions are recorded.
+    pub fn recorded(&self) -> impl Iterator<Item = &String> {
+        self.recorded.iter()
+    }
+
+    /// Whether the versions of a service are recorded.
+    pub fn is_recorded(&self, service: &str) -> bool {
+        self.recorded.contains(service)
+    }
+
+    /// The record that the store should have.
+    pub fn record(&self, now: Instant) -> SoftwareRecord {
+        let services = self.services.iter().map(|(service, versions)| {
+            let remembered = versions.iter().filter(|(_, l)| !l.is_forgotten(now));
+            let versions = remembered.map(|(version, _)| version.clone());
+            (service.clone(), versions.collect())
+        });
+        let services = services.filter(|(_, versions): &(_, BTreeSet<_>)| !versions.is_empty());
+        services.collect()
+    }
+
     /// Whether several versions of a service are listed, or were in the last
     /// [`SOFTWARE_MEMORY`].
     pub fn is_mixed(&self, service: &str, now: Instant) -> bool {
@@ -230,9 +277,10 @@
                 .is_some_and(|versions| count_remembered(versions, now) > 1)
     }
 
-    /// The versions of a service that are listed, or were in the last [`SOFTWARE_MEMORY`].
+    /// The versions of a service that are listed, or were in the last [`SOFTWARE_MEMORY`]. Several
+    /// while those that served before this instance started are not known.
     pub fn served(&self, service: &str, now: Instant) -> ServedSoftware {
-        if self.is_mixed(service, now) {
+        if !self.is_recorded(service) || self.is_mixed(service, now) {
             return ServedSoftware::Several;
         }
         let versions = self.services.get(service).into_iter().flatten();
--- a/crates/fleet/tests/stream_origins.rs
+++ b/crates/fleet/tests/stream_origins.rs
@@ -8,8 +8,8 @@
 
 use comfreyweir_fleet::{
     stream_origins::{
-        ORIGIN_MEMORY, Resumption, SETTLE_TIME, SOFTWARE_MEMORY, ServedSoftware, SoftwareVersions,
-        StreamKey, StreamOrigins,
+        ORIGIN_MEMORY, Resumption, SETTLE_TIME, SOFTWARE_MEMORY, ServedSoftware, SoftwareRecord,
+        SoftwareVersions, StreamKey, StreamOrigins,
     },
     upstream::{Holding, Phase, Upstream},
 };
@@ -112,6 +112,38 @@
     }
 }
 
+/// An instance that has been started takes no version for the only one before it knows what the store
+/// has recorded, and remembers a version that has gone meanwhile.
+#[test]
+fn started_instance_knows_the_versions_that_are_recorded() {
+    let start = Instant::now();
+    let (one, two) = (upstream("a", "1"), upstream("b", "2"));
+    let mut before = SoftwareVersions::default();
+    before.update([&one], start);
+    let record = before.record(start);
+    let mut started = SoftwareVersions::default();
+    started.update([&two], start);
+    assert_eq!(started.served(SERVICE, start), ServedSoftware::Several);
+    started.remember(&record, start);
+    assert!(started.is_mixed(SERVICE, start + SOFTWARE_MEMORY));
+    let forgotten = start + ms(1) + SOFTWARE_MEMORY;
+    let only = ServedSoftware::One("2".to_owned());
+    assert_eq!(started.served(SERVICE, forgotten), only);
+    // The next record no longer has the version that has gone.
+    let versions = started.record(forgotten).remove(SERVICE).unwrap();
+    assert_eq!(versions.into_iter().collect::<Vec<_>>(), ["2"]);
+}
+
+/// Which instances are started anew.
+#[derive(Clone, Copy, PartialEq, Eq)]
+enum Restarts {
+    None,
+    /// One at a time, and never the first one.
+    Some,
+    /// All at once.
+    All,
+}
+
 /// An instance in the model.
 #[derive(Default)]
 struct Instance {
@@ -147,7 +179,7 @@
 struct World {
     rng: StdRng,
     now: Instant,
-    has_restarts: bool,
+    restarts: Restarts,
     listed: Vec<Rc<Upstream>>,
     /// Upstreams that are no longer listed.
     gone_at: HashMap<String, Instant>,
@@ -157,20 +189,22 @@
     fence: u64,
     /// What the holder knows; lost when the duty changes hands.
     index: StreamOrigins,
+    /// What the store has recorded.
+    record: SoftwareRecord,
     streams: Vec<Stream>,
     counts: Counts,
     last_version: u32,
 }
 
 impl World {
-    fn new(seed: u64, has_restarts: bool) -> Self {
+    fn new(seed: u64, restarts: Restarts) -> Self {
         let now = Instant::now();
         let mut rng = StdRng::seed_from_u64(seed);
         let count = rng.random_range(2..12);
         let mut world = Self {
             rng,
             now,
-            has_restarts,
+            restarts,
             listed: (0..4).map(|i| upstream(&format!("u{i}"), "1")).collect(),
             gone_at: HashMap::new(),
             version_appeared_at: now,
@@ -178,6 +212,7 @@
             holder: 0,
             fence: 1,
             index: StreamOrigins::default(),
+            record: SoftwareRecord::default(),
             streams: Vec::new(),
             counts: Counts::default(),
             last_version: 1,
@@ -193,7 +228,8 @@
             match self.rng.random_range(0..100) {
                 0..2 => self.change_software(),
                 2..4 => self.cut_or_heal(i),
-                4..5 if self.has_restarts => self.restart(i),
+                4..5 if self.restarts == Restarts::Some => self.restart(i),
+                4..5 if self.restarts == Restarts::All => self.restart_all(),
                 5..6 => self.move_duty(),
                 6..40 => {
                     let loses_answer = self.rng.random_bool(0.2);
@@ -208,6 +244,9 @@
                     self.read_list(i);
                 }
             }
+            if self.rng.random_bool(0.5) {
+                self.write_record();
+            }
         }
     }
 
@@ -239,17 +278,36 @@
         if self.instances[i].is_cut || !is_settled || self.is_witness(i) {
             return;
         }
-        self.instances[i] = Instance::default();
-        self.read_list(i);
+        self.start(i);
         if i == self.holder {
             self.move_duty();
         }
         self.exchange(i, false);
     }
 
-    /// Whether an instance is always in touch: where others are restarted, one is.
+    fn start(&mut self, i: usize) {
+        self.instances[i] = Instance::default();
+        self.instances[i].versions.remember(&self.record, self.now);
+        self.read_list(i);
+    }
+
+    fn restart_all(&mut self) {
+        (0..self.instances.len()).for_each(|i| self.start(i));
+        self.move_duty();
+    }
+
+    /// The holder writes which versions serve, at any time after it has learned of one.
+    fn write_record(&mut self) {
+        let holder = &mut self.instances[self.holder];
+        if !holder.is_cut {
+            self.record = holder.versions.record(self.now);
+            holder.versions.remember(&self.record, self.now);
+        }
+    }
+
+    /// Whether an instance is always in touch: where others are restarted one at a time, one is.
     fn is_witness(&self, i: usize) -> bool {
-        self.has_restarts && i == 0
+        self.restarts == Restarts::Some && i == 0
     }
 
     fn move_duty(&mut self) {
@@ -297,6 +355,8 @@
         let instance = &mut self.instances[i];
         instance.origins.acknowledge(&report, self.fence);
         instance.versions.set_mixed_elsewhere(mixed);
+        let recorded = self.record.keys().cloned().collect();
+        instance.versions.set_recorded_elsewhere(recorded);
         instance.fence = self.fence;
         instance.view_at = Some(now);
     }
@@ -380,11 +440,14 @@
 }
 
 /// Plays many worlds. Returns the sums of their counts.
-fn play(seeds: std::ops::Range<u64>, has_restarts: bool) -> Counts {
+fn play(seeds: std::ops::Range<u64>, restarts: Restarts) -> Counts {
     let mut total = Counts::default();
     for seed in seeds {
-        let mut world = World::new(seed, has_restarts);
+        let mut world = World::new(seed, restarts);
         world.run(400);
+        if world.counts.joined > 0 {
+            println!("seed {seed}: {:?}", world.counts);
+        }
         total.begun += world.counts.begun;
         total.resumed += world.counts.resumed;
         total.refused += world.counts.refused;
@@ -401,7 +464,7 @@
 /// could go on do.
 #[test]
 fn streams_of_two_versions_are_never_joined() {
-    let total = play(0..3_000, false);
+    let total = play(0..3_000, Restarts::None);
     assert_eq!(total.joined, 0, "{total:?}");
     assert!(total.went_on * 2 > total.could_go_on, "{total:?}");
 }
@@ -410,7 +473,14 @@
 /// as long as one of them that remembers is in touch.
 #[test]
 fn restarted_instances_join_no_streams_of_two_versions() {
-    let total = play(0..3_000, true);
+    let total = play(0..3_000, Restarts::Some);
     assert_eq!(total.joined, 0, "{total:?}");
     assert!(total.went_on * 2 > total.could_go_on, "{total:?}");
 }
+
+/// No process remembers a version that has gone after all were started anew; the store does.
+#[test]
+fn instances_that_were_all_restarted_join_no_streams_of_two_versions() {
+    let total = play(0..3_000, Restarts::All);
+    assert_eq!(total.joined, 0, "{total:?}");
+}
