--- a/crates/entry/src/duty/coordinator.rs
+++ b/crates/entry/src/duty/coordinator.rs
@@ -21,7 +21,7 @@
     quarantine::{EvidenceReport, LedgerEvent, PartId, PartLedger, PartRecord},
     quota::GrantAllocator,
     request::Artifact,
-    stream_origins::{ReportedOrigins, StreamKey},
+    stream_origins::ReportedOrigins,
     upstream::Upstream,
     versioned_list::{ListVersion, VersionedList},
 };
@@ -29,8 +29,8 @@
 
 use crate::{
     exchange::message::{
-        DirectoryView, ExchangeAnswer, GrantRequest, InstanceReport, OriginsView, SystemView,
-        TrialRequest, Trials,
+        DirectoryView, ExchangeAnswer, GrantRequest, InstanceReport, OriginReport, OriginsView,
+        SystemView, TrialRequest, Trials,
     },
     platform::Platform,
     state::EntryContext,
@@ -352,6 +352,28 @@
         })
     }
 
+    /// Takes over which versions began an instance's streams, and answers for those that it asks for.
+    pub(crate) fn origins(&self, report: &OriginReport) -> ExchangeAnswer {
+        let Some(tenure) = self.tenure.get().filter(|_| self.has_duty()) else {
+            return self.elsewhere();
+        };
+        let origins = &mut self.state.borrow_mut().origins;
+        if origins.record(&report.begun, self.cx.now()) {
+            self.origins_changed.notify_one();
+        }
+        let streams = report.resumed.iter().map(|stream| {
+            let software = origins.software(*stream);
+            (*stream, software.map(str::to_owned))
+        });
+        ExchangeAnswer::Origins(OriginsView {
+            fence: tenure.fence,
+            streams: streams.collect(),
+            remembered: origins.count(),
+            is_complete: origins.has_stored(),
+            tenure: tenure.age(self.cx.clock.since_boot()),
+        })
+    }
+
     /// Decides anew which prompt parts are suspect.
     fn update_quarantine(&self, state: &mut TenureState, now: Instant) {
         let ledger = &mut state.quarantine;
@@ -427,9 +449,6 @@
         state
             .arrivals
             .record(&report.process, &report.demand.arrivals);
-        if state.origins.record(&report.begun, now) {
-            self.origins_changed.notify_one();
-        }
         let has_waiting = !report.demand.waiting.is_empty();
         state.reports.insert(report.process.clone(), (report, now));
         if has_waiting {
@@ -483,7 +502,6 @@
             silent: state.grant_allocator.silent_instances(now),
             directory: state.directory_view(request.directory, now),
             leaving: state.leaving.iter().cloned().collect(),
-            origins: self.origins_view(&state, &request.resumes),
             mixed: state.mixed_services(now),
             recorded: self.cx.software.borrow().recorded().cloned().collect(),
             quarantine: state.quarantine.view(request.quarantine, now),
@@ -495,21 +513,6 @@
         }
     }
 
-    /// What this holder knows of the given streams; none if there are none.
-    fn origins_view(&self, state: &TenureState, streams: &[StreamKey]) -> Option<OriginsView> {
-        let tenure = self.tenure.get().filter(|_| !streams.is_empty())?;
-        let versions = streams.iter().map(|stream| {
-            let software = state.origins.software(*stream);
-            (*stream, software.map(str::to_owned))
-        });
-        Some(OriginsView {
-            streams: versions.collect(),
-            remembered: state.origins.count(),
-            is_complete: state.origins.has_stored(),
-            tenure: tenure.age(self.cx.clock.since_boot()),
-        })
-    }
-
     /// Whether a configuration may be sent now: one after the other, so that they leave bandwidth
     /// for everything else. If so, it counts as sent.
     fn may_send_config(&self, state: &mut TenureState, now: Instant) -> bool {
@@ -534,7 +537,6 @@
     directory: ListVersion,
     needs_config: bool,
     waiting: Vec<(String, Artifact)>,
-    resumes: Vec<StreamKey>,
     /// Fencing token and version of the records of prompt parts.
     quarantine: (u64, u64),
 }
@@ -551,7 +553,6 @@
             directory: report.directory,
             needs_config: report.needs_config,
             waiting: waiting.collect(),
-            resumes: report.resumes.clone(),
             quarantine: report.evidence.known,
         }
     }
--- a/crates/entry/src/exchange/client.rs
+++ b/crates/entry/src/exchange/client.rs
@@ -12,15 +12,12 @@
     holder_search::HolderSearch,
     load::{Load, Loads},
     report_pacing::ReportPacing,
-    stream_origins::ReportedOrigins,
 };
 use comfreyweir_peer::{LinkError, PeerLink, open, peer_capnp::entry, wire_millis};
 use snafu::{ResultExt, Snafu};
 use tokio::time::timeout;
 
-use super::message::{
-    DirectoryView, ExchangeAnswer, InstanceCall, InstanceReport, OriginsView, SystemView,
-};
+use super::message::{DirectoryView, ExchangeAnswer, InstanceCall, InstanceReport, SystemView};
 use crate::{duty::Coordinator, follow::members, platform::Platform, state::EntryContext};
 
 /// Time beyond that delay after which a call to the holder times out.
@@ -144,15 +141,11 @@
         let reported_at = cx.now();
         let loads = report.loads.clone();
         let arrivals = report.demand.arrivals.clone();
-        let begun = report.begun.clone();
         let evidence = report.evidence.clone();
         if coordinator.has_duty() {
             cx.set_holder_link(None);
             if let ExchangeAnswer::View(mut view) = coordinator.exchange(report, wait).await {
                 cx.demand.borrow_mut().acknowledge(arrivals);
-                cx.origins
-                    .borrow_mut()
-                    .acknowledge(&begun, view.placement.0);
                 cx.quarantine
                     .acknowledge_evidence(&evidence, view.placement.0);
                 // The view has the list as of the last planner run. This instance may have read a
@@ -166,9 +159,6 @@
         match report_to(cx, addr, report, wait).await {
             Ok(ExchangeAnswer::View(view)) => {
                 cx.demand.borrow_mut().acknowledge(arrivals);
-                let mut origins = cx.origins.borrow_mut();
-                origins.acknowledge(&begun, view.placement.0);
-                drop(origins);
                 cx.quarantine
                     .acknowledge_evidence(&evidence, view.placement.0);
                 self.search.record_found();
@@ -183,9 +173,9 @@
                 cx.set_holder_link(None);
                 Err(ExchangeError::NoHolder)
             }
-            Ok(ExchangeAnswer::Grants(_) | ExchangeAnswer::Trials(_)) => {
-                UnexpectedAnswerSnafu.fail()
-            }
+            Ok(
+                ExchangeAnswer::Grants(_) | ExchangeAnswer::Trials(_) | ExchangeAnswer::Origins(_),
+            ) => UnexpectedAnswerSnafu.fail(),
             Err(e) => {
                 self.search.record_failure();
                 cx.set_holder_link(None);
@@ -261,10 +251,8 @@
         demand: cx.demand.borrow().report(),
         spent: cx.quotas.borrow().totals(cx.now()),
         unreachable: cx.health.borrow().upstreams_in_backoff(cx.now()),
-        begun: report_origins(cx),
         mixed: cx.software.borrow().mixed(cx.now()),
         evidence: cx.quarantine.evidence().report(),
-        resumes: cx.origin_queries.borrow().keys().copied().collect(),
         leaving: cx.directory.borrow().leaving().cloned().collect(),
         placement: placement.fence_and_version,
         directory: placement.holder_list.version(),
@@ -274,18 +262,6 @@
     }
 }
 
-/// Streams that the holder does not know yet, if several software versions of their service serve.
-fn report_origins<P>(cx: &EntryContext<P>) -> ReportedOrigins
-where
-    P: Platform,
-{
-    let fence = cx.placement.borrow().fence_and_version.0;
-    let software = cx.software.borrow();
-    let now = cx.now();
-    let mut origins = cx.origins.borrow_mut();
-    origins.report(fence, |service| software.is_mixed(service, now), now)
-}
-
 /// Applies the holder's view to the local state: its answer to a report built at `reported_at` with
 /// these loads.
 fn apply_view<P>(
@@ -313,10 +289,11 @@
     let mut versions = cx.software.borrow_mut();
     versions.set_mixed_elsewhere(view.mixed);
     versions.set_recorded_elsewhere(view.recorded);
-    drop(versions);
-    if let Some(origins) = view.origins {
-        apply_origins(cx, origins, now);
+    // A new holder, or one that learns only now that several versions serve, is to be told of streams.
+    if versions.has_mixed(now) {
+        cx.origins_due.notify_one();
     }
+    drop(versions);
     if let Some(quarantine) = view.quarantine {
         cx.quarantine.apply(quarantine, now);
     }
@@ -344,27 +321,6 @@
     cx.state_changed.notify_waiters();
 }
 
-/// Takes over what the holder knows of the streams that were asked for.
-fn apply_origins<P>(cx: &EntryContext<P>, view: OriginsView, now: Instant)
-where
-    P: Platform,
-{
-    let mut queries = cx.origin_queries.borrow_mut();
-    for (stream, software) in view.streams {
-        let Some(query) = queries.get_mut(&stream) else {
-            continue;
-        };
-        query.answers += 1;
-        query.holder_remembers = view.remembered;
-        query.is_holder_complete = view.is_complete;
-        query.holder_tenure = view.tenure;
-        if let Some(software) = software {
-            let mut origins = cx.origins.borrow_mut();
-            origins.record(stream, &query.service, &software, now);
-        }
-    }
-}
-
 fn apply_totals<P>(cx: &EntryContext<P>, totals: &[u8], reported: &Loads, now: Instant)
 where
     P: Platform,
--- a/crates/entry/src/exchange/grants.rs
+++ b/crates/entry/src/exchange/grants.rs
@@ -74,6 +74,8 @@
             Ok(())
         }
         ExchangeAnswer::Grants(_) | ExchangeAnswer::Elsewhere(_) => NoHolderSnafu.fail(),
-        ExchangeAnswer::View(_) | ExchangeAnswer::Trials(_) => UnexpectedAnswerSnafu.fail(),
+        ExchangeAnswer::View(_) | ExchangeAnswer::Trials(_) | ExchangeAnswer::Origins(_) => {
+            UnexpectedAnswerSnafu.fail()
+        }
     }
 }
--- a/crates/entry/src/exchange/message.rs
+++ b/crates/entry/src/exchange/message.rs
@@ -28,6 +28,26 @@
     /// New evidence on prompt parts, and requests for trials, between two reports. The answer is
     /// trials.
     Trials(Box<TrialRequest>),
+    /// Streams that it has begun, and those whose origin it asks for, between two reports. The answer
+    /// is what the holder knows of them.
+    Origins(OriginReport),
+}
+
+/// Streams by the software versions that began them, and streams whose version is asked for.
+#[derive(Clone, Debug, Default, PartialEq)]
+#[derive(Serialize, Deserialize)]
+pub(crate) struct OriginReport {
+    /// Streams that the instance began while several software versions served.
+    pub(crate) begun: ReportedOrigins,
+    /// Streams that requests resume, of which it does not know which version began them.
+    pub(crate) resumed: Vec<StreamKey>,
+}
+
+impl OriginReport {
+    /// Whether there is nothing to tell or to ask.
+    pub(crate) fn is_empty(&self) -> bool {
+        self.begun.is_empty() && self.resumed.is_empty()
+    }
 }
 
 /// New evidence on prompt parts, and requests for trials.
@@ -85,12 +105,8 @@
     pub(crate) unreachable: Vec<String>,
     /// Listed upstreams that told it that they leave.
     pub(crate) leaving: Vec<UpstreamProcess>,
-    /// Streams that it began while several software versions served, by the version.
-    pub(crate) begun: ReportedOrigins,
     /// Services of which it has recently listed several software versions.
     pub(crate) mixed: Vec<String>,
-    /// Streams whose origin its requests wait for.
-    pub(crate) resumes: Vec<StreamKey>,
     /// What it has observed of prompt parts.
     pub(crate) evidence: EvidenceReport,
     /// Fencing token and version of the placement that it knows.
@@ -111,6 +127,8 @@
     Grants(HashMap<String, Grant>),
     /// Trials.
     Trials(Trials),
+    /// What the holder knows of streams.
+    Origins(OriginsView),
     /// The called instance does not hold the duty. The holder's peer address, if it knows one.
     Elsewhere(Option<SocketAddr>),
 }
@@ -144,8 +162,6 @@
     /// Upstreams that told any instance that they leave. Apart from the list, since an instance that
     /// has read a newer list ignores the holder's.
     pub(crate) leaving: Vec<UpstreamProcess>,
-    /// Versions that began the streams that the instance asks for; none if it asks for none.
-    pub(crate) origins: Option<OriginsView>,
     /// Services of which any instance has recently listed several software versions.
     pub(crate) mixed: Vec<String>,
     /// Services whose software versions are recorded in the store.
@@ -169,6 +185,8 @@
 #[derive(Clone, Debug, Default, PartialEq)]
 #[derive(Serialize, Deserialize)]
 pub(crate) struct OriginsView {
+    /// Fencing token of the holder.
+    pub(crate) fence: u64,
     /// The version that began each stream, if it is known.
     pub(crate) streams: Vec<(StreamKey, Option<String>)>,
     /// Number of streams whose version the holder remembers.
--- a/crates/entry/src/exchange/server.rs
+++ b/crates/entry/src/exchange/server.rs
@@ -89,6 +89,7 @@
             InstanceCall::Report(report) => self.coordinator.exchange(*report, wait).await,
             InstanceCall::Grants(request) => self.coordinator.grants(&request),
             InstanceCall::Trials(request) => self.coordinator.trials(&request),
+            InstanceCall::Origins(report) => self.coordinator.origins(&report),
         };
         let view = postcard::to_allocvec(&answer)
             .map_err(|e| capnp::Error::failed(format!("view cannot be encoded: {e}")))?;
@@ -99,7 +100,9 @@
                 cx.metrics.count_view(view.len());
             }
             ExchangeAnswer::Grants(_) => cx.metrics.count_grants_answer(),
-            ExchangeAnswer::Trials(_) | ExchangeAnswer::Elsewhere(_) => {}
+            ExchangeAnswer::Trials(_)
+            | ExchangeAnswer::Origins(_)
+            | ExchangeAnswer::Elsewhere(_) => {}
         }
         results.get().set_view(&view);
         Ok(())
--- a/crates/entry/src/exchange/trials.rs
+++ b/crates/entry/src/exchange/trials.rs
@@ -73,6 +73,8 @@
             Ok(())
         }
         ExchangeAnswer::Elsewhere(_) => NoHolderSnafu.fail(),
-        ExchangeAnswer::View(_) | ExchangeAnswer::Grants(_) => UnexpectedAnswerSnafu.fail(),
+        ExchangeAnswer::View(_) | ExchangeAnswer::Grants(_) | ExchangeAnswer::Origins(_) => {
+            UnexpectedAnswerSnafu.fail()
+        }
     }
 }
--- a/crates/entry/src/instance.rs
+++ b/crates/entry/src/instance.rs
@@ -91,6 +91,7 @@
     let (trials_cx, trials_coordinator) = shared();
     let (records_cx, records_coordinator) = shared();
     let (origins_cx, origins_coordinator) = shared();
+    let (begun_cx, begun_coordinator) = shared();
     let (software_cx, software_coordinator) = shared();
     let (era_cx, era_coordinator) = shared();
     let (times_cx, times_coordinator) = shared();
@@ -116,6 +117,11 @@
             Work::Exchange,
             exchange::trials::run(trials_cx, trials_coordinator),
         ),
+        spawn_task(
+            &cx,
+            Work::Exchange,
+            exchange::origins::run(begun_cx, begun_coordinator),
+        ),
         spawn_task(
             &cx,
             Work::Store,
--- a/crates/entry/src/serve/attempt.rs
+++ b/crates/entry/src/serve/attempt.rs
@@ -209,8 +209,12 @@
     let Some(stream) = request.begun_stream() else {
         return true;
     };
+    let now = cx.now();
+    if cx.software.borrow().is_mixed(&upstream.service, now) {
+        cx.origins_due.notify_one();
+    }
     let mut origins = cx.origins.borrow_mut();
-    origins.begin(stream, &upstream.service, &upstream.software, cx.now())
+    origins.begin(stream, &upstream.service, &upstream.software, now)
 }
 
 /// The software version to which a stream that the request begins is bound, if any.
--- a/crates/entry/src/serve/resumption.rs
+++ b/crates/entry/src/serve/resumption.rs
@@ -133,7 +133,7 @@
             .is_none_or(|(at, _)| time(at) >= self.report_time());
         if is_due {
             self.last_ask = Some((now, self.query_state().answers));
-            self.cx.demand_changed.notify_one();
+            self.cx.origins_due.notify_one();
         }
     }
 
--- a/crates/entry/src/state.rs
+++ b/crates/entry/src/state.rs
@@ -82,6 +82,8 @@
     pub(crate) software: RefCell<SoftwareVersions>,
     /// Software versions that began the streams that this instance knows.
     pub(crate) origins: RefCell<StreamOrigins>,
+    /// Notified when the holder is to be told of streams, or asked for their origin.
+    pub(crate) origins_due: Notify,
     /// Streams whose origin requests wait for.
     pub(crate) origin_queries: RefCell<HashMap<StreamKey, OriginQuery>>,
     pub(crate) members: RefCell<Members>,
@@ -359,6 +361,7 @@
             store_contact: RefCell::default(),
             software: RefCell::default(),
             origins: RefCell::default(),
+            origins_due: Notify::new(),
             origin_queries: RefCell::default(),
             members: RefCell::default(),
             placement: RefCell::default(),
--- a/crates/fleet/src/stream_origins.rs
+++ b/crates/fleet/src/stream_origins.rs
@@ -35,7 +35,7 @@
 const MAX_REPORTED: usize = 1_000;
 /// Time for which a stream without events must have been at its upstream before it is reported. Most
 /// upstreams that turn a request away do so sooner, and it may then go to any version.
-const MIN_TIME_SENT: Duration = Duration::from_millis(50);
+pub const MIN_TIME_SENT: Duration = Duration::from_millis(50);
 
 /// Identifies a stream on all instances: a hash of the identifier of the request that began it.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, PartialOrd, Ord)]
@@ -363,6 +363,12 @@
                 .is_some_and(|versions| count_remembered(versions, now) > 1)
     }
 
+    /// Whether several versions of any service are listed, or were in the last [`SOFTWARE_MEMORY`].
+    pub fn has_mixed(&self, now: Instant) -> bool {
+        let mut services = self.services.values();
+        !self.mixed_elsewhere.is_empty() || services.any(|v| count_remembered(v, now) > 1)
+    }
+
     /// The versions of a service that are listed, or were in the last [`SOFTWARE_MEMORY`]. Several
     /// while those that served before this instance started are not known.
     pub fn served(&self, service: &str, now: Instant) -> ServedSoftware {
