--- a/crates/entry/src/duty/origins.rs
+++ b/crates/entry/src/duty/origins.rs
@@ -17,7 +17,7 @@
 };
 
 /// Shortest pause between two writes. What is reported meanwhile is written together.
-const WRITE_PAUSE: Duration = Duration::from_millis(100);
+const WRITE_PAUSE: Duration = Duration::from_millis(50);
 /// Time for which batches are written under one lease. Its end removes them.
 const LEASE_USE: Duration = ORIGIN_MEMORY;
 /// Lifetime of such a lease, which is not renewed: a batch stays as long as streams are remembered.
--- a/crates/fleet/src/stream_origins.rs
+++ b/crates/fleet/src/stream_origins.rs
@@ -35,7 +35,7 @@
 const MAX_REPORTED: usize = 1_000;
 /// Time for which a stream without events must have been at its upstream before it is reported. Most
 /// upstreams that turn a request away do so sooner, and it may then go to any version.
-pub const MIN_TIME_SENT: Duration = Duration::from_millis(50);
+pub const MIN_TIME_SENT: Duration = Duration::from_millis(20);
 
 /// Identifies a stream on all instances: a hash of the identifier of the request that began it.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, PartialOrd, Ord)]
