Take no answer without an identifier on a connection that has carried another

Callers were told "not run, try again" for bookings that ran or were running, such bookings were sent to a second upstream, and one caller could get the answer to another's request: a faulty upstream writes an answer too many on a kept connection, and it arrives after the next request was written. The look at an idle connection for unread bytes comes before that.

Cause: an answer without an identifier counted as the request's own on any connection, though it is the identifier that tells an answer too many from it. So a 503 marked as not run, or any 421, was believed.

On a kept connection an answer without an identifier now counts as none: the request may have run. The first answer on a new connection may still lack it, and that connection is then not used again. Upstreams that echo the identifier keep their connections as before (one connection for two calls in connection_with_echoed_identifiers_is_used_again, and in refusal_of_a_sound_upstream_is_believed_on_a_kept_connection). A plain service that does not echo it costs a connection a call.

An unmarked 503 without a seal and answers with the identifier of another request already gave 502.

--- a/crates/entry/tests/support/upstream.rs
+++ b/crates/entry/tests/support/upstream.rs
@@ -27,6 +27,20 @@
     Silent,
     /// Answers with the id of another request.
     WrongRequestId,
+    /// Like `Answer` with 200, and writes `extra`, an answer that belongs to no request, `after` its
+    /// own one, which takes a moment if `takes` is not zero.
+    AnswerThenExtra {
+        takes: Duration,
+        extra: &'static str,
+        after: Duration,
+    },
+    /// Answers like `Answer` with 200 after a moment. On a connection that has carried another answer,
+    /// it first writes `extra`, an answer that belongs to no request, `after` the request has arrived.
+    /// In it, `ID` stands for the identifier of the request.
+    ExtraThenAnswer {
+        extra: &'static str,
+        after: Duration,
+    },
     /// Like `Events`, with neither a length nor chunks, and closes the connection in order. A stream
     /// that begins with event 1 is broken off inside the event after `breaks_off_after`, if any.
     UnframedEvents {
@@ -48,9 +62,13 @@
     },
 }
 
+/// Time that a request runs at an upstream that writes an answer too many meanwhile.
+const RUN_TIME: Duration = Duration::from_millis(50);
+
 #[derive(Default)]
 pub struct Observed {
     pub requests: Vec<String>,
+    pub connections: usize,
     pub closed_connections: usize,
 }
 
@@ -109,6 +127,8 @@
     observed: Rc<RefCell<Observed>>,
     script: Rc<RefCell<VecDeque<ScriptStep>>>,
 ) {
+    observed.borrow_mut().connections += 1;
+    let mut is_first = true;
     while let Some(request) = read_request(&mut io).await {
         observed.borrow_mut().requests.push(request.clone());
         let step = {
@@ -119,6 +139,11 @@
                 script.front().cloned().unwrap()
             }
         };
+        let step = match step {
+            ScriptStep::ExtraThenAnswer { .. } if is_first => ScriptStep::Answer(200, "served"),
+            step => step,
+        };
+        is_first = false;
         if !run_step(&mut io, &id, &request, step).await {
             observed.borrow_mut().closed_connections += 1;
             return;
@@ -163,6 +188,10 @@
             );
             io.write_all(text.as_bytes()).await.is_ok()
         }
+        ScriptStep::AnswerThenExtra { .. } | ScriptStep::ExtraThenAnswer { .. } => {
+            let own = head(200, "content-length: 6\r\n") + "served";
+            answer_with_extra(io, &request_id, &own, step).await
+        }
         ScriptStep::Close => false,
         ScriptStep::Silent => {
             let mut byte = [0];
@@ -222,6 +251,35 @@
     }
 }
 
+async fn answer_with_extra(io: &mut TcpStream, id: &str, own: &str, step: ScriptStep) -> bool {
+    match step {
+        ScriptStep::AnswerThenExtra {
+            takes,
+            extra,
+            after,
+        } => {
+            sleep(takes).await;
+            write_both(io, own, after, extra).await
+        }
+        ScriptStep::ExtraThenAnswer { extra, after } => {
+            sleep(after).await;
+            write_both(io, &extra.replace("ID", id), RUN_TIME, own).await
+        }
+        _ => unreachable!("the other steps write no answer too many"),
+    }
+}
+
+/// Writes two answers, together if there is no pause between them.
+async fn write_both(io: &mut TcpStream, first: &str, pause: Duration, second: &str) -> bool {
+    if pause.is_zero() {
+        let both = format!("{first}{second}");
+        return io.write_all(both.as_bytes()).await.is_ok();
+    }
+    let _ = io.write_all(first.as_bytes()).await;
+    sleep(pause).await;
+    io.write_all(second.as_bytes()).await.is_ok()
+}
+
 /// Sends the head of a stream and its events from 1 to `last`.
 async fn send_events<F>(io: &mut TcpStream, head: F, last: u64)
 where
--- a/crates/http/src/upstream/answer.rs
+++ b/crates/http/src/upstream/answer.rs
@@ -74,17 +74,19 @@
 }
 
 impl UpstreamAnswer {
+    /// `has_id` is whether the answer carries the identifier of its request.
     pub(super) fn new(
         addr: SocketAddr,
         res: ClientResponse<BoxedPayloadStream>,
         progress: Rc<CallProgress>,
+        has_id: bool,
     ) -> Self {
         let status = res.status();
         let headers = res.headers().clone();
         let body = AnswerBody {
             addr,
             framing: body_framing(&headers),
-            keep_alive: allows_keep_alive(&res),
+            keep_alive: has_id && allows_keep_alive(&res),
             res,
             progress,
             bytes_read: 0,
--- a/crates/http/src/upstream/mod.rs
+++ b/crates/http/src/upstream/mod.rs
@@ -47,7 +47,11 @@
 pub enum RequestIdEcho {
     /// An answer without it is an error. For engines, which always echo it.
     Required,
-    /// The header may be missing, but a different identifier is an error. For plain services.
+    /// The header may be missing in the first answer on a connection, which is then not used again;
+    /// a different identifier is an error. For plain services.
+    ///
+    /// An upstream may write an answer too many, which arrives where that of the connection's next
+    /// request is expected. Without an identifier it cannot be told from that request's own.
     IfPresent,
 }
 
@@ -73,7 +77,7 @@
         /// Cause, for logs.
         reason: String,
     },
-    /// The answer carries the identifier of another request, or lacks one that is required.
+    /// The answer carries the identifier of another request, or lacks one that it needs.
     #[snafu(display("upstream {addr} answered another request"))]
     WrongRequestId {
         /// Address of the upstream.
@@ -170,7 +174,7 @@
         B: MessageBody + 'static,
     {
         let addr = call.addr;
-        let io = self.connect(&call).await?;
+        let (io, is_reused) = self.connect(&call).await?;
         let has_body = call.method != Method::HEAD;
         let idle = Rc::downgrade(&self.idle);
         let connection = CallConnection::new(io, addr, Rc::clone(progress), idle, has_body);
@@ -189,14 +193,15 @@
             .headers()
             .get(&call.id_header)
             .map(HeaderValue::as_bytes);
-        let has_expected_id = match echoed_id {
+        let has_id = echoed_id.is_some();
+        let is_own = match echoed_id {
             Some(echoed_id) => echoed_id == call.request_id.as_bytes(),
-            None => call.echo == RequestIdEcho::IfPresent,
+            None => call.echo == RequestIdEcho::IfPresent && !is_reused,
         };
-        if !has_expected_id {
+        if !is_own {
             return WrongRequestIdSnafu { addr }.fail();
         }
-        Ok(UpstreamAnswer::new(addr, res, Rc::clone(progress)))
+        Ok(UpstreamAnswer::new(addr, res, Rc::clone(progress), has_id))
     }
 
     /// Whether `addr` refuses connections: its host runs, and no process listens there. False if it
@@ -206,18 +211,19 @@
         connected.is_ok_and(|c| c.is_err_and(|e| e.kind() == io::ErrorKind::ConnectionRefused))
     }
 
-    async fn connect(&self, call: &UpstreamCall) -> Result<TcpStream, CallError> {
+    /// Returns a connection, and whether it has carried other calls.
+    async fn connect(&self, call: &UpstreamCall) -> Result<(TcpStream, bool), CallError> {
         let addr = call.addr;
         if call.connection == ConnectionKind::Reusable
             && let Some(io) = self.idle.borrow_mut().take(addr)
         {
-            return Ok(io);
+            return Ok((io, true));
         }
         let opened = timeout(self.connect_timeout, TcpStream::connect(addr)).await;
         let io = opened
             .unwrap_or_else(|_| Err(io::ErrorKind::TimedOut.into()))
             .map_err(|source| CallError::Connect { addr, source })?;
         let _ = io.set_nodelay(true);
-        Ok(io)
+        Ok((io, false))
     }
 }
