Send a request again to the same upstream on a new connection only

A booking that an upstream had refused was sent there again, and ran, and was then sent a third time or refused with "not run": the upstream wrote the earlier refusal once more on another connection that was kept to it. It carries the identifier of the request, which is the caller's and stays the same when it is sent again, so that the identifier does not tell the two answers apart.

A request now goes to an address that it was sent to before on a new connection only, where no earlier answer can arrive. First sends use idle connections as before; the connections of other requests do not change. What it costs is one connection for each repeated send to the same address that found an idle one; these are bounded by the retry budget, and by the 60 ms and 5 s for which a request avoids an upstream that refused it.

The connection on which a refusal came was closed before already, because its body is not read: with one idle connection, the test passed. With two it failed, "2 idle connections, left: (200, 3), right: (200, 2)": status 200 after three sends instead of two, of which two ran.

Ruled out: not believing the second refusal of an upstream, since an engine that is full twice is sound.

--- a/crates/entry/src/serve/admit.rs
+++ b/crates/entry/src/serve/admit.rs
@@ -1,7 +1,7 @@
 //! Admission: routing, authentication, reading the body and taking the workspace's allowance.
 
 use std::{
-    cell::Cell,
+    cell::{Cell, RefCell},
     rc::Rc,
     time::{Duration, Instant},
 };
@@ -102,6 +102,7 @@
         body,
         parts: parts.into(),
         has_ended_upstream: Cell::new(false),
+        sent_to: RefCell::default(),
         arrived,
         deadline,
         caller: None,
--- a/crates/entry/src/serve/admitted.rs
+++ b/crates/entry/src/serve/admitted.rs
@@ -1,7 +1,9 @@
 //! The state of an admitted request.
 
 use std::{
-    cell::Cell,
+    cell::{Cell, RefCell},
+    collections::HashSet,
+    net::SocketAddr,
     rc::Rc,
     time::{Duration, Instant},
 };
@@ -37,6 +39,8 @@
     pub(crate) parts: Rc<[PartId]>,
     /// Whether an upstream has ended at the beginning of an answer to it.
     pub(crate) has_ended_upstream: Cell<bool>,
+    /// Addresses of the upstreams that it was sent to.
+    pub(crate) sent_to: RefCell<HashSet<SocketAddr>>,
     /// Path and query.
     pub(crate) path: String,
     /// Headers to forward, without those that are set anew for each attempt.
--- a/crates/entry/src/serve/attempt.rs
+++ b/crates/entry/src/serve/attempt.rs
@@ -1,6 +1,7 @@
 //! One attempt to send a request to one upstream.
 
 use std::{
+    net::SocketAddr,
     rc::Rc,
     time::{Duration, Instant},
 };
@@ -165,7 +166,8 @@
         .borrow_mut()
         .record_sent(&picked.upstream.id, cx.now());
     let progress = CallProgress::new();
-    let call = build_call(cx, request, &picked.upstream, last_event);
+    let connection = request.record_send(picked.upstream.addr);
+    let call = build_call(cx, request, &picked.upstream, last_event, connection);
     let body = if request.body.is_empty() && !request.method_may_have_body() {
         BoxBody::new(NoBody::new())
     } else {
@@ -241,6 +243,7 @@
     request: &AdmittedRequest,
     upstream: &Upstream,
     last_event: Option<u64>,
+    connection: ConnectionKind,
 ) -> UpstreamCall
 where
     P: Platform,
@@ -274,7 +277,7 @@
         id_header: names.request_id.clone(),
         request_id: request.id.clone(),
         echo: RequestIdEcho::IfPresent,
-        connection: ConnectionKind::Reusable,
+        connection,
     }
 }
 
@@ -306,6 +309,18 @@
 }
 
 impl AdmittedRequest {
+    /// Records that it is sent to `addr`, and returns which connections it may use there.
+    ///
+    /// An upstream may write an answer once more on a kept connection. If the request is sent there
+    /// again, its identifier does not tell an earlier answer from the one to the new send.
+    fn record_send(&self, addr: SocketAddr) -> ConnectionKind {
+        if self.sent_to.borrow_mut().insert(addr) {
+            ConnectionKind::Reusable
+        } else {
+            ConnectionKind::Fresh
+        }
+    }
+
     /// Whether the method allows a body. If so, an empty body is sent as such.
     fn method_may_have_body(&self) -> bool {
         use actix_http::Method;
--- a/crates/entry/tests/late_answers.rs
+++ b/crates/entry/tests/late_answers.rs
@@ -6,6 +6,7 @@
 use std::{rc::Rc, time::Duration};
 
 use comfreyweir_fleet::config::RouteKind;
+use futures_util::future::join_all;
 use support::{
     FakeUpstream, Response, ScriptStep, SharedState, TestInstance,
     platform::{config, route},
@@ -22,6 +23,9 @@
     "HTTP/1.1 503 No\r\nx-id: r1\r\nx-not-run: 1\r\ncontent-length: 0\r\n\r\n";
 const SEALED_OF_R1: &str =
     "HTTP/1.1 200 OK\r\nx-id: r1\r\nx-seal: u1\r\ncontent-length: 7\r\n\r\nanother";
+/// The refusal of the request that it is written for.
+const OWN_REFUSAL: &str =
+    "HTTP/1.1 503 No\r\nx-id: ID\r\nx-not-run: 1\r\ncontent-length: 0\r\n\r\n";
 const EXTRA_ANSWERS: [&str; 6] = [
     REFUSAL,
     UNMARKED_REFUSAL,
@@ -32,6 +36,14 @@
 ];
 
 const SERVED: ScriptStep = ScriptStep::Answer(200, "served");
+/// Answers after a moment, so that several connections are in use at once.
+const SERVED_LATER: ScriptStep = ScriptStep::AnswerThenExtra {
+    takes: Duration::from_millis(50),
+    extra: "",
+    after: Duration::ZERO,
+};
+const MODEL: &str = "x-model: m1\r\n";
+
 async fn start_instance(plain: &[&FakeUpstream], engines: &[&FakeUpstream]) -> TestInstance {
     let shared = SharedState::new();
     let mut config = config(1);
@@ -117,6 +129,35 @@
     }
 }
 
+/// Guards against a refusal that is written once more being taken for the answer when the request is
+/// sent to the same upstream again: its caller was told that it had not run, or it was sent a third
+/// time, though it ran.
+#[actix_rt::test]
+async fn refusal_written_once_more_is_not_taken_for_the_answer_to_the_next_send() {
+    for idle_connections in [1, 2, 3] {
+        let mut script = vec![SERVED_LATER; idle_connections];
+        script.push(ScriptStep::NotRun(503));
+        script.push(ScriptStep::ExtraThenAnswer {
+            extra: OWN_REFUSAL,
+            after: Duration::ZERO,
+        });
+        let engine = FakeUpstream::start("u1", &script).await;
+        let instance = start_instance(&[], &[&engine]).await;
+        let addr = instance.entry.addr();
+        let ids: Vec<_> = (0..idle_connections).map(|n| format!("r{n}")).collect();
+        let served = ids.iter().map(|id| send_request(addr, "/once/", id, MODEL));
+        let served = join_all(served).await;
+        assert!(served.iter().all(|res| res.status == 200), "{served:?}");
+        let response = send_request(addr, "/once/", "again", MODEL).await;
+        let sent = engine.arrivals() - idle_connections;
+        assert_eq!(
+            (response.status, sent),
+            (200, 2),
+            "{idle_connections} idle connections"
+        );
+    }
+}
+
 /// A refusal with the identifier of its request is believed on a kept connection, and the request is
 /// sent elsewhere.
 #[actix_rt::test]
