--- a/crates/fleet/tests/placement_under_load.rs
+++ b/crates/fleet/tests/placement_under_load.rs
@@ -337,6 +337,53 @@
     ]
 }
 
+/// A request of a model, or of one of its adapters, and their number.
+type Demand = (usize, usize, u32);
+
+fn demand() -> impl Strategy<Value = Vec<Demand>> {
+    prop::collection::vec((0_usize..9, 0_usize..6, 1_u32..4), 10..60)
+}
+
+/// Lets three engines serve `demand`, and checks their memory and adapter slots.
+fn check_overloads(
+    demand: Vec<Demand>,
+    deliveries: Vec<OrderDelivery>,
+    report_ages: Vec<Duration>,
+    entry_ages_ms: &[u64],
+) -> Result<(), TestCaseError> {
+    let names: Vec<_> = (0..9).map(|i| format!("m{i}")).collect();
+    let models: Vec<_> = names
+        .iter()
+        .enumerate()
+        .map(|(i, n)| model(n, if i % 2 == 0 { LARGE_MB } else { SMALL_MB }, 6))
+        .collect();
+    let engines = vec![
+        FakeEngine::new("e0", &["m0", "m2"]),
+        FakeEngine::new("e1", &["m1", "m3", "m4"]),
+        FakeEngine::new("e2", &["m6", "m1"]),
+    ];
+    let mut fleet = Fleet::new(&models, engines);
+    fleet.deliveries = deliveries;
+    fleet.report_ages = report_ages;
+    for (at, (m, a, requests)) in demand.into_iter().enumerate() {
+        let age_ms = entry_ages_ms[at / 6 % entry_ages_ms.len()];
+        fleet.entry_age = Duration::from_millis(age_ms);
+        let key = if a < 3 {
+            format!("m{m}")
+        } else {
+            format!("m{m}/a{a}")
+        };
+        fleet.add_waiting(&key, requests);
+        fleet.run_for(Duration::from_millis(300));
+        prop_assert_eq!(fleet.overloads(), Vec::<String>::new());
+    }
+    fleet.deliveries.clear();
+    fleet.report_ages.clear();
+    fleet.run_for(seconds(10.0));
+    prop_assert_eq!(fleet.overloads(), Vec::<String>::new());
+    Ok(())
+}
+
 proptest! {
     #![proptest_config(ProptestConfig::with_cases(48))]
 
@@ -344,33 +391,23 @@
     /// upstreams is, no engine is told to hold more than fits into its memory and adapter slots.
     #[test]
     fn engines_are_never_overloaded(
-        demand in prop::collection::vec((0_usize..9, 0_usize..6, 1_u32..4), 10..60),
+        demand in demand(),
         deliveries in prop::collection::vec(order_delivery(), 0..80),
         entry_ages_ms in prop::collection::vec(0_u64..7_000, 1..10),
     ) {
-        let names: Vec<_> = (0..9).map(|i| format!("m{i}")).collect();
-        let models: Vec<_> = names
-            .iter()
-            .enumerate()
-            .map(|(i, n)| model(n, if i % 2 == 0 { LARGE_MB } else { SMALL_MB }, 6))
-            .collect();
-        let engines = vec![
-            FakeEngine::new("e0", &["m0", "m2"]),
-            FakeEngine::new("e1", &["m1", "m3", "m4"]),
-            FakeEngine::new("e2", &["m6", "m1"]),
-        ];
-        let mut fleet = Fleet::new(&models, engines);
-        fleet.deliveries = deliveries;
-        for (at, (m, a, requests)) in demand.into_iter().enumerate() {
-            let age_ms = entry_ages_ms[at / 6 % entry_ages_ms.len()];
-            fleet.entry_age = Duration::from_millis(age_ms);
-            let key = if a < 3 { format!("m{m}") } else { format!("m{m}/a{a}") };
-            fleet.add_waiting(&key, requests);
-            fleet.run_for(Duration::from_millis(300));
-            prop_assert_eq!(fleet.overloads(), Vec::<String>::new());
-        }
-        fleet.deliveries.clear();
-        fleet.run_for(seconds(10.0));
-        prop_assert_eq!(fleet.overloads(), Vec::<String>::new());
+        check_overloads(demand, deliveries, Vec::new(), &entry_ages_ms)?;
+    }
+
+    /// The same where an engine writes an earlier report once more, late, and that is taken for the
+    /// answer to the next request for a report.
+    #[test]
+    fn engines_that_repeat_old_reports_are_never_overloaded(
+        demand in demand(),
+        deliveries in prop::collection::vec(order_delivery(), 0..80),
+        report_ages_ms in prop::collection::vec(300_u64..9_000, 0..80),
+        entry_ages_ms in prop::collection::vec(0_u64..7_000, 1..10),
+    ) {
+        let report_ages = report_ages_ms.into_iter().map(Duration::from_millis).collect();
+        check_overloads(demand, deliveries, report_ages, &entry_ages_ms)?;
     }
 }
--- a/crates/fleet/tests/support/mod.rs
+++ b/crates/fleet/tests/support/mod.rs
@@ -279,6 +279,8 @@
     pub entry_age: Duration,
     /// Deliveries of the next orders, taken from the end; `Answered` once empty.
     pub deliveries: Vec<OrderDelivery>,
+    /// Ages of the next reports, taken from the end; `REPORT_LAG` once empty.
+    pub report_ages: Vec<Duration>,
     pub sent_orders: Vec<(String, Order)>,
     /// Number of loads that the weight store serves at full speed; more of them share it.
     pub store_full_speed: usize,
@@ -313,6 +315,7 @@
             entries: Vec::new(),
             entry_age: Duration::ZERO,
             deliveries: Vec::new(),
+            report_ages: Vec::new(),
             sent_orders: Vec::new(),
             store_full_speed: usize::MAX,
         }
@@ -418,7 +421,8 @@
             }
             Action::Report { upstream } => {
                 let history = &self.reports[&upstream];
-                let old = history.iter().rev().find(|(at, _)| *at + REPORT_LAG <= now);
+                let age = self.report_ages.pop().unwrap_or(REPORT_LAG);
+                let old = history.iter().rev().find(|(at, _)| *at + age <= now);
                 match old {
                     Some((_, report)) => self.planner.apply_report(&upstream, report, now),
                     None => self.planner.report_failed(&upstream, now),
