Soak servers that write an earlier refusal once more

A server marks the answers to requests that run as not run, without an identifier, on connections that have carried another request, for 0.1 to 1.5 s at a time. The caller's request runs all the same. What follows, the answer of the request itself, is left out, because nobody reads it.

--- a/crates/soak/src/cluster.rs
+++ b/crates/soak/src/cluster.rs
@@ -293,6 +293,13 @@
         }
     }
 
+    /// Sets whether the running server, if any, writes refusals in front of its answers.
+    pub(crate) fn set_repeats_refusals(&self, repeats: bool) {
+        if let Some(server) = &*self.server.borrow() {
+            server.set_repeats_refusals(repeats);
+        }
+    }
+
     /// Removes the entry of the running server for good. Returns whether one runs.
     pub(crate) fn unlist(&self, store: &Store) -> bool {
         let server = self.server.borrow();
--- a/crates/soak/src/faults.rs
+++ b/crates/soak/src/faults.rs
@@ -57,6 +57,8 @@
     LeaveUnlisted(usize),
     /// The server fails the streams that begin.
     FailStreams(usize, StreamFault),
+    /// The server writes a refusal in front of its answers on kept connections.
+    RepeatRefusals(usize),
     /// Servers that start from now on have a new software version; this one is replaced.
     Upgrade(usize),
     ReplaceKey,
@@ -71,6 +73,8 @@
 const FATAL_DOWNTIME: Duration = Duration::from_millis(800);
 /// Longest time until a request with a fatal part has ended an engine.
 const FATAL_REQUEST_TIME: Duration = Duration::from_secs(1);
+/// Number of the random stream that the servers with repeated refusals are drawn from.
+const REPEATED_REFUSALS_STREAM: u64 = 3;
 /// Number of the random stream that the faults of [`draw_added_fault`] are drawn from.
 const ADDED_FAULTS_STREAM: u64 = 1;
 
@@ -85,12 +89,22 @@
     added_rng.set_stream(ADDED_FAULTS_STREAM);
     let mut fatal_rng = rng.clone();
     fatal_rng.set_stream(FATAL_PARTS_STREAM);
-    let (mut injected, added, fatal) = tokio::join!(
+    let mut refusals_rng = rng.clone();
+    refusals_rng.set_stream(REPEATED_REFUSALS_STREAM);
+    let (mut injected, added, refusals, fatal) = tokio::join!(
         inject_drawn(cluster, time, rng, draw_fault, 50..1_000),
         inject_drawn(cluster, time, &mut added_rng, draw_added_fault, 500..4_000),
+        inject_drawn(
+            cluster,
+            time,
+            &mut refusals_rng,
+            draw_repeated_refusals,
+            500..4_000
+        ),
         inject_fatal_parts(cluster, time, &mut fatal_rng),
     );
     injected.extend(added);
+    injected.extend(refusals);
     injected.extend(fatal);
     injected
 }
@@ -180,6 +194,12 @@
     (fault, duration)
 }
 
+fn draw_repeated_refusals(cluster: &SoakCluster, rng: &mut ChaCha8Rng) -> (Fault, Duration) {
+    let slot = rng.random_range(0..cluster.slots.len());
+    let duration = Duration::from_millis(rng.random_range(100..1_500));
+    (Fault::RepeatRefusals(slot), duration)
+}
+
 fn draw_fault(cluster: &SoakCluster, rng: &mut ChaCha8Rng) -> (Fault, Duration) {
     let instance = rng.random_range(0..cluster.instances.len());
     let slot = rng.random_range(0..cluster.slots.len());
@@ -304,6 +324,11 @@
             sleep(duration).await;
             cluster.slots[i].set_stream_fault(StreamFault::None);
         }
+        Fault::RepeatRefusals(i) => {
+            cluster.slots[i].set_repeats_refusals(true);
+            sleep(duration).await;
+            cluster.slots[i].set_repeats_refusals(false);
+        }
         Fault::Upgrade(i) => {
             cluster.software.set(cluster.software.get() + 1);
             replace(&cluster, &cluster.slots[i], DRAIN_TIME, duration).await;
--- a/crates/standins/src/http.rs
+++ b/crates/standins/src/http.rs
@@ -81,6 +81,7 @@
         .h1_allow_half_closed(false)
         .on_connect_ext(|stream: &RecordingStream, extensions| {
             extensions.insert(stream.breaker());
+            extensions.insert(HasCarriedRequest::default());
         })
         .h1(fn_service(move |req: Request| {
             let answer = handler(req);
@@ -130,6 +131,17 @@
     req.conn_data::<ResetHandle>().cloned().unwrap_or_default()
 }
 
+/// Whether the connection of a request has carried another one.
+#[derive(Clone, Default)]
+struct HasCarriedRequest(Rc<Cell<bool>>);
+
+/// Records that the connection of the request has carried it, and returns whether it has carried
+/// another one.
+pub fn record_connection_use(req: &Request) -> bool {
+    let has_carried = req.conn_data::<HasCarriedRequest>();
+    has_carried.is_some_and(|flag| flag.0.replace(true))
+}
+
 /// Reads the whole body; `None` if the connection failed or the body exceeds 16 MiB.
 pub async fn read_body(req: &mut Request) -> Option<Bytes> {
     let mut payload = req.take_payload();
