Check writes of the quarantine against the own tenure

The write named the revision of the duty's key as this instance had last seen it, which may be the one of the next holder: a holder that was frozen before the write and woke after it had learned of its successor replaced the successor's records. The key's revision is the fencing token of the tenure, so that this is what the write expects now.

--- a/crates/entry/src/duty/records.rs
+++ b/crates/entry/src/duty/records.rs
@@ -24,11 +24,13 @@
 {
     loop {
         let changed = cx.members_changed.notified();
-        if coordinator.has_duty() {
+        if coordinator.has_duty()
+            && let Some(tenure) = coordinator.tenure()
+        {
             let records = coordinator.suspect_records();
             let is_stored = has_same_content(&records, &cx.members.borrow().quarantine);
             if !is_stored {
-                if let Err(e) = write(&cx, records).await {
+                if let Err(e) = write(&cx, tenure.fence, records).await {
                     let reason = e.to_string();
                     spdlog::warn!("records of prompt parts could not be written", kv: {
                         reason = reason.as_str()
@@ -52,16 +54,17 @@
 }
 
 /// Writes records. The duty's key must be as this instance has written it.
-async fn write<P>(cx: &EntryContext<P>, records: Vec<PartRecord>) -> Result<(), PlatformError>
+async fn write<P>(
+    cx: &EntryContext<P>,
+    fence: u64,
+    records: Vec<PartRecord>,
+) -> Result<(), PlatformError>
 where
     P: Platform,
 {
     let own_prefix = cx.platform.keys().own_prefix;
     let limit = cx.settings().timing.store_call_timeout();
-    let duty = (
-        format!("{own_prefix}{DUTY_KEY}"),
-        cx.members.borrow().duty_revision,
-    );
+    let duty = (format!("{own_prefix}{DUTY_KEY}"), fence);
     let value = serde_json::to_vec(&records).unwrap_or_default();
     let tx = Transaction {
         expected: vec![duty],
