Keep the peer port closed while the stored secret is empty

What callers would see: an empty value under the key of the shared secret opens the peer port with an empty key, which any process can compute, so that foreign reports and views are accepted.

Cause: any value of that key was taken as the secret, also one of no bytes.

Change: an empty value is ignored, and logged, as other values that cannot be used are.

Evidence: before the change, peer_port_stays_closed_while_the_secret_is_empty failed with "assertion failed: TcpStream::connect(peer).await.is_err()"; with it, the port stays closed until a secret is written, and then opens.

--- a/crates/entry/src/follow/members.rs
+++ b/crates/entry/src/follow/members.rs
@@ -251,6 +251,8 @@
             }
             None => log_ignored(item, "not a socket address"),
         }
+    } else if key == SECRET_KEY && item.value.is_empty() {
+        log_ignored(item, "empty");
     } else if key == SECRET_KEY {
         members.secret = Some(PeerSecret::from_bytes(&item.value));
         members.secret_bytes = Some(item.value.clone());
--- a/crates/entry/tests/support/platform.rs
+++ b/crates/entry/tests/support/platform.rs
@@ -58,7 +58,7 @@
         Rc::default()
     }
 
-    fn write(&self, key: &str, value: Bytes, lease: u64) -> u64 {
+    pub fn write(&self, key: &str, value: Bytes, lease: u64) -> u64 {
         let revision = self.revision.get() + 1;
         self.revision.set(revision);
         let mut items = self.items.borrow_mut();
