Bound what is taken over from records of prompt parts

What callers would see: a stored record of a prompt part with a time of 2^63 s until its next trial ends the task that reads it, in every instance and at every read.

Cause: the time was added to the present as it stood, and counts were multiplied.

Evidence: before the change, record_with_values_of_any_size_can_be_counted_with failed with 'overflow when adding duration to instant'. With it, a part with the largest values that can be written stays blocked.

--- a/crates/fleet/src/quarantine/evidence.rs
+++ b/crates/fleet/src/quarantine/evidence.rs
@@ -191,6 +191,7 @@
         record: PartRecord,
         now: Instant,
     ) -> Known {
+        let record = record.bounded();
         let part = record.part;
         let trial_at = record.trial_in.map(|time| now + time);
         match before.remove(&part) {
--- a/crates/fleet/src/quarantine/ledger.rs
+++ b/crates/fleet/src/quarantine/ledger.rs
@@ -124,7 +124,7 @@
 
     /// Takes over records of an earlier holder. Of two records of a part the worse one counts.
     pub fn merge(&mut self, records: &[PartRecord], now: Instant) {
-        for record in records {
+        for record in records.iter().cloned().map(PartRecord::bounded) {
             let entry = self.parts.entry(record.part).or_default();
             let is_worse =
                 (record.ends, record.failed_trials) > (entry.ends(), entry.failed_trials);
--- a/crates/fleet/src/quarantine/mod.rs
+++ b/crates/fleet/src/quarantine/mod.rs
@@ -44,6 +44,11 @@
 /// Parts of one prompt that are looked at.
 const MAX_PARTS: usize = 64;
 
+/// Highest count that is taken over from a record.
+const MAX_RECORDED_COUNT: u32 = 1 << 20;
+/// Longest time until the next trial that is taken over from a record.
+const MAX_RECORDED_TIME: Duration = Duration::from_hours(24);
+
 /// Identifier of a prompt part's content.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, PartialOrd, Ord)]
 #[derive(Deserialize, Serialize)]
@@ -101,6 +106,19 @@
     pub is_suspect: bool,
 }
 
+impl PartRecord {
+    /// The record with values that can be counted with, whatever the store or another instance has.
+    fn bounded(self) -> Self {
+        Self {
+            ends: self.ends.min(MAX_RECORDED_COUNT),
+            failed_trials: self.failed_trials.min(MAX_RECORDED_COUNT),
+            late_trials: self.late_trials.min(MAX_RECORDED_COUNT),
+            trial_in: self.trial_in.map(|time| time.min(MAX_RECORDED_TIME)),
+            ..self
+        }
+    }
+}
+
 /// An end of an upstream, as one instance observed it.
 #[derive(Clone, Debug, PartialEq, Eq)]
 #[derive(Deserialize, Serialize)]
--- a/crates/fleet/tests/quarantine.rs
+++ b/crates/fleet/tests/quarantine.rs
@@ -749,3 +749,30 @@
     let answer = ledger.request_trial(&parts, now);
     assert!(matches!(answer, TrialAnswer::Granted(_)), "{answer:?}");
 }
+
+/// Guards against a stored record with values that end each process that reads it.
+#[test]
+fn record_with_values_of_any_size_can_be_counted_with() {
+    let now = Instant::now();
+    let later = now + Duration::from_mins(1);
+    let part = PartId::from(FATAL);
+    for trial_in in [Duration::MAX, Duration::from_secs(u64::MAX / 2)] {
+        let record = PartRecord {
+            part,
+            ends: u32::MAX,
+            failed_trials: u32::MAX,
+            late_trials: u32::MAX,
+            trial_in: Some(trial_in),
+            is_suspect: true,
+        };
+        let mut evidence = PartEvidence::default();
+        evidence.apply_stored(vec![record.clone()], now);
+        let check = evidence.check(&[part], false, later);
+        assert!(matches!(check, PartCheck::Blocked(..)), "{check:?}");
+        let mut ledger = PartLedger::begin(1, now);
+        ledger.merge(&[record], now);
+        ledger.update(Duration::from_secs(1), later);
+        let answer = ledger.request_trial(&[part], later);
+        assert!(matches!(answer, TrialAnswer::Later(..)), "{answer:?}");
+    }
+}
