Log an ignored entry once while it stays so, and in bounds

What callers would see: an entry that cannot be used and is written with each heartbeat was logged by each instance that reads the list, every time and in full, with a key and a reason of any length.

Cause: a line was written whenever the revision of such an entry had changed.

Change: an entry in the list of upstreams is logged when it begins to be ignored, at most 20 lines a minute are written on all of them, and a key and a reason take at most 400 bytes each, also for the system's own keys.

Evidence: before the change, ignored_entries_are_logged_within_bounds failed after 30 writes of one entry with 'left: 30 right: 1'. With it, there is one line, and at most 20 after 40 more keys.

--- a/crates/entry/src/follow/directory.rs
+++ b/crates/entry/src/follow/directory.rs
@@ -10,7 +10,7 @@
 use actix_rt::time::sleep;
 use comfreyweir_fleet::{directory::StoredUpstream, upstream::Upstream};
 
-use super::{RETRY_PAUSE, outage_log::OutageLog, read_pages};
+use super::{RETRY_PAUSE, ignored_log::IgnoredLog, outage_log::OutageLog, read_pages};
 use crate::{
     platform::{Platform, PlatformError, StoreItem},
     state::EntryContext,
@@ -91,7 +91,7 @@
         list.extend(page);
     })
     .await?;
-    decoded.entries = entries;
+    decoded.replace(entries);
     cx.record_store_answer();
     if era.is_some() && cx.platform.store_era() != era {
         // The list is the first of a restored copy, perhaps before the change of the era is handled.
@@ -106,6 +106,7 @@
 #[derive(Default)]
 struct DecodedEntries {
     entries: DecodedByKey,
+    ignored_log: IgnoredLog,
 }
 
 type DecodedByKey = HashMap<String, (u64, Option<Upstream>)>;
@@ -113,7 +114,7 @@
 impl DecodedEntries {
     /// Decodes a page of the list and adds its entries to those of the list that is being read.
     fn decode_page<P>(
-        &self,
+        &mut self,
         cx: &EntryContext<P>,
         prefix: &str,
         items: Vec<StoreItem>,
@@ -127,7 +128,7 @@
             // Entries stay in the cache until the whole list has arrived: a call may fail before.
             let entry = match self.entries.get(&item.key) {
                 Some((revision, entry)) if *revision == item.revision => entry.clone(),
-                _ => decode_entry(cx, prefix, &item),
+                _ => decode_entry(cx, prefix, &item, &mut self.ignored_log),
             };
             page.extend(entry.clone().map(|upstream| StoredUpstream {
                 upstream,
@@ -137,10 +138,22 @@
         }
         page
     }
+
+    /// Replaces the entries by those of a list that has arrived as a whole.
+    fn replace(&mut self, entries: DecodedByKey) {
+        let is_ignored = |key: &str| matches!(entries.get(key), Some((_, None)));
+        self.ignored_log.retain(is_ignored);
+        self.entries = entries;
+    }
 }
 
 /// Decodes an entry. An entry that cannot be decoded is logged and skipped; the others stay valid.
-fn decode_entry<P>(cx: &EntryContext<P>, prefix: &str, item: &StoreItem) -> Option<Upstream>
+fn decode_entry<P>(
+    cx: &EntryContext<P>,
+    prefix: &str,
+    item: &StoreItem,
+    ignored_log: &mut IgnoredLog,
+) -> Option<Upstream>
 where
     P: Platform,
 {
@@ -148,10 +161,7 @@
     match cx.platform.decode_upstream(id, &item.value) {
         Ok(upstream) => Some(upstream),
         Err(e) => {
-            let (key, reason) = (item.key.as_str(), e.to_string());
-            spdlog::warn!("entry in the list of upstreams is ignored", kv: {
-                key, revision = item.revision, reason = reason.as_str()
-            });
+            ignored_log.record(item, &e.to_string(), cx.now());
             None
         }
     }
--- a/crates/entry/src/follow/members.rs
+++ b/crates/entry/src/follow/members.rs
@@ -11,7 +11,7 @@
 use bytes::Bytes;
 use comfreyweir_peer::PeerSecret;
 
-use super::{RETRY_PAUSE, outage_log::OutageLog, read_all};
+use super::{RETRY_PAUSE, ignored_log::log_ignored, outage_log::OutageLog, read_all};
 use crate::{
     platform::{Platform, PlatformError, StoreItem, StoreItems, Transaction},
     state::{EntryContext, Holder, Members},
@@ -286,12 +286,6 @@
     }
 }
 
-fn log_ignored(item: &StoreItem, reason: &str) {
-    spdlog::warn!("entry in the store is ignored", kv: {
-        key = item.key.as_str(), revision = item.revision, reason
-    });
-}
-
 impl<P> EntryContext<P>
 where
     P: Platform,
--- a/crates/entry/src/follow/mod.rs
+++ b/crates/entry/src/follow/mod.rs
@@ -4,6 +4,7 @@
 pub(crate) mod config;
 pub(crate) mod directory;
 pub(crate) mod era;
+mod ignored_log;
 pub(crate) mod members;
 pub(crate) mod outage_log;
 
--- a/crates/entry/tests/support/platform.rs
+++ b/crates/entry/tests/support/platform.rs
@@ -116,7 +116,7 @@
         self.upstreams
             .borrow_mut()
             .insert(upstream.id.clone(), upstream);
-        self.write(&key, Bytes::from_static(b"entry"), 0);
+        self.write(&key, Bytes::from_static(ENTRY), 0);
     }
 
     pub fn remove_upstream(&self, id: &str) {
@@ -152,6 +152,9 @@
     }
 }
 
+/// Value of an upstream's entry. Other values cannot be decoded.
+const ENTRY: &[u8] = b"entry";
+
 fn store_addr() -> SocketAddr {
     "127.0.0.1:1".parse().unwrap()
 }
@@ -220,7 +223,13 @@
         Ok((self.shared.configs.borrow()[&version].clone(), Vec::new()))
     }
 
-    fn decode_upstream(&self, id: &str, _: &[u8]) -> Result<Upstream, DecodeError> {
+    fn decode_upstream(&self, id: &str, value: &[u8]) -> Result<Upstream, DecodeError> {
+        if value != ENTRY {
+            return Err(DecodeError {
+                what: format!("entry of {id}"),
+                reason: String::from_utf8_lossy(value).into_owned(),
+            });
+        }
         Ok(self.shared.upstreams.borrow()[id].clone())
     }
 
