--- a/crates/entry/src/follow/members.rs
+++ b/crates/entry/src/follow/members.rs
@@ -12,7 +12,7 @@
 use comfreyweir_fleet::stream_origins::SoftwareRecord;
 use comfreyweir_peer::PeerSecret;
 
-use super::{RETRY_PAUSE, outage_log::OutageLog, read_all};
+use super::{RETRY_PAUSE, ignored_log::log_ignored, outage_log::OutageLog, read_all};
 use crate::{
     platform::{Platform, PlatformError, StoreItem, StoreItems, Transaction},
     state::{EntryContext, Holder, Members},
@@ -273,6 +273,8 @@
             }
             None => log_ignored(item, "not a socket address"),
         }
+    } else if key == SECRET_KEY && item.value.is_empty() {
+        log_ignored(item, "empty");
     } else if key == SECRET_KEY {
         members.secret = Some(PeerSecret::from_bytes(&item.value));
         members.secret_bytes = Some(item.value.clone());
@@ -317,12 +319,6 @@
     }
 }
 
-fn log_ignored(item: &StoreItem, reason: &str) {
-    spdlog::warn!("entry in the store is ignored", kv: {
-        key = item.key.as_str(), revision = item.revision, reason
-    });
-}
-
 impl<P> EntryContext<P>
 where
     P: Platform,
