Count the outcome of an earlier holder's trial once

An instance tells the outcome of a trial until a holder acknowledges it. A new holder counted each telling of an earlier holder's trial as one more failed trial, so that one lost answer put the next trial off by a minute.

Outcomes of the current holder's trials were counted once already, since its trial ends with the first.

--- a/crates/fleet/src/quarantine/ledger.rs
+++ b/crates/fleet/src/quarantine/ledger.rs
@@ -23,6 +23,8 @@
 const SHARED_BLAME_DELAY: Duration = Duration::from_secs(1);
 /// Most ended upstreams that are remembered of a part.
 const MAX_UPSTREAMS: usize = 64;
+/// Most outcomes of an earlier holder's trials that are remembered.
+const MAX_EARLIER_OUTCOMES: usize = 1_024;
 /// Most parts that instances are told of.
 const MAX_RECORDS: usize = 256;
 
@@ -37,6 +39,8 @@
     records: Vec<(PartRecord, Option<Instant>)>,
     version: u64,
     last_trial: u64,
+    /// Trials of earlier holders of which the outcome is known.
+    earlier_outcomes: BTreeSet<TrialId>,
     events: Vec<LedgerEvent>,
 }
 
@@ -374,6 +378,14 @@
     ) {
         let fence = self.fence;
         let is_own = id.fence == fence;
+        if !is_own {
+            if !self.earlier_outcomes.insert(id) {
+                return;
+            }
+            if self.earlier_outcomes.len() > MAX_EARLIER_OUTCOMES {
+                self.earlier_outcomes.pop_first();
+            }
+        }
         let on_trial = |entry: &Entry| match entry.trial {
             Some(trial) => is_own && trial.number == id.number,
             None => !is_own,
--- a/crates/fleet/src/quarantine/mod.rs
+++ b/crates/fleet/src/quarantine/mod.rs
@@ -137,7 +137,7 @@
 }
 
 /// Identifies a trial: the fencing token of the holder that gave it, and its number.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
 #[derive(Deserialize, Serialize)]
 pub struct TrialId {
     /// Fencing token of the holder.
--- a/crates/fleet/tests/quarantine.rs
+++ b/crates/fleet/tests/quarantine.rs
@@ -977,3 +977,27 @@
     let answer = ledger.request_trial(&parts, now);
     assert!(matches!(answer, TrialAnswer::Granted(_)), "{answer:?}");
 }
+
+/// Guards against one trial of an earlier holder counting as several, since its outcome is told again until
+/// it is acknowledged.
+#[test]
+fn outcome_of_an_earlier_holders_trial_counts_once() {
+    let now = Instant::now();
+    let mut ledger = PartLedger::begin(2, now);
+    let parts = [PartId::from(RARE)];
+    for engine in ["e1", "e2"] {
+        let mut evidence = PartEvidence::default();
+        let (id, born_ms) = (engine.to_owned(), None);
+        evidence.record_end(UpstreamProcess { id, born_ms }, &parts, now);
+        ledger.record_report("i1", &evidence.report(), now);
+    }
+    let id = TrialId {
+        fence: 1,
+        number: 1,
+    };
+    for _ in 0..3 {
+        ledger.record_outcome(id, &parts, TrialOutcome::Ended, now);
+    }
+    ledger.update(Duration::from_millis(400), now);
+    assert_eq!(ledger.records(now)[0].failed_trials, 1);
+}
