Tell the fatal prompt part from the ones that sound requests share

Callers saw a whole route refused with a Retry-After of an hour: its sound requests share their first part with requests that end engines, and the shared part was held back instead of the fatal one, or beside it.

The cause: the outcome of a trial was charged to each suspect part of its prompt, and what followed from it was final. An engine that ended under another request during a trial of a sound prompt confirmed a sound part, which then took the ends of the fatal one. Trials of both parts used up those of the shared part, so that no answer could begin on it any more.

Parts of the same ends are now weighed against each other by the answers begun on them, again with each report, so that late and reordered evidence counts. A trial of a prompt without the rivals of a part neither waits for nor uses up the trials that the part shares with them. Records name the rivals, so that instances ask the holder instead of refusing, and a new holder knows them. From eight ends on one late trial is given instead of two. Trials that told nothing of a part are logged and counted.

--- a/crates/entry/src/duty/coordinator.rs
+++ b/crates/entry/src/duty/coordinator.rs
@@ -564,6 +564,12 @@
                 part = part.as_str(), ends, begun
             });
         }
+        LedgerEvent::Undecided { part, outcome } => {
+            let (part, outcome) = (text(part), format!("{outcome:?}"));
+            spdlog::info!("trial of a prompt part told nothing of it", kv: {
+                part = part.as_str(), outcome = outcome.as_str()
+            });
+        }
         LedgerEvent::Tried {
             part,
             outcome,
--- a/crates/entry/src/metrics.rs
+++ b/crates/entry/src/metrics.rs
@@ -201,6 +201,7 @@
         let name = match event {
             LedgerEvent::Suspect { .. } => "suspect",
             LedgerEvent::Cleared { .. } => "cleared",
+            LedgerEvent::Undecided { .. } => "undecided",
             LedgerEvent::Tried { .. } => "tried",
             LedgerEvent::Released { .. } => "released",
         };
--- a/crates/entry/tests/prompt_parts.rs
+++ b/crates/entry/tests/prompt_parts.rs
@@ -199,6 +199,23 @@
     assert!(callers.refused.borrow().len() > 50);
 }
 
+/// Guards against a shared part being held back for the fatal one: every sound request was refused from
+/// then on, for an hour.
+#[actix_rt::test]
+async fn first_part_of_sound_and_fatal_requests_is_not_held_back() {
+    let (_, engines, mut callers) = start_fleet(8, &["i1", "i2", "i3"]).await;
+    engines.fatal_parts.borrow_mut().insert(FATAL);
+    let time = Duration::from_secs(14);
+    let begin = Instant::now();
+    let prompt = |number| format!("{FIRST:x}:100,61:50,{:x}:20", 0x10000 + number);
+    callers.send("sound", Duration::from_millis(40), time, prompt);
+    callers.send_fatal(time);
+    callers.join().await;
+    assert_bounded(&engines, FATAL);
+    let served = callers.served(begin + CONTACT * 2, begin + time);
+    assert!(served >= 0.5, "{served} of the sound requests served");
+}
+
 /// Ends for other reasons keep no sound part from being served.
 #[actix_rt::test]
 async fn ends_for_other_reasons_keep_no_sound_request_from_being_served() {
--- a/crates/fleet/src/quarantine/evidence.rs
+++ b/crates/fleet/src/quarantine/evidence.rs
@@ -102,7 +102,10 @@
             let known = self.known.get(part).filter(|k| k.record.is_suspect);
             if let Some(known) = known {
                 let trial_in = known.trial_at.map(|at| at.saturating_duration_since(now));
-                if trial_in.is_none_or(|time| time > MAX_TRIAL_WAIT) {
+                let is_late = trial_in.is_none_or(|time| time > MAX_TRIAL_WAIT);
+                // The holder decides whether the others explain the ends.
+                let rivals = &known.record.rivals;
+                if is_late && rivals.iter().all(|rival| parts.contains(rival)) {
                     return PartCheck::Blocked(*part, trial_in);
                 }
                 needs_trial = true;
--- a/crates/fleet/src/quarantine/ledger.rs
+++ b/crates/fleet/src/quarantine/ledger.rs
@@ -18,11 +18,18 @@
 const MAX_PARTS: usize = 1_024;
 /// Delay until the next trial of a part after one whose outcome is not known.
 const UNKNOWN_OUTCOME_DELAY: Duration = Duration::from_secs(1);
-/// Delay until the next trial of a part after the first one that may have failed because of another
-/// part.
+/// Delay until the next trial of a part after one that may have failed because of another part.
 const SHARED_BLAME_DELAY: Duration = Duration::from_secs(1);
 /// Most ended upstreams that are remembered of a part.
 const MAX_UPSTREAMS: usize = 64;
+/// Share of a part's ends, as a divisor, that another part has too if it may be the reason of them. Parts
+/// of single requests that ended beside, each with few ends, explain none.
+const MIN_SHARED_DIVISOR: usize = 4;
+/// Ends from which one late trial less is given: of the requests that were sent while not all instances
+/// knew of the part, some were late as well.
+const SPREAD_ENDS: u32 = 8;
+/// Most parts that are weighed against each other. Those with the most ends come first.
+const MAX_RIVALS: usize = 32;
 /// Most outcomes of an earlier holder's trials that are remembered.
 const MAX_EARLIER_OUTCOMES: usize = 1_024;
 /// Most parts that instances are told of.
@@ -56,7 +63,7 @@
         /// Begun answers that count for it.
         begun: u32,
     },
-    /// Begun answers cleared a part, or its ends were explained by another one.
+    /// Begun answers cleared a part.
     Cleared {
         /// The part.
         part: PartId,
@@ -65,6 +72,13 @@
         /// Begun answers that count for it.
         begun: u32,
     },
+    /// A trial has ended that told nothing of a part: another one may have ended the upstream.
+    Undecided {
+        /// The part.
+        part: PartId,
+        /// How the trial ended.
+        outcome: TrialOutcome,
+    },
     /// A trial has ended.
     Tried {
         /// The part.
@@ -89,8 +103,14 @@
     earlier_ends: u32,
     /// Whether a trial has ended its upstream that was one of other parts too.
     was_blamed_with_others: bool,
-    /// Whether an upstream has ended in a trial, and no other part can be the reason.
-    is_confirmed: bool,
+    /// Other parts that may be the reason of its ends.
+    rivals: Vec<PartId>,
+    /// Those of an earlier holder, for the ends that it has counted.
+    earlier_rivals: Vec<PartId>,
+    /// Ends that no part with fewer begun answers shares.
+    unexplained: u32,
+    /// When the next trial without a rival is possible, after one that ended its upstream.
+    next_trial_apart: Option<Instant>,
     /// When the part had enough ends to be suspect.
     noted_at: Option<Instant>,
     first_end_at: Option<Instant>,
@@ -111,6 +131,8 @@
     number: u64,
     until: Instant,
     is_late: bool,
+    /// Whether other parts that its prompt does not have explain the ends.
+    is_apart: bool,
     /// Whether it is the only one of its kind, since a part has had several ends.
     is_exclusive: bool,
 }
@@ -134,7 +156,14 @@
                 (record.ends, record.failed_trials) > (entry.ends(), entry.failed_trials);
             entry.earlier_ends = entry.earlier_ends.max(record.ends);
             entry.failed_trials = entry.failed_trials.max(record.failed_trials);
+            entry.unexplained = entry.ends();
             entry.late_trials = entry.late_trials.max(record.late_trials);
+            for rival in &record.rivals {
+                if !entry.earlier_rivals.contains(rival) && entry.earlier_rivals.len() < MAX_RIVALS
+                {
+                    entry.earlier_rivals.push(*rival);
+                }
+            }
             entry.first_end_at.get_or_insert(now);
             entry.noted_at.get_or_insert(now);
             entry.is_suspect |= record.is_suspect;
@@ -161,19 +190,7 @@
     }
 
     fn record_end(&mut self, process: &str, end: &ObservedEnd, now: Instant) {
-        let is_confirmed = |part: &PartId| self.parts.get(part).is_some_and(|e| e.is_confirmed);
-        let parts = end.parts.iter().map(|(part, _)| *part);
-        let confirmed: Vec<_> = parts.filter(is_confirmed).collect();
-        let is_explained =
-            |entry: &Entry| entry.is_confirmed && entry.upstreams.contains(&end.upstream);
-        if confirmed.is_empty() && self.parts.values().any(is_explained) {
-            return;
-        }
-        // A confirmed part explains the end; the other parts of the prompt are not charged with it.
         for (part, begun) in &end.parts {
-            if !confirmed.is_empty() && !confirmed.contains(part) {
-                continue;
-            }
             let entry = self.parts.entry(*part).or_default();
             entry.begun.entry(process.to_owned()).or_insert(*begun);
             entry.first_end_at.get_or_insert(now);
@@ -183,36 +200,49 @@
             if entry.ends() >= MIN_ENDS {
                 entry.noted_at.get_or_insert(now);
             }
-        }
-        for part in confirmed {
-            self.explain_ends(part);
+            entry.unexplained = entry.ends();
         }
         self.evict();
     }
 
-    /// Takes the ends that a confirmed part explains from all other parts.
-    fn explain_ends(&mut self, part: PartId) {
-        let Some(entry) = self.parts.get(&part).filter(|e| e.is_confirmed) else {
-            return;
-        };
-        let explained = entry.upstreams.clone();
-        for (other, entry) in &mut self.parts {
-            if *other != part && !entry.is_confirmed {
-                let before = entry.ends();
-                entry.upstreams.retain(|u| !explained.contains(u));
-                if entry.ends() < before && entry.ends() < MIN_ENDS {
-                    if std::mem::take(&mut entry.is_suspect) {
-                        let (ends, begun) = (entry.ends(), entry.begun());
-                        let part = *other;
-                        self.events.push(LedgerEvent::Cleared { part, ends, begun });
-                    }
-                    entry.noted_at = None;
-                    entry.failed_trials = 0;
-                    entry.next_trial = None;
-                }
+    /// Weighs the parts of the same ends against each other. An upstream ends under one part of a prompt,
+    /// so that an end does not count against a part if another one shares it that fewer answers have
+    /// begun on. All of it follows from the evidence so far, in whichever order that came.
+    fn weigh(&mut self) {
+        let mut suspects: Vec<_> = self.parts.iter().filter(|(_, e)| e.is_rival()).collect();
+        suspects.sort_by_key(|(_, entry)| std::cmp::Reverse(entry.ends()));
+        suspects.truncate(MAX_RIVALS);
+        let weighed = self.parts.iter().map(|(part, entry)| {
+            let others = suspects.iter().filter(|(other, _)| *other != part);
+            let rivals = others.filter(|(other, e)| entry.has_rival(**other, e));
+            let rivals: Vec<_> = rivals.map(|(other, e)| (**other, *e)).collect();
+            let lesser = rivals.iter().filter(|(_, e)| e.begun() < entry.begun());
+            let unexplained = entry.unexplained_by(&lesser.copied().collect::<Vec<_>>());
+            let is_mostly_explained = unexplained * 2 <= entry.ends();
+            let unexplained = if is_mostly_explained {
+                unexplained
+            } else {
+                entry.ends()
+            };
+            let rivals: Vec<_> = rivals.iter().map(|(rival, _)| *rival).collect();
+            (*part, rivals, unexplained)
+        });
+        for (part, rivals, unexplained) in weighed.collect::<Vec<_>>() {
+            if let Some(entry) = self.parts.get_mut(&part) {
+                entry.rivals = rivals;
+                entry.unexplained = unexplained;
             }
         }
-        self.parts.retain(|_, entry| entry.ends() > 0);
+    }
+
+    /// Whether a trial of a prompt with these parts tells a part from its rivals: those that the prompt
+    /// does not have explain its ends.
+    fn is_apart(&self, entry: &Entry, parts: &[PartId]) -> bool {
+        let others = entry.rivals.iter().filter(|rival| !parts.contains(rival));
+        let others = others.filter_map(|rival| Some((*rival, self.parts.get(rival)?)));
+        let others: Vec<_> = others.collect();
+        let unexplained = entry.unexplained_by(&others);
+        unexplained * 2 <= entry.ends() && unexplained < MIN_ENDS + entry.begun() / BEGUN_PER_END
     }
 
     fn evict(&mut self) {
@@ -231,11 +261,16 @@
     pub fn update(&mut self, round: Duration, now: Instant) {
         self.tenure_began_at
             .take_if(|at| now.saturating_duration_since(*at) >= round);
+        self.weigh();
         let mut forgotten = Vec::new();
         for (part, entry) in &mut self.parts {
-            if entry.trial.is_some_and(|trial| trial.until <= now) {
-                entry.trial = None;
-                entry.next_trial = Some(now + UNKNOWN_OUTCOME_DELAY);
+            if let Some(trial) = entry.trial.take_if(|trial| trial.until <= now) {
+                let next = Some(now + UNKNOWN_OUTCOME_DELAY);
+                if trial.is_apart {
+                    entry.next_trial_apart = next;
+                } else {
+                    entry.next_trial = entry.next_trial.max(next);
+                }
             }
             let (part, ends, begun) = (*part, entry.ends(), entry.begun());
             if entry.is_cleared() {
@@ -247,12 +282,12 @@
                 }
                 continue;
             }
-            let is_clear = ends >= MANY_ENDS && begun < ends;
+            let is_clear = entry.unexplained >= MANY_ENDS && begun < entry.unexplained;
             let is_known = |at| is_clear || now.saturating_duration_since(at) >= round;
             let is_suspect = entry.is_suspect || entry.noted_at.is_some_and(is_known);
             if is_suspect && !entry.is_suspect {
                 entry.is_suspect = true;
-                if entry.failed_trials > 0 {
+                if entry.failed_trials > 0 && entry.rivals.is_empty() {
                     // It was cleared by luck: what has begun before says no more.
                     entry.discounted = entry.all_begun();
                 }
@@ -281,6 +316,7 @@
         let is_same = |a: &(PartRecord, Option<Instant>), b: &(PartRecord, Option<Instant>)| {
             let trials = |r: &PartRecord| (r.failed_trials, r.late_trials);
             (a.0.part, a.0.ends, a.0.is_suspect) == (b.0.part, b.0.ends, b.0.is_suspect)
+                && a.0.rivals == b.0.rivals
                 && trials(&a.0) == trials(&b.0)
                 && a.1 == b.1
         };
@@ -330,9 +366,12 @@
             if entry.trial.is_some() {
                 return TrialAnswer::Busy;
             }
-            let trial_in = entry
-                .next_trial_at(now)
-                .map(|at| at.saturating_duration_since(now));
+            let next = if self.is_apart(entry, parts) {
+                Some(entry.next_trial_apart.unwrap_or(now))
+            } else {
+                entry.next_trial_at(now)
+            };
+            let trial_in = next.map(|at| at.saturating_duration_since(now));
             if trial_in != Some(Duration::ZERO) {
                 return TrialAnswer::Later(*part, trial_in);
             }
@@ -349,14 +388,20 @@
         }
         self.last_trial += 1;
         let number = self.last_trial;
-        for part in parts {
-            if let Some(entry) = self.parts.get_mut(part).filter(|e| !e.is_cleared()) {
-                let is_late = entry.ends() >= MANY_ENDS;
+        let entries = parts
+            .iter()
+            .filter_map(|part| Some((*part, self.parts.get(part)?)));
+        let tried = entries.filter(|(_, entry)| !entry.is_cleared());
+        let tried = tried.map(|(part, entry)| (part, self.is_apart(entry, parts)));
+        for (part, is_apart) in tried.collect::<Vec<_>>() {
+            if let Some(entry) = self.parts.get_mut(&part) {
+                let is_late = !is_apart && entry.ends() >= MANY_ENDS;
                 entry.late_trials += u32::from(is_late);
                 entry.trial = Some(OpenTrial {
                     number,
                     until: now + TRIAL_TIMEOUT,
                     is_late,
+                    is_apart,
                     is_exclusive,
                 });
             }
@@ -390,17 +435,38 @@
             Some(trial) => is_own && trial.number == id.number,
             None => !is_own,
         };
-        let entries = parts.iter().filter_map(|part| self.parts.get(part));
-        let tried = entries.filter(|e| on_trial(e));
+        self.weigh();
+        let entries = parts
+            .iter()
+            .filter_map(|part| Some((*part, self.parts.get(part)?)));
         // Of several suspect parts, those that answers have begun on are not blamed.
-        let least_begun = tried.clone().map(Entry::begun).min();
-        let blamed = tried.filter(|e| Some(e.begun()) == least_begun).count();
+        let tried = entries.clone().filter(|(_, e)| on_trial(e));
+        let rivals = tried.flat_map(|(_, entry)| &entry.rivals);
+        let rivals: Vec<_> = rivals.collect();
+        let suspects = entries.clone();
+        let suspects = suspects.filter(|(part, e)| on_trial(e) || rivals.contains(&part));
+        let least_begun = suspects.clone().map(|(_, e)| e.begun()).min();
+        let blamed = suspects.filter(|(_, e)| Some(e.begun()) == least_begun);
+        let blamed = blamed.count();
+        // What explains the ends may have become known since the trial was given.
+        let apart = entries.filter(|(_, entry)| self.is_apart(entry, parts));
+        let apart: Vec<_> = apart.map(|(part, _)| part).collect();
         for part in parts {
             let Some(entry) = self.parts.get_mut(part).filter(|e| on_trial(e)) else {
                 continue;
             };
             let is_exclusive = entry.trial.is_some_and(|trial| trial.is_exclusive);
             let is_beside_others = is_own && !is_exclusive;
+            let is_apart = apart.contains(part) || entry.trial.is_some_and(|trial| trial.is_apart);
+            if is_apart && outcome != TrialOutcome::Begun {
+                // Another request may have ended the upstream. If not, it is an end that no rival shares.
+                let part = *part;
+                self.events.push(LedgerEvent::Undecided { part, outcome });
+                entry.trial = None;
+                entry.next_trial_apart =
+                    (outcome != TrialOutcome::Unused).then_some(now + SHARED_BLAME_DELAY);
+                continue;
+            }
             if outcome == TrialOutcome::Ended && is_beside_others {
                 // It is one more end, and the next trial excludes others.
                 entry.trial = None;
@@ -415,6 +481,8 @@
             let outcome = match outcome {
                 TrialOutcome::Ended if !is_blamed => TrialOutcome::Unused,
                 TrialOutcome::Ended if blamed > 1 && !entry.was_blamed_with_others => {
+                    let part = *part;
+                    self.events.push(LedgerEvent::Undecided { part, outcome });
                     entry.was_blamed_with_others = true;
                     entry.trial = None;
                     entry.next_trial = Some(now + SHARED_BLAME_DELAY);
@@ -422,11 +490,8 @@
                 }
                 outcome => outcome,
             };
-            // With less knowledge than an earlier holder it is not certain.
-            entry.is_confirmed |= outcome == TrialOutcome::Ended && blamed == 1 && is_exclusive;
             let event = entry.end_trial(*part, outcome, now);
             self.events.push(event);
-            self.explain_ends(*part);
         }
     }
 
@@ -465,7 +530,34 @@
     }
 
     fn is_cleared(&self) -> bool {
-        self.begun() >= self.ends() * BEGUN_PER_END
+        self.begun() >= self.unexplained.max(1) * BEGUN_PER_END
+    }
+
+    /// Whether it may be the reason of ends that other parts share.
+    fn is_rival(&self) -> bool {
+        self.ends() >= MIN_ENDS && self.begun() < self.ends() * BEGUN_PER_END
+    }
+
+    /// Whether another part may be the reason of its ends.
+    fn has_rival(&self, part: PartId, other: &Entry) -> bool {
+        let shared = self.upstreams.intersection(&other.upstreams).count();
+        let is_shared = shared > 0 && shared * MIN_SHARED_DIVISOR >= self.upstreams.len()
+            || self.earlier_rivals.contains(&part);
+        let is_tried_less = other.failed_trials < self.failed_trials;
+        is_shared && !is_tried_less && other.begun() <= self.begun()
+    }
+
+    /// Its ends that none of some other parts share.
+    fn unexplained_by(&self, others: &[(PartId, &Entry)]) -> u32 {
+        let is_earlier = |(part, _): &(PartId, &Entry)| self.earlier_rivals.contains(part);
+        let earlier = if others.iter().any(is_earlier) {
+            0
+        } else {
+            self.earlier_ends
+        };
+        let is_shared = |u: &&UpstreamProcess| others.iter().any(|(_, e)| e.upstreams.contains(*u));
+        let own = self.upstreams.iter().filter(|u| !is_shared(u)).count();
+        earlier.saturating_add(u32::try_from(own).unwrap_or(u32::MAX))
     }
 
     /// Whether instances are told of the part, so that they report the answers begun on it.
@@ -475,7 +567,8 @@
 
     /// When the next trial is possible; none if there is none before an operator releases the part.
     fn next_trial_at(&self, now: Instant) -> Option<Instant> {
-        let has_left = self.ends() < MANY_ENDS || self.late_trials < MAX_LATE_TRIALS;
+        let spent = u32::from(self.ends() >= SPREAD_ENDS);
+        let has_left = self.ends() < MANY_ENDS || self.late_trials + spent < MAX_LATE_TRIALS;
         let is_open = self.trial.is_some();
         let first = self.next_trial.or(self.noted_at);
         (has_left || is_open).then(|| first.unwrap_or(now))
@@ -489,6 +582,7 @@
             late_trials: self.late_trials,
             trial_in: trial_at.map(|at| at.saturating_duration_since(now)),
             is_suspect: self.is_suspect,
+            rivals: self.rivals.clone(),
         }
     }
 
--- a/crates/fleet/src/quarantine/mod.rs
+++ b/crates/fleet/src/quarantine/mod.rs
@@ -99,6 +99,10 @@
     pub trial_in: Option<Duration>,
     /// Whether requests with the part need a trial. If not, begun answers are still being counted.
     pub is_suspect: bool,
+    /// Other parts that may be the reason of its ends. A request without one of them may still get a
+    /// trial.
+    #[serde(default)]
+    pub rivals: Vec<PartId>,
 }
 
 /// An end of an upstream, as one instance observed it.
--- a/crates/fleet/tests/quarantine.rs
+++ b/crates/fleet/tests/quarantine.rs
@@ -70,8 +70,8 @@
     lost_share: f64,
     /// Share of the engines' events that happen, or that an instance sees, late by up to a second.
     slow_share: f64,
-    /// Whether requests come in one fifth of each second only.
-    has_bursts: bool,
+    /// Part of each second in which requests come.
+    burst: Duration,
 }
 
 impl Setup {
@@ -98,13 +98,13 @@
             max_delay: Duration::ZERO,
             lost_share: 0.0,
             slow_share: 0.0,
-            has_bursts: false,
+            burst: Duration::from_secs(1),
         }
     }
 
     /// Sound requests that share their first parts with fatal ones, at a speed of the instances, the
     /// exchange and the load that is drawn.
-    fn one_branch(setup: Self) -> Self {
+    fn one_branch(setup: &Self) -> Self {
         let mut rng = StdRng::seed_from_u64(setup.seed);
         let is_large = setup.instances > 100;
         let crashes = (1..30).map(|s| (Duration::from_secs(s), 0.02));
@@ -127,9 +127,9 @@
                 Vec::new()
             },
             kill_holder_after,
-            has_bursts: rng.random_bool(0.3),
+            burst: Duration::from_millis(if rng.random_bool(0.3) { 200 } else { 1_000 }),
             time: Duration::from_secs(30),
-            ..setup
+            ..setup.clone()
         }
     }
 
@@ -304,10 +304,9 @@
     /// Number of requests in a tick, at a rate.
     fn draws(&mut self, per_s: f64) -> usize {
         let mut expected = per_s * TICK.as_secs_f64();
-        if self.setup.has_bursts {
-            let is_burst = (self.now - self.begin).subsec_millis() < 200;
-            expected *= if is_burst { 5.0 } else { 0.0 };
-        }
+        let second = (self.now - self.begin).subsec_millis();
+        let is_burst = Duration::from_millis(second.into()) < self.setup.burst;
+        expected *= f64::from(u8::from(is_burst)) / self.setup.burst.as_secs_f64();
         let mut count = 0;
         while expected > 0.0 {
             count += usize::from(self.rng.random::<f64>() < expected);
@@ -794,10 +793,10 @@
 fn part_that_all_sound_requests_share_is_not_taken_for_the_fatal_one() {
     let found = [107, 402, 424, 574, 760, 1039, 1271, 1279, 1475];
     for seed in found.into_iter().chain(0..100) {
-        check_one_branch(&Setup::one_branch(Setup::small(seed)));
+        check_one_branch(&Setup::one_branch(&Setup::small(seed)));
     }
     for seed in 0..4 {
-        check_one_branch(&Setup::one_branch(Setup::large(seed)));
+        check_one_branch(&Setup::one_branch(&Setup::large(seed)));
     }
 }
 
@@ -978,6 +977,50 @@
     assert!(matches!(answer, TrialAnswer::Granted(_)), "{answer:?}");
 }
 
+/// Guards against a sound part being confirmed, and the fatal one cleared, by the end of an engine on which
+/// a request with the fatal part ran beside a trial of the sound one.
+#[test]
+fn end_under_another_request_decides_no_trial() {
+    let now = Instant::now();
+    let round = Duration::from_millis(400);
+    let mut ledger = PartLedger::begin(1, now);
+    ledger.update(round, now + round);
+    let parts = |ids: &[u64]| ids.iter().copied().map(PartId::from).collect::<Vec<_>>();
+    let (sound, fatal) = (parts(&[FIRST, RARE]), parts(&[FIRST, FATAL]));
+    let end = |ledger: &mut PartLedger, id: &str, parts: &[PartId], now| {
+        let mut evidence = PartEvidence::default();
+        let (id, born_ms) = (id.to_owned(), None);
+        evidence.record_end(UpstreamProcess { id, born_ms }, parts, now);
+        ledger.record_report("i1", &evidence.report(), now);
+    };
+    for engine in ["e1", "e2", "e3", "e4", "e5"] {
+        end(&mut ledger, engine, &fatal, now);
+    }
+    let mut now = now + round * 4;
+    ledger.update(round, now);
+    for engine in ["e6", "e7", "e8"] {
+        let TrialAnswer::Granted(id) = ledger.request_trial(&sound, now) else {
+            panic!("requests without the fatal part have trials");
+        };
+        end(&mut ledger, engine, &sound, now);
+        ledger.record_outcome(id, &sound, TrialOutcome::Ended, now);
+        // The other request is reported later.
+        end(&mut ledger, engine, &fatal, now);
+        now += Duration::from_secs(2);
+        ledger.update(round, now);
+    }
+    let TrialAnswer::Granted(id) = ledger.request_trial(&sound, now) else {
+        panic!("requests without the fatal part have trials");
+    };
+    ledger.record_outcome(id, &sound, TrialOutcome::Begun, now);
+    ledger.update(round, now);
+    assert_eq!(ledger.request_trial(&sound, now), TrialAnswer::NotNeeded);
+    let records = ledger.records(now);
+    let suspects = records.iter().filter(|record| record.is_suspect);
+    let suspects: Vec<_> = suspects.map(|record| record.part).collect();
+    assert_eq!(suspects, parts(&[FATAL]));
+}
+
 /// Guards against one trial of an earlier holder counting as several, since its outcome is told again until
 /// it is acknowledged.
 #[test]
