--- a/crates/fleet/src/quarantine/mod.rs
+++ b/crates/fleet/src/quarantine/mod.rs
@@ -104,6 +104,10 @@
     pub trial_in: Option<Duration>,
     /// Whether requests with the part need a trial. If not, begun answers are still being counted.
     pub is_suspect: bool,
+    /// Other parts that may be the reason of its ends. A request without one of them may still get a
+    /// trial.
+    #[serde(default)]
+    pub rivals: Vec<PartId>,
 }
 
 impl PartRecord {
@@ -155,7 +159,7 @@
 }
 
 /// Identifies a trial: the fencing token of the holder that gave it, and its number.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
 #[derive(Deserialize, Serialize)]
 pub struct TrialId {
     /// Fencing token of the holder.
