--- a/crates/fleet/tests/decisions.rs
+++ b/crates/fleet/tests/decisions.rs
@@ -97,6 +97,27 @@
     );
 }
 
+/// Guards against spending the budget again because the processes that had spent it were killed.
+#[test]
+fn restarted_instances_stay_inside_the_budget_of_the_window() {
+    let limits = BudgetLimits {
+        ratio: 0.1,
+        extra: 20.0,
+        window: Duration::from_secs(10),
+    };
+    let killed_at = Instant::now();
+    let mut sent = 0;
+    for started_at in [killed_at, killed_at + Duration::from_secs(2)] {
+        for _ in 0..4 {
+            let mut budget = RetryBudget::new(limits);
+            while budget.take_retry("s", 4, started_at) {
+                sent += 1;
+            }
+        }
+    }
+    assert!(sent <= 20, "{sent} retries in one window");
+}
+
 fn candidate(id: &str) -> Candidate<'_> {
     Candidate {
         id,
--- a/crates/soak/src/faults.rs
+++ b/crates/soak/src/faults.rs
@@ -39,6 +39,8 @@
 enum Fault {
     Pause(usize),
     Kill(usize),
+    /// All instances are killed at the same moment.
+    KillAll,
     Terminate(usize),
     Reload(usize),
     StoreLink(usize, proxy::Faults),
@@ -73,6 +75,10 @@
 const FATAL_DOWNTIME: Duration = Duration::from_millis(800);
 /// Longest time until a request with a fatal part has ended an engine.
 const FATAL_REQUEST_TIME: Duration = Duration::from_secs(1);
+/// Number of the random stream that kills of all instances are drawn from.
+const KILLS_OF_ALL_STREAM: u64 = 4;
+/// Share of the runs in which all instances are killed once.
+const KILL_OF_ALL_RATIO: f64 = 0.5;
 /// Number of the random stream that the servers with repeated refusals are drawn from.
 const REPEATED_REFUSALS_STREAM: u64 = 3;
 /// Number of the random stream that the faults of [`draw_added_fault`] are drawn from.
@@ -91,7 +97,9 @@
     fatal_rng.set_stream(FATAL_PARTS_STREAM);
     let mut refusals_rng = rng.clone();
     refusals_rng.set_stream(REPEATED_REFUSALS_STREAM);
-    let (mut injected, added, refusals, fatal) = tokio::join!(
+    let mut kills_rng = rng.clone();
+    kills_rng.set_stream(KILLS_OF_ALL_STREAM);
+    let (mut injected, added, refusals, kills, fatal) = tokio::join!(
         inject_drawn(cluster, time, rng, draw_fault, 50..1_000),
         inject_drawn(cluster, time, &mut added_rng, draw_added_fault, 500..4_000),
         inject_drawn(
@@ -101,10 +109,12 @@
             draw_repeated_refusals,
             500..4_000
         ),
+        inject_kill_of_all(cluster, time, &mut kills_rng),
         inject_fatal_parts(cluster, time, &mut fatal_rng),
     );
     injected.extend(added);
     injected.extend(refusals);
+    injected.extend(kills);
     injected.extend(fatal);
     injected
 }
@@ -182,6 +192,23 @@
     injected
 }
 
+/// Kills all instances once in some of the runs, in the middle of the time.
+async fn inject_kill_of_all(
+    cluster: &Rc<SoakCluster>,
+    time: Duration,
+    rng: &mut ChaCha8Rng,
+) -> Option<String> {
+    if !rng.random_bool(KILL_OF_ALL_RATIO) {
+        return None;
+    }
+    let wait = time.mul_f64(rng.random_range(0.3..0.7));
+    let downtime = Duration::from_millis(rng.random_range(100..1_500));
+    sleep(wait).await;
+    apply_fault(Rc::clone(cluster), Fault::KillAll, downtime).await;
+    let at = wait.as_secs_f64();
+    Some(format!("{at:.2} s: {:?} for {downtime:?}", Fault::KillAll))
+}
+
 /// Draws a fault of a kind that came later. They have a random stream of their own, so that seeds that
 /// once failed keep the faults that they had.
 fn draw_added_fault(cluster: &SoakCluster, rng: &mut ChaCha8Rng) -> (Fault, Duration) {
@@ -266,6 +293,16 @@
     match fault {
         Fault::Pause(i) => pause(&cluster.instances[i], duration).await,
         Fault::Kill(i) => restart(&cluster.instances[i], Signal::KILL, duration).await,
+        Fault::KillAll => {
+            let mut tasks = JoinSet::new();
+            for i in 0..cluster.instances.len() {
+                let cluster = Rc::clone(&cluster);
+                tasks.spawn_local(async move {
+                    restart(&cluster.instances[i], Signal::KILL, duration).await;
+                });
+            }
+            while tasks.join_next().await.is_some() {}
+        }
         Fault::Terminate(i) => restart(&cluster.instances[i], Signal::TERM, duration).await,
         Fault::Reload(i) => send_signal(&cluster.instances[i], Signal::HUP),
         Fault::StoreLink(i, faults) => {
