--- a/crates/entry/src/serve/pick.rs
+++ b/crates/entry/src/serve/pick.rs
@@ -237,7 +237,7 @@
     if avoided.software.is_none() || ready.any(|u| avoided.has_required_software(u)) {
         return Ok(());
     }
-    let reason = "no upstream of the software version that began the stream takes requests";
+    let reason = "no upstream of the software version that the stream is bound to takes requests";
     Err(Refusal::not_run(reason, RETRY_AFTER))
 }
 
