Refuse a resumed stream whose version is not known when the instance stops

The search for the version takes up to 3.5 s while no holder answers, and did not regard that the instance stops: the request was cut off without an answer at the end of the grace period. resumption_that_waits_at_the_end_of_a_stop_is_refused failed with an empty answer and passes.

--- a/crates/entry/src/serve/resumption.rs
+++ b/crates/entry/src/serve/resumption.rs
@@ -144,7 +144,7 @@
 
     /// Whether nobody can know the origin, or there is no more time to find it.
     fn has_failed(&self, now: Instant) -> bool {
-        if now >= self.deadline {
+        if now >= self.deadline || self.cx.time_to_answer(now).is_zero() {
             return true;
         }
         // Until the versions are recorded, the only one may be known soon.
--- a/crates/entry/tests/resumptions.rs
+++ b/crates/entry/tests/resumptions.rs
@@ -10,7 +10,7 @@
 use comfreyweir_fleet::upstream::Upstream;
 use support::{
     FakeUpstream, Response, ScriptStep, SharedState, TestInstance, get, platform::config,
-    send_request, start, upstream_entry, wait_until,
+    send_request, start, start_with, upstream_entry, wait_until,
 };
 
 /// Time for which streams have been under way when instances are killed.
@@ -486,3 +486,28 @@
     assert_eq!((response.status, new.arrivals()), (503, 0), "{response:?}");
     assert!(time < Duration::from_millis(500), "{time:?} {response:?}");
 }
+
+/// Guards against cutting off a resumed stream without an answer, because the instance stops while it
+/// still looks for the version.
+#[actix_rt::test]
+async fn resumption_that_waits_at_the_end_of_a_stop_is_refused() {
+    let engine = breaking_engine("u1").await;
+    let shared = shared_state(&[(&engine, "1")]);
+    let instance = start_with(&shared, "e1", |settings| settings.timing.grace_s = 1.2).await;
+    let addr = instance.entry.addr();
+    // The versions are recorded only some time after the first start.
+    let extra = format!("{MODEL}x-last: 3\r\nx-resumes: r1\r\n");
+    let waiting = actix_rt::spawn(async move { send_request(addr, "/tell/", "s1", &extra).await });
+    wait_until("the request waits", async || {
+        let status = get(instance.entry.admin_addr(), "/status").await;
+        status.body.contains("\"in_flight\": 1")
+    })
+    .await;
+    instance.entry.stop().await;
+    let response = waiting.await.unwrap();
+    assert_eq!(
+        (response.status, response.complete),
+        (503, true),
+        "{response:?}"
+    );
+}
