Read and log the limits that upstreams name

Nothing said that an upstream had named a limit, nor what it got after that. The binding reads the header, an instance keeps which limit holds for a process (answers that overtake each other neither end nor bring back one), and logs, metrics and /status tell it, with each request, repeat, report request and order that is sent nevertheless. Nothing is decided by it yet.

--- a/crates/entry/src/admin.rs
+++ b/crates/entry/src/admin.rs
@@ -1,8 +1,10 @@
 //! Handlers of the readiness port and of the admin port (metrics and status).
 
+use std::collections::BTreeMap;
+
 use actix_http::{Method, Request, Response, StatusCode, body::BoxBody};
 use comfreyweir_clock::whole_millis;
-use comfreyweir_fleet::quarantine::PartId;
+use comfreyweir_fleet::{directory::UpstreamProcess, quarantine::PartId};
 use comfreyweir_http::shutdown::Phase;
 use serde_json::json;
 
@@ -111,6 +113,7 @@
             json!({ "fence": fence, "may_order": may_order })
         }),
         "prompt_parts": prompt_parts(cx),
+        "limits": limits(cx),
         "placement": placement.engines,
         "placement_is_fresh": placement.is_fresh(now),
         "in_flight": cx.shutdown.in_flight(),
@@ -118,6 +121,20 @@
     format!("{status:#}\n")
 }
 
+/// Listed upstreams that have named a limit, with the requests a second that they take.
+fn limits<P>(cx: &EntryContext<P>) -> BTreeMap<String, f64>
+where
+    P: Platform,
+{
+    let directory = cx.directory.borrow();
+    let limits = cx.limits.borrow();
+    let limited = directory.iter().filter_map(|upstream| {
+        let limit = limits.limit(&UpstreamProcess::of(upstream))?;
+        Some((upstream.id.clone(), limit))
+    });
+    limited.collect()
+}
+
 /// The prompt parts under suspicion, as this instance knows them.
 fn prompt_parts<P>(cx: &EntryContext<P>) -> Vec<serde_json::Value>
 where
--- a/crates/entry/src/duty/actions.rs
+++ b/crates/entry/src/duty/actions.rs
@@ -13,7 +13,7 @@
 use super::coordinator::Coordinator;
 use crate::{
     platform::{OrderAnswer, OrderCall, Platform},
-    state::EntryContext,
+    state::{EntryContext, SendKind},
     work_times::Work,
 };
 
@@ -81,12 +81,13 @@
     let Some(upstream) = find_upstream(cx, id) else {
         return coordinator.with_planner(service, |planner| planner.report_failed(id, cx.now()));
     };
-    cx.closures.borrow_mut().record_sent(id, cx.now());
+    cx.record_sent(&upstream, SendKind::Report);
+    let sent_at = cx.clock.since_boot();
     let answer = cx
         .platform
         .request_report(&upstream, ENGINE_CALL_TIMEOUT)
         .await;
-    cx.record_notice(&upstream, answer.notice);
+    cx.record_notice(&upstream, answer.notice, sent_at);
     match answer.result {
         Ok(report) => {
             coordinator.with_planner(service, |planner| {
@@ -149,12 +150,13 @@
 where
     P: Platform,
 {
-    cx.closures.borrow_mut().record_sent(&upstream.id, cx.now());
+    cx.record_sent(upstream, SendKind::Order);
+    let sent_at = cx.clock.since_boot();
     let answer = cx
         .platform
         .send_order(upstream, call, ENGINE_CALL_TIMEOUT)
         .await;
-    cx.record_notice(upstream, answer.notice);
+    cx.record_notice(upstream, answer.notice, sent_at);
     match answer.result {
         Ok(OrderAnswer::Result(result)) => result,
         Ok(OrderAnswer::Fenced) => {
--- a/crates/entry/src/metrics.rs
+++ b/crates/entry/src/metrics.rs
@@ -35,6 +35,12 @@
     notice: String,
 }
 
+#[derive(Clone, Debug, PartialEq, Eq, Hash)]
+#[derive(EncodeLabelSet)]
+struct SendLabel {
+    kind: &'static str,
+}
+
 #[derive(Clone, Debug, PartialEq, Eq, Hash)]
 #[derive(EncodeLabelSet)]
 struct ResumptionLabel {
@@ -70,6 +76,7 @@
     refusals: Family<StatusLabel, Counter>,
     orders: Family<OrderLabels, Counter>,
     notices: Family<NoticeLabel, Counter>,
+    limited_sends: Family<SendLabel, Counter>,
     resumptions: Family<ResumptionLabel, Counter>,
     quarantine: Family<QuarantineLabel, Counter>,
     store_copies: Counter,
@@ -88,6 +95,7 @@
             refusals: Family::default(),
             orders: Family::default(),
             notices: Family::default(),
+            limited_sends: Family::default(),
             resumptions: Family::default(),
             quarantine: Family::default(),
             store_copies: Counter::default(),
@@ -117,6 +125,11 @@
             "What upstreams said of themselves beside answers: that they leave, or want no requests",
             metrics.notices.clone(),
         );
+        registry.register(
+            "comfreyweir_limited_sends",
+            "What was sent to upstreams that had named a limit, by kind",
+            metrics.limited_sends.clone(),
+        );
         registry.register(
             "comfreyweir_resumptions",
             "Streams that callers resume, by what is known of the software version that began them",
@@ -188,6 +201,11 @@
         self.notices.get_or_create(&labels).inc();
     }
 
+    /// Counts what was sent to an upstream that had named a limit.
+    pub(crate) fn count_limited_send(&self, kind: &'static str) {
+        self.limited_sends.get_or_create(&SendLabel { kind }).inc();
+    }
+
     /// Counts a stream that a caller resumes.
     pub(crate) fn count_resumption(&self, outcome: &str) {
         let labels = ResumptionLabel {
--- a/crates/entry/src/platform.rs
+++ b/crates/entry/src/platform.rs
@@ -174,6 +174,9 @@
     pub not_run: HeaderName,
     /// Set to `1` by an upstream that leaves, in all its answers.
     pub leaving: HeaderName,
+    /// Requests a second that an upstream in need takes from all instances together, in all its
+    /// answers.
+    pub limit: HeaderName,
     /// Headers that only the system may set.
     pub reserved: Vec<HeaderName>,
 }
@@ -185,7 +188,8 @@
     /// What an upstream says of itself beside an answer.
     ///
     /// An answer with status 421 may be of another process that has taken over the address, so it
-    /// says nothing. A `Retry-After` that is not a positive number of seconds is ignored.
+    /// says nothing. A `Retry-After` that is not a positive number of seconds is ignored. If several
+    /// limits are named, the lowest holds.
     pub fn notice(&self, status: StatusCode, headers: &HeaderMap) -> UpstreamNotice {
         if status == StatusCode::MISDIRECTED_REQUEST {
             return UpstreamNotice::default();
@@ -200,17 +204,49 @@
         UpstreamNotice {
             is_leaving: leaving.is_some_and(|v| v.as_bytes().trim_ascii() == LEAVING),
             closed_for: retry_after,
+            limit: self.limit_notice(headers),
         }
     }
+
+    fn limit_notice(&self, headers: &HeaderMap) -> LimitNotice {
+        let named = headers.get_all(&self.limit);
+        let limits: Option<Vec<_>> = named
+            .map(|v| v.to_str().ok()?.trim().parse::<f64>().ok())
+            .map(|limit| limit.filter(|limit| limit.is_finite() && *limit >= 0.0))
+            .collect();
+        match limits {
+            None => LimitNotice::Unusable,
+            Some(limits) => limits
+                .into_iter()
+                .min_by(f64::total_cmp)
+                .map_or(LimitNotice::Absent, LimitNotice::Named),
+        }
+    }
+}
+
+/// What an answer says of a limit on the requests a second that its upstream takes.
+#[derive(Clone, Copy, Debug, Default, PartialEq)]
+pub enum LimitNotice {
+    /// Nothing: there is no answer, or it may be of another process.
+    #[default]
+    Unknown,
+    /// The answer names no limit.
+    Absent,
+    /// It names a value that cannot be a limit.
+    Unusable,
+    /// It names this limit, in requests a second from all instances together.
+    Named(f64),
 }
 
 /// What an upstream says of itself beside an answer.
-#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+#[derive(Clone, Copy, Debug, Default, PartialEq)]
 pub struct UpstreamNotice {
     /// Whether it leaves: it takes no new requests.
     pub is_leaving: bool,
     /// Time for which it wants no requests from this instance.
     pub closed_for: Option<Duration>,
+    /// Limit on the requests that it takes from all instances.
+    pub limit: LimitNotice,
 }
 
 /// Outcome of a call to an engine.
--- a/crates/entry/src/serve/attempt.rs
+++ b/crates/entry/src/serve/attempt.rs
@@ -11,7 +11,7 @@
     body::{BoxBody, None as NoBody},
     header::{self, HeaderValue},
 };
-use comfreyweir_clock::whole_millis;
+use comfreyweir_clock::{Clock, whole_millis};
 use comfreyweir_fleet::{health::Outcome, stream_origins::StreamKey, upstream::Upstream};
 use comfreyweir_http::upstream::{
     CallProgress, ConnectionKind, RequestIdEcho, UpstreamAnswer, UpstreamCall,
@@ -23,7 +23,10 @@
     pick::PickedUpstream,
     trial::{Beginning, Trial},
 };
-use crate::{platform::Platform, state::EntryContext};
+use crate::{
+    platform::Platform,
+    state::{EntryContext, SendKind},
+};
 
 /// The result of one attempt.
 pub(super) enum AttemptResult<P>
@@ -166,10 +169,14 @@
     }
     let mut sent = SentRequest::begin(cx, request, picked, trial);
     note_prompt(cx, request, picked);
-    cx.closures
-        .borrow_mut()
-        .record_sent(&picked.upstream.id, cx.now());
+    let kind = if request.sent_to.borrow().is_empty() {
+        SendKind::Request
+    } else {
+        SendKind::Repeat
+    };
+    cx.record_sent(&picked.upstream, kind);
     let progress = CallProgress::new();
+    let sent_at = cx.clock.since_boot();
     let connection = request.record_send(picked.upstream.addr);
     let call = build_call(cx, request, &picked.upstream, last_event, connection);
     let body = if request.body.is_empty() && !request.method_may_have_body() {
@@ -180,7 +187,7 @@
     let failure = match timeout(limit, cx.upstreams.send(call, body, &progress)).await {
         Ok(Ok(answer)) => {
             let notice = cx.platform.headers().notice(answer.status, &answer.headers);
-            cx.record_notice(&picked.upstream, notice);
+            cx.record_notice(&picked.upstream, notice, sent_at);
             match check_answer(cx, &answer) {
                 Ok(()) => return AttemptResult::Answered(Box::new(answer), Box::new(sent)),
                 Err(failure) => failure,
--- a/crates/entry/src/state.rs
+++ b/crates/entry/src/state.rs
@@ -14,9 +14,10 @@
 use comfreyweir_fleet::{
     closures::Closures,
     config::Config,
-    directory::{Changes, Directory, StoredUpstream},
+    directory::{Changes, Directory, StoredUpstream, UpstreamProcess},
     health::Health,
     intake::{IntakeLimit, WaitingLines},
+    limits::{InstanceLimits, LimitChange},
     load::LoadTracker,
     planner::{DemandReport, Placement, WaitingRequests},
     prefix_cache::PrefixCaches,
@@ -39,7 +40,7 @@
 use crate::{
     log_limiter::RequestLogLimiter,
     metrics::Metrics,
-    platform::{Platform, PlatformError, UpstreamNotice},
+    platform::{LimitNotice, Platform, PlatformError, UpstreamNotice},
     quarantine::QuarantineState,
     work_times::WorkTimes,
 };
@@ -96,6 +97,8 @@
     pub(crate) health: RefCell<Health>,
     /// Upstreams that asked for no requests for a time.
     pub(crate) closures: RefCell<Closures>,
+    /// Limits that upstreams have named.
+    pub(crate) limits: RefCell<InstanceLimits>,
     pub(crate) prefix_caches: RefCell<PrefixCaches>,
     pub(crate) demand: RefCell<Demand>,
     /// Evidence on prompt parts that end upstreams, and trials of requests with them.
@@ -145,6 +148,30 @@
     pub(crate) body_bytes: Rc<Cell<usize>>,
 }
 
+/// What is sent to an upstream.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) enum SendKind {
+    /// A caller's request for the first time.
+    Request,
+    /// A caller's request once more, or a stream that goes on.
+    Repeat,
+    /// A report request.
+    Report,
+    /// An order.
+    Order,
+}
+
+impl SendKind {
+    fn name(self) -> &'static str {
+        match self {
+            Self::Request => "request",
+            Self::Repeat => "repeat",
+            Self::Report => "report",
+            Self::Order => "order",
+        }
+    }
+}
+
 /// A stream whose origin the holder is asked for.
 #[derive(Clone, Debug, Default)]
 pub(crate) struct OriginQuery {
@@ -373,6 +400,7 @@
             retry_budget: RefCell::new(RetryBudget::new(limits)),
             health: RefCell::default(),
             closures: RefCell::default(),
+            limits: RefCell::default(),
             prefix_caches: RefCell::default(),
             demand: RefCell::default(),
             quarantine: QuarantineState::default(),
@@ -680,9 +708,30 @@
         self.origins.borrow().resumption(stream, served)
     }
 
-    /// Records what an upstream has said of itself beside an answer.
-    pub(crate) fn record_notice(&self, upstream: &Upstream, notice: UpstreamNotice) {
+    /// Records that something is sent to an upstream. All that reaches upstreams passes here.
+    pub(crate) fn record_sent(&self, upstream: &Upstream, kind: SendKind) {
+        let now = self.now();
+        self.closures.borrow_mut().record_sent(&upstream.id, now);
+        let limit = self.limits.borrow().limit(&UpstreamProcess::of(upstream));
+        let Some(limit) = limit else { return };
+        self.metrics.count_limited_send(kind.name());
+        if self.request_log_limiter.try_acquire(now) {
+            spdlog::info!("sent to an upstream that has named a limit", kv: {
+                upstream = upstream.id.as_str(), kind = kind.name(), limit
+            });
+        }
+    }
+
+    /// Records what an upstream has said of itself beside an answer to what was sent at `sent_at`, in
+    /// time since boot.
+    pub(crate) fn record_notice(
+        &self,
+        upstream: &Upstream,
+        notice: UpstreamNotice,
+        sent_at: Duration,
+    ) {
         let now = self.now();
+        self.record_limit(upstream, notice.limit, sent_at);
         let id = upstream.id.as_str();
         if notice.is_leaving && self.directory.borrow_mut().record_leaving(upstream, now) {
             spdlog::info!("upstream says that it leaves", kv: { upstream = id });
@@ -704,6 +753,50 @@
         }
     }
 
+    fn record_limit(&self, upstream: &Upstream, notice: LimitNotice, sent_at: Duration) {
+        let limit = match notice {
+            LimitNotice::Named(limit) => Some(limit),
+            LimitNotice::Absent => None,
+            LimitNotice::Unknown => return,
+            LimitNotice::Unusable => {
+                self.metrics.count_notice("unusable_limit");
+                if self.request_log_limiter.try_acquire(self.now()) {
+                    spdlog::warn!("upstream names a limit that is no number of requests", kv: {
+                        upstream = upstream.id.as_str()
+                    });
+                }
+                return;
+            }
+        };
+        let process = UpstreamProcess::of(upstream);
+        let since_boot = self.clock.since_boot();
+        let mut limits = self.limits.borrow_mut();
+        let change = limits.record_answer(&process, limit, sent_at, since_boot);
+        drop(limits);
+        if let Some(change) = change {
+            self.announce_limit(&process, change, "answer");
+        }
+    }
+
+    /// Logs that the limit of an upstream has changed, and notifies waiting requests.
+    fn announce_limit(&self, process: &UpstreamProcess, change: LimitChange, source: &str) {
+        let upstream = process.id.as_str();
+        match change {
+            LimitChange::Begun(limit) => {
+                self.metrics.count_notice("limit");
+                spdlog::info!("upstream names a limit", kv: { upstream, source, limit });
+            }
+            LimitChange::Changed { from, to } => {
+                spdlog::info!("upstream names another limit", kv: { upstream, source, from, to });
+            }
+            LimitChange::Ended => {
+                self.metrics.count_notice("limit_ended");
+                spdlog::info!("upstream has ended its limit", kv: { upstream, source });
+            }
+        }
+        self.state_changed.notify_waiters();
+    }
+
     /// Applies the holder's grants, the answer to a report built at `reported_at`, to the local
     /// quotas.
     pub(crate) fn apply_grants(&self, grants: &HashMap<String, Grant>, reported_at: Instant) {
--- a/crates/entry/tests/notices.rs
+++ b/crates/entry/tests/notices.rs
@@ -110,7 +110,7 @@
     shared.add_upstream(upstream_entry(&engine, "llm", &["m1"]));
     shared.notice.set(UpstreamNotice {
         is_leaving: true,
-        closed_for: None,
+        ..UpstreamNotice::default()
     });
     let instance = start(&shared, "e1").await;
     wait_until("the engine has reported", async || {
--- a/crates/entry/tests/resumptions.rs
+++ b/crates/entry/tests/resumptions.rs
@@ -201,6 +201,7 @@
     shared.notice.set(UpstreamNotice {
         is_leaving: false,
         closed_for: Some(Duration::from_mins(1)),
+        ..UpstreamNotice::default()
     });
     let instance = start(&shared, "e1").await;
     wait_until("the engine has turned a call away", async || {
@@ -465,6 +466,7 @@
     shared.notice.set(UpstreamNotice {
         is_leaving: false,
         closed_for: Some(Duration::from_mins(1)),
+        ..UpstreamNotice::default()
     });
     let (holder, other) = start_two(&shared).await;
     wait_until("the engine has turned a call away", async || {
--- a/crates/entry/tests/support/platform.rs
+++ b/crates/entry/tests/support/platform.rs
@@ -189,6 +189,7 @@
                 seal: name("x-seal"),
                 not_run: name("x-not-run"),
                 leaving: name("x-leaving"),
+                limit: name("x-limit"),
                 reserved: vec![name("x-workspace"), name("x-expect"), name("x-priority")],
             },
         }
--- a/crates/fleet/src/lib.rs
+++ b/crates/fleet/src/lib.rs
@@ -11,6 +11,7 @@
 pub mod health;
 pub mod holder_search;
 pub mod intake;
+pub mod limits;
 pub mod load;
 pub mod origin_index;
 pub mod placement_log;
