--- a/crates/entry/tests/support/upstream.rs
+++ b/crates/entry/tests/support/upstream.rs
@@ -4,7 +4,10 @@
     cell::RefCell, collections::VecDeque, fmt::Write as _, net::SocketAddr, rc::Rc, time::Duration,
 };
 
-use actix_rt::{task::JoinHandle, time::sleep};
+use actix_rt::{
+    task::JoinHandle,
+    time::{Instant, sleep},
+};
 use tokio::{
     io::{AsyncReadExt, AsyncWriteExt},
     net::{TcpListener, TcpStream},
@@ -68,6 +71,8 @@
 #[derive(Default)]
 pub struct Observed {
     pub requests: Vec<String>,
+    /// When each of them arrived.
+    pub times: Vec<Instant>,
     pub connections: usize,
     pub closed_connections: usize,
 }
@@ -106,6 +111,11 @@
         }
     }
 
+    /// Replaces what is left of the script.
+    pub fn set_script(&self, script: &[ScriptStep]) {
+        *self.script.borrow_mut() = script.iter().cloned().collect();
+    }
+
     pub fn arrivals(&self) -> usize {
         self.observed.borrow().requests.len()
     }
@@ -131,6 +141,7 @@
     let mut is_first = true;
     while let Some(request) = read_request(&mut io).await {
         observed.borrow_mut().requests.push(request.clone());
+        observed.borrow_mut().times.push(Instant::now());
         let step = {
             let mut script = script.borrow_mut();
             if script.len() > 1 {
