Keep the limits that upstreams name over all instances

Cause: no instance read the limit, so that a limited upstream was chosen as any other, by each instance on its own.

The holder of the planning duty now gives whole permits from a bucket for each limited upstream; an instance sends nothing to one without a permit. Requests, repeats, resumed streams and trials take theirs where they are sent, report requests and orders take the holder's own. Requests that no upstream has room for are refused at once, with the time until there is room. Without a holder, instances take turns, and a holder reserves the turns of those that do not report.

--- a/crates/entry/src/duty/actions.rs
+++ b/crates/entry/src/duty/actions.rs
@@ -81,6 +81,9 @@
     let Some(upstream) = find_upstream(cx, id) else {
         return coordinator.with_planner(service, |planner| planner.report_failed(id, cx.now()));
     };
+    if !coordinator.take_permit(&upstream) {
+        return coordinator.with_planner(service, |planner| planner.postpone_report(id));
+    }
     cx.record_sent(&upstream, SendKind::Report);
     let sent_at = cx.clock.since_boot();
     let answer = cx
@@ -115,7 +118,9 @@
 {
     let result = match (find_upstream(cx, id), coordinator.tenure()) {
         // Checked right before the call: the process may have been suspended since the decision.
-        (Some(upstream), Some(tenure)) if tenure.may_order(cx.clock.since_boot()) => {
+        (Some(upstream), Some(tenure))
+            if tenure.may_order(cx.clock.since_boot()) && coordinator.take_permit(&upstream) =>
+        {
             send_order(cx, coordinator, &upstream, &call).await
         }
         _ => OrderResult::Conflict,
--- a/crates/entry/src/duty/coordinator.rs
+++ b/crates/entry/src/duty/coordinator.rs
@@ -14,6 +14,7 @@
     config::Service,
     directory::UpstreamProcess,
     duty::Tenure,
+    limits::PermitLedger,
     load::{self, Loads},
     origin_index::OriginIndex,
     placement_log::PlacementLog,
@@ -30,7 +31,7 @@
 use crate::{
     exchange::message::{
         DirectoryView, ExchangeAnswer, GrantRequest, InstanceReport, OriginReport, OriginsView,
-        SystemView, TrialRequest, Trials,
+        PermitRequest, Permits, SystemView, TrialRequest, Trials,
     },
     platform::Platform,
     state::EntryContext,
@@ -68,6 +69,8 @@
 #[derive(Default)]
 struct TenureState {
     quarantine: PartLedger,
+    /// Limits of upstreams, and the permits given.
+    permits: PermitLedger,
     planners: BTreeMap<String, Planner>,
     actions: Vec<(String, Action)>,
     reports: HashMap<String, (InstanceReport, Instant)>,
@@ -120,6 +123,7 @@
             grant_allocator: GrantAllocator::begin(tenure.fence, silent, now),
             directory: VersionedList::new(rand::random()),
             quarantine: PartLedger::begin(tenure.fence, now),
+            permits: self.begin_permits(),
             origins: self.state.take().origins.begin_tenure(),
             ..TenureState::default()
         };
@@ -135,6 +139,12 @@
         self.has_stopped_ordering.set(false);
     }
 
+    fn begin_permits(&self) -> PermitLedger {
+        let since_boot = self.cx.clock.since_boot();
+        let known = self.cx.limits.borrow().all_known(since_boot);
+        PermitLedger::begin(&known, since_boot)
+    }
+
     /// Stops sending orders. Reports are still answered until the tenure ends.
     pub(super) fn stop_ordering(&self) {
         self.has_stopped_ordering.set(true);
@@ -248,7 +258,8 @@
         state.directory_read = read_at;
         let loads = state.loads(now);
         let suspects = state.suspects(now);
-        let closed = self.cx.closures.borrow().ends(now);
+        let mut closed = self.cx.closures.borrow().ends(now);
+        state.close_limited(&mut closed, self.cx.clock.since_boot(), now);
         for service in config.services.values() {
             state.plan_service(service, &directory, (&loads, &suspects, &closed), now);
         }
@@ -375,6 +386,34 @@
         })
     }
 
+    /// Takes over which limits an instance has heard, and gives it permits.
+    pub(crate) fn permits(&self, request: &PermitRequest) -> ExchangeAnswer {
+        if !self.has_duty() {
+            return self.elsewhere();
+        }
+        let now = self.cx.clock.since_boot();
+        let mut state = self.state.borrow_mut();
+        let silent_ratio = state.grant_allocator.silent_ratio();
+        state.permits.hear(&request.limits, now);
+        let asks = request.asks.iter();
+        let answers = asks.filter_map(|ask| state.permits.ask(ask, silent_ratio, now));
+        let answers = answers.collect();
+        ExchangeAnswer::Permits(Permits {
+            limits: state.permits.told(now),
+            answers,
+        })
+    }
+
+    /// Takes a permit for a call of the holder to an upstream. False if the upstream takes nothing
+    /// more now.
+    pub(super) fn take_permit(&self, upstream: &Upstream) -> bool {
+        let now = self.cx.clock.since_boot();
+        let mut state = self.state.borrow_mut();
+        let silent_ratio = state.grant_allocator.silent_ratio();
+        let process = UpstreamProcess::of(upstream);
+        state.permits.take(&process, silent_ratio, now)
+    }
+
     /// Decides anew which prompt parts are suspect.
     fn update_quarantine(&self, state: &mut TenureState, now: Instant) {
         let ledger = &mut state.quarantine;
@@ -450,6 +489,9 @@
         state
             .arrivals
             .record(&report.process, &report.demand.arrivals);
+        state
+            .permits
+            .hear(&report.limits, self.cx.clock.since_boot());
         let has_waiting = !report.demand.waiting.is_empty();
         state.reports.insert(report.process.clone(), (report, now));
         if has_waiting {
@@ -503,6 +545,7 @@
             silent: state.grant_allocator.silent_instances(now),
             directory: state.directory_view(request.directory, now),
             leaving: state.leaving.iter().cloned().collect(),
+            limits: state.permits.told(self.cx.clock.since_boot()),
             mixed: state.mixed_services(now),
             recorded: self.cx.software.borrow().recorded().cloned().collect(),
             quarantine: state.quarantine.view(request.quarantine, now),
@@ -682,6 +725,25 @@
             .extend(actions.map(|action| (service.name.clone(), action)));
     }
 
+    /// Adds the limited upstreams without room to those that want nothing for a time.
+    fn close_limited(
+        &mut self,
+        closed: &mut HashMap<String, Instant>,
+        since_boot: Duration,
+        now: Instant,
+    ) {
+        let silent_ratio = self.grant_allocator.silent_ratio();
+        let limited: Vec<_> = self.permits.limited().map(|(p, _)| p.clone()).collect();
+        for process in limited {
+            let permits = &mut self.permits;
+            let wait = permits.time_to_room(&process, silent_ratio, since_boot);
+            if !wait.is_zero() {
+                let until = closed.entry(process.id).or_insert(now);
+                *until = (now + wait).max(*until);
+            }
+        }
+    }
+
     /// Reports younger than [`REPORT_MAX_AGE`].
     fn fresh_reports(&self, now: Instant) -> impl Iterator<Item = &InstanceReport> {
         let is_fresh = move |at: Instant| now.saturating_duration_since(at) < REPORT_MAX_AGE;
--- a/crates/entry/src/exchange/client.rs
+++ b/crates/entry/src/exchange/client.rs
@@ -8,6 +8,7 @@
 
 use actix_rt::time::sleep;
 use bytes::Bytes;
+use comfreyweir_clock::Clock;
 use comfreyweir_fleet::{
     holder_search::HolderSearch,
     load::{Load, Loads},
@@ -139,6 +140,7 @@
     {
         let report = build_report(cx);
         let reported_at = cx.now();
+        let reported_since_boot = cx.clock.since_boot();
         let loads = report.loads.clone();
         let arrivals = report.demand.arrivals.clone();
         let evidence = report.evidence.clone();
@@ -151,7 +153,7 @@
                 // The view has the list as of the last planner run. This instance may have read a
                 // newer one since, which the older one must not replace.
                 view.directory = DirectoryView::default();
-                apply_view(cx, *view, &loads, reported_at);
+                apply_view(cx, *view, &loads, (reported_at, reported_since_boot));
             }
             return Ok(());
         }
@@ -162,7 +164,7 @@
                 cx.quarantine
                     .acknowledge_evidence(&evidence, view.placement.0);
                 self.search.record_found();
-                apply_view(cx, *view, &loads, reported_at);
+                apply_view(cx, *view, &loads, (reported_at, reported_since_boot));
                 Ok(())
             }
             Ok(ExchangeAnswer::Elsewhere(hint)) => {
@@ -174,7 +176,10 @@
                 Err(ExchangeError::NoHolder)
             }
             Ok(
-                ExchangeAnswer::Grants(_) | ExchangeAnswer::Trials(_) | ExchangeAnswer::Origins(_),
+                ExchangeAnswer::Grants(_)
+                | ExchangeAnswer::Trials(_)
+                | ExchangeAnswer::Origins(_)
+                | ExchangeAnswer::Permits(_),
             ) => UnexpectedAnswerSnafu.fail(),
             Err(e) => {
                 self.search.record_failure();
@@ -254,6 +259,7 @@
         mixed: cx.software.borrow().mixed(cx.now()),
         evidence: cx.quarantine.evidence().report(),
         leaving: cx.directory.borrow().leaving().cloned().collect(),
+        limits: cx.limits.borrow().heard(cx.clock.since_boot()),
         placement: placement.fence_and_version,
         directory: placement.holder_list.version(),
         needs_config: cx
@@ -262,13 +268,13 @@
     }
 }
 
-/// Applies the holder's view to the local state: its answer to a report built at `reported_at` with
-/// these loads.
+/// Applies the holder's view to the local state: its answer to a report built with these loads at a
+/// time, also given since boot.
 fn apply_view<P>(
     cx: &Rc<EntryContext<P>>,
     view: SystemView,
     reported_loads: &Loads,
-    reported_at: Instant,
+    (reported_at, reported_since_boot): (Instant, Duration),
 ) where
     P: Platform,
 {
@@ -286,6 +292,7 @@
     apply_directory(cx, view.directory, now);
     let leaving = view.leaving.into_iter().collect();
     cx.directory.borrow_mut().set_leaving_elsewhere(leaving);
+    cx.apply_limits(&view.limits);
     let mut versions = cx.software.borrow_mut();
     versions.set_mixed_elsewhere(view.mixed);
     versions.set_recorded_elsewhere(view.recorded);
@@ -312,6 +319,8 @@
     }
     drop(placement);
     cx.instances_reported.set(view.instances);
+    cx.update_place();
+    cx.limits.borrow_mut().record_holder(reported_since_boot);
     let mut members = cx.members.borrow_mut();
     members.holder = view.holder;
     members.set_silent(&view.silent, now);
--- a/crates/entry/src/exchange/grants.rs
+++ b/crates/entry/src/exchange/grants.rs
@@ -74,8 +74,9 @@
             Ok(())
         }
         ExchangeAnswer::Grants(_) | ExchangeAnswer::Elsewhere(_) => NoHolderSnafu.fail(),
-        ExchangeAnswer::View(_) | ExchangeAnswer::Trials(_) | ExchangeAnswer::Origins(_) => {
-            UnexpectedAnswerSnafu.fail()
-        }
+        ExchangeAnswer::View(_)
+        | ExchangeAnswer::Trials(_)
+        | ExchangeAnswer::Origins(_)
+        | ExchangeAnswer::Permits(_) => UnexpectedAnswerSnafu.fail(),
     }
 }
--- a/crates/entry/src/exchange/message.rs
+++ b/crates/entry/src/exchange/message.rs
@@ -5,6 +5,7 @@
 use bytes::Bytes;
 use comfreyweir_fleet::{
     directory::UpstreamProcess,
+    limits::{PermitAnswer, PermitAsk, ToldLimit},
     load::Loads,
     planner::{DemandReport, Placement},
     quarantine::{EvidenceReport, PartId, QuarantineView, TrialAnswer, TrialId, TrialOutcome},
@@ -31,6 +32,29 @@
     /// Streams that it has begun, and those whose origin it asks for, between two reports. The answer
     /// is what the holder knows of them.
     Origins(OriginReport),
+    /// Limits that upstreams have named to it, and requests for permits, between two reports. The answer
+    /// is permits.
+    Permits(PermitRequest),
+}
+
+/// Limits of upstreams, and requests for permits.
+#[derive(Clone, Debug, Default, PartialEq)]
+#[derive(Serialize, Deserialize)]
+pub(crate) struct PermitRequest {
+    /// What upstreams have said to the instance.
+    pub(crate) limits: Vec<ToldLimit>,
+    /// The permits that it needs.
+    pub(crate) asks: Vec<PermitAsk>,
+}
+
+/// Answer to a [`PermitRequest`].
+#[derive(Clone, Debug, Default, PartialEq)]
+#[derive(Serialize, Deserialize)]
+pub(crate) struct Permits {
+    /// What upstreams have said to all instances.
+    pub(crate) limits: Vec<ToldLimit>,
+    /// The permits.
+    pub(crate) answers: Vec<PermitAnswer>,
 }
 
 /// Streams by the software versions that began them, and streams whose version is asked for.
@@ -105,6 +129,8 @@
     pub(crate) unreachable: Vec<String>,
     /// Listed upstreams that told it that they leave.
     pub(crate) leaving: Vec<UpstreamProcess>,
+    /// Limits that upstreams have named to it, or ended.
+    pub(crate) limits: Vec<ToldLimit>,
     /// Services of which it has recently listed several software versions.
     pub(crate) mixed: Vec<String>,
     /// What it has observed of prompt parts.
@@ -129,6 +155,8 @@
     Trials(Trials),
     /// What the holder knows of streams.
     Origins(OriginsView),
+    /// Permits.
+    Permits(Permits),
     /// The called instance does not hold the duty. The holder's peer address, if it knows one.
     Elsewhere(Option<SocketAddr>),
 }
@@ -162,6 +190,8 @@
     /// Upstreams that told any instance that they leave. Apart from the list, since an instance that
     /// has read a newer list ignores the holder's.
     pub(crate) leaving: Vec<UpstreamProcess>,
+    /// Limits that upstreams have named to any instance, or ended.
+    pub(crate) limits: Vec<ToldLimit>,
     /// Services of which any instance has recently listed several software versions.
     pub(crate) mixed: Vec<String>,
     /// Services whose software versions are recorded in the store.
--- a/crates/entry/src/exchange/mod.rs
+++ b/crates/entry/src/exchange/mod.rs
@@ -7,5 +7,6 @@
 pub(crate) mod grants;
 pub(crate) mod message;
 pub(crate) mod origins;
+pub(crate) mod permits;
 pub(crate) mod server;
 pub(crate) mod trials;
--- a/crates/entry/src/exchange/origins.rs
+++ b/crates/entry/src/exchange/origins.rs
@@ -96,9 +96,10 @@
             Ok(())
         }
         ExchangeAnswer::Elsewhere(_) => NoHolderSnafu.fail(),
-        ExchangeAnswer::View(_) | ExchangeAnswer::Grants(_) | ExchangeAnswer::Trials(_) => {
-            UnexpectedAnswerSnafu.fail()
-        }
+        ExchangeAnswer::View(_)
+        | ExchangeAnswer::Grants(_)
+        | ExchangeAnswer::Trials(_)
+        | ExchangeAnswer::Permits(_) => UnexpectedAnswerSnafu.fail(),
     }
 }
 
--- a/crates/entry/src/exchange/server.rs
+++ b/crates/entry/src/exchange/server.rs
@@ -90,6 +90,7 @@
             InstanceCall::Grants(request) => self.coordinator.grants(&request),
             InstanceCall::Trials(request) => self.coordinator.trials(&request),
             InstanceCall::Origins(report) => self.coordinator.origins(&report),
+            InstanceCall::Permits(request) => self.coordinator.permits(&request),
         };
         let view = postcard::to_allocvec(&answer)
             .map_err(|e| capnp::Error::failed(format!("view cannot be encoded: {e}")))?;
@@ -102,6 +103,7 @@
             ExchangeAnswer::Grants(_) => cx.metrics.count_grants_answer(),
             ExchangeAnswer::Trials(_)
             | ExchangeAnswer::Origins(_)
+            | ExchangeAnswer::Permits(_)
             | ExchangeAnswer::Elsewhere(_) => {}
         }
         results.get().set_view(&view);
--- a/crates/entry/src/exchange/trials.rs
+++ b/crates/entry/src/exchange/trials.rs
@@ -73,8 +73,9 @@
             Ok(())
         }
         ExchangeAnswer::Elsewhere(_) => NoHolderSnafu.fail(),
-        ExchangeAnswer::View(_) | ExchangeAnswer::Grants(_) | ExchangeAnswer::Origins(_) => {
-            UnexpectedAnswerSnafu.fail()
-        }
+        ExchangeAnswer::View(_)
+        | ExchangeAnswer::Grants(_)
+        | ExchangeAnswer::Origins(_)
+        | ExchangeAnswer::Permits(_) => UnexpectedAnswerSnafu.fail(),
     }
 }
--- a/crates/entry/src/follow/members.rs
+++ b/crates/entry/src/follow/members.rs
@@ -257,6 +257,7 @@
     spdlog::info!("instances changed", kv: {
         revision = members.revision, instances = members.instances.len(), holder
     });
+    cx.update_place();
     cx.members_changed.notify_waiters();
 }
 
--- a/crates/entry/src/instance.rs
+++ b/crates/entry/src/instance.rs
@@ -92,6 +92,7 @@
     let (records_cx, records_coordinator) = shared();
     let (origins_cx, origins_coordinator) = shared();
     let (begun_cx, begun_coordinator) = shared();
+    let (permits_cx, permits_coordinator) = shared();
     let (software_cx, software_coordinator) = shared();
     let (era_cx, era_coordinator) = shared();
     let (times_cx, times_coordinator) = shared();
@@ -122,6 +123,11 @@
             Work::Exchange,
             exchange::origins::run(begun_cx, begun_coordinator),
         ),
+        spawn_task(
+            &cx,
+            Work::Exchange,
+            exchange::permits::run(permits_cx, permits_coordinator),
+        ),
         spawn_task(
             &cx,
             Work::Store,
--- a/crates/entry/src/serve/attempt.rs
+++ b/crates/entry/src/serve/attempt.rs
@@ -43,6 +43,8 @@
     Failed(String),
     /// The upstream may have run the request, but did not answer in time.
     TimedOut,
+    /// Nothing was sent: the upstream has named a limit, and takes no more now. Returns the trial.
+    NotPermitted(Option<Trial<P>>),
 }
 
 /// A request at an upstream. Counts towards the upstream's load until dropped.
@@ -163,6 +165,9 @@
 where
     P: Platform,
 {
+    if !cx.take_permit(&picked.upstream) {
+        return AttemptResult::NotPermitted(trial);
+    }
     if !bind_origin(cx, request, &picked.upstream) {
         let reason = "another software version may have begun the stream".to_owned();
         return AttemptResult::NotSent(reason);
@@ -338,7 +343,7 @@
     P: Platform,
 {
     let (outcome, reason) = match failure {
-        AttemptResult::Answered(..) => return,
+        AttemptResult::Answered(..) | AttemptResult::NotPermitted(_) => return,
         AttemptResult::NotSent(reason) => ("not_sent", reason.clone()),
         AttemptResult::NotRun(status) => ("not_run", status.as_u16().to_string()),
         AttemptResult::Failed(reason) => ("failed", reason.clone()),
--- a/crates/entry/src/serve/pick.rs
+++ b/crates/entry/src/serve/pick.rs
@@ -6,8 +6,10 @@
     time::{Duration, Instant},
 };
 
-use comfreyweir_clock::whole_millis;
+use comfreyweir_clock::{Clock, whole_millis};
 use comfreyweir_fleet::{
+    directory::UpstreamProcess,
+    limits::{Room, Ticket},
     request::Artifact,
     upstream::Upstream,
     upstream_choice::{self, Candidate},
@@ -33,6 +35,16 @@
     pub(super) uncached_tokens: u64,
 }
 
+/// What was found for a request.
+enum Choice {
+    /// An upstream that can run it now.
+    Upstream(PickedUpstream),
+    /// None now, but one that has named a limit could if the holder gives a permit.
+    NeedsPermit(UpstreamProcess),
+    /// None now.
+    None,
+}
+
 /// Upstreams that one request is not sent to.
 #[derive(Default)]
 pub(super) struct AvoidedUpstreams {
@@ -83,6 +95,7 @@
     P: Platform,
 {
     let mut wait: Option<ArtifactWait<'_, P>> = None;
+    let mut permit_wait: Option<PermitWait<'_, P>> = None;
     loop {
         let changed = cx.state_changed.notified();
         let taken_in = cx.intake_changed.notified();
@@ -90,21 +103,37 @@
         check_key_is_valid(cx, request)?;
         let ticket = wait.as_ref().and_then(|wait| wait.ticket);
         let may_go = !avoided.is_empty() || is_next(cx, request, ticket, now);
-        if may_go && let Some(picked) = choose(cx, request, avoided, now) {
-            drop(wait);
-            if request.artifact().is_some() {
-                cx.intake_changed.notify_waiters();
+        let choice = if may_go {
+            choose(cx, request, avoided, permit_wait.as_ref(), now)
+        } else {
+            Choice::None
+        };
+        match choice {
+            Choice::Upstream(picked) => {
+                drop(wait);
+                if request.artifact().is_some() {
+                    cx.intake_changed.notify_waiters();
+                }
+                return Ok(picked);
+            }
+            Choice::NeedsPermit(process) => {
+                let is_asked = |wait: &PermitWait<'_, P>| wait.process == process;
+                if !permit_wait.as_ref().is_some_and(is_asked) {
+                    permit_wait = Some(PermitWait::begin(cx, process));
+                }
+                cx.permits_wanted.notify_one();
             }
-            return Ok(picked);
+            Choice::None => {}
         }
-        check_time_left(cx, request, avoided, now)?;
+        check_time_left(cx, request, avoided, permit_wait.as_ref(), now)?;
         check_software(cx, request, avoided)?;
         if wait.is_none() {
             wait = Some(ArtifactWait::begin(cx, request, avoided.is_empty()));
             log_waiting(cx, request, now);
         }
         let left = request.time_left(now);
-        let _ = timeout(RECHECK_PERIOD.min(left), async {
+        let recheck_in = RECHECK_PERIOD.min(time_to_permit(permit_wait.as_ref()));
+        let _ = timeout(recheck_in.min(left), async {
             tokio::select! {
                 () = changed => {}
                 () = taken_in => {}
@@ -174,6 +203,7 @@
     cx: &EntryContext<P>,
     request: &AdmittedRequest,
     avoided: &AvoidedUpstreams,
+    permit_wait: Option<&PermitWait<'_, P>>,
     now: Instant,
 ) -> Result<(), Refusal>
 where
@@ -200,7 +230,8 @@
         }
     }
     drop(directory);
-    let closed_for = time_closed(cx, request, avoided, now);
+    let closed = closed_times(cx, request, avoided, permit_wait, now);
+    let closed_for = hopeless_for(&closed, left);
     let placement = cx.placement.borrow();
     let ready_in = request.artifact().and_then(|artifact| {
         let known = placement.ready_in.iter().find(|(a, _)| a == artifact);
@@ -209,10 +240,9 @@
     // Where it is loaded next may be another software version.
     let opens_elsewhere = avoided.software.is_none() && ready_in.is_some_and(|time| time <= left);
     if let Some(closed_for) = closed_for
-        && closed_for > left
         && !opens_elsewhere
     {
-        let reason = "all upstreams that could serve the request want none for a time";
+        let reason = "all upstreams that could serve the request want no more for a time";
         return Err(Refusal::not_run(reason, closed_for));
     }
     if ready_in.is_some_and(|time| time > left) {
@@ -264,11 +294,43 @@
     avoided: &AvoidedUpstreams,
     now: Instant,
 ) -> Option<Duration>
+where
+    P: Platform,
+{
+    let closed = closed_times(cx, request, avoided, None, now).into_iter();
+    closed.map(|closed| closed.time).min()
+}
+
+/// Time until one of the upstreams that could run a request wants requests again, if none of them does
+/// in the time left, or has room within its limit.
+fn hopeless_for(closed: &[ClosedTime], left: Duration) -> Option<Duration> {
+    let is_hopeless = closed.iter().all(|c| c.is_full || c.time > left);
+    let times = closed.iter().map(|closed| closed.time);
+    times.min().filter(|_| is_hopeless)
+}
+
+/// How long an upstream wants no requests.
+struct ClosedTime {
+    time: Duration,
+    /// Whether that is because requests of all instances use up its limit.
+    is_full: bool,
+}
+
+/// How long each of the upstreams that could run a request wants none.
+fn closed_times<P>(
+    cx: &EntryContext<P>,
+    request: &AdmittedRequest,
+    avoided: &AvoidedUpstreams,
+    permit_wait: Option<&PermitWait<'_, P>>,
+    now: Instant,
+) -> Vec<ClosedTime>
 where
     P: Platform,
 {
     let directory = cx.directory.borrow();
     let closures = cx.closures.borrow();
+    let limits = cx.limits.borrow();
+    let since_boot = cx.clock.since_boot();
     let ready = directory.ready(&request.service);
     let able = ready.filter(|u| {
         avoided.has_required_software(u)
@@ -276,7 +338,37 @@
                 .artifact()
                 .is_none_or(|a| holds_artifact(cx, u, a, now))
     });
-    able.map(|u| closures.time_closed(&u.id, now)).min()
+    let closed = able.map(|u| {
+        let closed_for = closures.time_closed(&u.id, now);
+        let process = UpstreamProcess::of(u);
+        match limits.room(&process, ticket(permit_wait, &process), since_boot) {
+            Room::Full(until) => ClosedTime {
+                time: closed_for.max(until.saturating_sub(since_boot)),
+                is_full: true,
+            },
+            Room::Now | Room::From(_) | Room::Unknown => ClosedTime {
+                time: closed_for,
+                is_full: false,
+            },
+        }
+    });
+    closed.collect()
+}
+
+/// Time until the first permit that a request awaits can be used.
+fn time_to_permit<P>(wait: Option<&PermitWait<'_, P>>) -> Duration
+where
+    P: Platform,
+{
+    let Some(wait) = wait else {
+        return Duration::MAX;
+    };
+    let since_boot = wait.cx.clock.since_boot();
+    let limits = wait.cx.limits.borrow();
+    match limits.room(&wait.process, Some(wait.ticket), since_boot) {
+        Room::From(from) => from.saturating_sub(since_boot),
+        Room::Now | Room::Unknown | Room::Full(_) => Duration::MAX,
+    }
 }
 
 /// Whether an upstream can run the request now.
@@ -288,15 +380,17 @@
 where
     P: Platform,
 {
-    choose(cx, request, avoided, cx.now()).is_some()
+    let choice = choose(cx, request, avoided, None, cx.now());
+    matches!(choice, Choice::Upstream(_))
 }
 
 fn choose<P>(
     cx: &EntryContext<P>,
     request: &AdmittedRequest,
     avoided: &AvoidedUpstreams,
+    permit_wait: Option<&PermitWait<'_, P>>,
     now: Instant,
-) -> Option<PickedUpstream>
+) -> Choice
 where
     P: Platform,
 {
@@ -331,23 +425,85 @@
     if upstreams.is_empty() && is_held_back {
         limit.record_held_back();
     }
-    let settings = cx.settings();
-    let candidates: Vec<_> = upstreams
-        .iter()
-        .map(|u| Candidate {
-            id: &u.id,
-            is_near: u.zone == settings.instance.zone,
-            load: loads.total(&u.id, now),
-            slots: u.slots,
-            uncached_tokens: uncached_tokens(&prefix_caches, u, request),
-            failure_rate: health.failure_rate(&u.id, now),
+    drop(limits);
+    let unpermitted = remove_unpermitted(cx, &mut upstreams, permit_wait);
+    let best = |upstreams: &[&Rc<Upstream>]| {
+        let settings = cx.settings();
+        let candidates: Vec<_> = upstreams
+            .iter()
+            .map(|u| Candidate {
+                id: &u.id,
+                is_near: u.zone == settings.instance.zone,
+                load: loads.total(&u.id, now),
+                slots: u.slots,
+                uncached_tokens: uncached_tokens(&prefix_caches, u, request),
+                failure_rate: health.failure_rate(&u.id, now),
+            })
+            .collect();
+        let chosen = upstream_choice::choose(&candidates, request.declared.shared_prefix_id())?;
+        Some(PickedUpstream {
+            upstream: Rc::clone(upstreams[chosen]),
+            uncached_tokens: candidates[chosen].uncached_tokens,
         })
-        .collect();
-    let chosen = upstream_choice::choose(&candidates, request.declared.shared_prefix_id())?;
-    Some(PickedUpstream {
-        upstream: Rc::clone(upstreams[chosen]),
-        uncached_tokens: candidates[chosen].uncached_tokens,
-    })
+    };
+    if let Some(picked) = best(&upstreams) {
+        ask_in_passing(cx, &unpermitted);
+        return Choice::Upstream(picked);
+    }
+    // A request that waits for a permit would lose it at another upstream.
+    let awaited = permit_wait.map(|wait| &wait.process);
+    let is_awaited = |u: &&&Rc<Upstream>| awaited == Some(&UpstreamProcess::of(u));
+    if let (Some(process), Some(_)) = (awaited, unpermitted.iter().find(is_awaited)) {
+        return Choice::NeedsPermit(process.clone());
+    }
+    match best(&unpermitted) {
+        Some(limited) => Choice::NeedsPermit(UpstreamProcess::of(&limited.upstream)),
+        None => Choice::None,
+    }
+}
+
+/// Removes the upstreams whose limits allow nothing now, and returns those for which there is a permit
+/// soon, or the holder can be asked for one.
+fn remove_unpermitted<'a, P>(
+    cx: &EntryContext<P>,
+    upstreams: &mut Vec<&'a Rc<Upstream>>,
+    permit_wait: Option<&PermitWait<'_, P>>,
+) -> Vec<&'a Rc<Upstream>>
+where
+    P: Platform,
+{
+    let limits = cx.limits.borrow();
+    if limits.is_empty() {
+        return Vec::new();
+    }
+    let since_boot = cx.clock.since_boot();
+    let mut unpermitted = Vec::new();
+    upstreams.retain(|u| {
+        let process = UpstreamProcess::of(u);
+        match limits.room(&process, ticket(permit_wait, &process), since_boot) {
+            Room::Now => true,
+            Room::Full(_) => false,
+            Room::From(_) | Room::Unknown => {
+                unpermitted.push(*u);
+                false
+            }
+        }
+    });
+    unpermitted
+}
+
+/// Asks for permits for upstreams that a request could have used which another one runs. Without them,
+/// nothing would show that a limit has ended.
+fn ask_in_passing<P>(cx: &EntryContext<P>, unpermitted: &[&Rc<Upstream>])
+where
+    P: Platform,
+{
+    let mut limits = cx.limits.borrow_mut();
+    for upstream in unpermitted {
+        if limits.record_usable(&UpstreamProcess::of(upstream)) {
+            cx.permits_wanted.notify_one();
+        }
+    }
 }
 
 fn uncached_tokens(
@@ -449,3 +605,46 @@
         }
     }
 }
+
+/// The ticket of a request that waits for a permit, if it is for this upstream.
+fn ticket<P>(wait: Option<&PermitWait<'_, P>>, process: &UpstreamProcess) -> Option<Ticket>
+where
+    P: Platform,
+{
+    wait.filter(|wait| wait.process == *process)
+        .map(|wait| wait.ticket)
+}
+
+/// Counts a request as waiting for a permit for an upstream, until dropped.
+struct PermitWait<'a, P>
+where
+    P: Platform,
+{
+    cx: &'a EntryContext<P>,
+    process: UpstreamProcess,
+    ticket: Ticket,
+}
+
+impl<'a, P> PermitWait<'a, P>
+where
+    P: Platform,
+{
+    fn begin(cx: &'a EntryContext<P>, process: UpstreamProcess) -> Self {
+        let ticket = cx.limits.borrow_mut().begin_wait(&process);
+        Self {
+            cx,
+            process,
+            ticket,
+        }
+    }
+}
+
+impl<P> Drop for PermitWait<'_, P>
+where
+    P: Platform,
+{
+    fn drop(&mut self) {
+        let mut limits = self.cx.limits.borrow_mut();
+        limits.end_wait(&self.process, self.ticket);
+    }
+}
--- a/crates/entry/src/serve/relay.rs
+++ b/crates/entry/src/serve/relay.rs
@@ -394,6 +394,7 @@
         let last_event = events.last_id();
         let mut avoided = self.avoided();
         let mut trial = None;
+        let mut has_retry = false;
         while self.possible_runs < self.request.route.max_upstreams {
             if let Some(software) = attempt::bound_software(&self.cx, &self.request) {
                 avoided.require_software(&software);
@@ -414,9 +415,10 @@
                 Ok(false) => continue,
                 Err(_) => return false,
             }
-            if !take_retry(&self.cx, &self.request) {
+            if !has_retry && !take_retry(&self.cx, &self.request) {
                 return false;
             }
+            has_retry = false;
             let time_left = self.request.time_left(self.cx.now());
             let attempt = tokio::select! {
                 attempt = attempt::send(
@@ -429,6 +431,10 @@
                 () = self.tx.closed() => return false,
                 () = caller_disconnected(&self.request) => return false,
             };
+            if let AttemptResult::NotPermitted(unused) = attempt {
+                (trial, has_retry) = (unused, true);
+                continue;
+            }
             avoided.avoid_until(&picked.upstream.id, self.cx.now() + AVOID_AFTER_FAILURE);
             match attempt {
                 AttemptResult::Answered(mut answer, sent) if answer.status.is_success() => {
@@ -439,7 +445,9 @@
                     self.possible_runs += 1;
                     return true;
                 }
-                AttemptResult::NotSent(_) | AttemptResult::NotRun(_) => {}
+                AttemptResult::NotSent(_)
+                | AttemptResult::NotRun(_)
+                | AttemptResult::NotPermitted(_) => {}
                 AttemptResult::Answered(..)
                 | AttemptResult::Failed(_)
                 | AttemptResult::TimedOut => self.possible_runs += 1,
--- a/crates/entry/src/serve/retry.rs
+++ b/crates/entry/src/serve/retry.rs
@@ -78,6 +78,7 @@
                     return Ok(res);
                 }
             }
+            AttemptResult::NotPermitted(unused) => trial = unused,
             AttemptResult::NotSent(reason) => {
                 state.not_run += 1;
                 state
@@ -98,7 +99,7 @@
                 if state.not_run >= MAX_NOT_RUN || !take_retry(cx, request) {
                     let reason = format!("upstreams turned the request away with {status}");
                     let closed_for = pick::time_closed(cx, request, &state.avoided, cx.now());
-                    let retry_after = RETRY_AFTER.max(closed_for.unwrap_or_default());
+                    let retry_after = closed_for.map_or(RETRY_AFTER, |t| t.max(RETRY_AFTER));
                     return Err(state.include_earlier_runs(Refusal::not_run(reason, retry_after)));
                 }
             }
--- a/crates/entry/src/state.rs
+++ b/crates/entry/src/state.rs
@@ -17,7 +17,7 @@
     directory::{Changes, Directory, StoredUpstream, UpstreamProcess},
     health::Health,
     intake::{IntakeLimit, WaitingLines},
-    limits::{InstanceLimits, LimitChange},
+    limits::{InstanceLimits, LimitChange, ToldLimit},
     load::LoadTracker,
     planner::{DemandReport, Placement, WaitingRequests},
     prefix_cache::PrefixCaches,
@@ -97,8 +97,12 @@
     pub(crate) health: RefCell<Health>,
     /// Upstreams that asked for no requests for a time.
     pub(crate) closures: RefCell<Closures>,
-    /// Limits that upstreams have named.
+    /// Limits that upstreams have named, and permits to send to them.
     pub(crate) limits: RefCell<InstanceLimits>,
+    /// Set when an upstream has named a limit, or ended it, of which the holder is to be told.
+    pub(crate) has_limit_news: Cell<bool>,
+    /// Notified when the holder is to be told of limits, or asked for permits.
+    pub(crate) permits_wanted: Notify,
     pub(crate) prefix_caches: RefCell<PrefixCaches>,
     pub(crate) demand: RefCell<Demand>,
     /// Evidence on prompt parts that end upstreams, and trials of requests with them.
@@ -400,7 +404,9 @@
             retry_budget: RefCell::new(RetryBudget::new(limits)),
             health: RefCell::default(),
             closures: RefCell::default(),
-            limits: RefCell::default(),
+            limits: RefCell::new(InstanceLimits::new(SystemClock.since_boot())),
+            has_limit_news: Cell::default(),
+            permits_wanted: Notify::new(),
             prefix_caches: RefCell::default(),
             demand: RefCell::default(),
             quarantine: QuarantineState::default(),
@@ -568,6 +574,19 @@
         self.instances_reported.get().max(registered).max(1)
     }
 
+    /// Takes over the number of instances, and the place of this one in the order of their names, for the
+    /// time without a holder.
+    pub(crate) fn update_place(&self) {
+        let settings = self.settings();
+        let own = settings.instance.name.as_str();
+        let members = self.members.borrow();
+        let names = members.instances.keys();
+        let place = names.take_while(|name| name.as_str() < own).count();
+        drop(members);
+        let instances = self.instance_count();
+        self.limits.borrow_mut().set_place(instances, place);
+    }
+
     /// Replaces the list of upstreams with the holder's, which it read at `at`, or confirms it.
     pub(crate) fn replace_directory(&self, list: &ListCopy, revision: u64, at: Instant) {
         let mut directory = self.directory.borrow_mut();
@@ -708,6 +727,24 @@
         self.origins.borrow().resumption(stream, served)
     }
 
+    /// Whether something may be sent to an upstream as far as its limit is concerned. If so, it counts as
+    /// sent.
+    pub(crate) fn take_permit(&self, upstream: &Upstream) -> bool {
+        let process = UpstreamProcess::of(upstream);
+        let now = self.clock.since_boot();
+        self.limits.borrow_mut().take(&process, now)
+    }
+
+    /// Takes over which limits other instances have heard.
+    pub(crate) fn apply_limits(&self, told: &[ToldLimit]) {
+        let mut limits = self.limits.borrow_mut();
+        let changes = limits.set_elsewhere(told, self.clock.since_boot());
+        drop(limits);
+        for (process, change) in changes {
+            self.announce_limit(&process, change, "holder");
+        }
+    }
+
     /// Records that something is sent to an upstream. All that reaches upstreams passes here.
     pub(crate) fn record_sent(&self, upstream: &Upstream, kind: SendKind) {
         let now = self.now();
@@ -775,6 +812,8 @@
         drop(limits);
         if let Some(change) = change {
             self.announce_limit(&process, change, "answer");
+            self.has_limit_news.set(true);
+            self.permits_wanted.notify_one();
         }
     }
 
--- a/crates/entry/tests/limits.rs
+++ b/crates/entry/tests/limits.rs
@@ -196,7 +196,7 @@
     let from = begin + CONTACT;
     let outcomes = fleet.outcomes(from);
     let served = outcomes.iter().filter(|o| o.status == 200).count();
-    let taken = 12.0 * (time - CONTACT).as_secs_f64();
+    let taken = 12.0 * time.saturating_sub(CONTACT).as_secs_f64();
     #[allow(clippy::cast_precision_loss)]
     let used = served as f64 / taken;
     assert!(used > 0.9, "{used} of what they take is used");
--- /dev/null
+++ b/crates/fleet/src/limits/holder.rs
@@ -0,0 +1,199 @@
+//! The holder's side of limits: gives permits from a bucket for each limited upstream.
+
+use std::{collections::HashMap, time::Duration};
+
+use super::{
+    MAX_ADVANCE, PermitAnswer, PermitAsk, ToldLimit, rate,
+    statements::{LimitChange, Statements},
+};
+use crate::directory::UpstreamProcess;
+
+/// Requests that a bucket holds beside the refill of [`BURST_TIME`].
+const BURST: f64 = 2.0;
+/// Time whose refill a bucket holds.
+const BURST_TIME: Duration = Duration::from_millis(500);
+/// Level from which a permit is given to a request that other upstreams can run too.
+const SPARE_LEVEL: f64 = 2.0;
+/// Requests whose time each ask in vain adds to the time after which the next one in vain is repeated.
+/// Less than one, since not all instances that were turned away still need a permit then.
+const ASK_WEIGHT: f64 = 0.5;
+/// Longest time after which an instance asks again.
+const MAX_ROOM_TIME: Duration = Duration::from_secs(10);
+
+/// Limits as all instances have heard them, and the permits given. Times are since boot.
+#[derive(Debug, Default)]
+pub struct PermitLedger {
+    statements: Statements,
+    buckets: HashMap<UpstreamProcess, PermitBucket>,
+}
+
+#[derive(Clone, Copy, Debug)]
+struct PermitBucket {
+    /// Requests that may be sent now; negative after permits that are valid later.
+    level: f64,
+    /// Asks in vain that are expected again, in requests.
+    turned_away: f64,
+    updated_at: Duration,
+}
+
+impl PermitBucket {
+    /// The bucket begins empty: permits of the holder before may still be in use, and the upstream
+    /// has got what it got before its limit was heard.
+    fn new(now: Duration) -> Self {
+        Self {
+            level: 0.0,
+            turned_away: 0.0,
+            updated_at: now,
+        }
+    }
+
+    fn refill(&mut self, rate: f64, now: Duration) {
+        let gained = rate * now.saturating_sub(self.updated_at).as_secs_f64();
+        self.level = (self.level + gained).min(capacity(rate));
+        self.turned_away = (self.turned_away - gained).max(0.0);
+        self.updated_at = self.updated_at.max(now);
+    }
+
+    /// Time until the bucket has room for a request.
+    fn time_to_room(&self, rate: f64) -> Duration {
+        seconds((1.0 - self.level) / rate)
+    }
+}
+
+/// Requests that a bucket holds.
+fn capacity(rate: f64) -> f64 {
+    BURST + rate * BURST_TIME.as_secs_f64()
+}
+
+fn seconds(seconds: f64) -> Duration {
+    Duration::try_from_secs_f64(seconds.max(0.0)).map_or(MAX_ROOM_TIME, |t| t.min(MAX_ROOM_TIME))
+}
+
+impl PermitLedger {
+    /// Begins a tenure with what the holder's own instance knows.
+    pub fn begin(known: &[ToldLimit], now: Duration) -> Self {
+        let mut ledger = Self::default();
+        ledger.hear(known, now);
+        ledger
+    }
+
+    /// Takes over what an instance has heard. Returns what changed.
+    pub fn hear(
+        &mut self,
+        told: &[ToldLimit],
+        now: Duration,
+    ) -> Vec<(UpstreamProcess, LimitChange)> {
+        if told.is_empty() {
+            return Vec::new();
+        }
+        let before: Vec<_> = told.iter().map(|t| self.limit(&t.process)).collect();
+        self.statements.merge(told, now);
+        self.statements.forget_old(now);
+        let changes = told.iter().zip(before).filter_map(|(told, before)| {
+            let after = self.limit(&told.process);
+            let change = LimitChange::between(before, after)?;
+            Some((told.process.clone(), change))
+        });
+        let changes = changes.collect();
+        let mut before = std::mem::take(&mut self.buckets);
+        for (process, _) in self.statements.limited() {
+            let bucket = before.remove(process);
+            let bucket = bucket.unwrap_or_else(|| PermitBucket::new(now));
+            self.buckets.insert(process.clone(), bucket);
+        }
+        changes
+    }
+
+    /// What is known of limits, to tell an instance.
+    pub fn told(&self, now: Duration) -> Vec<ToldLimit> {
+        self.statements.told(now)
+    }
+
+    /// Requests a second that an upstream takes from all instances together, if it has said so.
+    pub fn limit(&self, process: &UpstreamProcess) -> Option<f64> {
+        self.statements.get(process)?.limit
+    }
+
+    /// Upstreams that have named a limit, in requests a second.
+    pub fn limited(&self) -> impl Iterator<Item = (&UpstreamProcess, f64)> {
+        self.statements.limited()
+    }
+
+    /// Gives permits, as far as there is room. `silent_ratio` is the number of instances that do not
+    /// report, and may send their equal shares, for each that does. No answer for an upstream without
+    /// a limit.
+    pub fn ask(
+        &mut self,
+        ask: &PermitAsk,
+        silent_ratio: f64,
+        now: Duration,
+    ) -> Option<PermitAnswer> {
+        let (bucket, rate) = self.bucket(&ask.process, silent_ratio, now)?;
+        let mut valid_in = Vec::new();
+        let mut room_in = None;
+        if ask.waiting == 0 {
+            if bucket.level >= SPARE_LEVEL {
+                bucket.level -= 1.0;
+                valid_in.push(Duration::ZERO);
+            } else {
+                room_in = Some(seconds((SPARE_LEVEL - bucket.level) / rate));
+            }
+        }
+        for _ in 0..ask.waiting {
+            let wait = bucket.time_to_room(rate);
+            if wait > MAX_ADVANCE {
+                room_in = Some(wait);
+                break;
+            }
+            bucket.level -= 1.0;
+            valid_in.push(wait);
+        }
+        // Those that were turned away must not all ask again at the same moment.
+        let room_in = room_in.map(|wait| {
+            let turn = seconds(bucket.turned_away / rate);
+            bucket.turned_away += ASK_WEIGHT;
+            wait + turn
+        });
+        Some(PermitAnswer {
+            process: ask.process.clone(),
+            valid_in,
+            room_in,
+        })
+    }
+
+    /// Takes a permit for a call of the holder. False if there is no room.
+    pub fn take(&mut self, process: &UpstreamProcess, silent_ratio: f64, now: Duration) -> bool {
+        let Some((bucket, _)) = self.bucket(process, silent_ratio, now) else {
+            return true;
+        };
+        let has_room = bucket.level >= 1.0;
+        if has_room {
+            bucket.level -= 1.0;
+        }
+        has_room
+    }
+
+    /// Time until there is room for a call of the holder; zero if there is, or no limit.
+    pub fn time_to_room(
+        &mut self,
+        process: &UpstreamProcess,
+        silent_ratio: f64,
+        now: Duration,
+    ) -> Duration {
+        let bucket = self.bucket(process, silent_ratio, now);
+        bucket.map_or(Duration::ZERO, |(bucket, rate)| bucket.time_to_room(rate))
+    }
+
+    /// The bucket of a limited upstream, and the rate at which it is refilled, in requests a second.
+    fn bucket(
+        &mut self,
+        process: &UpstreamProcess,
+        silent_ratio: f64,
+        now: Duration,
+    ) -> Option<(&mut PermitBucket, f64)> {
+        let rate = rate(self.limit(process)?) / (1.0 + silent_ratio);
+        let bucket = self.buckets.get_mut(process)?;
+        bucket.refill(rate, now);
+        Some((bucket, rate))
+    }
+}
--- a/crates/fleet/src/limits/statements.rs
+++ b/crates/fleet/src/limits/statements.rs
@@ -8,6 +8,8 @@
 
 use std::{collections::HashMap, time::Duration};
 
+use serde::{Deserialize, Serialize};
+
 use crate::directory::UpstreamProcess;
 
 /// Time for which the end of a limit is remembered. Instances that have not heard of it, and answers
@@ -64,6 +66,30 @@
     }
 }
 
+/// What one instance tells another of the limit of an upstream.
+#[derive(Clone, Debug, PartialEq)]
+#[derive(Serialize, Deserialize)]
+pub struct ToldLimit {
+    /// The process that named it.
+    pub process: UpstreamProcess,
+    /// Requests a second that it takes from all instances together; none if it has ended the limit.
+    pub limit: Option<f64>,
+    /// Time since the request was sent whose answer said so.
+    pub sent_before: Duration,
+    /// Time since an answer that said so was last heard.
+    pub heard_before: Duration,
+}
+
+impl ToldLimit {
+    fn statement(&self, now: Duration) -> Statement {
+        Statement {
+            limit: self.limit,
+            sent_at: now.saturating_sub(self.sent_before),
+            heard_at: now.saturating_sub(self.heard_before),
+        }
+    }
+}
+
 /// How the limit of an upstream has changed.
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub enum LimitChange {
@@ -116,8 +142,43 @@
         self.by_process.insert(process.clone(), statement);
     }
 
+    /// Takes over what another instance has told.
+    pub(super) fn merge(&mut self, told: &[ToldLimit], now: Duration) {
+        for told in told {
+            let statement = told.statement(now);
+            let known = self.get(&told.process);
+            let newer = known.map_or(statement, |known| known.newer(statement));
+            self.set(&told.process, newer);
+        }
+    }
+
     /// Removes what is too old to matter.
     pub(super) fn forget_old(&mut self, now: Duration) {
         self.by_process.retain(|_, s| s.is_remembered(now));
     }
+
+    /// Processes that have named a limit, in requests a second.
+    pub(super) fn limited(&self) -> impl Iterator<Item = (&UpstreamProcess, f64)> {
+        let limited = self.by_process.iter();
+        limited.filter_map(|(process, s)| Some((process, s.limit?)))
+    }
+
+    pub(super) fn is_empty(&self) -> bool {
+        self.by_process.is_empty()
+    }
+
+    pub(super) fn processes(&self) -> impl Iterator<Item = &UpstreamProcess> {
+        self.by_process.keys()
+    }
+
+    /// All statements, as another instance is told of them.
+    pub(super) fn told(&self, now: Duration) -> Vec<ToldLimit> {
+        let told = self.by_process.iter().map(|(process, s)| ToldLimit {
+            process: process.clone(),
+            limit: s.limit,
+            sent_before: now.saturating_sub(s.sent_at),
+            heard_before: now.saturating_sub(s.heard_at),
+        });
+        told.collect()
+    }
 }
--- a/crates/fleet/src/planner/engine_state.rs
+++ b/crates/fleet/src/planner/engine_state.rs
@@ -605,6 +605,11 @@
         is_lagging
     }
 
+    /// Records that a requested report could not be asked for yet.
+    pub(super) fn postpone_report(&mut self) {
+        self.has_pending_call = false;
+    }
+
     /// Records that a requested report did not arrive.
     pub(super) fn record_missed_report(&mut self, now: Instant) {
         self.has_pending_call = false;
--- a/crates/fleet/src/planner/mod.rs
+++ b/crates/fleet/src/planner/mod.rs
@@ -169,6 +169,13 @@
         }
     }
 
+    /// Records that a requested report could not be asked for yet.
+    pub fn postpone_report(&mut self, upstream: &str) {
+        if let Some(engine) = self.engines.get_mut(upstream) {
+            engine.postpone_report();
+        }
+    }
+
     /// Records the outcome of an order.
     pub fn record_order_result(
         &mut self,
--- a/crates/fleet/src/quota/holder.rs
+++ b/crates/fleet/src/quota/holder.rs
@@ -179,6 +179,11 @@
         }
     }
 
+    /// Number of silent instances for each instance that reports, as of the last count.
+    pub fn silent_ratio(&self) -> f64 {
+        self.silent_ratio
+    }
+
     /// Finds the silent instances, with the time of their last report.
     fn find_silent(&self, now: Instant) -> HashMap<String, Instant> {
         let mut live = HashSet::new();
