Load models elsewhere that a limited engine cannot serve

Cause: the planner counted the engine as holding its models.

An engine counts as holding its models only if its limit suffices for the recent arrivals, which count refused requests too. It gets no model while an unlimited engine can, and a report request every 2 s, on a connection of its own, since nothing else may show that the limit has ended.

--- a/crates/entry/src/duty/actions.rs
+++ b/crates/entry/src/duty/actions.rs
@@ -86,10 +86,13 @@
     }
     cx.record_sent(&upstream, SendKind::Report);
     let sent_at = cx.clock.since_boot();
-    let answer = cx
-        .platform
-        .request_report(&upstream, ENGINE_CALL_TIMEOUT)
-        .await;
+    let limit = ENGINE_CALL_TIMEOUT;
+    // Only an answer that is certainly new can show that a limit has ended.
+    let answer = if cx.has_limit(&upstream) {
+        cx.platform.request_new_report(&upstream, limit).await
+    } else {
+        cx.platform.request_report(&upstream, limit).await
+    };
     cx.record_notice(&upstream, answer.notice, sent_at);
     match answer.result {
         Ok(report) => {
--- a/crates/entry/src/duty/coordinator.rs
+++ b/crates/entry/src/duty/coordinator.rs
@@ -260,8 +260,10 @@
         let suspects = state.suspects(now);
         let mut closed = self.cx.closures.borrow().ends(now);
         state.close_limited(&mut closed, self.cx.clock.since_boot(), now);
+        let limits = state.limits_of(&directory);
         for service in config.services.values() {
-            state.plan_service(service, &directory, (&loads, &suspects, &closed), now);
+            let asked = (&loads, &suspects);
+            state.plan_service(service, &directory, asked, (&closed, &limits), now);
         }
         state.update_totals(&loads);
         self.update_quarantine(&mut state, now);
@@ -701,7 +703,8 @@
         &mut self,
         service: &Service,
         directory: &[Rc<Upstream>],
-        (loads, suspects, closed): (&Loads, &BTreeSet<String>, &HashMap<String, Instant>),
+        (loads, suspects): (&Loads, &BTreeSet<String>),
+        (closed, limits): (&HashMap<String, Instant>, &HashMap<String, f64>),
         now: Instant,
     ) {
         let Some(spec) = &service.engine else { return };
@@ -717,6 +720,7 @@
             waiting: &waiting,
             suspects,
             closed,
+            limits,
             arrivals: &arrivals,
         };
         let actions = planner.step(input, now);
@@ -744,6 +748,15 @@
         }
     }
 
+    /// Limits of the listed upstreams, in requests a second, by identifier.
+    fn limits_of(&self, directory: &[Rc<Upstream>]) -> HashMap<String, f64> {
+        let limited = directory.iter().filter_map(|upstream| {
+            let limit = self.permits.limit(&UpstreamProcess::of(upstream))?;
+            Some((upstream.id.clone(), limit))
+        });
+        limited.collect()
+    }
+
     /// Reports younger than [`REPORT_MAX_AGE`].
     fn fresh_reports(&self, now: Instant) -> impl Iterator<Item = &InstanceReport> {
         let is_fresh = move |at: Instant| now.saturating_duration_since(at) < REPORT_MAX_AGE;
--- a/crates/entry/src/platform.rs
+++ b/crates/entry/src/platform.rs
@@ -360,6 +360,13 @@
         limit: Duration,
     ) -> EngineAnswer<OrderAnswer>;
 
-    /// Requests an engine's report of its state.
+    /// Requests an engine's report of its state. An engine may answer an earlier request once more.
     async fn request_report(&self, upstream: &Upstream, limit: Duration) -> EngineAnswer<Report>;
+
+    /// Like [`Self::request_report`], in a way that the answer is certainly to this request.
+    async fn request_new_report(
+        &self,
+        upstream: &Upstream,
+        limit: Duration,
+    ) -> EngineAnswer<Report>;
 }
--- a/crates/entry/src/state.rs
+++ b/crates/entry/src/state.rs
@@ -735,6 +735,12 @@
         self.limits.borrow_mut().take(&process, now)
     }
 
+    /// Whether an upstream has named a limit.
+    pub(crate) fn has_limit(&self, upstream: &Upstream) -> bool {
+        let limits = self.limits.borrow();
+        limits.limit(&UpstreamProcess::of(upstream)).is_some()
+    }
+
     /// Takes over which limits other instances have heard.
     pub(crate) fn apply_limits(&self, told: &[ToldLimit]) {
         let mut limits = self.limits.borrow_mut();
--- a/crates/entry/tests/support/platform.rs
+++ b/crates/entry/tests/support/platform.rs
@@ -447,6 +447,14 @@
             notice: self.shared.notice.get(),
         }
     }
+
+    async fn request_new_report(
+        &self,
+        upstream: &Upstream,
+        limit: Duration,
+    ) -> EngineAnswer<Report> {
+        self.request_report(upstream, limit).await
+    }
 }
 
 /// Parses `ID:TOKENS,...`, with identifiers in hexadecimal.
--- a/crates/fleet/src/planner/adapter_placement.rs
+++ b/crates/fleet/src/planner/adapter_placement.rs
@@ -41,7 +41,8 @@
         let mut best: Option<(f64, String, Option<Artifact>)> = None;
         for (id, engine) in &self.engines {
             let holds = engine.holds().model(&adapter.model).is_some();
-            if !holds || !engine.accepts_adapter_loads(now) || !engine.will_hold(&adapter.model) {
+            let may_load = engine.accepts_adapter_loads(now) && engine.serves_all();
+            if !holds || !may_load || !engine.will_hold(&adapter.model) {
                 continue;
             }
             let mut cost = request_cost(input, id);
--- a/crates/fleet/src/planner/engine_state.rs
+++ b/crates/fleet/src/planner/engine_state.rs
@@ -41,6 +41,9 @@
 const ORDER_TIME: Duration = Duration::from_millis(250);
 /// Expected remaining time of an overdue load, as a fraction of the time that it has taken.
 const OVERDUE_FRACTION: f64 = 0.25;
+/// Interval of the report requests to an engine that has named a limit. It may get no requests that
+/// would show that the limit has ended.
+const LIMIT_PROBE_PERIOD: Duration = Duration::from_secs(2);
 /// Pause between an accepted unload and the next order.
 const UNLOAD_PAUSE: Duration = Duration::from_millis(15);
 /// Time, in addition to four times the expected load time, after which a load that reports do not
@@ -73,6 +76,10 @@
     is_suspect: bool,
     /// Time until which the engine wants no calls from the holder.
     closed_until: Option<Instant>,
+    /// Requests a second that the engine takes, if it has named a limit.
+    limit: Option<f64>,
+    /// Whether it is asked for more than that.
+    is_overasked: bool,
     born_ms: Option<u64>,
     holds: Holding,
     /// Number of orders that the engine has accepted; none if unknown.
@@ -146,6 +153,8 @@
             missed_reports: 0,
             is_suspect: false,
             closed_until: None,
+            limit: None,
+            is_overasked: false,
             born_ms: upstream.born_ms,
             holds: upstream.holds.clone(),
             accepted_orders: None,
@@ -212,6 +221,31 @@
         self.closed_until = until;
     }
 
+    /// Sets the requests a second that the engine takes, if it has named a limit.
+    pub(super) fn set_limit(&mut self, limit: Option<f64>) {
+        self.limit = limit;
+        self.is_overasked = false;
+    }
+
+    pub(super) fn limit(&self) -> Option<f64> {
+        self.limit
+    }
+
+    /// Records that the engine is asked for more than its limit.
+    pub(super) fn mark_overasked(&mut self) {
+        self.is_overasked = true;
+    }
+
+    pub(super) fn is_overasked(&self) -> bool {
+        self.is_overasked
+    }
+
+    /// Whether requests for what the engine holds can be served there: it takes requests, and all that it is
+    /// asked for.
+    pub(super) fn serves_all(&self) -> bool {
+        self.accepts_requests() && !self.is_overasked
+    }
+
     pub(super) fn holds(&self) -> &Holding {
         &self.holds
     }
@@ -379,7 +413,7 @@
     pub(super) fn begin_report_if_due(&mut self, now: Instant) -> bool {
         let is_due = match &self.loading {
             Some(loading) => now >= loading.expected_at,
-            None => self.phase == Phase::Ready && self.needs_report(),
+            None => self.phase == Phase::Ready && (self.needs_report() || self.needs_probe(now)),
         };
         let is_period_over = self
             .report_requested_at
@@ -392,6 +426,14 @@
         true
     }
 
+    /// Whether a report is needed that may show that the limit has ended.
+    fn needs_probe(&self, now: Instant) -> bool {
+        let age = self
+            .report_requested_at
+            .map(|at| now.saturating_duration_since(at));
+        self.limit.is_some() && age.is_none_or(|age| age >= LIMIT_PROBE_PERIOD)
+    }
+
     fn needs_report(&self) -> bool {
         self.accepted_orders.is_none()
             || self.requires_report
--- a/crates/fleet/src/planner/mod.rs
+++ b/crates/fleet/src/planner/mod.rs
@@ -47,6 +47,9 @@
 /// another replica: the more requests an engine runs, the slower each of them is.
 const CROWDED_OCCUPANCY: f64 = 0.5;
 
+/// Part of an engine's limit up to which it counts as serving all that it is asked for.
+const MAX_LIMIT_USE: f64 = 0.8;
+
 /// An order to an engine.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub enum Order {
@@ -132,6 +135,8 @@
     pub suspects: &'a BTreeSet<String>,
     /// Engines that want no calls from the holder for a time, with its end.
     pub closed: &'a HashMap<String, Instant>,
+    /// Limits that engines have named, in requests a second from all instances.
+    pub limits: &'a HashMap<String, f64>,
     /// Requests that arrived since the start of each instance's process, by model.
     pub arrivals: &'a HashMap<String, u64>,
 }
@@ -140,8 +145,9 @@
     /// Updates the plan and returns the calls to make now.
     pub fn step(&mut self, input: PlanningInput<'_>, now: Instant) -> Vec<Action> {
         self.sync_engines(&input, now);
-        self.count_replicas();
         self.demands.update(&input, now);
+        self.count_replicas();
+        self.mark_overasked();
         self.record_adapter_uses(&input, now);
         self.expected.clear();
         self.waiting_for_store = 0;
@@ -213,7 +219,7 @@
         if artifact.adapter.is_some() && self.loaded_replica_count(&artifact.model) > 0 {
             return None;
         }
-        let engines = self.engines.values();
+        let engines = self.engines.values().filter(|e| !e.is_overasked());
         let planned = engines.filter_map(|e| e.ready_in(artifact, now)).min();
         let expected = self.expected.get(&artifact.model);
         planned.or_else(|| expected.map(|at| at.saturating_duration_since(now)))
@@ -229,6 +235,7 @@
                     engine.mark_suspect();
                 }
                 engine.set_closed(input.closed.get(&upstream.id).copied());
+                engine.set_limit(input.limits.get(&upstream.id).copied());
             } else {
                 let engine = EngineState::new(upstream);
                 self.engines.insert(upstream.id.clone(), engine);
@@ -248,7 +255,7 @@
         if artifact.adapter.is_none() {
             return self.replica_count(&artifact.model) > 0;
         }
-        let mut engines = self.engines.values().filter(|e| e.accepts_requests());
+        let mut engines = self.engines.values().filter(|e| e.serves_all());
         engines.any(|e| e.holds_or_plans(artifact))
     }
 
@@ -274,7 +281,7 @@
     /// holder's CPU in large fleets.
     fn count_replicas(&mut self) {
         self.replicas.clear();
-        for engine in self.engines.values().filter(|e| e.accepts_requests()) {
+        for engine in self.engines.values().filter(|e| e.serves_all()) {
             for (model, is_loaded) in engine.kept_models() {
                 if !self.replicas.contains_key(model) {
                     self.replicas.insert(model.to_owned(), Replicas::default());
@@ -286,6 +293,30 @@
         }
     }
 
+    /// Finds the limited engines that are asked for more than they take, and no longer counts them as
+    /// holding their models. Requests for a model are expected to spread evenly over its replicas.
+    fn mark_overasked(&mut self) {
+        let limited = self.engines.iter();
+        let limited = limited.filter_map(|(id, e)| Some((id, e, e.limit()?)));
+        let overasked = limited.filter(|(_, engine, limit)| {
+            let asked = engine.kept_models().map(|(model, _)| {
+                let replicas = u32::try_from(self.replica_count(model)).unwrap_or(u32::MAX);
+                self.demands.recent_rate(model) / f64::from(replicas.max(1))
+            });
+            asked.sum::<f64>() > limit * MAX_LIMIT_USE
+        });
+        let overasked: Vec<_> = overasked.map(|(id, ..)| id.clone()).collect();
+        if overasked.is_empty() {
+            return;
+        }
+        for id in overasked {
+            if let Some(engine) = self.engines.get_mut(&id) {
+                engine.mark_overasked();
+            }
+        }
+        self.count_replicas();
+    }
+
     fn next_actions(&mut self, spec: &Engine, now: Instant) -> Vec<Action> {
         let mut actions = Vec::new();
         for (id, engine) in &mut self.engines {
--- a/crates/fleet/src/planner/model_placement.rs
+++ b/crates/fleet/src/planner/model_placement.rs
@@ -82,7 +82,12 @@
         now: Instant,
     ) -> Option<LoadTarget> {
         let mut best: Option<(f64, LoadTarget)> = None;
+        let is_unlimited = |e: &EngineState| e.accepts_requests() && e.limit().is_none();
+        let has_unlimited = self.engines.values().any(is_unlimited);
         for (id, engine) in &self.engines {
+            if has_unlimited && engine.limit().is_some() {
+                continue;
+            }
             let Some(begins_in) = engine.free_in(now) else {
                 continue;
             };
--- a/crates/fleet/tests/support/mod.rs
+++ b/crates/fleet/tests/support/mod.rs
@@ -268,6 +268,10 @@
     pub suspects: BTreeSet<String>,
     /// Ends of the times for which engines want no calls of the holder.
     pub closed: HashMap<String, Instant>,
+    /// Limits that engines have named, in requests a second.
+    pub limits: HashMap<String, f64>,
+    /// Report requests so far.
+    pub report_count: usize,
     /// Engines that have crashed and are still listed.
     pub crashed: BTreeSet<String>,
     /// Past reports of each engine with their times. A report call returns the one of
@@ -310,6 +314,8 @@
             loads: Loads::new(),
             suspects: BTreeSet::new(),
             closed: HashMap::new(),
+            limits: HashMap::new(),
+            report_count: 0,
             crashed: BTreeSet::new(),
             reports: BTreeMap::new(),
             entries: Vec::new(),
@@ -380,6 +386,7 @@
             .collect();
         let input = PlanningInput {
             closed: &self.closed,
+            limits: &self.limits,
             upstreams,
             spec: &self.spec,
             loads: &self.loads,
@@ -415,6 +422,7 @@
         let (Action::Report { upstream } | Action::Order { upstream, .. }) = &action;
         let closed_until = self.closed.get(upstream);
         assert!(closed_until.is_none_or(|until| now >= *until), "{action:?}");
+        self.report_count += usize::from(matches!(action, Action::Report { .. }));
         match action {
             Action::Report { upstream } if self.crashed.contains(&upstream) => {
                 self.planner.report_failed(&upstream, now);
