Begin no resumable stream at a version that not all instances know yet

Reported by operators of similar systems: an instance out of step during a release continued streams of the new version at another one. Callers would get text joined from two versions, with status 200. Cause: a new version was used at once if no other one had a free upstream, while an instance trusts its list for 3.5 s. Such requests wait until the version has been listed for 3.5 s.

--- a/crates/entry/src/serve/pick.rs
+++ b/crates/entry/src/serve/pick.rs
@@ -271,21 +271,6 @@
     Err(Refusal::not_run(reason, RETRY_AFTER))
 }
 
-/// Leaves only upstreams whose software version all instances know by now, if there are any.
-fn prefer_settled_software<P>(
-    cx: &EntryContext<P>,
-    upstreams: &mut Vec<&Rc<Upstream>>,
-    now: Instant,
-) where
-    P: Platform,
-{
-    let versions = cx.software.borrow();
-    let is_settled = |u: &&Rc<Upstream>| versions.is_settled(&u.service, &u.software, now);
-    if upstreams.iter().any(is_settled) {
-        upstreams.retain(is_settled);
-    }
-}
-
 /// Time until one of the upstreams that could run a request wants requests again; none if there is
 /// no such upstream.
 pub(super) fn time_closed<P>(
@@ -419,8 +404,9 @@
     };
     let upstreams = directory.ready(&request.service).filter(usable);
     let mut upstreams: Vec<_> = upstreams.filter(|u| takes_in(u)).collect();
-    if request.is_stream() && avoided.software.is_none() {
-        prefer_settled_software(cx, &mut upstreams, now);
+    if request.route.is_resumable && avoided.software.is_none() {
+        let versions = cx.software.borrow();
+        upstreams.retain(|u| versions.is_settled(&u.service, &u.software, now));
     }
     if upstreams.is_empty() && is_held_back {
         limit.record_held_back();
--- a/crates/fleet/src/stream_origins.rs
+++ b/crates/fleet/src/stream_origins.rs
@@ -437,7 +437,8 @@
         mixed.map(|(service, _)| service.clone()).collect()
     }
 
-    /// Whether a version has been listed for [`SETTLE_TIME`], or was in the first list.
+    /// Whether a version has been listed for [`SETTLE_TIME`], or was in the first list. An instance that is
+    /// out of step and does not know it yet may continue its streams at another version before.
     pub fn is_settled(&self, service: &str, software: &str, now: Instant) -> bool {
         let listed = self.services.get(service).and_then(|v| v.get(software));
         let since = listed.and_then(|listed| listed.since);
--- a/crates/fleet/tests/stream_origins.rs
+++ b/crates/fleet/tests/stream_origins.rs
@@ -16,6 +16,8 @@
 };
 use rand::{RngExt, SeedableRng, rngs::StdRng};
 
+/// Part of the upstreams that can take a stream.
+const FREE_SHARE: f64 = 0.5;
 const SERVICE: &str = "llm";
 /// Age up to which an instance in touch keeps its list, and up to which it uses the holder's view.
 const MAX_LIST_AGE: Duration = Duration::from_millis(1_400);
@@ -446,10 +448,13 @@
         let now = self.now;
         let instance = &self.instances[i];
         let mut candidates = instance.list.clone();
+        // The others have no place left, or not the model.
+        candidates.retain(|_| self.rng.random_bool(FREE_SHARE));
         let versions = &instance.versions;
         let is_settled = |u: &Rc<Upstream>| versions.is_settled(SERVICE, &u.software, now);
-        if candidates.iter().any(is_settled) {
-            candidates.retain(is_settled);
+        candidates.retain(is_settled);
+        if candidates.is_empty() {
+            return None;
         }
         let chosen = &candidates[self.rng.random_range(0..candidates.len())];
         let gone_at = self.gone_at.get(&chosen.id);
