Join only events that follow to a stream that goes on elsewhere

Cause: a resumption took any answer with a success for the rest of the stream.

A resumption takes an event stream with status 200 whose first event has a later identifier than the last one that was passed on. Anything else counts as a failed attempt; a stream whose events have no identifiers is not resumed.

--- a/crates/entry/src/serve/relay.rs
+++ b/crates/entry/src/serve/relay.rs
@@ -9,7 +9,7 @@
     time::{Duration, Instant},
 };
 
-use actix_http::{Method, Response, ResponseBuilder, body::BoxBody, header};
+use actix_http::{Method, Response, ResponseBuilder, StatusCode, body::BoxBody, header};
 use bytes::Bytes;
 use comfreyweir_clock::whole_millis;
 use comfreyweir_fleet::health::Outcome;
@@ -285,6 +285,9 @@
             };
             let piece = match read {
                 Ok(Some(piece)) => piece,
+                Ok(None) if self.awaits_continuation() => {
+                    return self.not_continued("it has no event");
+                }
                 Ok(None) => return StreamEnd::Complete,
                 Err(CallError::Stalled { .. })
                     if self.request.time_left(self.cx.now()).is_zero() =>
@@ -310,6 +313,10 @@
                 Some(events) => events.push(&piece),
                 None => piece,
             };
+            let events = self.events.as_ref();
+            if events.is_some_and(EventSplitter::is_continuation_broken) {
+                return self.not_continued("its first event does not follow the last one");
+            }
             if !bytes.is_empty() {
                 self.last_event_at = self.cx.now();
                 self.record_origin();
@@ -324,6 +331,19 @@
         }
     }
 
+    /// Whether an upstream that is to continue the stream has sent no event yet.
+    fn awaits_continuation(&self) -> bool {
+        let events = self.events.as_ref();
+        events.is_some_and(EventSplitter::awaits_continuation)
+    }
+
+    fn not_continued(&self, reason: &str) -> StreamEnd {
+        StreamEnd::Failed(CallError::NotContinued {
+            addr: self.sent.upstream.addr,
+            reason: reason.to_owned(),
+        })
+    }
+
     fn time_without_event(&self) -> Duration {
         self.cx.now().saturating_duration_since(self.last_event_at)
     }
@@ -388,10 +408,14 @@
         let Some(events) = &mut self.events else {
             return false;
         };
-        events.drop_partial();
+        events.begin_continuation();
         // Close the connection first: only one engine at a time may work on a request.
         self.body = None;
         let last_event = events.last_id();
+        // Without an identifier, no upstream can be told where to go on.
+        if self.has_passed_events && last_event.is_none() {
+            return false;
+        }
         let mut avoided = self.avoided();
         let mut trial = None;
         let mut has_retry = false;
@@ -437,7 +461,7 @@
             }
             avoided.avoid_until(&picked.upstream.id, self.cx.now() + AVOID_AFTER_FAILURE);
             match attempt {
-                AttemptResult::Answered(mut answer, sent) if answer.status.is_success() => {
+                AttemptResult::Answered(mut answer, sent) if may_continue(&answer) => {
                     answer.body.expect_events();
                     self.sent = sent;
                     self.body = Some(answer.body);
@@ -457,6 +481,11 @@
     }
 }
 
+/// Whether an answer may continue a stream: nothing else is joined to it, also not with a success.
+fn may_continue(answer: &UpstreamAnswer) -> bool {
+    answer.status == StatusCode::OK && answer.body.may_be_events()
+}
+
 /// Completes when the caller has closed its connection; never if the connection is not known.
 async fn caller_disconnected(request: &AdmittedRequest) {
     match &request.caller {
--- a/crates/entry/tests/support/upstream.rs
+++ b/crates/entry/tests/support/upstream.rs
@@ -56,6 +56,12 @@
     EventsThenSilence { last: u64 },
     /// Sends events 1 to `last`, then a byte of the next one every `interval`, without end.
     EventsThenBytes { last: u64, interval: Duration },
+    /// Writes `text`, in which `ID` stands for the identifier of the request, and closes or resets the
+    /// connection.
+    Raw { text: &'static str, resets: bool },
+    /// Breaks off a stream that begins after `last` events. One that is to go on is answered like
+    /// `Raw`.
+    EventsThenRaw { last: u64, text: &'static str },
     /// Sends the events after the one that the request names as last received, up to `last`, then
     /// ends the stream, or with `disconnects` closes the connection in the middle of an event.
     Events {
@@ -230,6 +236,26 @@
             let _ = io.read(&mut byte).await;
             false
         }
+        ScriptStep::Raw { text, resets } => {
+            let _ = io
+                .write_all(text.replace("ID", &request_id).as_bytes())
+                .await;
+            if resets {
+                sleep(Duration::from_millis(30)).await;
+                #[allow(deprecated)]
+                io.set_linger(Some(Duration::ZERO)).unwrap();
+            }
+            false
+        }
+        ScriptStep::EventsThenRaw { last, text } => {
+            if header(request, "x-last").is_some() {
+                let text = text.replace("ID", &request_id);
+                let _ = io.write_all(text.as_bytes()).await;
+            } else {
+                send_events(io, &head, last).await;
+            }
+            false
+        }
         ScriptStep::EventsThenBytes { last, interval } => {
             send_events(io, &head, last).await;
             while io.write_all(b"1\r\n:\r\n").await.is_ok() {
--- a/crates/http/src/event_stream.rs
+++ b/crates/http/src/event_stream.rs
@@ -49,6 +49,15 @@
         end
     }
 
+    /// The offset at which the first event ends.
+    fn first_end(mut self, bytes: &[u8]) -> Option<usize> {
+        let is_end = |byte: &u8| {
+            self.advance_by_one(*byte);
+            self.unfinished_bytes == 0
+        };
+        bytes.iter().position(is_end).map(|at| at + 1)
+    }
+
     fn advance_by_one(&mut self, byte: u8) {
         let before = std::mem::replace(&mut self.line_break, LineBreak::Complete);
         if before == LineBreak::LfDue {
@@ -90,6 +99,19 @@
     buf: BytesMut,
     position: EventPosition,
     last_id: Option<u64>,
+    continuation: Continuation,
+}
+
+/// Whether the events of the present upstream follow those of the one before.
+#[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
+enum Continuation {
+    /// They do, or there was none.
+    #[default]
+    Shown,
+    /// There is no event yet.
+    Awaited,
+    /// The first one does not.
+    Broken,
 }
 
 impl EventSplitter {
@@ -101,7 +123,8 @@
         }
     }
 
-    /// Adds a chunk and returns all events that are complete now; empty if there are none.
+    /// Adds a chunk and returns all events that are complete now; empty if there are none, or if they
+    /// do not follow those of the upstream before.
     pub fn push(&mut self, chunk: &[u8]) -> Bytes {
         let buffered = self.buf.len();
         self.buf.extend_from_slice(chunk);
@@ -109,16 +132,45 @@
             return Bytes::new();
         };
         let events = self.buf.split_to(buffered + end).freeze();
+        if self.continuation == Continuation::Awaited
+            && let Some(first) = first_event(&events)
+        {
+            let id = last_event_id(first);
+            self.continuation = if id.is_some() && id > self.last_id {
+                Continuation::Shown
+            } else {
+                Continuation::Broken
+            };
+        }
+        if self.continuation == Continuation::Broken {
+            return Bytes::new();
+        }
         if let Some(id) = last_event_id(&events) {
             self.last_id = Some(id);
         }
         events
     }
 
-    /// Discards the bytes of an incomplete event, before another upstream continues the stream.
-    pub fn drop_partial(&mut self) {
+    /// Prepares for another upstream that continues the stream: discards the bytes of an incomplete
+    /// event, and expects an event with a later identifier than the last one, if there is one.
+    pub fn begin_continuation(&mut self) {
         self.buf.clear();
         self.position = EventPosition::default();
+        self.continuation = if self.last_id.is_some() {
+            Continuation::Awaited
+        } else {
+            Continuation::Shown
+        };
+    }
+
+    /// Whether the present upstream has sent events that do not follow those of the one before.
+    pub fn is_continuation_broken(&self) -> bool {
+        self.continuation == Continuation::Broken
+    }
+
+    /// Whether the present upstream is to continue the stream and has sent no event yet.
+    pub fn awaits_continuation(&self) -> bool {
+        self.continuation == Continuation::Awaited
     }
 
     /// Identifier of the last complete event that has one.
@@ -127,6 +179,20 @@
     }
 }
 
+/// The first of some complete events. Comments between them, by which an upstream shows that it is there,
+/// are none.
+fn first_event(mut events: &[u8]) -> Option<&[u8]> {
+    while let Some(end) = EventPosition::default().first_end(events) {
+        let (event, rest) = events.split_at(end);
+        let mut lines = event.split(|byte| matches!(byte, b'\n' | b'\r'));
+        if lines.any(|line| !line.is_empty() && !line.starts_with(b":")) {
+            return Some(event);
+        }
+        events = rest;
+    }
+    None
+}
+
 fn last_event_id(events: &[u8]) -> Option<u64> {
     let lines = events.split(|byte| matches!(byte, b'\n' | b'\r'));
     let mut ids = lines.filter_map(|line| line.strip_prefix(b"id:"));
--- a/crates/http/src/upstream/answer.rs
+++ b/crates/http/src/upstream/answer.rs
@@ -138,6 +138,11 @@
         }
     }
 
+    /// Whether the answer is a stream of events, or has no media type that says what it is.
+    pub fn may_be_events(&self) -> bool {
+        self.is_event_stream() || !self.has_media_type
+    }
+
     /// Whether the answer is a stream of events.
     pub fn is_event_stream(&self) -> bool {
         self.events.is_some()
--- a/crates/http/src/upstream/mod.rs
+++ b/crates/http/src/upstream/mod.rs
@@ -91,6 +91,14 @@
         /// Cause, for logs.
         reason: String,
     },
+    /// The answer does not continue the stream that it was asked to.
+    #[snafu(display("answer of upstream {addr} does not continue the stream: {reason}"))]
+    NotContinued {
+        /// Address of the upstream.
+        addr: SocketAddr,
+        /// Cause, for logs.
+        reason: String,
+    },
     /// No bytes of the body arrived within the stall limit.
     #[snafu(display("answer of upstream {addr} paused for {} ms", after.as_millis()))]
     Stalled {
