End a limit by reports only where reports name it

An answer to a report or an order ends a limit only if such answers have named it, or none has been heard for 4 s.

--- a/crates/entry/src/duty/actions.rs
+++ b/crates/entry/src/duty/actions.rs
@@ -93,7 +93,7 @@
     } else {
         cx.platform.request_report(&upstream, limit).await
     };
-    cx.record_notice(&upstream, answer.notice, sent_at);
+    cx.record_notice(&upstream, answer.notice, (SendKind::Report, sent_at));
     match answer.result {
         Ok(report) => {
             coordinator.with_planner(service, |planner| {
@@ -164,7 +164,7 @@
         .platform
         .send_order(upstream, call, ENGINE_CALL_TIMEOUT)
         .await;
-    cx.record_notice(upstream, answer.notice, sent_at);
+    cx.record_notice(upstream, answer.notice, (SendKind::Order, sent_at));
     match answer.result {
         Ok(OrderAnswer::Result(result)) => result,
         Ok(OrderAnswer::Fenced) => {
--- a/crates/entry/src/serve/attempt.rs
+++ b/crates/entry/src/serve/attempt.rs
@@ -192,7 +192,7 @@
     let failure = match timeout(limit, cx.upstreams.send(call, body, &progress)).await {
         Ok(Ok(answer)) => {
             let notice = cx.platform.headers().notice(answer.status, &answer.headers);
-            cx.record_notice(&picked.upstream, notice, sent_at);
+            cx.record_notice(&picked.upstream, notice, (kind, sent_at));
             match check_answer(cx, &answer) {
                 Ok(()) => return AttemptResult::Answered(Box::new(answer), Box::new(sent)),
                 Err(failure) => failure,
--- a/crates/entry/src/state.rs
+++ b/crates/entry/src/state.rs
@@ -765,16 +765,16 @@
         }
     }
 
-    /// Records what an upstream has said of itself beside an answer to what was sent at `sent_at`, in
+    /// Records what an upstream has said of itself beside an answer: to what, and when that was sent, in
     /// time since boot.
     pub(crate) fn record_notice(
         &self,
         upstream: &Upstream,
         notice: UpstreamNotice,
-        sent_at: Duration,
+        (kind, sent_at): (SendKind, Duration),
     ) {
         let now = self.now();
-        self.record_limit(upstream, notice.limit, sent_at);
+        self.record_limit(upstream, notice.limit, (kind, sent_at));
         let id = upstream.id.as_str();
         if notice.is_leaving && self.directory.borrow_mut().record_leaving(upstream, now) {
             spdlog::info!("upstream says that it leaves", kv: { upstream = id });
@@ -796,7 +796,12 @@
         }
     }
 
-    fn record_limit(&self, upstream: &Upstream, notice: LimitNotice, sent_at: Duration) {
+    fn record_limit(
+        &self,
+        upstream: &Upstream,
+        notice: LimitNotice,
+        (kind, sent_at): (SendKind, Duration),
+    ) {
         let limit = match notice {
             LimitNotice::Named(limit) => Some(limit),
             LimitNotice::Absent => None,
@@ -814,7 +819,14 @@
         let process = UpstreamProcess::of(upstream);
         let since_boot = self.clock.since_boot();
         let mut limits = self.limits.borrow_mut();
-        let change = limits.record_answer(&process, limit, sent_at, since_boot);
+        let change = match kind {
+            SendKind::Request | SendKind::Repeat => {
+                limits.record_answer(&process, limit, sent_at, since_boot)
+            }
+            SendKind::Report | SendKind::Order => {
+                limits.record_call_answer(&process, limit, sent_at, since_boot)
+            }
+        };
         drop(limits);
         if let Some(change) = change {
             self.announce_limit(&process, change, "answer");
--- a/crates/entry/tests/limits.rs
+++ b/crates/entry/tests/limits.rs
@@ -9,6 +9,7 @@
     task::JoinHandle,
     time::{Instant, sleep},
 };
+use comfreyweir_entry::platform::{LimitNotice, UpstreamNotice};
 use support::{
     FakeUpstream, ScriptStep, SharedState, TestInstance, get, platform::config, send_request,
     start, upstream_entry, wait_until,
@@ -289,3 +290,86 @@
     );
     assert!(late >= 4, "{late}");
 }
+
+/// Guards against what reaches a limited engine beside requests: report requests, orders, and streams
+/// that break off and go on there.
+#[actix_rt::test]
+async fn limit_holds_for_requests_reports_orders_and_streams_that_go_on_together() {
+    let limit = 1.0;
+    let breaks = ScriptStep::Events {
+        last: 2,
+        disconnects: true,
+        interval: Duration::ZERO,
+    };
+    let named = FakeUpstream::start("u1", std::slice::from_ref(&breaks)).await;
+    let other = FakeUpstream::start("u2", &[breaks]).await;
+    for upstream in [&named, &other] {
+        upstream.observed.borrow_mut().lines = "x-limit: 1\r\n";
+    }
+    let shared = SharedState::new();
+    shared.publish_config(config(1));
+    shared.add_upstream(upstream_entry(&named, "llm", &["m1"]));
+    shared.add_upstream(upstream_entry(&other, "llm", &["m1"]));
+    shared.notice.set(UpstreamNotice {
+        limit: LimitNotice::Named(limit),
+        ..UpstreamNotice::default()
+    });
+    let mut instances = Vec::new();
+    for name in ["e1", "e2", "e3"] {
+        instances.push(start(&shared, name).await);
+    }
+    let begin = Instant::now();
+    let mut number = 0;
+    while begin.elapsed() < Duration::from_secs(10) {
+        number += 1;
+        let addr = instances[number % 3].entry.addr();
+        let model = if number % 4 == 0 { "m2" } else { "m1" };
+        actix_rt::spawn(async move {
+            let extra = format!("x-model: {model}\r\n");
+            send_request(addr, "/tell/", &format!("r{number}"), &extra).await;
+        });
+        sleep(Duration::from_millis(50)).await;
+    }
+    for upstream in [&named, &other] {
+        let mut times = upstream.observed.borrow().times.clone();
+        let calls = shared.engine_calls.borrow();
+        let calls = calls.iter().filter(|(id, _)| *id == upstream.id);
+        times.extend(calls.map(|(_, at)| *at));
+        assert!(times.len() > 4, "{}", times.len());
+        let begins = times.iter().filter(|at| **at >= begin + CONTACT);
+        for from in begins {
+            let in_window = times
+                .iter()
+                .filter(|at| from <= at && **at < *from + WINDOW);
+            let count = f64::from(u32::try_from(in_window.count()).unwrap());
+            assert!(count <= allowed(limit), "{}: {count}", upstream.id);
+        }
+    }
+}
+
+/// Guards against values that are no number of requests being taken for a limit, or for its end.
+#[actix_rt::test]
+async fn values_that_are_no_limit_change_nothing() {
+    for line in [
+        "x-limit: -1\r\n",
+        "x-limit: NaN\r\n",
+        "x-limit: 1,2\r\n",
+        "x-limit: \r\n",
+    ] {
+        let named = FakeUpstream::start("u1", &[limited(line)]).await;
+        let fleet = Fleet::start(&[&named], 1).await;
+        for i in 0..30 {
+            let addr = fleet.instances.borrow()[0].entry.addr();
+            let res = send_request(addr, "/read/", &format!("r{i}"), "").await;
+            assert_eq!(res.status, 200, "{line:?}");
+        }
+        named.set_script(&[limited("x-limit: 0.2\r\n"), limited(line)]);
+        let mut refused = 0;
+        for i in 30..60 {
+            let addr = fleet.instances.borrow()[0].entry.addr();
+            let res = send_request(addr, "/read/", &format!("r{i}"), "").await;
+            refused += usize::from(res.status == 503);
+        }
+        assert!(refused >= 27, "{refused}");
+    }
+}
--- a/crates/entry/tests/support/platform.rs
+++ b/crates/entry/tests/support/platform.rs
@@ -23,7 +23,7 @@
 };
 use tokio::{
     sync::Notify,
-    time::{sleep, timeout},
+    time::{Instant, sleep, timeout},
 };
 
 /// Store and engines that several instances share.
@@ -43,6 +43,8 @@
     /// Accepted orders with the id of their engine.
     pub orders: RefCell<Vec<(String, OrderCall)>>,
     order_counts: RefCell<BTreeMap<String, u64>>,
+    /// When orders and report requests reached each engine.
+    pub engine_calls: RefCell<Vec<(String, Instant)>>,
     /// What engines say of themselves in answers to orders and report requests.
     pub notice: Cell<UpstreamNotice>,
     /// Items in a page of a range read, and the time that a page takes; everything at once if none.
@@ -62,6 +64,11 @@
         Rc::default()
     }
 
+    fn record_engine_call(&self, engine: &str) {
+        let call = (engine.to_owned(), Instant::now());
+        self.engine_calls.borrow_mut().push(call);
+    }
+
     pub fn write(&self, key: &str, value: Bytes, lease: u64) -> u64 {
         let revision = self.revision.get() + 1;
         self.revision.set(revision);
@@ -382,6 +389,7 @@
         _: Duration,
     ) -> EngineAnswer<OrderAnswer> {
         sleep(Duration::from_millis(2)).await;
+        self.shared.record_engine_call(&upstream.id);
         let orders = &self.shared.orders;
         orders
             .borrow_mut()
@@ -422,6 +430,7 @@
     }
 
     async fn request_report(&self, upstream: &Upstream, _: Duration) -> EngineAnswer<Report> {
+        self.shared.record_engine_call(&upstream.id);
         let upstreams = self.shared.upstreams.borrow();
         let Some(known) = upstreams.get(&upstream.id) else {
             let reason = "connection refused".to_owned();
--- a/crates/entry/tests/support/upstream.rs
+++ b/crates/entry/tests/support/upstream.rs
@@ -81,6 +81,8 @@
     pub times: Vec<Instant>,
     pub connections: usize,
     pub closed_connections: usize,
+    /// Header lines of all answers with a body or a stream.
+    pub lines: &'static str,
 }
 
 pub struct FakeUpstream {
@@ -161,7 +163,8 @@
             step => step,
         };
         is_first = false;
-        if !run_step(&mut io, &id, &request, step).await {
+        let lines = observed.borrow().lines;
+        if !run_step(&mut io, (&id, lines), &request, step).await {
             observed.borrow_mut().closed_connections += 1;
             return;
         }
@@ -169,10 +172,17 @@
     observed.borrow_mut().closed_connections += 1;
 }
 
-async fn run_step(io: &mut TcpStream, id: &str, request: &str, step: ScriptStep) -> bool {
+async fn run_step(
+    io: &mut TcpStream,
+    (id, lines): (&str, &str),
+    request: &str,
+    step: ScriptStep,
+) -> bool {
     let request_id = header(request, "x-id").unwrap_or_default();
     let head = |status: u16, rest: &str| {
-        format!("HTTP/1.1 {status} Status\r\nx-id: {request_id}\r\nx-seal: {id}\r\n{rest}\r\n")
+        format!(
+            "HTTP/1.1 {status} Status\r\nx-id: {request_id}\r\nx-seal: {id}\r\n{lines}{rest}\r\n"
+        )
     };
     match step {
         ScriptStep::Answer(status, body) => {
@@ -188,16 +198,7 @@
             let text = head(status, &rest) + body;
             io.write_all(text.as_bytes()).await.is_ok()
         }
-        ScriptStep::Unframed { body, reset } => {
-            let text = head(200, "") + body;
-            let _ = io.write_all(text.as_bytes()).await;
-            if reset {
-                sleep(Duration::from_millis(30)).await;
-                #[allow(deprecated)]
-                io.set_linger(Some(Duration::ZERO)).unwrap();
-            }
-            false
-        }
+        ScriptStep::Unframed { body, reset } => write_raw(io, &(head(200, "") + body), reset).await,
         ScriptStep::NotRun(status) => {
             let text = format!(
                 "HTTP/1.1 {status} No\r\nx-id: {request_id}\r\nx-not-run: 1\r\n\
@@ -226,9 +227,8 @@
             breaks_off_after,
             content_type,
         } => {
-            let text = head(200, content_type) + &unframed_events(request, last, breaks_off_after);
-            let _ = io.write_all(text.as_bytes()).await;
-            false
+            let events = unframed_events(request, last, breaks_off_after);
+            write_raw(io, &(head(200, content_type) + &events), false).await
         }
         ScriptStep::EventsThenSilence { last } => {
             send_events(io, &head, last).await;
@@ -237,23 +237,13 @@
             false
         }
         ScriptStep::Raw { text, resets } => {
-            let _ = io
-                .write_all(text.replace("ID", &request_id).as_bytes())
-                .await;
-            if resets {
-                sleep(Duration::from_millis(30)).await;
-                #[allow(deprecated)]
-                io.set_linger(Some(Duration::ZERO)).unwrap();
-            }
-            false
+            write_raw(io, &text.replace("ID", &request_id), resets).await
         }
-        ScriptStep::EventsThenRaw { last, text } => {
-            if header(request, "x-last").is_some() {
-                let text = text.replace("ID", &request_id);
-                let _ = io.write_all(text.as_bytes()).await;
-            } else {
-                send_events(io, &head, last).await;
-            }
+        ScriptStep::EventsThenRaw { text, .. } if header(request, "x-last").is_some() => {
+            write_raw(io, &text.replace("ID", &request_id), false).await
+        }
+        ScriptStep::EventsThenRaw { last, .. } => {
+            send_events(io, &head, last).await;
             false
         }
         ScriptStep::EventsThenBytes { last, interval } => {
@@ -288,6 +278,17 @@
     }
 }
 
+/// Writes text, and closes or resets the connection.
+async fn write_raw(io: &mut TcpStream, text: &str, resets: bool) -> bool {
+    let _ = io.write_all(text.as_bytes()).await;
+    if resets {
+        sleep(Duration::from_millis(30)).await;
+        #[allow(deprecated)]
+        io.set_linger(Some(Duration::ZERO)).unwrap();
+    }
+    false
+}
+
 async fn answer_with_extra(io: &mut TcpStream, id: &str, own: &str, step: ScriptStep) -> bool {
     match step {
         ScriptStep::AnswerThenExtra {
--- a/crates/fleet/src/limits/instance.rs
+++ b/crates/fleet/src/limits/instance.rs
@@ -14,6 +14,8 @@
     quota::{EQUAL_SHARE_TIME, GRANT_TTL},
 };
 
+/// Time without an answer that names the limit, after which an answer to a report request can end it.
+const QUIET_TIME: Duration = Duration::from_secs(4);
 /// Shortest time after which the holder is asked again for a permit.
 const MIN_ASK_PAUSE: Duration = Duration::from_millis(20);
 /// Time until a request may be sent, as far as is known, while the holder does not answer.
@@ -44,6 +46,8 @@
     /// Tickets of the requests that wait for each upstream, the first one first.
     waiting: HashMap<UpstreamProcess, Vec<Ticket>>,
     last_ticket: u64,
+    /// Upstreams that have named their limit in answers to report requests or orders.
+    named_in_calls: HashSet<UpstreamProcess>,
     /// Upstreams that requests could have used which others run.
     usable: HashSet<UpstreamProcess>,
     /// When the last report was sent that a holder has answered; at first, the start of the process.
@@ -92,6 +96,7 @@
             full: HashMap::new(),
             waiting: HashMap::new(),
             last_ticket: 0,
+            named_in_calls: HashSet::new(),
             usable: HashSet::new(),
             holder_heard_at: now,
             instances: 1,
@@ -133,6 +138,32 @@
         self.apply_change(process, before)
     }
 
+    /// Like [`Self::record_answer`], for an answer to a report request or an order. That it names no limit
+    /// ends one only if answers of this kind have named it, or none has for a while: they may not
+    /// carry it.
+    pub fn record_call_answer(
+        &mut self,
+        process: &UpstreamProcess,
+        limit: Option<f64>,
+        sent_at: Duration,
+        now: Duration,
+    ) -> Option<LimitChange> {
+        if limit.is_some() {
+            self.named_in_calls.insert(process.clone());
+        } else {
+            let known = self.known(process)?;
+            let is_quiet = now.saturating_sub(known.heard_at) >= QUIET_TIME;
+            if !is_quiet && !self.named_in_calls.contains(process) {
+                return None;
+            }
+        }
+        let change = self.record_answer(process, limit, sent_at, now);
+        if change == Some(LimitChange::Ended) {
+            self.named_in_calls.remove(process);
+        }
+        change
+    }
+
     /// Replaces what others have heard, as the holder tells it. Returns what changed.
     pub fn set_elsewhere(
         &mut self,
--- a/crates/fleet/src/planner/engine_state.rs
+++ b/crates/fleet/src/planner/engine_state.rs
@@ -76,10 +76,8 @@
     is_suspect: bool,
     /// Time until which the engine wants no calls from the holder.
     closed_until: Option<Instant>,
-    /// Requests a second that the engine takes, if it has named a limit.
-    limit: Option<f64>,
-    /// Whether it is asked for more than that.
-    is_overasked: bool,
+    /// The limit that the engine has named, if any.
+    limit: Option<RequestLimit>,
     born_ms: Option<u64>,
     holds: Holding,
     /// Number of orders that the engine has accepted; none if unknown.
@@ -106,6 +104,15 @@
     behind_since: Option<Instant>,
 }
 
+/// A limit on the requests that an engine takes.
+#[derive(Clone, Copy, Debug)]
+struct RequestLimit {
+    /// In requests a second.
+    per_s: f64,
+    /// Whether the engine is asked for more than that.
+    is_exceeded: bool,
+}
+
 #[derive(Debug)]
 struct PlannedOrder {
     order: Order,
@@ -154,7 +161,6 @@
             is_suspect: false,
             closed_until: None,
             limit: None,
-            is_overasked: false,
             born_ms: upstream.born_ms,
             holds: upstream.holds.clone(),
             accepted_orders: None,
@@ -222,28 +228,33 @@
     }
 
     /// Sets the requests a second that the engine takes, if it has named a limit.
-    pub(super) fn set_limit(&mut self, limit: Option<f64>) {
-        self.limit = limit;
-        self.is_overasked = false;
+    pub(super) fn set_limit(&mut self, per_s: Option<f64>) {
+        self.limit = per_s.map(|per_s| RequestLimit {
+            per_s,
+            is_exceeded: false,
+        });
     }
 
+    /// Requests a second that the engine takes, if it has named a limit.
     pub(super) fn limit(&self) -> Option<f64> {
-        self.limit
+        self.limit.map(|limit| limit.per_s)
     }
 
     /// Records that the engine is asked for more than its limit.
     pub(super) fn mark_overasked(&mut self) {
-        self.is_overasked = true;
+        if let Some(limit) = &mut self.limit {
+            limit.is_exceeded = true;
+        }
     }
 
     pub(super) fn is_overasked(&self) -> bool {
-        self.is_overasked
+        self.limit.is_some_and(|limit| limit.is_exceeded)
     }
 
     /// Whether requests for what the engine holds can be served there: it takes requests, and all that it is
     /// asked for.
     pub(super) fn serves_all(&self) -> bool {
-        self.accepts_requests() && !self.is_overasked
+        self.accepts_requests() && !self.is_overasked()
     }
 
     pub(super) fn holds(&self) -> &Holding {
--- a/crates/fleet/tests/limits.rs
+++ b/crates/fleet/tests/limits.rs
@@ -38,6 +38,31 @@
     assert_eq!(limits.limit(&u1), Some(1.0));
 }
 
+/// Guards against reports that end a limit which only answers to requests name.
+#[test]
+fn report_ends_a_limit_only_if_reports_have_named_it_or_nothing_has_for_a_while() {
+    let mut limits = InstanceLimits::new(ms(0));
+    let (u1, u2) = (process("u1", 1), process("u2", 1));
+    limits.record_answer(&u1, Some(2.0), ms(10), ms(20));
+    limits.record_answer(&u2, Some(2.0), ms(10), ms(20));
+    assert_eq!(limits.record_call_answer(&u1, None, ms(30), ms(40)), None);
+    assert_eq!(
+        limits.record_call_answer(&u2, Some(2.0), ms(30), ms(40)),
+        None
+    );
+    let ended = Some(LimitChange::Ended);
+    assert_eq!(limits.record_call_answer(&u2, None, ms(50), ms(60)), ended);
+    limits.record_answer(&u1, Some(2.0), ms(2_000), ms(2_100));
+    assert_eq!(
+        limits.record_call_answer(&u1, None, ms(5_000), ms(5_010)),
+        None
+    );
+    assert_eq!(
+        limits.record_call_answer(&u1, None, ms(7_000), ms(7_010)),
+        ended
+    );
+}
+
 /// Guards against a limit of an earlier process at the same identifier.
 #[test]
 fn another_process_under_the_identifier_is_free_of_the_limit() {
