--- a/crates/soak/src/check.rs
+++ b/crates/soak/src/check.rs
@@ -44,6 +44,14 @@
 const FATAL_LIMIT: Duration = Duration::from_secs(3);
 /// Requests with the part that may still reach engines then.
 const MAX_FATAL_REQUESTS: usize = 3;
+/// Time from the first answer with a limit until it is kept.
+const LIMIT_CONTACT: Duration = Duration::from_secs(3);
+/// Length of the windows in which a limit is kept.
+const LIMIT_WINDOW: Duration = Duration::from_secs(4);
+/// What a server may get in a window: this times what its limit allows, and some more requests.
+const LIMIT_TOLERANCE: (f64, f64) = (1.5, 5.0);
+/// Time from an answer with the limit until an instance is bound by it.
+const LIMIT_HEARD: Duration = Duration::from_millis(500);
 /// Fewer late answers than this are tolerated.
 const MIN_LATE_ANSWERS: usize = 8;
 
@@ -58,6 +66,7 @@
     broken.extend(late_answers(records, cluster));
     broken.extend(unheeded_notices(records, cluster));
     broken.extend(late_fatal_requests(records, cluster));
+    broken.extend(exceeded_limits(records, cluster));
     broken
 }
 
@@ -90,6 +99,67 @@
     })
 }
 
+/// Reports servers that got more than their limit allows from instances that had passed on an answer
+/// with it, and were in touch.
+fn exceeded_limits(records: &[Record], cluster: &SoakCluster) -> Vec<String> {
+    let by_request: HashMap<_, _> = records.iter().map(|r| (r.call.id.as_str(), r)).collect();
+    let mut by_server: HashMap<String, Vec<Arrival>> = HashMap::new();
+    for arrival in cluster.ledger.arrivals() {
+        let arrivals = by_server.entry(arrival.server.clone()).or_default();
+        arrivals.push(arrival);
+    }
+    let mut broken = Vec::new();
+    for (server, arrivals) in by_server {
+        // Times for which the server named a limit without a pause.
+        for limited in arrivals.split(|a| a.limit.is_none()) {
+            let Some(first) = limited.first() else {
+                continue;
+            };
+            let bound = bound_arrivals(limited, &by_request, cluster);
+            let windows = bound.iter().filter(|a| a.at >= first.at + LIMIT_CONTACT);
+            let exceeded = windows.filter_map(|from| {
+                let window = from.at..from.at + LIMIT_WINDOW;
+                let got = bound.iter().filter(|a| window.contains(&a.at));
+                let limits = limited.iter().filter(|a| window.contains(&a.at));
+                let limit = limits.filter_map(|a| a.limit).fold(0.0, f64::max);
+                let (ratio, extra) = LIMIT_TOLERANCE;
+                let allowed = ratio * limit * LIMIT_WINDOW.as_secs_f64() + extra;
+                let got = got.count();
+                let is_exceeded = f64::from(u32::try_from(got).unwrap_or(u32::MAX)) > allowed;
+                is_exceeded.then(|| format!("{server} has a limit of {limit}, got {got}: {from:?}"))
+            });
+            broken.extend(exceeded.take(1));
+        }
+    }
+    broken
+}
+
+/// The arrivals from instances that a server had told of its limit, and that were in touch.
+fn bound_arrivals<'a>(
+    limited: &'a [Arrival],
+    by_request: &HashMap<&str, &Record>,
+    cluster: &SoakCluster,
+) -> Vec<&'a Arrival> {
+    let mut told_at: HashMap<usize, Instant> = HashMap::new();
+    for arrival in limited {
+        let record = by_request.get(arrival.request.as_str());
+        if let Some(record) = record.filter(|r| !has_lost_answer(&r.outcome)) {
+            let at = record.sent + record.took;
+            let told = told_at.entry(record.instance).or_insert(at);
+            *told = at.min(*told);
+        }
+    }
+    let is_bound = |arrival: &&Arrival| {
+        let record = by_request.get(arrival.request.as_str());
+        record.is_some_and(|r| {
+            let told = told_at.get(&r.instance);
+            told.is_some_and(|at| arrival.at >= *at + LIMIT_HEARD)
+                && cluster.instances[r.instance].was_in_touch(arrival.at, LIMIT_CONTACT)
+        })
+    };
+    limited.iter().filter(is_bound).collect()
+}
+
 /// Describes the first promise that was broken for a request, if any. The promises are: the answer
 /// is the right one, the request ran unchanged and only with a known key, one that was served did
 /// run, and one that may not be repeated ran at most once, and not at all if it was refused as not
--- a/crates/soak/src/faults.rs
+++ b/crates/soak/src/faults.rs
@@ -57,6 +57,8 @@
     Close(usize, bool),
     /// The server's entry is removed while it goes on serving.
     LeaveUnlisted(usize),
+    /// The server, or all servers of its service, name a limit in requests a second.
+    Limit(usize, bool, f64),
     /// The server fails the streams that begin.
     FailStreams(usize, StreamFault),
     /// The server writes a refusal in front of its answers on kept connections.
@@ -75,6 +77,12 @@
 const FATAL_DOWNTIME: Duration = Duration::from_millis(800);
 /// Longest time until a request with a fatal part has ended an engine.
 const FATAL_REQUEST_TIME: Duration = Duration::from_secs(1);
+/// Number of the random stream that limits of servers are drawn from.
+const LIMITS_STREAM: u64 = 5;
+/// Limits that servers name, in requests a second.
+const LIMITS_PER_S: [f64; 5] = [0.2, 0.5, 1.0, 2.5, 8.0];
+/// Share of the limits that all servers of a service name.
+const LIMITED_SERVICE_RATIO: f64 = 0.2;
 /// Number of the random stream that kills of all instances are drawn from.
 const KILLS_OF_ALL_STREAM: u64 = 4;
 /// Share of the runs in which all instances are killed once.
@@ -99,9 +107,12 @@
     refusals_rng.set_stream(REPEATED_REFUSALS_STREAM);
     let mut kills_rng = rng.clone();
     kills_rng.set_stream(KILLS_OF_ALL_STREAM);
-    let (mut injected, added, refusals, kills, fatal) = tokio::join!(
+    let mut limits_rng = rng.clone();
+    limits_rng.set_stream(LIMITS_STREAM);
+    let (mut injected, added, limits, refusals, kills, fatal) = tokio::join!(
         inject_drawn(cluster, time, rng, draw_fault, 50..1_000),
         inject_drawn(cluster, time, &mut added_rng, draw_added_fault, 500..4_000),
+        inject_drawn(cluster, time, &mut limits_rng, draw_limit, 3_000..9_000),
         inject_drawn(
             cluster,
             time,
@@ -113,6 +124,7 @@
         inject_fatal_parts(cluster, time, &mut fatal_rng),
     );
     injected.extend(added);
+    injected.extend(limits);
     injected.extend(refusals);
     injected.extend(kills);
     injected.extend(fatal);
@@ -221,6 +233,15 @@
     (fault, duration)
 }
 
+/// Draws servers that name a limit for some seconds.
+fn draw_limit(cluster: &SoakCluster, rng: &mut ChaCha8Rng) -> (Fault, Duration) {
+    let duration = Duration::from_millis(rng.random_range(5_000..12_000));
+    let slot = rng.random_range(0..cluster.slots.len());
+    let limit = LIMITS_PER_S[rng.random_range(0..LIMITS_PER_S.len())];
+    let with_service = rng.random_bool(LIMITED_SERVICE_RATIO);
+    (Fault::Limit(slot, with_service, limit), duration)
+}
+
 fn draw_repeated_refusals(cluster: &SoakCluster, rng: &mut ChaCha8Rng) -> (Fault, Duration) {
     let slot = rng.random_range(0..cluster.slots.len());
     let duration = Duration::from_millis(rng.random_range(100..1_500));
@@ -340,15 +361,17 @@
             replace(&cluster, &cluster.slots[i], Duration::ZERO, duration).await;
         }
         Fault::Close(i, with_service) => {
-            let closed = cluster.slots.iter().enumerate().filter(|(index, slot)| {
-                *index == i || with_service && slot.service == cluster.slots[i].service
-            });
-            for (_, slot) in closed {
+            for slot in slots_of(&cluster, i, with_service) {
                 if let Some(server) = &*slot.server.borrow() {
                     server.close_for(duration);
                 }
             }
         }
+        Fault::Limit(i, with_service, limit) => {
+            set_limit(&cluster, (i, with_service), Some(limit));
+            sleep(duration).await;
+            set_limit(&cluster, (i, with_service), None);
+        }
         Fault::LeaveUnlisted(i) => {
             let slot = &cluster.slots[i];
             if slot.unlist(&cluster.store) {
@@ -374,6 +397,27 @@
     }
 }
 
+/// The slot with this index, or all of its service.
+fn slots_of(
+    cluster: &SoakCluster,
+    i: usize,
+    with_service: bool,
+) -> impl Iterator<Item = &ServerSlot> {
+    let slots = cluster.slots.iter().enumerate();
+    let chosen = slots.filter(move |(index, slot)| {
+        *index == i || with_service && slot.service == cluster.slots[i].service
+    });
+    chosen.map(|(_, slot)| slot)
+}
+
+fn set_limit(cluster: &SoakCluster, (i, with_service): (usize, bool), limit: Option<f64>) {
+    for slot in slots_of(cluster, i, with_service) {
+        if let Some(server) = &*slot.server.borrow() {
+            server.set_limit(limit);
+        }
+    }
+}
+
 /// Replaces the store's state by a copy of `age` ago, after a moment in which it is down. The operator
 /// writes again what it wrote since; servers do so with their heartbeats, and entries that were
 /// removed are removed again.
