Let the scripted engines of the quarantine's tests continue streams after the last event

They began each resumed stream at event 1 again, which counted as served though the caller got events twice.

--- a/crates/entry/tests/support/engines.rs
+++ b/crates/entry/tests/support/engines.rs
@@ -30,7 +30,7 @@
 const LAPSE: Duration = Duration::from_secs(1);
 /// Time after which an ended engine is back.
 const RESTART: Duration = Duration::from_millis(1_900);
-const EVENTS: u32 = 10;
+const EVENTS: u64 = 10;
 const EVENT_INTERVAL: Duration = Duration::from_millis(20);
 
 /// A request that reached an engine.
@@ -174,7 +174,8 @@
                 self.end(process, id);
                 return;
             }
-            for event in 1..=EVENTS {
+            let last_received = header(&request, "x-last").and_then(|n| n.parse::<u64>().ok());
+            for event in last_received.map_or(1, |n| n + 1)..=EVENTS {
                 let text = format!("id: {event}\ndata: e{event}\n\n");
                 let chunk = format!("{:x}\r\n{text}\r\n", text.len());
                 if io.write_all(chunk.as_bytes()).await.is_err() {
