--- a/crates/entry/src/duty/actions.rs
+++ b/crates/entry/src/duty/actions.rs
@@ -88,7 +88,7 @@
     let sent_at = cx.clock.since_boot();
     let limit = ENGINE_CALL_TIMEOUT;
     // Only an answer that is certainly new can show that a limit has ended.
-    let answer = if cx.has_limit(&upstream) {
+    let answer = if cx.limit_of(&upstream).is_some() {
         cx.platform.request_new_report(&upstream, limit).await
     } else {
         cx.platform.request_report(&upstream, limit).await
--- a/crates/entry/src/duty/coordinator.rs
+++ b/crates/entry/src/duty/coordinator.rs
@@ -259,8 +259,8 @@
         let loads = state.loads(now);
         let suspects = state.suspects(now);
         let mut closed = self.cx.closures.borrow().ends(now);
-        state.close_limited(&mut closed, self.cx.clock.since_boot(), now);
         let limits = state.limits_of(&directory);
+        state.close_limited(&directory, &mut closed, self.cx.clock.since_boot(), now);
         for service in config.services.values() {
             let asked = (&loads, &suspects);
             state.plan_service(service, &directory, asked, (&closed, &limits), now);
@@ -732,13 +732,14 @@
     /// Adds the limited upstreams without room to those that want nothing for a time.
     fn close_limited(
         &mut self,
+        directory: &[Rc<Upstream>],
         closed: &mut HashMap<String, Instant>,
         since_boot: Duration,
         now: Instant,
     ) {
         let silent_ratio = self.grant_allocator.silent_ratio();
-        let limited: Vec<_> = self.permits.limited().map(|(p, _)| p.clone()).collect();
-        for process in limited {
+        for upstream in directory {
+            let process = UpstreamProcess::of(upstream);
             let permits = &mut self.permits;
             let wait = permits.time_to_room(&process, silent_ratio, since_boot);
             if !wait.is_zero() {
--- a/crates/entry/src/exchange/permits.rs
+++ b/crates/entry/src/exchange/permits.rs
@@ -30,8 +30,10 @@
     loop {
         cx.permits_wanted.notified().await;
         match call(&cx, &coordinator).await {
-            Ok(()) => {
-                outage_log.record_success(cx.now());
+            Ok(has_called) => {
+                if has_called {
+                    outage_log.record_success(cx.now());
+                }
                 sleep(MIN_PAUSE).await;
             }
             Err(e) => {
@@ -42,10 +44,11 @@
     }
 }
 
+/// Calls the holder if there is anything to tell or to ask. Returns whether there was.
 async fn call<P>(
     cx: &Rc<EntryContext<P>>,
     coordinator: &Rc<Coordinator<P>>,
-) -> Result<(), ExchangeError>
+) -> Result<bool, ExchangeError>
 where
     P: Platform,
 {
@@ -53,7 +56,7 @@
     let has_news = cx.has_limit_news.replace(false);
     let asks = cx.limits.borrow_mut().take_asks(asked_at);
     if asks.is_empty() && !has_news {
-        return Ok(());
+        return Ok(false);
     }
     let request = PermitRequest {
         limits: cx.limits.borrow().heard(asked_at),
@@ -76,7 +79,7 @@
     limits.apply_answers(&answer.answers, asked_at, now);
     drop(limits);
     cx.state_changed.notify_waiters();
-    Ok(())
+    Ok(true)
 }
 
 async fn call_other<P>(
@@ -97,8 +100,8 @@
 fn fail<P>(
     cx: &EntryContext<P>,
     request: &PermitRequest,
-    result: Result<(), ExchangeError>,
-) -> Result<(), ExchangeError>
+    result: Result<bool, ExchangeError>,
+) -> Result<bool, ExchangeError>
 where
     P: Platform,
 {
--- a/crates/entry/src/state.rs
+++ b/crates/entry/src/state.rs
@@ -730,15 +730,21 @@
     /// Whether something may be sent to an upstream as far as its limit is concerned. If so, it counts as
     /// sent.
     pub(crate) fn take_permit(&self, upstream: &Upstream) -> bool {
+        if self.limit_of(upstream).is_none() {
+            return true;
+        }
         let process = UpstreamProcess::of(upstream);
         let now = self.clock.since_boot();
         self.limits.borrow_mut().take(&process, now)
     }
 
-    /// Whether an upstream has named a limit.
-    pub(crate) fn has_limit(&self, upstream: &Upstream) -> bool {
+    /// The limit that an upstream has named, if any, in requests a second.
+    pub(crate) fn limit_of(&self, upstream: &Upstream) -> Option<f64> {
         let limits = self.limits.borrow();
-        limits.limit(&UpstreamProcess::of(upstream)).is_some()
+        if limits.is_empty() {
+            return None;
+        }
+        limits.limit(&UpstreamProcess::of(upstream))
     }
 
     /// Takes over which limits other instances have heard.
@@ -755,8 +761,9 @@
     pub(crate) fn record_sent(&self, upstream: &Upstream, kind: SendKind) {
         let now = self.now();
         self.closures.borrow_mut().record_sent(&upstream.id, now);
-        let limit = self.limits.borrow().limit(&UpstreamProcess::of(upstream));
-        let Some(limit) = limit else { return };
+        let Some(limit) = self.limit_of(upstream) else {
+            return;
+        };
         self.metrics.count_limited_send(kind.name());
         if self.request_log_limiter.try_acquire(now) {
             spdlog::info!("sent to an upstream that has named a limit", kv: {
--- a/crates/fleet/src/limits/holder.rs
+++ b/crates/fleet/src/limits/holder.rs
@@ -96,7 +96,7 @@
         });
         let changes = changes.collect();
         let mut before = std::mem::take(&mut self.buckets);
-        for (process, _) in self.statements.limited() {
+        for process in self.statements.limited() {
             let bucket = before.remove(process);
             let bucket = bucket.unwrap_or_else(|| PermitBucket::new(now));
             self.buckets.insert(process.clone(), bucket);
@@ -114,11 +114,6 @@
         self.statements.get(process)?.limit
     }
 
-    /// Upstreams that have named a limit, in requests a second.
-    pub fn limited(&self) -> impl Iterator<Item = (&UpstreamProcess, f64)> {
-        self.statements.limited()
-    }
-
     /// Gives permits, as far as there is room. `silent_ratio` is the number of instances that do not
     /// report, and may send their equal shares, for each that does. No answer for an upstream without
     /// a limit.
--- a/crates/fleet/src/limits/statements.rs
+++ b/crates/fleet/src/limits/statements.rs
@@ -157,10 +157,10 @@
         self.by_process.retain(|_, s| s.is_remembered(now));
     }
 
-    /// Processes that have named a limit, in requests a second.
-    pub(super) fn limited(&self) -> impl Iterator<Item = (&UpstreamProcess, f64)> {
-        let limited = self.by_process.iter();
-        limited.filter_map(|(process, s)| Some((process, s.limit?)))
+    /// Processes that have named a limit.
+    pub(super) fn limited(&self) -> impl Iterator<Item = &UpstreamProcess> {
+        let limited = self.by_process.iter().filter(|(_, s)| s.limit.is_some());
+        limited.map(|(process, _)| process)
     }
 
     pub(super) fn is_empty(&self) -> bool {
