--- a/crates/core/tests/soak.rs
+++ b/crates/core/tests/soak.rs
@@ -35,3 +35,9 @@
         run_soak(seed, 4, 32, 10).await;
     }
 }
+
+/// Seeds that failed: servers that had named a limit got what they would without it.
+#[actix_rt::test]
+async fn servers_get_no_more_than_the_limits_that_they_name() {
+    run_soak(880_003, 4, 32, 15).await;
+}
