--- a/review/rig/cases.rs
+++ b/review/rig/cases.rs
@@ -34,6 +34,7 @@
         "log" => log_not_read(dir, has_trouble),
         "half-close" => half_close(dir, has_trouble),
         "memory" => memory(dir, has_trouble),
+        "budget" => budget(dir, has_trouble),
         _ => NOT_RUN,
     }
 }
@@ -421,3 +422,125 @@
     let often = ends.iter().filter(|n| **n >= 3).count();
     if often >= 2 { BROKEN } else { HELD }
 }
+
+/// All processes are killed at once, twice, while servers turn many requests away.
+fn budget(dir: &str, has_trouble: bool) -> u8 {
+    /// Bounds of the site.
+    const WINDOW: Duration = Duration::from_secs(10);
+    const RATIO: f64 = 0.2;
+    const EXTRA: f64 = 56.0;
+    /// Requests a second, and how many times that in the burst.
+    const PER_S: f64 = 6.0;
+    const BURST: f64 = 2.4;
+    const BURST_FROM: Duration = Duration::from_secs(5);
+    const LENGTH: Duration = Duration::from_secs(20);
+    const KILLED_AT: [Duration; 2] = [Duration::from_secs(8), Duration::from_millis(11_500)];
+    const DOWN: Duration = Duration::from_secs(1);
+    // A server runs one request at a time and lets one wait.
+    let places: Arc<Vec<(AtomicUsize, Mutex<()>)>> = Arc::new(
+        (0..4)
+            .map(|_| (AtomicUsize::new(0), Mutex::new(())))
+            .collect(),
+    );
+    let started = Deployment::start(dir, 2, move |req: &Req, io: &mut TcpStream| {
+        let id = req.header("x-comfreyweir-expect-instance");
+        let n: usize = id.trim_start_matches("i-").parse().unwrap_or(0);
+        let (taken, slot) = &places[n];
+        if taken.fetch_add(1, Ordering::SeqCst) >= 2 {
+            taken.fetch_sub(1, Ordering::SeqCst);
+            let echo = format!(
+                "X-Comfreyweir-Request-Id: {}\r\n",
+                req.header("x-comfreyweir-request-id")
+            );
+            return respond(io, 503, &format!("{echo}X-Comfreyweir-Not-Run: 1\r\n"), b"");
+        }
+        let running = slot.lock().unwrap();
+        thread::sleep(Duration::from_millis(450));
+        drop(running);
+        taken.fetch_sub(1, Ordering::SeqCst);
+        respond(io, 200, &seal(req), &[b'x'; 800])
+    });
+    let Some(d) = started.map(Arc::new) else {
+        return NOT_RUN;
+    };
+    d.check_readiness();
+    let begun = Instant::now();
+    let sent: Arc<Mutex<Vec<Instant>>> = Arc::default();
+    let mut threads = Vec::new();
+    if has_trouble {
+        let d = Arc::clone(&d);
+        threads.push(thread::spawn(move || {
+            for at in KILLED_AT {
+                thread::sleep(at.saturating_sub(begun.elapsed()));
+                d.machines.iter().for_each(|m| m.kill());
+                d.record.log("all processes are killed");
+                thread::sleep(DOWN);
+                d.machines.iter().for_each(|m| m.spawn());
+                d.record.log("all processes are started again");
+            }
+        }));
+    }
+    for n in 0_usize.. {
+        if begun.elapsed() > LENGTH {
+            break;
+        }
+        let (d, sent) = (Arc::clone(&d), Arc::clone(&sent));
+        threads.push(thread::spawn(move || {
+            let id = d.new_id();
+            let rotation = d.rotation();
+            let machine = &rotation[n % rotation.len()];
+            sent.lock().unwrap().push(Instant::now());
+            let answer = connect(machine.callers).and_then(|mut io| {
+                let text = head("POST", "/order/7", &id, ORDER_TIMEOUT_MS, 0);
+                io.write_all(text.as_bytes()).ok()?;
+                http::read_answer(&mut io, Duration::from_millis(ORDER_TIMEOUT_MS + 500))
+            });
+            d.record.log(&format!(
+                "{id} at {}: {}",
+                machine.name,
+                describe(answer.as_ref())
+            ));
+        }));
+        let times = if begun.elapsed() < BURST_FROM {
+            1.0
+        } else {
+            BURST
+        };
+        thread::sleep(Duration::from_secs_f64(1.0 / (PER_S * times)));
+    }
+    threads.into_iter().for_each(|t| drop(t.join()));
+    let mut seen = std::collections::HashSet::new();
+    let runs = d.runs.lock().unwrap();
+    let repeats = runs.iter().filter(|(id, _)| !seen.insert(id.clone()));
+    let repeats: Vec<_> = repeats.map(|(_, at)| *at).collect();
+    let sent = sent.lock().unwrap();
+    let within = |times: &[Instant], from: Instant| {
+        times
+            .iter()
+            .filter(|at| **at >= from && **at < from + WINDOW)
+            .count()
+    };
+    let mut is_broken = false;
+    let mut worst = (0, 0.0);
+    for from in &repeats {
+        // The window itself, the one before it and the one half a window before, whichever has most.
+        let earlier = [Duration::ZERO, WINDOW / 2, WINDOW];
+        let starts = earlier
+            .iter()
+            .filter_map(|before| from.checked_sub(*before));
+        let requests = starts.map(|start| within(&sent, start)).max().unwrap_or(0);
+        let allowed = RATIO * requests as f64 + EXTRA;
+        let count = within(&repeats, *from);
+        is_broken |= count as f64 > allowed;
+        if count > worst.0 {
+            worst = (count, allowed);
+        }
+    }
+    d.record.log(&format!(
+        "at most {} arrivals beyond the first of each request in {} s, {:.1} allowed",
+        worst.0,
+        WINDOW.as_secs(),
+        worst.1
+    ));
+    if is_broken { BROKEN } else { HELD }
+}
