--- a/review/rig/cases.rs
+++ b/review/rig/cases.rs
@@ -16,7 +16,7 @@
 
 use crate::{
     http::{self, Answer, Req, respond},
-    platform::{Machine, Record, Server, Store},
+    platform::{self, Machine, Record, Server, Store},
 };
 
 const HELD: u8 = 0;
@@ -30,6 +30,18 @@
 const MAX_BODY_BYTES: usize = 4_194_304;
 
 pub fn run(case: &str, dir: &str, has_trouble: bool) -> u8 {
+    let result = run_case(case, dir, has_trouble);
+    platform::end_all_processes();
+    let _ = fs::remove_dir_all(folder());
+    result
+}
+
+/// Folder of the machines' settings.
+fn folder() -> PathBuf {
+    env::temp_dir().join(format!("review-{}", process::id()))
+}
+
+fn run_case(case: &str, dir: &str, has_trouble: bool) -> u8 {
     match case {
         "log" => log_not_read(dir, has_trouble),
         "half-close" => half_close(dir, has_trouble),
@@ -61,7 +73,7 @@
         F: Fn(&Req, &mut TcpStream) -> bool + Send + Sync + Clone + 'static,
     {
         let record = Record::create(dir);
-        let folder = env::temp_dir().join(format!("review-{}", process::id()));
+        let folder = folder();
         fs::create_dir_all(&folder).ok()?;
         let (store, store_addr) = Store::start();
         let runs: Arc<Mutex<Vec<(String, Instant)>>> = Arc::default();
@@ -172,13 +184,6 @@
     }
 }
 
-impl Drop for Deployment {
-    fn drop(&mut self) {
-        self.machines.iter().for_each(|m| m.kill());
-        let _ = fs::remove_dir_all(&self.folder);
-    }
-}
-
 /// Head of a client's request.
 fn head(method: &str, path: &str, id: &str, deadline_ms: u64, length: usize) -> String {
     format!(
--- a/review/rig/platform.rs
+++ b/review/rig/platform.rs
@@ -478,6 +478,15 @@
     }
 }
 
+/// All machines that were started; none once the case has ended.
+static STARTED: Mutex<Option<Vec<Arc<Machine>>>> = Mutex::new(Some(Vec::new()));
+
+/// Ends all processes that were started. None can be started after that.
+pub fn end_all_processes() {
+    let started = STARTED.lock().unwrap().take();
+    started.iter().flatten().for_each(|m| m.kill());
+}
+
 /// A machine that runs the entry daemon.
 pub struct Machine {
     pub name: String,
@@ -512,11 +521,18 @@
             reads_log: Arc::new(AtomicBool::new(true)),
             log_bytes: Arc::default(),
         });
+        if let Some(started) = STARTED.lock().unwrap().as_mut() {
+            started.push(Arc::clone(&machine));
+        }
         machine.spawn();
         machine
     }
 
     pub fn spawn(&self) {
+        let started = STARTED.lock().unwrap();
+        if started.is_none() {
+            return;
+        }
         let mut child = Command::new("target/release/comfreyweir-entry")
             .arg("--config")
             .arg(&self.settings)
