--- a/review/rig/platform.rs
+++ b/review/rig/platform.rs
@@ -9,7 +9,7 @@
     process::{Child, Command, Stdio},
     sync::{
         Arc, Condvar, Mutex,
-        atomic::{AtomicBool, Ordering},
+        atomic::{AtomicBool, AtomicU32, Ordering},
     },
     thread,
     time::{Duration, Instant},
@@ -422,11 +422,22 @@
     SocketAddr::from(([127, 0, 0, 1], 0))
 }
 
+/// Free ports below those that the system gives to outgoing connections: a process that is started again
+/// needs the same ones.
 fn free_ports(count: usize) -> Vec<SocketAddr> {
-    let held: Vec<_> = (0..count)
-        .map(|_| TcpListener::bind(free_addr()).unwrap())
-        .collect();
-    held.iter().map(|l| l.local_addr().unwrap()).collect()
+    const FIRST: u32 = 20_000;
+    const PORTS: u32 = 12_000;
+    static TRIED: AtomicU32 = AtomicU32::new(0);
+    let mut free = Vec::new();
+    while free.len() < count {
+        let number = std::process::id() * 97 + TRIED.fetch_add(1, Ordering::SeqCst);
+        let port = u16::try_from(FIRST + number % PORTS).expect("it is below 65,536");
+        let addr = SocketAddr::from(([127, 0, 0, 1], port));
+        if TcpListener::bind(addr).is_ok() {
+            free.push(addr);
+        }
+    }
+    free
 }
 
 /// A server of the platform, which writes its entry while it is listed.
