Refuse requests that cannot end before a stopping instance exits

An instance accepts connections for the notice period of a planned stop, and sent what it accepted for as long as 20 ms were left. A stream that was accepted late was cut at the end of the grace period while its upstream worked.

Requests that have not been sent yet are now refused, as not run, if the longest answer of their route in the last 10 to 20 s does not fit into the time left. A smoothed time with four deviations was tried and fell below the slowest one in twelve streams of an even load.

--- a/crates/entry/src/exchange/origins.rs
+++ b/crates/entry/src/exchange/origins.rs
@@ -4,7 +4,10 @@
 //! What the holder learns an exchange period later is lost if all instances are killed meanwhile, and
 //! the streams that have just begun are the ones that are resumed then.
 
-use std::{rc::Rc, time::Duration};
+use std::{
+    rc::Rc,
+    time::{Duration, Instant},
+};
 
 use actix_rt::time::sleep;
 use comfreyweir_fleet::stream_origins::MIN_TIME_SENT;
@@ -22,6 +25,22 @@
 /// Pause after a failed call.
 const RETRY_PAUSE: Duration = Duration::from_millis(100);
 
+/// A stream whose origin the holder is asked for.
+#[derive(Clone, Debug, Default)]
+pub(crate) struct OriginQuery {
+    pub(crate) service: String,
+    /// Requests that wait for the answer.
+    pub(crate) requests: u32,
+    /// Answers of the holder so far.
+    pub(crate) answers: u32,
+    /// Number of streams whose origin the holder remembered at its last answer.
+    pub(crate) holder_remembers: usize,
+    /// Last answer of a holder that had read what the store has.
+    pub(crate) completely_answered_at: Option<Instant>,
+    /// Time for which the holder had the duty at its last answer.
+    pub(crate) holder_tenure: Duration,
+}
+
 /// Calls the holder whenever there is something to tell or to ask. Does not return.
 pub(crate) async fn run<P>(cx: Rc<EntryContext<P>>, coordinator: Rc<Coordinator<P>>)
 where
--- a/crates/entry/src/metrics.rs
+++ b/crates/entry/src/metrics.rs
@@ -77,6 +77,7 @@
     orders: Family<OrderLabels, Counter>,
     notices: Family<NoticeLabel, Counter>,
     limited_sends: Family<SendLabel, Counter>,
+    refused_at_stop: Counter,
     resumptions: Family<ResumptionLabel, Counter>,
     quarantine: Family<QuarantineLabel, Counter>,
     store_copies: Counter,
@@ -96,6 +97,7 @@
             orders: Family::default(),
             notices: Family::default(),
             limited_sends: Family::default(),
+            refused_at_stop: Counter::default(),
             resumptions: Family::default(),
             quarantine: Family::default(),
             store_copies: Counter::default(),
@@ -130,6 +132,11 @@
             "What was sent to upstreams that had named a limit, by kind",
             metrics.limited_sends.clone(),
         );
+        registry.register(
+            "comfreyweir_refused_at_stop",
+            "Requests that were refused because they could not end before the instance stops",
+            metrics.refused_at_stop.clone(),
+        );
         registry.register(
             "comfreyweir_resumptions",
             "Streams that callers resume, by what is known of the software version that began them",
@@ -206,6 +213,11 @@
         self.limited_sends.get_or_create(&SendLabel { kind }).inc();
     }
 
+    /// Counts a request that could not end before this instance stops.
+    pub(crate) fn count_refused_at_stop(&self) {
+        self.refused_at_stop.inc();
+    }
+
     /// Counts a stream that a caller resumes.
     pub(crate) fn count_resumption(&self, outcome: &str) {
         let labels = ResumptionLabel {
--- a/crates/entry/src/serve/attempt.rs
+++ b/crates/entry/src/serve/attempt.rs
@@ -95,8 +95,11 @@
         self.beginning.record_piece(self.cx.now());
     }
 
-    /// Records that the answer is complete.
-    pub(super) fn record_complete(&mut self) {
+    /// Records that the answer to a request of a route is complete.
+    pub(super) fn record_complete(&mut self, route: &str) {
+        let mut run_times = self.cx.run_times.borrow_mut();
+        run_times.record(route, self.elapsed(), self.cx.now());
+        drop(run_times);
         self.note_outcome(Outcome::Good);
         self.beginning.record_past();
     }
--- a/crates/entry/src/serve/pick.rs
+++ b/crates/entry/src/serve/pick.rs
@@ -16,13 +16,15 @@
 };
 use tokio::time::timeout;
 
-use super::{Refusal, admitted::AdmittedRequest};
+use super::{
+    Refusal,
+    admitted::AdmittedRequest,
+    stopping::{self, MIN_TIME_LEFT},
+};
 use crate::{platform::Platform, state::EntryContext};
 
 /// Maximum wait before the candidates are checked again.
 const RECHECK_PERIOD: Duration = Duration::from_millis(100);
-/// Minimum time that a request needs at an upstream; with less time left it is not sent.
-const MIN_TIME_LEFT: Duration = Duration::from_millis(20);
 /// Fraction of its total time for which a request waits while its service has no ready upstream.
 const NO_UPSTREAM_WAIT_FRACTION: f64 = 0.5;
 /// `Retry-After` when no upstream could serve the request.
@@ -101,6 +103,7 @@
         let taken_in = cx.intake_changed.notified();
         let now = cx.now();
         check_key_is_valid(cx, request)?;
+        stopping::check_time_to_stop(cx, request, now)?;
         let ticket = wait.as_ref().and_then(|wait| wait.ticket);
         let may_go = !avoided.is_empty() || is_next(cx, request, ticket, now);
         let choice = if may_go {
@@ -209,11 +212,6 @@
 where
     P: Platform,
 {
-    let until_shutdown = cx.time_to_answer(now);
-    if until_shutdown <= MIN_TIME_LEFT {
-        let reason = "this instance stops: send the request again, so that another takes it";
-        return Err(Refusal::not_run(reason, RETRY_AFTER));
-    }
     let left = request.time_left_to_first_byte(now);
     if left <= MIN_TIME_LEFT {
         return Err(Refusal::not_run(
--- a/crates/entry/src/serve/relay.rs
+++ b/crates/entry/src/serve/relay.rs
@@ -75,7 +75,7 @@
         }
     };
     if answer.status.is_success() {
-        sent.record_complete();
+        sent.record_complete(&request.route.name);
     } else if !answer.status.is_server_error() {
         sent.note_outcome(Outcome::Good);
     }
@@ -219,7 +219,7 @@
                 StreamEnd::Failed(_) => "broken",
             };
             match end {
-                StreamEnd::Complete => self.sent.record_complete(),
+                StreamEnd::Complete => self.sent.record_complete(&self.request.route.name),
                 StreamEnd::Failed(CallError::Incomplete { .. }) => {
                     self.sent.record_broken(&self.request).await;
                 }
--- a/crates/entry/src/serve/resumption.rs
+++ b/crates/entry/src/serve/resumption.rs
@@ -12,9 +12,7 @@
 
 use super::{Refusal, admitted::AdmittedRequest};
 use crate::{
-    follow::origins,
-    platform::Platform,
-    state::{EntryContext, OriginQuery},
+    exchange::origins::OriginQuery, follow::origins, platform::Platform, state::EntryContext,
 };
 
 /// Time in addition to an exchange period in which all instances report to the holder what they have
--- a/crates/entry/src/state.rs
+++ b/crates/entry/src/state.rs
@@ -25,6 +25,7 @@
     quota::{Grant, InstanceQuotas, SILENT_INSTANCE_RESERVE_TIME},
     request::Artifact,
     retry_budget::{BudgetLimits, RetryBudget},
+    run_times::RunTimes,
     store_contact::StoreContact,
     stream_origins::{
         Resumption, SETTLE_TIME, ServedSoftware, SoftwareRecord, SoftwareVersions, StreamKey,
@@ -38,6 +39,7 @@
 use tokio::sync::Notify;
 
 use crate::{
+    exchange::origins::OriginQuery,
     log_limiter::RequestLogLimiter,
     metrics::Metrics,
     platform::{LimitNotice, Platform, PlatformError, UpstreamNotice},
@@ -104,6 +106,8 @@
     /// Notified when the holder is to be told of limits, or asked for permits.
     pub(crate) permits_wanted: Notify,
     pub(crate) prefix_caches: RefCell<PrefixCaches>,
+    /// How long requests run, by route.
+    pub(crate) run_times: RefCell<RunTimes>,
     pub(crate) demand: RefCell<Demand>,
     /// Evidence on prompt parts that end upstreams, and trials of requests with them.
     pub(crate) quarantine: QuarantineState,
@@ -176,22 +180,6 @@
     }
 }
 
-/// A stream whose origin the holder is asked for.
-#[derive(Clone, Debug, Default)]
-pub(crate) struct OriginQuery {
-    pub(crate) service: String,
-    /// Requests that wait for the answer.
-    pub(crate) requests: u32,
-    /// Answers of the holder so far.
-    pub(crate) answers: u32,
-    /// Number of streams whose origin the holder remembered at its last answer.
-    pub(crate) holder_remembers: usize,
-    /// Last answer of a holder that had read what the store has.
-    pub(crate) completely_answered_at: Option<Instant>,
-    /// Time for which the holder had the duty at its last answer.
-    pub(crate) holder_tenure: Duration,
-}
-
 /// The instances of the system and the holder of the planning duty, as read from the store.
 #[derive(Default)]
 pub(crate) struct Members {
@@ -408,6 +396,7 @@
             has_limit_news: Cell::default(),
             permits_wanted: Notify::new(),
             prefix_caches: RefCell::default(),
+            run_times: RefCell::default(),
             demand: RefCell::default(),
             quarantine: QuarantineState::default(),
             intake_limits: RefCell::default(),
--- a/crates/fleet/src/lib.rs
+++ b/crates/fleet/src/lib.rs
@@ -22,6 +22,7 @@
 pub mod report_pacing;
 pub mod request;
 pub mod retry_budget;
+pub mod run_times;
 pub mod store_contact;
 pub mod stream_origins;
 pub mod upstream;
