Allowances: requests wait for units that the shared bucket can cover, in the order of urgency

Cause: an instance refused a request by what its last grant, up to 200 ms old, had left to ask for, and the holder granted parts of what a request needed and went on granting in advance while requests waited.

A request waits as long as the bucket can cover it in time (half of its time at most, or less where its goal needs more), each call to the holder describes the three most urgent ones, the holder covers whole requests in the order of urgency over all instances, and grants nothing in advance while others wait. What cannot be covered in time is refused at once with the time of the refill.

--- a/crates/entry/src/exchange/grants.rs
+++ b/crates/entry/src/exchange/grants.rs
@@ -6,6 +6,7 @@
 use std::{rc::Rc, time::Duration};
 
 use actix_rt::time::sleep;
+use tokio::time::timeout;
 
 use super::{
     client::{ExchangeError, NoHolderSnafu, UnexpectedAnswerSnafu, call_holder},
@@ -29,9 +30,19 @@
 {
     let mut outage_log = OutageLog::new("grants of the holder of the planning duty");
     loop {
-        cx.grant_wanted.notified().await;
-        if !cx.quotas.borrow().has_waiting() {
-            continue;
+        let next_ask = cx.quotas.borrow().next_ask();
+        let wanted = cx.grant_wanted.notified();
+        match next_ask.map(|at| at.saturating_duration_since(cx.now())) {
+            None => {
+                wanted.await;
+                continue;
+            }
+            Some(Duration::ZERO) => {}
+            Some(left) => {
+                // Either way, the time of the next call is read again.
+                let _ = timeout(left, wanted).await;
+                continue;
+            }
         }
         match request_grants(&cx, &coordinator).await {
             Ok(()) => {
@@ -41,7 +52,9 @@
             Err(e) => {
                 outage_log.record_failure(&e, cx.now());
                 sleep(RETRY_PAUSE).await;
-                cx.grant_wanted.notify_one();
+                // Without a grant, the equal share may suffice by now.
+                cx.quotas.borrow_mut().settle(cx.now());
+                cx.grants_changed.notify_waiters();
             }
         }
     }
@@ -57,7 +70,7 @@
     let requested_at = cx.now();
     let request = GrantRequest {
         process: cx.process.clone(),
-        spent: cx.quotas.borrow().awaited_totals(requested_at),
+        spent: cx.quotas.borrow_mut().awaited_totals(requested_at),
     };
     let answer = if coordinator.has_duty() {
         coordinator.grants(&request)
--- a/crates/entry/src/lib.rs
+++ b/crates/entry/src/lib.rs
@@ -7,6 +7,7 @@
 //! accessed through [`platform::Platform`].
 
 mod admin;
+mod allowance_metrics;
 mod duty;
 mod exchange;
 mod follow;
--- a/crates/entry/src/metrics.rs
+++ b/crates/entry/src/metrics.rs
@@ -9,6 +9,8 @@
     registry::Registry,
 };
 
+use crate::allowance_metrics::AllowanceMetrics;
+
 /// Histogram buckets of the time to the first byte, in seconds. They range from requests for a
 /// loaded model to cold starts.
 const FIRST_BYTE_BOUNDS: [f64; 12] = [
@@ -83,14 +85,18 @@
     views: Counter,
     view_bytes: Counter,
     grant_answers: Counter,
+    /// Waits for allowances.
+    pub(crate) allowances: AllowanceMetrics,
     first_byte_seconds: Histograms,
 }
 
 impl Metrics {
     pub(crate) fn new() -> Self {
         let histogram: fn() -> Histogram = || Histogram::new(FIRST_BYTE_BOUNDS);
+        let mut registry = Registry::default();
+        let allowances = AllowanceMetrics::register(&mut registry);
         let metrics = Self {
-            registry: Rc::default(),
+            registry: Rc::new(RefCell::new(registry)),
             answers: Family::default(),
             refusals: Family::default(),
             orders: Family::default(),
@@ -102,6 +108,7 @@
             views: Counter::default(),
             view_bytes: Counter::default(),
             grant_answers: Counter::default(),
+            allowances,
             first_byte_seconds: Family::new_with_constructor(histogram),
         };
         let mut registry = metrics.registry.borrow_mut();
--- a/crates/entry/src/serve/admit.rs
+++ b/crates/entry/src/serve/admit.rs
@@ -3,29 +3,27 @@
 use std::{
     cell::{Cell, RefCell},
     rc::Rc,
-    time::{Duration, Instant},
+    time::Duration,
 };
 
 use actix_http::{
     HttpMessage, Payload, Request, StatusCode,
     header::{self, HeaderMap},
 };
-use comfreyweir_clock::whole_millis;
 use comfreyweir_fleet::{
     config::{Config, Route, Workspace},
     quarantine,
-    quota::OverQuota,
     request::RequestMetadata,
 };
 use comfreyweir_http::{
     body::{ReadError, read_body},
     headers::end_to_end,
 };
-use tokio::time::timeout;
 
 use super::{
     Refusal,
     admitted::{AdmittedRequest, BodyBytesGuard},
+    allowance::{Terms, take_allowance},
     trial,
 };
 use crate::{platform::Platform, state::EntryContext};
@@ -34,10 +32,6 @@
 const CONFIG_RETRY_AFTER: Duration = Duration::from_millis(500);
 /// `Retry-After` of an instance that buffers too many request bodies.
 const MEMORY_RETRY_AFTER: Duration = Duration::from_millis(500);
-/// Maximum wait for a larger allowance grant, as a fraction of the time until the request's deadline.
-/// Long enough for many round trips to the holder of the planning duty, which makes the grants, also
-/// when it is late.
-const GRANT_WAIT_FRACTION: f64 = 0.25;
 /// Total size of buffered request bodies, in bytes, above which no further body is read. A small
 /// part of the memory of the smallest instances.
 const MAX_BUFFERED_BODY_BYTES: usize = 48 << 20;
@@ -74,13 +68,14 @@
         .unwrap_or(Duration::from_millis(limits.deadline_ms));
     let deadline = arrived + requested_time.min(route.time_limit);
     let body = read_request_body(cx, req.headers(), payload, config.limits.body_bytes).await?;
-    let grant_deadline = arrived
-        + deadline
-            .saturating_duration_since(arrived)
-            .mul_f64(GRANT_WAIT_FRACTION);
     let parts = quarantine::shared_parts(&declared.prompt);
     trial::refuse_blocked(cx, &parts, cx.now())?;
-    let cost = take_allowance(cx, workspace.as_deref(), &declared, grant_deadline).await?;
+    let terms = Terms {
+        route: &route,
+        arrived,
+        deadline,
+    };
+    let cost = take_allowance(cx, workspace.as_deref(), &declared, terms).await?;
     let uri = req.uri();
     let path = uri.path_and_query().map_or(uri.path(), |p| p.as_str());
     if let Some(artifact) = &declared.artifact {
@@ -169,107 +164,6 @@
     })
 }
 
-/// Charges the request's cost to its workspace's allowance and returns the cost. If this instance's
-/// grant is too small but the allowance is not exhausted, asks for a larger grant and waits for it
-/// until `wait_until`.
-async fn take_allowance<P>(
-    cx: &Rc<EntryContext<P>>,
-    workspace: Option<&Workspace>,
-    declared: &RequestMetadata,
-    wait_until: Instant,
-) -> Result<u64, Refusal>
-where
-    P: Platform,
-{
-    let Some((workspace, allowance)) = workspace.and_then(|w| Some((w, w.allowance?))) else {
-        return Ok(0);
-    };
-    let name = workspace.name.as_str();
-    let cost = allowance.cost(declared.total_tokens());
-    let instances = cx.instance_count();
-    let take = || {
-        let mut quotas = cx.quotas.borrow_mut();
-        quotas.take(name, allowance, cost, instances, cx.now())
-    };
-    let mut taken = take();
-    cx.quotas.borrow_mut().record_demand(name, cost);
-    let _wait = taken
-        .is_err_and(|over| over.may_grant_more)
-        .then(|| GrantWait::begin(cx, name, cost));
-    while let Err(over) = taken
-        && over.may_grant_more
-    {
-        let changed = cx.grants_changed.notified();
-        cx.grant_wanted.notify_one();
-        let left = wait_until.saturating_duration_since(cx.now());
-        if timeout(left, changed).await.is_err() {
-            break;
-        }
-        taken = take();
-    }
-    taken.map_err(|over| Refusal {
-        status: if over.is_exhausted {
-            StatusCode::TOO_MANY_REQUESTS
-        } else {
-            StatusCode::SERVICE_UNAVAILABLE
-        },
-        ..Refusal::not_run(over_quota_reason(name, cost, &over), over.retry_after)
-    })?;
-    Ok(cost)
-}
-
-/// Reason of a refusal, with the figures that decided it.
-fn over_quota_reason(workspace: &str, cost: u64, over: &OverQuota) -> String {
-    let level = over.level;
-    let result = if over.is_exhausted {
-        "is beyond its allowance"
-    } else {
-        "has no grant for the request here"
-    };
-    let from = match (over.grant_age, over.bucket_level) {
-        (Some(age), Some(bucket)) => {
-            let age_ms = whole_millis(age);
-            format!("a grant of {age_ms} ms ago from a bucket with {bucket:.0}")
-        }
-        _ => "its equal share, without a grant".to_owned(),
-    };
-    format!("workspace {workspace} {result}: {cost} asked, {level:.0} left of {from}")
-}
-
-/// Registers a request as waiting for a larger allowance grant until dropped.
-struct GrantWait<'a, P>
-where
-    P: Platform,
-{
-    cx: &'a EntryContext<P>,
-    workspace: &'a str,
-    cost: u64,
-}
-
-impl<'a, P> GrantWait<'a, P>
-where
-    P: Platform,
-{
-    fn begin(cx: &'a EntryContext<P>, workspace: &'a str, cost: u64) -> Self {
-        cx.quotas.borrow_mut().begin_wait(workspace, cost);
-        Self {
-            cx,
-            workspace,
-            cost,
-        }
-    }
-}
-
-impl<P> Drop for GrantWait<'_, P>
-where
-    P: Platform,
-{
-    fn drop(&mut self) {
-        let mut quotas = self.cx.quotas.borrow_mut();
-        quotas.end_wait(self.workspace, self.cost);
-    }
-}
-
 /// Headers to forward to upstreams: without hop-by-hop headers, the API key, headers that only the
 /// platform may set, and headers that are set for each attempt.
 fn forwarded_headers<P>(cx: &EntryContext<P>, headers: &HeaderMap) -> HeaderMap
--- a/crates/entry/src/serve/mod.rs
+++ b/crates/entry/src/serve/mod.rs
@@ -2,6 +2,7 @@
 
 mod admit;
 mod admitted;
+mod allowance;
 mod attempt;
 mod pick;
 mod refusal;
--- a/crates/fleet/src/intake.rs
+++ b/crates/fleet/src/intake.rs
@@ -97,7 +97,7 @@
     /// Key by which waiting requests are sorted at `now`, the first to be sent first. Requests that
     /// can still meet their goal come first, so that a crowd that is late anyway does not make all
     /// that follow late too.
-    fn order(&self, now: Instant) -> (bool, u8, Instant) {
+    pub(crate) fn order(&self, now: Instant) -> (bool, u8, Instant) {
         let is_late = now + FIRST_BYTE_TIME > self.goal;
         let by = if is_late { self.gives_up } else { self.goal };
         (is_late, self.rank, by)
--- a/crates/fleet/src/quota/holder.rs
+++ b/crates/fleet/src/quota/holder.rs
@@ -7,7 +7,7 @@
 
 use super::{
     EQUAL_SHARE_TIME, GRANT_TTL, Grant, GrantId, UsageTotals, issued_grant::IssuedGrant,
-    shared_bucket::SharedBucket,
+    shared_bucket::SharedBucket, waiting_index::WaitingIndex,
 };
 use crate::config::Allowance;
 
@@ -56,6 +56,8 @@
     /// Costs of requests, by workspace.
     costs: HashMap<String, RequestCosts>,
     processes: HashMap<String, ReportingProcess>,
+    /// Requests that wait for units, by workspace.
+    waiting: HashMap<String, WaitingIndex>,
     /// Instances of which only the previous holder or the store told, by name, with the time since
     /// which they are silent.
     unheard: HashMap<String, Instant>,
@@ -327,6 +329,12 @@
             let before = process.usage.get(workspace).copied();
             let costs = self.costs.entry(workspace.clone()).or_default();
             costs.record(before.map(|usage| usage.totals).as_ref(), totals);
+            if let Some(index) = self.waiting.get_mut(workspace) {
+                index.record(name, totals, now);
+            } else if totals.awaited > 0.0 {
+                let index = self.waiting.entry(workspace.clone()).or_default();
+                index.record(name, totals, now);
+            }
             let shared = shared_bucket(&mut self.buckets, workspace, allowance, now);
             if !contact.has_old_grants {
                 shared.refill(allowance, silent_ratio, now);
@@ -339,7 +347,7 @@
                 None if contact.is_known => shared.charge(totals.spent, contact.was_silent),
                 None => shared.restore(totals, contact.was_silent, now),
             }
-            let mut usage = WorkspaceUsage::after(before, *totals, now);
+            let mut usage = WorkspaceUsage::after(before.as_ref(), *totals, now);
             if totals.last_grant.map(|g| g.id) == Some(usage.granted.id) {
                 usage.granted.confirm();
             }
@@ -407,7 +415,11 @@
         // Parts in which no request fits would be lost to all instances until the next report.
         let advance = level * advance_share;
         let is_useful = advance + per_s * share * GRANT_TTL.as_secs_f64() >= mean_cost;
-        let (advance, share) = if is_useful {
+        let index = self.waiting.get_mut(workspace);
+        let coverage = index.map(|index| index.cover(process, allowance, (free, level), now));
+        let coverage = coverage.unwrap_or_default();
+        // What is granted in advance is missing where requests wait for it.
+        let (advance, share) = if is_useful && !coverage.is_contended() {
             (advance, share)
         } else {
             (0.0, 0.0)
@@ -417,14 +429,11 @@
         };
         let own = process.usage.entry(workspace.to_owned());
         let own = own.or_insert_with(|| WorkspaceUsage::new(UsageTotals::default(), now));
-        let awaited = own.totals.awaited;
-        let is_declined = !is_useful && free < awaited.min(mean_cost);
-        let awaited = if is_declined { 0.0 } else { awaited };
         let before = own.granted;
         let spent_since = own.totals.spent - before.included;
         let left = (before.outstanding(now) - spent_since).max(0.0);
         let kept = if keeps_earlier { left } else { 0.0 };
-        let wanted = awaited.max(advance).max(kept);
+        let wanted = coverage.units.max(advance).max(kept);
         // Outstanding grants lower a grant to 0 at most; a negative level is granted as it is.
         let granted = wanted.min(free.max(level.min(0.0)));
         self.grants += 1;
@@ -454,12 +463,9 @@
             level: granted,
             share,
             included: own.totals.spent,
-            // What is declined must not be offered, or the process would ask again at once.
-            spare: if is_declined {
-                0.0
-            } else {
-                (free - granted).max(0.0)
-            },
+            spare: (free - granted - coverage.elsewhere).max(0.0),
+            ahead: coverage.ahead,
+            ask_again_in: coverage.ask_again_in(per_s, live),
         })
     }
 
@@ -549,7 +555,7 @@
         }
     }
 
-    fn after(before: Option<Self>, totals: UsageTotals, now: Instant) -> Self {
+    fn after(before: Option<&Self>, totals: UsageTotals, now: Instant) -> Self {
         let Some(before) = before else {
             return Self::new(totals, now);
         };
--- a/crates/fleet/src/quota/instance.rs
+++ b/crates/fleet/src/quota/instance.rs
@@ -5,14 +5,19 @@
     time::{Duration, Instant},
 };
 
-use super::{Bucket, EQUAL_SHARE_TIME, GRANT_TTL, Grant, GrantId, LastGrant, UsageTotals};
-use crate::config::Allowance;
+use super::{
+    Bucket, Claim, EQUAL_SHARE_TIME, GRANT_TTL, Grant, GrantId, LastGrant, UsageTotals,
+    waiting::{Waiter, WaitingLine},
+};
+use crate::{config::Allowance, intake::Urgency};
 
 /// Longest `retry_after` of an instance that does not know what is left of the allowance: the caller
 /// may reach another instance.
 const UNKNOWN_RETRY_AFTER: Duration = Duration::from_secs(1);
 /// Age of a grant from which the holder is asked again for what it could not spare then.
 const ASK_AGAIN_AFTER: Duration = Duration::from_millis(200);
+/// Time after which the holder is asked again if no grant has come in answer.
+const UNANSWERED_ASK_INTERVAL: Duration = Duration::from_millis(300);
 
 /// Usage and current grant of each workspace at this instance.
 #[derive(Debug, Default)]
@@ -28,8 +33,14 @@
     asked: f64,
     /// Number of the requests that asked for them.
     requests: f64,
-    /// Units of the requests that currently wait for a larger grant.
-    awaited: f64,
+    /// Requests that wait for a larger grant.
+    line: WaitingLine,
+    /// Allowance and number of sharing instances, as of the last request that began to wait.
+    terms: Option<(Allowance, f64)>,
+    /// Time at which the holder is to be asked for the requests that wait.
+    ask_at: Instant,
+    /// What was ahead of the request that was refused last, and when.
+    backlog: Option<Backlog>,
     grant: Option<ReceivedGrant>,
     /// Equal share of the allowance, used while no grant is fresh.
     equal_share: Bucket,
@@ -37,6 +48,14 @@
     equal_share_until: Instant,
 }
 
+/// Units that are certain to be taken before a request of some urgency.
+#[derive(Clone, Copy, Debug)]
+struct Backlog {
+    urgency: Urgency,
+    units: f64,
+    at: Instant,
+}
+
 /// The last grant that the holder sent for a workspace.
 #[derive(Clone, Copy, Debug)]
 struct ReceivedGrant {
@@ -53,6 +72,10 @@
     included: f64,
     /// Units that the holder could still grant on request.
     spare: f64,
+    /// Time of the message that it answers.
+    reported_at: Instant,
+    /// Units of more urgent requests elsewhere before the first one that waits here.
+    ahead: f64,
 }
 
 impl ReceivedGrant {
@@ -83,6 +106,21 @@
     pub bucket_level: Option<f64>,
 }
 
+impl OverQuota {
+    /// Refusal of a request of which is not known what it lacks: more urgent ones of its instance wait,
+    /// or neither a grant nor an equal share is in force.
+    pub fn undecided() -> Self {
+        Self {
+            retry_after: UNKNOWN_RETRY_AFTER,
+            may_grant_more: false,
+            is_exhausted: false,
+            level: 0.0,
+            grant_age: None,
+            bucket_level: None,
+        }
+    }
+}
+
 impl InstanceQuotas {
     /// Counts `cost` units as demand, whether or not the request is admitted. Has no effect before
     /// the first [`Self::take`] or [`Self::apply_grant`] for the workspace.
@@ -93,24 +131,101 @@
         }
     }
 
-    /// Counts a request that waits for a grant of `cost` more units. Each call needs one
-    /// [`Self::end_wait`].
-    pub fn begin_wait(&mut self, workspace: &str, cost: u64) {
-        if let Some(quota) = self.workspaces.get_mut(workspace) {
-            quota.awaited += units(cost);
+    /// Takes the units of a request, or lets it wait for them and returns its ticket. It waits if the bucket
+    /// of all instances can cover it in its time, beside the more urgent requests that are known to wait.
+    ///
+    /// # Errors
+    ///
+    /// If it cannot be covered in time, or without a fresh grant, if the equal share does not suffice.
+    pub fn request(
+        &mut self,
+        workspace: &str,
+        allowance: Allowance,
+        claim: Claim,
+        instances: usize,
+        now: Instant,
+    ) -> Result<Option<u64>, OverQuota> {
+        #[allow(clippy::cast_precision_loss)]
+        let sharing_instances = instances.max(1) as f64;
+        let quota = self.workspace_quota(workspace, now);
+        let before = quota.line.units_before(&claim, now);
+        let checked = quota.check(allowance, claim.units(), sharing_instances, now);
+        match checked {
+            Ok(()) if before <= 0.0 => {
+                quota.spend(claim.units());
+                return Ok(None);
+            }
+            Ok(()) => {}
+            Err(over) if over.grant_age.is_none() => return Err(over),
+            Err(over) => {
+                let before = before.max(quota.known_backlog(&claim, now));
+                quota.cover_in_time(allowance, &claim, before, over, now)?;
+            }
         }
+        Ok(Some(quota.join(allowance, claim, sharing_instances, now)))
     }
 
-    /// Ends a wait that [`Self::begin_wait`] began with the same cost.
-    pub fn end_wait(&mut self, workspace: &str, cost: u64) {
-        if let Some(quota) = self.workspaces.get_mut(workspace) {
-            quota.awaited -= units(cost);
+    /// Lets a request wait for a larger grant, whether or not the bucket can cover it in its time, and
+    /// returns its ticket. The first one of a workspace in the order of urgency is asked for at once.
+    pub fn begin_wait(
+        &mut self,
+        workspace: &str,
+        allowance: Allowance,
+        claim: Claim,
+        instances: usize,
+        now: Instant,
+    ) -> u64 {
+        #[allow(clippy::cast_precision_loss)]
+        let sharing_instances = instances.max(1) as f64;
+        let quota = self.workspace_quota(workspace, now);
+        quota.join(allowance, claim, sharing_instances, now)
+    }
+
+    /// What was decided on a waiting request; none while it waits. A decided request leaves the line.
+    pub fn outcome(&mut self, workspace: &str, ticket: u64) -> Option<Result<(), OverQuota>> {
+        let quota = self.workspaces.get_mut(workspace)?;
+        quota.line.take_outcome(ticket).map(|(_, outcome)| outcome)
+    }
+
+    /// Ends the wait of a request that no longer needs its units, and returns them if it had been admitted.
+    /// Returns what it lacked if it was still waiting.
+    pub fn leave(&mut self, workspace: &str, ticket: u64, now: Instant) -> Option<OverQuota> {
+        let quota = self.workspaces.get_mut(workspace)?;
+        if let Some((units, outcome)) = quota.line.take_outcome(ticket) {
+            if outcome.is_ok() {
+                quota.spend(-units);
+                quota.settle(now);
+            }
+            return outcome.err();
         }
+        let (allowance, sharing_instances) = quota.terms?;
+        let waiter = quota.line.remove(ticket)?;
+        let claim = waiter.claim;
+        let before = quota.line.units_before(&claim, now) + quota.ahead_of(waiter.joined_at);
+        let checked = quota.check(allowance, claim.units(), sharing_instances, now);
+        quota.settle(now);
+        let over = checked.err()?;
+        Some(quota.lacking(allowance, &claim, before, over, now).0)
+    }
+
+    /// Decides on the requests that wait, from the grants as they are now.
+    pub fn settle(&mut self, now: Instant) {
+        self.workspaces
+            .values_mut()
+            .for_each(|quota| quota.settle(now));
     }
 
     /// Whether any request waits for a larger grant.
     pub fn has_waiting(&self) -> bool {
-        self.workspaces.values().any(|quota| quota.awaited > 0.0)
+        let mut quotas = self.workspaces.values();
+        quotas.any(|quota| !quota.line.is_empty())
+    }
+
+    /// Time at which the holder is to be asked for larger grants; none while no request waits for one.
+    pub fn next_ask(&self) -> Option<Instant> {
+        let waiting = self.workspaces.values();
+        let waiting = waiting.filter(|quota| !quota.line.is_empty());
+        waiting.map(|quota| quota.ask_at).min()
     }
 
     /// Takes `cost` units. Without a fresh grant, this instance may use its equal share among
@@ -145,12 +260,16 @@
             .collect()
     }
 
-    /// Usage of the workspaces for which requests wait for a larger grant, to ask the holder for it.
-    pub fn awaited_totals(&self, now: Instant) -> HashMap<String, UsageTotals> {
-        let awaited = self.workspaces.iter().filter(|(_, s)| s.awaited > 0.0);
+    /// Usage of the workspaces for which requests wait for a larger grant, to ask the holder for it now.
+    pub fn awaited_totals(&mut self, now: Instant) -> HashMap<String, UsageTotals> {
+        let mut awaited = HashMap::new();
+        for (name, quota) in &mut self.workspaces {
+            if !quota.line.is_empty() {
+                quota.ask_at = now + UNANSWERED_ASK_INTERVAL;
+                awaited.insert(name.clone(), quota.totals(now));
+            }
+        }
         awaited
-            .map(|(name, s)| (name.clone(), s.totals(now)))
-            .collect()
     }
 
     /// Replaces the grant of a workspace by one that the holder sent in answer to a report built at
@@ -178,7 +297,17 @@
             share: grant.share,
             included: grant.included,
             spare: grant.spare,
+            reported_at,
+            ahead: grant.ahead,
         });
+        quota.settle(now);
+        let first = quota.line.first(now);
+        let is_described = first.is_some_and(|first| first.joined_at <= reported_at);
+        quota.ask_at = if is_described {
+            now + grant.ask_again_in
+        } else {
+            now
+        };
     }
 
     fn workspace_quota(&mut self, workspace: &str, now: Instant) -> &mut WorkspaceQuota {
@@ -187,7 +316,10 @@
                 spent: 0.0,
                 asked: 0.0,
                 requests: 0.0,
-                awaited: 0.0,
+                line: WaitingLine::default(),
+                terms: None,
+                ask_at: now,
+                backlog: None,
                 grant: None,
                 // Other instances may have spent the whole allowance right before this process
                 // started.
@@ -202,18 +334,133 @@
 
 impl WorkspaceQuota {
     fn totals(&self, now: Instant) -> UsageTotals {
-        UsageTotals {
+        let mut totals = UsageTotals {
             spent: self.spent,
             asked: self.asked,
             requests: self.requests,
-            awaited: self.awaited,
+            awaited: 0.0,
+            waiting: Default::default(),
             last_grant: self.grant.map(|grant| LastGrant {
                 id: grant.id,
                 bucket_level: grant.bucket_level,
                 age: now.saturating_duration_since(grant.received_at),
                 included: grant.included,
             }),
+        };
+        self.line.describe(&mut totals, now);
+        totals
+    }
+
+    fn join(
+        &mut self,
+        allowance: Allowance,
+        claim: Claim,
+        sharing_instances: f64,
+        now: Instant,
+    ) -> u64 {
+        if self.line.units_before(&claim, now) <= 0.0 {
+            self.ask_at = now;
+        }
+        self.terms = Some((allowance, sharing_instances));
+        self.line.join(claim, now)
+    }
+
+    /// Decides on the requests that wait, in the order of their urgency. None is refused without a fresh
+    /// grant: a new holder may cover it.
+    fn settle(&mut self, now: Instant) {
+        let Some((allowance, sharing_instances)) = self.terms else {
+            return;
+        };
+        if self.line.is_empty() {
+            return;
         }
+        let mut line = std::mem::take(&mut self.line);
+        let mut before = 0.0;
+        let decide = |waiter: &Waiter| {
+            let claim = waiter.claim;
+            let units = claim.units();
+            if now >= claim.wait_until() {
+                // Its wait is ended by whoever waits for it.
+                return None;
+            }
+            let checked = self.check(allowance, units, sharing_instances, now);
+            if checked.is_ok() && before <= 0.0 {
+                self.spend(units);
+                return Some(Ok(()));
+            }
+            let ahead = before + self.ahead_of(waiter.joined_at);
+            if let Err(over) = checked
+                && over.grant_age.is_some()
+                && let Err(over) = self.cover_in_time(allowance, &claim, ahead, over, now)
+            {
+                self.backlog = Some(Backlog {
+                    urgency: claim.urgency,
+                    units: ahead,
+                    at: now,
+                });
+                return Some(Err(over));
+            }
+            before += units;
+            None
+        };
+        line.decide(decide, now);
+        self.line = line;
+    }
+
+    /// Units of more urgent requests elsewhere, for a request that joined at `joined_at`: what the holder
+    /// said in answer to an earlier message does not apply to it.
+    fn ahead_of(&self, joined_at: Instant) -> f64 {
+        let grant = self.grant.filter(|grant| joined_at <= grant.reported_at);
+        grant.map_or(0.0, |grant| grant.ahead)
+    }
+
+    /// Units before a new request, as far as they are known from one that was refused lately and was not
+    /// less urgent.
+    fn known_backlog(&self, claim: &Claim, now: Instant) -> f64 {
+        let order = claim.urgency.order(now);
+        let known = self.backlog.filter(|backlog| {
+            now.saturating_duration_since(backlog.at) < ASK_AGAIN_AFTER
+                && backlog.urgency.order(now) <= order
+        });
+        known.map_or(0.0, |backlog| backlog.units)
+    }
+
+    /// What a request lacks if `before` units are taken before it, and whether the refill covers that
+    /// within its time.
+    fn lacking(
+        &self,
+        allowance: Allowance,
+        claim: &Claim,
+        before: f64,
+        over: OverQuota,
+        now: Instant,
+    ) -> (OverQuota, bool) {
+        let Allowance { per_s, burst, .. } = allowance;
+        let grant = self.grant.filter(|grant| now < grant.expires_at);
+        let Some(bucket) = grant.map(|g| g.bucket_level_at(allowance, self.spent, now)) else {
+            return (over, false);
+        };
+        let lacking = claim.units().min(burst) + before - bucket;
+        let left = claim.wait_until().saturating_duration_since(now);
+        let over = OverQuota {
+            retry_after: refill_time(lacking, per_s),
+            is_exhausted: lacking > 0.0,
+            ..over
+        };
+        (over, lacking <= per_s * left.as_secs_f64())
+    }
+
+    /// Whether the bucket of all instances can cover a request within its time.
+    fn cover_in_time(
+        &self,
+        allowance: Allowance,
+        claim: &Claim,
+        before: f64,
+        over: OverQuota,
+        now: Instant,
+    ) -> Result<(), OverQuota> {
+        let (over, is_in_time) = self.lacking(allowance, claim, before, over, now);
+        if is_in_time { Ok(()) } else { Err(over) }
     }
 
     fn take(
@@ -222,6 +469,24 @@
         cost: f64,
         sharing_instances: f64,
         now: Instant,
+    ) -> Result<(), OverQuota> {
+        self.check(allowance, cost, sharing_instances, now)?;
+        self.spend(cost);
+        Ok(())
+    }
+
+    fn spend(&mut self, cost: f64) {
+        self.spent += cost;
+        self.equal_share.take(cost);
+    }
+
+    /// Whether `cost` units can be taken.
+    fn check(
+        &mut self,
+        allowance: Allowance,
+        cost: f64,
+        sharing_instances: f64,
+        now: Instant,
     ) -> Result<(), OverQuota> {
         let Allowance { per_s, burst, .. } = allowance;
         let grant = self.grant.as_mut();
@@ -247,14 +512,7 @@
             let (per_s, burst) = (per_s / sharing_instances, burst / sharing_instances);
             let level = self.equal_share.refill(per_s, burst, now);
             if now >= self.equal_share_until {
-                return Err(OverQuota {
-                    retry_after: UNKNOWN_RETRY_AFTER,
-                    may_grant_more: false,
-                    is_exhausted: false,
-                    level: 0.0,
-                    grant_age,
-                    bucket_level,
-                });
+                return Err(OverQuota::undecided());
             }
             (level, per_s, burst)
         };
@@ -279,8 +537,6 @@
                 bucket_level,
             });
         }
-        self.spent += cost;
-        self.equal_share.take(cost);
         Ok(())
     }
 }
--- a/crates/fleet/src/quota/mod.rs
+++ b/crates/fleet/src/quota/mod.rs
@@ -7,6 +7,13 @@
 //! once. In a large fleet nearly each request needs that, so an instance asks only for what it needs,
 //! beside its reports. Without a fresh grant, an instance admits against an equal share of the allowance.
 //!
+//! A request that the bucket can cover within the time that it may wait, waits for its units. A process
+//! tells the holder its most urgent waiting requests with each call, and the holder covers the waiting
+//! requests of a workspace in the order of their urgency, each of them whole or not at all. While requests
+//! wait, nothing is granted in advance, so that what is not used returns to the bucket with the next
+//! report. A request is refused at once if the bucket cannot cover it in time, beside the more urgent
+//! requests that wait.
+//!
 //! The allowance holds for any number of instances, whatever is cut off, killed or replaced,
 //! because at any time each unit of it can be spent by one instance only:
 //!
@@ -25,6 +32,8 @@
 mod instance;
 mod issued_grant;
 mod shared_bucket;
+mod waiting;
+mod waiting_index;
 
 use std::time::{Duration, Instant};
 
@@ -33,6 +42,7 @@
 pub use self::{
     holder::{GrantAllocator, SILENT_INSTANCE_RESERVE_TIME},
     instance::{InstanceQuotas, OverQuota},
+    waiting::{Claim, DESCRIBED_REQUESTS, WaitingRequest, wait_until},
 };
 
 /// Age after which an instance no longer uses a grant, and the holder no longer counts it.
@@ -81,6 +91,8 @@
     pub requests: f64,
     /// Units of the requests that currently wait for a larger grant.
     pub awaited: f64,
+    /// The most urgent of these requests, in the order of their urgency.
+    pub waiting: [Option<WaitingRequest>; DESCRIBED_REQUESTS],
     /// Bucket state in the last grant that the process received.
     pub last_grant: Option<LastGrant>,
 }
@@ -126,4 +138,9 @@
     pub included: f64,
     /// Units left in the bucket that the holder can still grant on request.
     pub spare: f64,
+    /// Units of more urgent requests that wait at other processes before the first one that waits at this
+    /// process and is not covered by the grant.
+    pub ahead: f64,
+    /// Time after which the process should ask again for requests that still wait.
+    pub ask_again_in: Duration,
 }
