Intake by measured reading speed, and home upstreams of shared prefixes

Cause: with long and short prompts at the same engines, a long prompt is kept from the engine that has its shared part cached as soon as that has anything to read, since the limit of unread tokens is adapted down to 500. It then goes where nothing of it is cached, takes three times as long to read there, and stalls the streams for longer. An instance also knows only the prompts that it has sent itself, which are few among 80 instances.

Change, only for services whose routes have a goal for pauses: an engine may always have as much left to read as it reads within that goal at the speed measured from own answers; and the shared part of a prompt counts as cached at two upstreams that rendezvous hashing gives, once any upstream has load.

--- a/crates/entry/src/serve/mod.rs
+++ b/crates/entry/src/serve/mod.rs
@@ -4,6 +4,7 @@
 mod admitted;
 mod attempt;
 mod pick;
+mod prompt_cost;
 mod refusal;
 mod relay;
 mod resumption;
--- a/crates/entry/src/serve/pick.rs
+++ b/crates/entry/src/serve/pick.rs
@@ -16,7 +16,7 @@
 };
 use tokio::time::timeout;
 
-use super::{Refusal, admitted::AdmittedRequest};
+use super::{Refusal, admitted::AdmittedRequest, prompt_cost::PromptCost};
 use crate::{platform::Platform, state::EntryContext};
 
 /// Maximum wait before the candidates are checked again.
@@ -387,13 +387,6 @@
     let mut limits = cx.intake_limits.borrow_mut();
     let limit = limits.entry(request.service.clone()).or_default();
     let mut is_held_back = false;
-    let mut takes_in = |u: &Rc<Upstream>| {
-        let uncached_tokens = uncached_tokens(&prefix_caches, u, request);
-        let takes_in = request.artifact().is_none()
-            || limit.allows(loads.total(&u.id, now), u.slots, uncached_tokens);
-        is_held_back |= !takes_in;
-        takes_in
-    };
     let usable = |u: &&Rc<Upstream>| {
         !avoided.contains(u, now)
             && !health.is_in_backoff(&u.id, now)
@@ -403,7 +396,13 @@
                 .is_none_or(|a| holds_artifact(cx, u, a, now))
     };
     let upstreams = directory.ready(&request.service).filter(usable);
-    let mut upstreams: Vec<_> = upstreams.filter(|u| takes_in(u)).collect();
+    let mut upstreams: Vec<_> = upstreams.collect();
+    let cost = PromptCost::new(cx, request, &prefix_caches, &upstreams, (&loads, now));
+    upstreams.retain(|u| {
+        let takes_in = cost.is_taken_in(limit, u, loads.total(&u.id, now));
+        is_held_back |= !takes_in;
+        takes_in
+    });
     if request.route.is_resumable && avoided.software.is_none() {
         let versions = cx.software.borrow();
         upstreams.retain(|u| versions.is_settled(&u.service, &u.software, now));
@@ -422,7 +421,7 @@
                 is_near: u.zone == settings.instance.zone,
                 load: loads.total(&u.id, now),
                 slots: u.slots,
-                uncached_tokens: uncached_tokens(&prefix_caches, u, request),
+                uncached_tokens: cost.uncached_tokens(u),
                 failure_rate: health.failure_rate(&u.id, now),
             })
             .collect();
@@ -492,21 +491,6 @@
     }
 }
 
-fn uncached_tokens(
-    prefix_caches: &comfreyweir_fleet::prefix_cache::PrefixCaches,
-    upstream: &Upstream,
-    request: &AdmittedRequest,
-) -> u64 {
-    let Some(artifact) = request.artifact() else {
-        return 0;
-    };
-    let prompt = &request.declared.prompt;
-    if prompt.is_empty() {
-        return request.declared.prompt_tokens();
-    }
-    prefix_caches.uncached_tokens(&upstream.id, artifact, prompt)
-}
-
 /// Whether an engine has an artifact loaded, according to the placement received from the holder of
 /// the planning duty. If that is out of date or does not list the engine, the engine's entry in the
 /// list of upstreams decides, if this instance has read it from the store.
--- a/crates/entry/src/serve/relay.rs
+++ b/crates/entry/src/serve/relay.rs
@@ -267,6 +267,15 @@
         }
     }
 
+    /// Records how fast the upstream has read the prompt.
+    fn record_reading(&self) {
+        if self.request.artifact().is_some() {
+            let mut limits = self.cx.intake_limits.borrow_mut();
+            let limit = limits.entry(self.request.service.clone()).or_default();
+            limit.record_first_event(self.sent.uncached_tokens(), self.sent.elapsed());
+        }
+    }
+
     /// Relays chunks until the stream completes, fails or times out, or the caller disconnects.
     async fn relay_until_end(&mut self) -> StreamEnd {
         loop {
@@ -298,6 +307,7 @@
                 Err(e) => return StreamEnd::Failed(e),
             };
             if self.chunk_times.record_chunk(self.cx.now()) {
+                self.record_reading();
                 self.cx.metrics.observe_first_byte(
                     self.request
                         .workspace
--- a/crates/fleet/src/config.rs
+++ b/crates/fleet/src/config.rs
@@ -192,6 +192,13 @@
         matching.max_by_key(|r| r.prefix.len())
     }
 
+    /// The shortest goal for pauses of the routes to a service; none if no route has one.
+    pub fn pause_goal(&self, service: &str) -> Option<Duration> {
+        let routes = self.routes.values().flatten();
+        let routes = routes.filter(|r| r.targets.iter().any(|t| t.service == service));
+        routes.map(|r| r.pause_goal).filter(|g| !g.is_zero()).min()
+    }
+
     /// Workspace to which an API key belongs.
     pub fn workspace_of(&self, key: &str) -> Option<&Rc<Workspace>> {
         self.workspaces.get(self.keys.get(key)?)
--- a/crates/fleet/src/intake.rs
+++ b/crates/fleet/src/intake.rs
@@ -28,6 +28,14 @@
 /// Time before its goal at which a request has to be sent to meet it.
 const FIRST_BYTE_TIME: Duration = Duration::from_millis(50);
 
+/// Prompts below this number of uncached tokens tell little of the speed of reading.
+const MIN_MEASURED_TOKENS: u64 = 1_000;
+/// Fraction of prompts that are read more slowly than the measured speed. Most prompts wait at the
+/// engine before they are read.
+const SLOWER_FRACTION: f64 = 0.9;
+/// Relative step by which the measured speed follows a prompt.
+const SPEED_STEP: f64 = 0.2;
+
 /// Limit of the prompt tokens that each engine of a service may have left to read. It follows the
 /// pauses that streams show.
 #[derive(Clone, Copy, Debug)]
@@ -36,6 +44,8 @@
     decreased_at: Option<Instant>,
     /// Whether the limit has held a request back since it was last increased.
     has_held_back: bool,
+    /// Measured speed of reading prompts in tokens per ms; 0 before the first prompt.
+    tokens_per_ms: f64,
 }
 
 impl Default for IntakeLimit {
@@ -44,6 +54,7 @@
             tokens: INITIAL_TOKENS,
             decreased_at: None,
             has_held_back: false,
+            tokens_per_ms: 0.0,
         }
     }
 }
@@ -52,12 +63,56 @@
     /// Whether an engine with `slots` slots and the load `load`, from all instances, may take a
     /// request with `uncached_tokens` prompt tokens to read.
     pub fn allows(&self, load: Load, slots: u32, uncached_tokens: u64) -> bool {
+        self.allows_within(load, slots, uncached_tokens, Duration::ZERO)
+    }
+
+    /// As [`Self::allows`], for a service whose streams have a goal for pauses, zero if they have
+    /// none. An engine may always have as many tokens left to read as it reads within the goal at
+    /// the measured speed, which is too low by the time to the first event of an unloaded engine.
+    /// Fewer would make prompts wait, and go where less of them is cached, without a gain for the
+    /// streams.
+    pub fn allows_within(
+        &self,
+        load: Load,
+        slots: u32,
+        uncached_tokens: u64,
+        pause_goal: Duration,
+    ) -> bool {
         if load.running >= slots.max(1) {
             return false;
         }
         #[allow(clippy::cast_precision_loss)]
         let unread = (load.uncached_tokens + uncached_tokens) as f64;
-        load.starting == 0 || unread <= self.tokens
+        load.starting == 0 || unread <= self.tokens.max(self.readable(pause_goal))
+    }
+
+    /// Tokens that an engine reads in a pause of the length of the goal.
+    fn readable(&self, pause_goal: Duration) -> f64 {
+        let ms = pause_goal.as_secs_f64() * 1e3;
+        (self.tokens_per_ms * ms).min(MAX_TOKENS)
+    }
+
+    /// Measured speed at which engines of the service read prompts, in tokens per ms; 0 before the
+    /// first prompt that was long enough.
+    pub fn tokens_per_ms(&self) -> f64 {
+        self.tokens_per_ms
+    }
+
+    /// Records the time from sending a prompt with `uncached_tokens` tokens to the first event of its
+    /// answer.
+    pub fn record_first_event(&mut self, uncached_tokens: u64, time: Duration) {
+        if uncached_tokens < MIN_MEASURED_TOKENS || time.is_zero() {
+            return;
+        }
+        #[allow(clippy::cast_precision_loss)]
+        let speed = uncached_tokens as f64 / (time.as_secs_f64() * 1e3);
+        if self.tokens_per_ms == 0.0 {
+            self.tokens_per_ms = speed;
+        } else if speed > self.tokens_per_ms {
+            self.tokens_per_ms *= 1.0 + SPEED_STEP * SLOWER_FRACTION;
+        } else {
+            self.tokens_per_ms *= 1.0 - SPEED_STEP * (1.0 - SLOWER_FRACTION);
+        }
     }
 
     /// Records that a request was held back by the limit.
--- a/crates/fleet/src/request.rs
+++ b/crates/fleet/src/request.rs
@@ -92,6 +92,11 @@
         text
     }
 
+    /// Tokens of the prompt part that no other request shares.
+    pub fn unshared_tokens(&self) -> u64 {
+        self.prompt.last().map_or(0, |part| u64::from(part.tokens))
+    }
+
     /// Identifier of the last prompt part that other requests may share: the last but one. None for
     /// prompts of fewer than two parts.
     pub fn shared_prefix_id(&self) -> Option<u64> {
--- a/crates/fleet/src/upstream_choice.rs
+++ b/crates/fleet/src/upstream_choice.rs
@@ -50,15 +50,38 @@
     best.map(|(_, i)| i)
 }
 
+/// The two upstreams that are assumed to have a shared prefix cached, by rendezvous hashing: every
+/// instance with the same upstreams computes the same ones and sends requests with the prefix there,
+/// so that others need not be told of the prompts that an instance has sent. Two, so that the
+/// requests of one prefix do not depend on the room of one upstream.
+pub fn home_upstreams<'a, I>(ids: I, shared_prefix_id: u64) -> [Option<&'a str>; 2]
+where
+    I: IntoIterator<Item = &'a str>,
+{
+    let (mut first, mut second) = (None, None);
+    for id in ids {
+        let weighted = Some((weight(shared_prefix_id, id), id));
+        if weighted > first {
+            second = first;
+            first = weighted;
+        } else if weighted > second {
+            second = weighted;
+        }
+    }
+    [first, second].map(|home| home.map(|(_, id)| id))
+}
+
+fn weight(shared_prefix_id: u64, id: &str) -> u64 {
+    let mut hasher = DefaultHasher::new();
+    (shared_prefix_id, id).hash(&mut hasher);
+    hasher.finish()
+}
+
 /// The upstream that requests with a shared prefix prefer, by rendezvous hashing: every instance
 /// with the same candidates computes the same one.
 fn preferred_upstream(candidates: &[Candidate<'_>], shared_prefix_id: u64) -> Option<usize> {
-    let weight = |c: &Candidate<'_>| {
-        let mut hasher = DefaultHasher::new();
-        (shared_prefix_id, c.id).hash(&mut hasher);
-        hasher.finish()
-    };
-    let weighted = candidates.iter().enumerate().map(|(i, c)| (weight(c), i));
+    let candidates = candidates.iter().enumerate();
+    let weighted = candidates.map(|(i, c)| (weight(shared_prefix_id, c.id), i));
     weighted.max().map(|(_, i)| i)
 }
 
