--- a/crates/entry/src/serve/mod.rs
+++ b/crates/entry/src/serve/mod.rs
@@ -5,6 +5,7 @@
 mod allowance;
 mod attempt;
 mod pick;
+mod prompt_cost;
 mod refusal;
 mod relay;
 mod resumption;
