Let requests wait for the first grants after a restart of all instances

Without a fresh grant, an instance refused each request that its equal share, which begins empty, did not cover.

Requests now wait while a grant is expected, 3.5 s from the last contact with a holder or the first use.

--- a/crates/fleet/src/quota/instance.rs
+++ b/crates/fleet/src/quota/instance.rs
@@ -16,6 +16,10 @@
 const UNKNOWN_RETRY_AFTER: Duration = Duration::from_secs(1);
 /// Age of a grant from which the holder is asked again for what it could not spare then.
 const ASK_AGAIN_AFTER: Duration = Duration::from_millis(200);
+/// Time after the last contact with a holder, or after the start of this process, in which a grant is
+/// expected and requests wait for it: a lost holder's lease lapses within 2 s, and its successor grants
+/// nothing for up to [`GRANT_TTL`].
+const GRANT_EXPECTED_TIME: Duration = Duration::from_secs(2).saturating_add(GRANT_TTL);
 /// Time after which the holder is asked again if no grant has come in answer.
 const UNANSWERED_ASK_INTERVAL: Duration = Duration::from_millis(300);
 
@@ -23,6 +27,8 @@
 #[derive(Debug, Default)]
 pub struct InstanceQuotas {
     workspaces: HashMap<String, WorkspaceQuota>,
+    /// Time of the last contact with a holder, or before any, of the first use.
+    contact_at: Option<Instant>,
 }
 
 #[derive(Debug)]
@@ -46,6 +52,8 @@
     equal_share: Bucket,
     /// Time until which the equal share may be used.
     equal_share_until: Instant,
+    /// Time until which a grant is expected although none is fresh.
+    grant_expected_until: Instant,
 }
 
 /// Units that are certain to be taken before a request of some urgency.
@@ -136,7 +144,7 @@
     ///
     /// # Errors
     ///
-    /// If it cannot be covered in time, or without a fresh grant, if the equal share does not suffice.
+    /// If it cannot be covered in time, or if the equal share does not suffice and no grant is expected.
     pub fn request(
         &mut self,
         workspace: &str,
@@ -156,7 +164,11 @@
                 return Ok(None);
             }
             Ok(()) => {}
-            Err(over) if over.grant_age.is_none() => return Err(over),
+            Err(over) if over.grant_age.is_none() => {
+                if now >= quota.grant_expected_until {
+                    return Err(over);
+                }
+            }
             Err(over) => {
                 let before = before.max(quota.known_backlog(&claim, now));
                 quota.cover_in_time(allowance, &claim, before, over, now)?;
@@ -281,6 +293,7 @@
         reported_at: Instant,
         now: Instant,
     ) {
+        self.contact_at = self.contact_at.max(Some(reported_at));
         let quota = self.workspace_quota(workspace, now);
         let is_older =
             |known: GrantId| known.fence == grant.id.fence && known.number > grant.id.number;
@@ -288,6 +301,7 @@
             return;
         }
         quota.equal_share_until = quota.equal_share_until.max(reported_at + EQUAL_SHARE_TIME);
+        quota.grant_expected_until = reported_at + GRANT_EXPECTED_TIME;
         quota.grant = Some(ReceivedGrant {
             id: grant.id,
             bucket_level: grant.bucket_level,
@@ -325,6 +339,7 @@
                 // started.
                 equal_share: Bucket::new(0.0, now),
                 equal_share_until: now + EQUAL_SHARE_TIME,
+                grant_expected_until: *self.contact_at.get_or_insert(now) + GRANT_EXPECTED_TIME,
             };
             self.workspaces.insert(workspace.to_owned(), quota);
         }
@@ -365,8 +380,8 @@
         self.line.join(claim, now)
     }
 
-    /// Decides on the requests that wait, in the order of their urgency. None is refused without a fresh
-    /// grant: a new holder may cover it.
+    /// Decides on the requests that wait, in the order of their urgency. Without a fresh grant, none is
+    /// refused while one is expected: a new holder may cover it.
     fn settle(&mut self, now: Instant) {
         let Some((allowance, sharing_instances)) = self.terms else {
             return;
@@ -388,6 +403,12 @@
                 self.spend(units);
                 return Some(Ok(()));
             }
+            if let Err(over) = checked
+                && over.grant_age.is_none()
+                && now >= self.grant_expected_until
+            {
+                return Some(Err(over));
+            }
             let ahead = before + self.ahead_of(waiter.joined_at);
             if let Err(over) = checked
                 && over.grant_age.is_some()
