Write the log through a bounded queue and a writer thread

Cause: the daemon's only thread wrote each log line to standard error.

Change: the new crate `log` has a sink that puts lines into a queue of at most 1 MiB and a thread that writes them. Lines that do not fit are dropped and counted, and one line states their number where they are missing.

--- a/crates/core/src/daemon.rs
+++ b/crates/core/src/daemon.rs
@@ -79,9 +79,10 @@
         Ok(settings) => settings,
         Err(e) => return report_error(program, &e, EXIT_USAGE),
     };
-    if let Err(e) = logging::init(logging::Verbosity::Info) {
-        return report_error(program, &e, EXIT_FAILED);
-    }
+    let log = match logging::init(logging::Verbosity::Info) {
+        Ok(log) => log,
+        Err(e) => return report_error(program, &e, EXIT_FAILED),
+    };
     actix_rt::System::new().block_on(async {
         let settings_file = WatchedSettingsFile {
             path,
@@ -90,7 +91,10 @@
         };
         match serve(program, spawn(settings), settings_file, reload, stop).await {
             Ok(()) => ExitCode::SUCCESS,
-            Err(e) => report_error(program, &e, EXIT_FAILED),
+            Err(e) => {
+                log.write_text(&format!("{}: {e}", program.name));
+                ExitCode::from(EXIT_FAILED)
+            }
         }
     })
 }
@@ -243,6 +247,7 @@
     )
 }
 
+/// Reports an error on standard error, directly: only before the log is set up.
 fn report_error<E>(program: Program, e: &E, code: u8) -> ExitCode
 where
     E: Display,
--- a/crates/core/src/dev.rs
+++ b/crates/core/src/dev.rs
@@ -123,12 +123,16 @@
     } else {
         logging::Verbosity::Warnings
     };
-    if let Err(e) = logging::init(verbosity) {
-        return report_error(&e, EXIT_FAILED);
-    }
+    let log = match logging::init(verbosity) {
+        Ok(log) => log,
+        Err(e) => return report_error(&e, EXIT_FAILED),
+    };
     match actix_rt::System::new().block_on(run(options)) {
         Ok(()) => ExitCode::SUCCESS,
-        Err(e) => report_error(&e, EXIT_FAILED),
+        Err(e) => {
+            log.write_text(&format!("comfreyweir dev: {e}"));
+            ExitCode::from(EXIT_FAILED)
+        }
     }
 }
 
--- a/crates/entry/src/metrics.rs
+++ b/crates/entry/src/metrics.rs
@@ -145,6 +145,11 @@
             "Times that the store has come back from a copy",
             metrics.store_copies.clone(),
         );
+        registry.register(
+            "comfreyweir_log_lines_dropped",
+            "Log lines dropped since the start because the log was not read in time",
+            comfreyweir_log::dropped_lines(),
+        );
         registry.register(
             "comfreyweir_views",
             "Views of the whole system that this instance sent to others as the holder",
--- a/crates/gate/src/metrics.rs
+++ b/crates/gate/src/metrics.rs
@@ -176,6 +176,11 @@
     fn register(&self) {
         let mut registry = self.registry.borrow_mut();
         let registry = registry.sub_registry_with_prefix("comfreyweir_gate");
+        registry.register(
+            "log_lines_dropped",
+            "Log lines dropped since the start because the log was not read in time",
+            comfreyweir_log::dropped_lines(),
+        );
         registry.register(
             "waiting_seconds",
             "Time from arrival until a request was sent upstream",
--- a/crates/planner/src/metrics.rs
+++ b/crates/planner/src/metrics.rs
@@ -89,6 +89,11 @@
 
     fn build_registry(&self) -> Registry {
         let mut registry = Registry::with_prefix("comfreyweir_planner");
+        registry.register(
+            "log_lines_dropped",
+            "Log lines dropped since the start because the log was not read in time",
+            comfreyweir_log::dropped_lines(),
+        );
         registry.register(
             "cold_starts",
             "Loads that have ended, by place of the checkpoint",
