Answer orders of callers that close only their sending direction

Cause: the end of a caller's input counted as its disconnect. On loopback nothing tells such a caller from one that has closed both directions before something is written (docs/design/requests.md).

Change: an order goes on after the end of input and is answered; it ends when the connection fails. A request that may be repeated, and a stream, are cancelled as before, but the connection is closed without a status. The same holds for all requests of a gate.

--- a/crates/entry/src/serve/admitted.rs
+++ b/crates/entry/src/serve/admitted.rs
@@ -86,6 +86,13 @@
         self.route.may_retry()
     }
 
+    /// Whether the end of the caller's input ends the request. A caller that has left looks the same as
+    /// one that still reads. What may run again, and a stream, is work for nobody if it has left. A
+    /// request that may run only once is answered, since its run cannot be taken back.
+    pub(crate) fn ends_with_input(&self) -> bool {
+        self.route.kind != RouteKind::NonIdempotent
+    }
+
     /// Whether the answer is an event stream.
     pub(crate) fn is_stream(&self) -> bool {
         self.route.kind == RouteKind::Stream
--- a/crates/entry/src/serve/mod.rs
+++ b/crates/entry/src/serve/mod.rs
@@ -10,7 +10,7 @@
 mod retry;
 mod trial;
 
-use std::{convert::Infallible, rc::Rc};
+use std::{convert::Infallible, future::Future, rc::Rc};
 
 use actix_http::{
     ConnectionType, HttpMessage, Request, Response, StatusCode,
@@ -47,19 +47,13 @@
     let artifact = declared.artifact.as_ref().map(Artifact::key);
     let prompt = declared.prompt_text();
     let answer = answer(&cx, &req, payload, declared, caller.clone());
-    let answered = match &caller {
-        Some(caller) => tokio::select! {
-            answered = answer => answered,
-            () = caller.disconnected() => {
-                log_disconnected(&cx, id.as_deref(), arrived);
-                return Ok(disconnected_response());
-            }
-        },
-        None => answer.await,
-    };
-    let mut res = match answered {
+    let mut res = match unless_failed(caller.as_ref(), answer).await {
         Ok(res) => res,
-        Err(refusal) => {
+        Err(Unanswered::CallerLeft) => {
+            log_disconnected(&cx, id.as_deref(), arrived);
+            return Ok(close_unanswered(caller.as_ref()));
+        }
+        Err(Unanswered::Refused(refusal)) => {
             let request = (id.as_deref(), artifact.as_deref(), prompt.as_str());
             log_refused(&cx, request, &refusal, arrived);
             refusal.to_response()
@@ -72,26 +66,59 @@
     Ok(res.map_body(|_, body| attach_guard(body, guard)))
 }
 
+/// Why a request gets no answer of an upstream.
+enum Unanswered {
+    Refused(Refusal),
+    CallerLeft,
+}
+
+impl From<Refusal> for Unanswered {
+    fn from(refusal: Refusal) -> Self {
+        Self::Refused(refusal)
+    }
+}
+
 async fn answer<P>(
     cx: &Rc<EntryContext<P>>,
     req: &Request,
     payload: actix_http::Payload,
     declared: comfreyweir_fleet::request::RequestMetadata,
     caller: Option<CallerConnection>,
-) -> Result<Response<BoxBody>, Refusal>
+) -> Result<Response<BoxBody>, Unanswered>
 where
     P: Platform,
 {
     let mut request = admit::admit(cx, req, payload, declared).await?;
     request.caller = caller;
     let request = Rc::new(request);
-    let answered = retry::send_with_retries(cx, &request).await;
+    let sending = retry::send_with_retries(cx, &request);
+    let answered = match &request.caller {
+        Some(caller) if request.ends_with_input() => tokio::select! {
+            answered = sending => answered,
+            () = caller.closed() => return Err(Unanswered::CallerLeft),
+        },
+        _ => sending.await,
+    };
     if let Err(refusal) = &answered
         && !refusal.may_have_run
     {
         request.refund_allowance(cx);
     }
-    answered
+    Ok(answered?)
+}
+
+/// Waits for the answer unless the caller's connection fails before.
+async fn unless_failed<T>(
+    caller: Option<&CallerConnection>,
+    answer: impl Future<Output = Result<T, Unanswered>>,
+) -> Result<T, Unanswered> {
+    let Some(caller) = caller else {
+        return answer.await;
+    };
+    tokio::select! {
+        answered = answer => answered,
+        () = caller.failed() => Err(Unanswered::CallerLeft),
+    }
 }
 
 fn echo_id<P>(cx: &EntryContext<P>, res: &mut Response<BoxBody>, id: Option<&str>)
@@ -147,9 +174,14 @@
     spdlog::info!("caller left before the answer", kv: { request_id, ms });
 }
 
-/// Response that ends the handler after the caller disconnected; it is never read.
-fn disconnected_response() -> Response<BoxBody> {
-    let mut res = Response::new(StatusCode::REQUEST_TIMEOUT).map_into_boxed_body();
+/// Closes the caller's connection without a response: a status would promise that the request has not
+/// run, or that it is unknown, to a caller that may still read.
+fn close_unanswered(caller: Option<&CallerConnection>) -> Response<BoxBody> {
+    if let Some(caller) = caller {
+        caller.abort();
+    }
+    // Ends the handler; it is not written.
+    let mut res = Response::new(StatusCode::BAD_GATEWAY).map_into_boxed_body();
     res.head_mut().set_connection_type(ConnectionType::Close);
     res
 }
--- a/crates/entry/src/serve/relay.rs
+++ b/crates/entry/src/serve/relay.rs
@@ -281,7 +281,7 @@
             let read = tokio::select! {
                 read = body.next(stall_timeout) => read,
                 () = self.tx.closed() => return StreamEnd::CallerLeft,
-                () = caller_disconnected(&self.request) => return StreamEnd::CallerLeft,
+                () = caller_closed(&self.request) => return StreamEnd::CallerLeft,
             };
             let piece = match read {
                 Ok(Some(piece)) => piece,
@@ -426,13 +426,13 @@
             let picked = tokio::select! {
                 picked = pick::pick(&self.cx, &self.request, &avoided) => picked,
                 () = self.tx.closed() => return false,
-                () = caller_disconnected(&self.request) => return false,
+                () = caller_closed(&self.request) => return false,
             };
             let Ok(picked) = picked else { return false };
             let may_send = tokio::select! {
                 may = trial::may_send(&self.cx, &self.request, &mut trial, self.cx.now()) => may,
                 () = self.tx.closed() => return false,
-                () = caller_disconnected(&self.request) => return false,
+                () = caller_closed(&self.request) => return false,
             };
             match may_send {
                 Ok(true) => {}
@@ -453,7 +453,7 @@
                     time_left,
                 ) => attempt,
                 () = self.tx.closed() => return false,
-                () = caller_disconnected(&self.request) => return false,
+                () = caller_closed(&self.request) => return false,
             };
             if let AttemptResult::NotPermitted(unused) = attempt {
                 (trial, has_retry) = (unused, true);
@@ -486,10 +486,11 @@
     answer.status == StatusCode::OK && answer.body.may_be_events()
 }
 
-/// Completes when the caller has closed its connection; never if the connection is not known.
-async fn caller_disconnected(request: &AdmittedRequest) {
+/// Completes when the caller has closed its sending direction, or its connection has failed; never if
+/// the connection is not known.
+async fn caller_closed(request: &AdmittedRequest) {
     match &request.caller {
-        Some(caller) => caller.disconnected().await,
+        Some(caller) => caller.closed().await,
         None => std::future::pending().await,
     }
 }
--- a/crates/gate/src/handler.rs
+++ b/crates/gate/src/handler.rs
@@ -39,9 +39,10 @@
     let result = match caller {
         Some(caller) => tokio::select! {
             result = response => result,
-            () = caller.disconnected() => {
+            () = caller.closed() => {
                 request_log.log_caller_left();
-                return Ok(caller_left_response());
+                caller.abort();
+                return Ok(unwritten_response());
             }
         },
         None => response.await,
@@ -135,9 +136,9 @@
     ))
 }
 
-/// Response that ends the handler of a caller that has disconnected; it is not read by anyone.
-fn caller_left_response() -> Response<BoxBody> {
-    let mut res = Response::new(StatusCode::REQUEST_TIMEOUT).map_into_boxed_body();
+/// Response that ends the handler of an aborted connection; it is not written.
+fn unwritten_response() -> Response<BoxBody> {
+    let mut res = Response::new(StatusCode::BAD_GATEWAY).map_into_boxed_body();
     res.head_mut()
         .set_connection_type(actix_http::ConnectionType::Close);
     res
--- a/crates/http/src/caller.rs
+++ b/crates/http/src/caller.rs
@@ -75,6 +75,8 @@
     has_read_since_request: Cell<bool>,
     /// Bytes that the connection may still receive before the next request.
     receivable_bytes: Cell<u64>,
+    /// Whether nothing more may be written.
+    is_aborted: Cell<bool>,
 }
 
 /// What a connection waits for while no request is being answered.
@@ -111,6 +113,7 @@
             active_requests: Cell::new(0),
             has_read_since_request: Cell::new(false),
             receivable_bytes: Cell::new(u64::MAX),
+            is_aborted: Cell::new(false),
         };
         Self {
             shared: Rc::new(shared),
@@ -192,9 +195,12 @@
         self.0.receivable_bytes.set(receivable);
     }
 
-    /// Completes when the caller has closed its side of the connection, or the connection has
+    /// Completes when the caller has closed at least its sending direction, or the connection has
     /// failed.
-    pub async fn disconnected(&self) {
+    ///
+    /// A caller that has closed both directions cannot be told from one that still reads before
+    /// something is written: both have sent the end of their input, and nothing else.
+    pub async fn closed(&self) {
         loop {
             match self.0.io.ready(Interest::READABLE).await {
                 Ok(readiness) if !readiness.is_read_closed() => {}
@@ -203,6 +209,24 @@
             sleep(POLL_INTERVAL).await;
         }
     }
+
+    /// Completes when the connection has failed, as when the caller has reset it, or has closed it in
+    /// both directions and something was written since. The end of input alone does not count.
+    pub async fn failed(&self) {
+        loop {
+            match self.0.io.ready(Interest::ERROR).await {
+                Ok(readiness) if !readiness.is_error() => {}
+                _ => return,
+            }
+            sleep(POLL_INTERVAL).await;
+        }
+    }
+
+    /// Closes the connection without writing anything more. Once the handler ends, the HTTP server
+    /// closes it instead of writing the response.
+    pub fn abort(&self) {
+        self.0.is_aborted.set(true);
+    }
 }
 
 impl Drop for ActiveRequest {
@@ -244,6 +268,9 @@
         cx: &mut Context<'_>,
         buf: &[u8],
     ) -> Poll<io::Result<usize>> {
+        if self.shared.is_aborted.get() {
+            return Poll::Ready(Err(io::ErrorKind::BrokenPipe.into()));
+        }
         loop {
             let Poll::Ready(readiness) = self.shared.io.poll_write_ready(cx) else {
                 ready!(self.poll_stall_timeout(cx))?;
