Treat answers without a valid status as no answers

Cause: the HTTP client takes any three digits that do not begin with 0 as a status, so answers with 600 and 999 were passed on to callers, and an order that was answered so counted as refused, though it may have taken effect. Informational answers to HEAD were taken for the final one.

The filter for heads drops informational answers to HEAD too.

--- a/crates/http/src/upstream/head_filter.rs
+++ b/crates/http/src/upstream/head_filter.rs
@@ -27,16 +27,19 @@
     searched: usize,
     /// Whether buffered bytes may be pulled.
     is_released: bool,
+    /// Whether the answer may have a body.
+    has_body: bool,
 }
 
 impl HeadFilter {
-    /// Creates a filter for one answer. If the answer cannot have a body (`has_body` is false), the
-    /// filter changes nothing.
+    /// Creates a filter for one answer. If the answer cannot have a body (`has_body` is false), its
+    /// version is not changed.
     pub(super) fn new(has_body: bool) -> Self {
         Self {
             buf: BytesMut::new(),
             searched: 0,
-            is_released: !has_body,
+            is_released: false,
+            has_body,
         }
     }
 
@@ -61,7 +64,7 @@
                 self.buf.advance(length);
                 continue;
             }
-            if ends_with_connection(head) {
+            if self.has_body && ends_with_connection(head) {
                 head[..HTTP_10.len()].copy_from_slice(HTTP_10);
             }
             self.is_released = true;
--- a/crates/http/src/upstream/mod.rs
+++ b/crates/http/src/upstream/mod.rs
@@ -13,7 +13,7 @@
 use std::{cell::RefCell, io, net::SocketAddr, rc::Rc, time::Duration};
 
 use actix_http::{
-    Method,
+    Method, StatusCode,
     body::MessageBody,
     header::{HeaderMap, HeaderName, HeaderValue},
 };
@@ -32,6 +32,12 @@
 /// Default timeout for opening a connection to an upstream.
 const CONNECT_TIMEOUT: Duration = Duration::from_secs(1);
 
+/// Whether an answer's status is one of HTTP, from 100 to 599. The HTTP client also takes all other
+/// numbers of three digits that do not begin with 0.
+pub fn is_valid_status(status: StatusCode) -> bool {
+    (100..600).contains(&status.as_u16())
+}
+
 /// Which connections a call may use.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub enum ConnectionKind {
@@ -77,6 +83,14 @@
         /// Cause, for logs.
         reason: String,
     },
+    /// The status of the answer is none: it is not between 100 and 599.
+    #[snafu(display("upstream {addr} answered with {status}, which is no status"))]
+    InvalidStatus {
+        /// Address of the upstream.
+        addr: SocketAddr,
+        /// The number in the answer.
+        status: u16,
+    },
     /// The answer carries the identifier of another request, or lacks one that it needs.
     #[snafu(display("upstream {addr} answered another request"))]
     WrongRequestId {
@@ -197,6 +211,11 @@
             addr,
             reason: e.to_string(),
         })?;
+        let status = res.status();
+        if !is_valid_status(status) {
+            let status = status.as_u16();
+            return InvalidStatusSnafu { addr, status }.fail();
+        }
         let echoed_id = res
             .headers()
             .get(&call.id_header)
