Evacuation of availability zones, and home regions

The operator can evacuate a zone by a key in the store; nothing of that was known. fleet::zones decides whether an upstream may be used by its zone. The holder watches the evacuations and passes them on with each view; an instance whose information is too old reads the store, and one that finds no holder gets them from any instance. They apply to the choice of upstreams, right before sending, and to orders. The planner treats engines of evacuated zones as draining and loads models with demand elsewhere. Routes and workspaces may have home regions. Evacuations are followed only with timing.evacuation_ms.

--- a/crates/config/src/entry_settings.rs
+++ b/crates/config/src/entry_settings.rs
@@ -1,8 +1,8 @@
 //! Settings of the entry daemon.
 
-use std::{net::SocketAddr, time::Duration};
+use std::{collections::BTreeMap, net::SocketAddr, time::Duration};
 
-use serde::{Deserialize, Serialize};
+use serde::{Deserialize, Deserializer, Serialize, de::Error};
 
 use crate::{
     settings::RequestLimits,
@@ -40,6 +40,12 @@
     pub name: String,
     /// Availability zone of the instance.
     pub zone: String,
+    /// Region of that zone; none if it is not known.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub region: Option<String>,
+    /// Regions by availability zone.
+    #[serde(default, deserialize_with = "table_or_json")]
+    pub zones: BTreeMap<String, String>,
     /// CPU capacity of the instance, in cores.
     #[serde(default = "one_core")]
     pub cores: f64,
@@ -48,6 +54,36 @@
     pub link_mbps: f64,
 }
 
+/// Reads a table, or a string with a JSON object: a template can fill in only the latter.
+fn table_or_json<'de, D>(deserializer: D) -> Result<BTreeMap<String, String>, D::Error>
+where
+    D: Deserializer<'de>,
+{
+    #[derive(Deserialize)]
+    #[serde(untagged)]
+    enum TableOrJson {
+        Table(BTreeMap<String, String>),
+        Json(String),
+    }
+    match TableOrJson::deserialize(deserializer)? {
+        TableOrJson::Table(table) => Ok(table),
+        TableOrJson::Json(text) => serde_json::from_str(&text).map_err(D::Error::custom),
+    }
+}
+
+impl EntryInstance {
+    /// Regions by availability zone, with that of the instance's own zone.
+    pub fn regions(&self) -> BTreeMap<String, String> {
+        let mut regions = self.zones.clone();
+        if let Some(region) = &self.region {
+            regions
+                .entry(self.zone.clone())
+                .or_insert_with(|| region.clone());
+        }
+        regions
+    }
+}
+
 fn one_core() -> f64 {
     1.0
 }
@@ -104,6 +140,10 @@
     pub upstream_heartbeat_ms: u64,
     /// Time limit for a new configuration to take effect, in ms.
     pub config_ms: u64,
+    /// Time within which nothing more may be sent to an evacuated availability zone, in ms. Without
+    /// it, evacuations are neither read nor watched.
+    #[serde(skip_serializing_if = "Option::is_none")]
+    pub evacuation_ms: Option<u64>,
     /// Minimum time between the last order of one holder of the planning duty and the first order
     /// of the next, in ms.
     pub order_rest_ms: u64,
@@ -123,6 +163,7 @@
             drain_ms: 2_000,
             upstream_heartbeat_ms: 1_200,
             config_ms: 2_000,
+            evacuation_ms: None,
             order_rest_ms: 3_000,
             thaw_ms: 300,
             store_call_ms: 1_000,
@@ -174,6 +215,9 @@
         check.require_positive("timing.drain_ms", timing.drain_ms);
         check.require_positive("timing.upstream_heartbeat_ms", timing.upstream_heartbeat_ms);
         check.require_positive("timing.config_ms", timing.config_ms);
+        if let Some(evacuation_ms) = timing.evacuation_ms {
+            check.require_positive("timing.evacuation_ms", evacuation_ms);
+        }
         check.require_positive("timing.store_call_ms", timing.store_call_ms);
         check.require_positive("timing.exchange_ms", timing.exchange_ms);
         check.require(
@@ -226,6 +270,12 @@
         Duration::from_millis(self.config_ms)
     }
 
+    /// Time within which nothing more may be sent to an evacuated availability zone; none if
+    /// evacuations are not followed.
+    pub fn max_evacuation_delay(&self) -> Option<Duration> {
+        self.evacuation_ms.map(Duration::from_millis)
+    }
+
     /// Interval between exchanges with the holder of the planning duty.
     pub fn exchange_interval(&self) -> Duration {
         Duration::from_millis(self.exchange_ms)
--- a/crates/entry/src/admin.rs
+++ b/crates/entry/src/admin.rs
@@ -8,7 +8,7 @@
 use comfreyweir_http::shutdown::Phase;
 use serde_json::json;
 
-use crate::{duty::Coordinator, platform::Platform, state::EntryContext};
+use crate::{duty::Coordinator, platform::Platform, state::EntryContext, zones};
 
 /// Path of the call that releases a prompt part from the quarantine.
 const RELEASE_PATH: &str = "/quarantine/release";
@@ -89,6 +89,9 @@
     if cx.directory.borrow().age(cx.now()).is_none() {
         return Some("the upstreams are not known yet");
     }
+    if !zones::is_known(cx) {
+        return Some("the evacuations are not known yet");
+    }
     None
 }
 
@@ -114,6 +117,7 @@
         }),
         "prompt_parts": prompt_parts(cx),
         "limits": limits(cx),
+        "evacuations": zones::status(cx),
         "placement": placement.engines,
         "placement_is_fresh": placement.is_fresh(now),
         "in_flight": cx.shutdown.in_flight(),
--- a/crates/entry/src/duty/actions.rs
+++ b/crates/entry/src/duty/actions.rs
@@ -15,6 +15,7 @@
     platform::{OrderAnswer, OrderCall, Platform},
     state::{EntryContext, SendKind},
     work_times::Work,
+    zones,
 };
 
 /// Timeout of a call to an engine. Engines answer an order before they carry it out.
@@ -122,7 +123,9 @@
     let result = match (find_upstream(cx, id), coordinator.tenure()) {
         // Checked right before the call: the process may have been suspended since the decision.
         (Some(upstream), Some(tenure))
-            if tenure.may_order(cx.clock.since_boot()) && coordinator.take_permit(&upstream) =>
+            if tenure.may_order(cx.clock.since_boot())
+                && zones::may_order(cx, &upstream)
+                && coordinator.take_permit(&upstream) =>
         {
             send_order(cx, coordinator, &upstream, &call).await
         }
--- a/crates/entry/src/duty/coordinator.rs
+++ b/crates/entry/src/duty/coordinator.rs
@@ -19,15 +19,17 @@
     origin_index::OriginIndex,
     placement_log::PlacementLog,
     planner::{Action, ArrivalTotals, Placement, Planner, PlanningInput, WaitingRequests},
-    quarantine::{EvidenceReport, LedgerEvent, PartId, PartLedger, PartRecord},
+    quarantine::{EvidenceReport, PartLedger, PartRecord},
     quota::GrantAllocator,
     request::Artifact,
     stream_origins::ReportedOrigins,
     upstream::Upstream,
     versioned_list::{ListVersion, VersionedList},
+    zones::EvacuationSource,
 };
 use tokio::{sync::Notify, time::timeout};
 
+use super::quarantine_log::log_quarantine;
 use crate::{
     exchange::message::{
         DirectoryView, ExchangeAnswer, GrantRequest, InstanceReport, OriginReport, OriginsView,
@@ -35,6 +37,7 @@
     },
     platform::Platform,
     state::EntryContext,
+    zones,
 };
 
 /// Age at which an instance's report is stale: its loads, waiting requests and unreachable
@@ -89,6 +92,8 @@
     leaving: BTreeSet<UpstreamProcess>,
     /// Time until which the configurations that were sent last take the instance's bandwidth.
     sending_config_until: Option<Instant>,
+    /// Upstreams in evacuated zones, as of the last planner run.
+    evacuated: BTreeSet<String>,
 }
 
 impl<P> Coordinator<P>
@@ -256,6 +261,7 @@
         let mut state = self.state.borrow_mut();
         state.directory.update(&directory);
         state.directory_read = read_at;
+        state.evacuated = zones::evacuated(&self.cx, &directory);
         let loads = state.loads(now);
         let suspects = state.suspects(now);
         let mut closed = self.cx.closures.borrow().ends(now);
@@ -311,7 +317,8 @@
     /// Where the holder is, as far as this instance knows.
     fn elsewhere(&self) -> ExchangeAnswer {
         let members = self.cx.members.borrow();
-        ExchangeAnswer::Elsewhere(members.holder.as_ref().map(|h| h.peer))
+        let holder = members.holder.as_ref().map(|h| h.peer);
+        ExchangeAnswer::Elsewhere(holder, zones::news(&self.cx))
     }
 
     /// Answers a request for larger grants.
@@ -480,6 +487,8 @@
         let now = self.cx.now();
         let config = self.cx.config();
         let mut state = self.state.borrow_mut();
+        let source = EvacuationSource::Instance;
+        zones::learn_news(&self.cx, report.evacuations.as_ref(), source, None);
         let evidence: &EvidenceReport = &report.evidence;
         state
             .quarantine
@@ -554,6 +563,7 @@
             config: sends_config.then(|| String::from_utf8_lossy(&value).into_owned()),
             config_version: config.version,
             config_age_ms: self.cx.config_age(now).map_or(u64::MAX, whole_millis),
+            evacuations: zones::news(&self.cx),
             instances: self.cx.members.borrow().instances.len(),
             holder: self.cx.members.borrow().holder.clone(),
         }
@@ -650,44 +660,6 @@
     }
 }
 
-fn log_quarantine(event: LedgerEvent) {
-    let text = |part: PartId| part.to_string();
-    match event {
-        LedgerEvent::Suspect { part, ends, begun } => {
-            let part = text(part);
-            spdlog::warn!("prompt part is suspect: upstreams ended under it", kv: {
-                part = part.as_str(), ends, begun
-            });
-        }
-        LedgerEvent::Cleared { part, ends, begun } => {
-            let part = text(part);
-            spdlog::info!("prompt part is cleared by begun answers", kv: {
-                part = part.as_str(), ends, begun
-            });
-        }
-        LedgerEvent::Undecided { part, outcome } => {
-            let (part, outcome) = (text(part), format!("{outcome:?}"));
-            spdlog::info!("trial of a prompt part told nothing of it", kv: {
-                part = part.as_str(), outcome = outcome.as_str()
-            });
-        }
-        LedgerEvent::Tried {
-            part,
-            outcome,
-            failed,
-        } => {
-            let (part, outcome) = (text(part), format!("{outcome:?}"));
-            spdlog::info!("trial of a prompt part has ended", kv: {
-                part = part.as_str(), outcome = outcome.as_str(), failed
-            });
-        }
-        LedgerEvent::Released { part } => {
-            let part = text(part);
-            spdlog::info!("prompt part was released", kv: { part = part.as_str() });
-        }
-    }
-}
-
 impl TenureState {
     /// The list of upstreams as of the last planner run, for an instance that knows a version of it.
     fn directory_view(&self, known_version: ListVersion, now: Instant) -> DirectoryView {
@@ -713,6 +685,7 @@
         let waiting = self.waiting_by_artifact(&service.name, now);
         let arrivals = self.arrivals.of_service(&service.name);
         let planner = self.planners.entry(service.name.clone()).or_default();
+        planner.set_evacuated(&self.evacuated);
         let input = PlanningInput {
             upstreams: &upstreams,
             spec,
--- a/crates/entry/src/duty/mod.rs
+++ b/crates/entry/src/duty/mod.rs
@@ -5,6 +5,7 @@
 mod coordinator;
 mod election;
 mod origins;
+mod quarantine_log;
 mod records;
 mod software;
 
--- a/crates/entry/src/exchange/client.rs
+++ b/crates/entry/src/exchange/client.rs
@@ -13,13 +13,14 @@
     holder_search::HolderSearch,
     load::{Load, Loads},
     report_pacing::ReportPacing,
+    zones::EvacuationSource,
 };
 use comfreyweir_peer::{LinkError, PeerLink, open, peer_capnp::entry, wire_millis};
 use snafu::{ResultExt, Snafu};
 use tokio::time::timeout;
 
 use super::message::{DirectoryView, ExchangeAnswer, InstanceCall, InstanceReport, SystemView};
-use crate::{duty::Coordinator, follow::members, platform::Platform, state::EntryContext};
+use crate::{duty::Coordinator, follow::members, platform::Platform, state::EntryContext, zones};
 
 /// Time beyond that delay after which a call to the holder times out.
 const ANSWER_TIMEOUT_MARGIN: Duration = Duration::from_millis(500);
@@ -167,7 +168,9 @@
                 apply_view(cx, *view, &loads, (reported_at, reported_since_boot));
                 Ok(())
             }
-            Ok(ExchangeAnswer::Elsewhere(hint)) => {
+            Ok(ExchangeAnswer::Elsewhere(hint, evacuations)) => {
+                let source = EvacuationSource::Instance;
+                zones::learn_news(cx, evacuations.as_ref(), source, Some(reported_at));
                 let own = cx.settings().listen.peer;
                 let named = hint.filter(|hint| *hint != own);
                 let is_named = self.search.record_elsewhere(addr, named);
@@ -265,6 +268,7 @@
         needs_config: cx
             .newer_config_age(cx.now())
             .is_some_and(|age| age >= OWN_CONFIG_READ_TIME),
+        evacuations: zones::news(cx),
     }
 }
 
@@ -288,6 +292,8 @@
     // The holder has issued the grants no earlier than this.
     let granted_at = reported_at + view.delay;
     cx.apply_grants(&view.grants, granted_at);
+    let source = EvacuationSource::Holder;
+    zones::learn_news(cx, view.evacuations.as_ref(), source, Some(granted_at));
     apply_totals(cx, &view.totals, reported_loads, now);
     apply_directory(cx, view.directory, now);
     let leaving = view.leaving.into_iter().collect();
--- a/crates/entry/src/exchange/grants.rs
+++ b/crates/entry/src/exchange/grants.rs
@@ -73,7 +73,7 @@
             cx.apply_grants(&grants, requested_at);
             Ok(())
         }
-        ExchangeAnswer::Grants(_) | ExchangeAnswer::Elsewhere(_) => NoHolderSnafu.fail(),
+        ExchangeAnswer::Grants(_) | ExchangeAnswer::Elsewhere(..) => NoHolderSnafu.fail(),
         ExchangeAnswer::View(_)
         | ExchangeAnswer::Trials(_)
         | ExchangeAnswer::Origins(_)
--- a/crates/entry/src/exchange/message.rs
+++ b/crates/entry/src/exchange/message.rs
@@ -13,6 +13,7 @@
     request::Artifact,
     stream_origins::{ReportedOrigins, StreamKey},
     versioned_list::{ListChanges, ListVersion},
+    zones::EvacuationNews,
 };
 use serde::{Deserialize, Serialize};
 
@@ -141,6 +142,8 @@
     pub(crate) directory: ListVersion,
     /// Whether it knows of a newer configuration and could not read it from the store.
     pub(crate) needs_config: bool,
+    /// Evacuations that it knows.
+    pub(crate) evacuations: Option<EvacuationNews>,
 }
 
 /// Answer of the instance that was called.
@@ -157,8 +160,9 @@
     Origins(OriginsView),
     /// Permits.
     Permits(Permits),
-    /// The called instance does not hold the duty. The holder's peer address, if it knows one.
-    Elsewhere(Option<SocketAddr>),
+    /// The called instance does not hold the duty. The holder's peer address, if it knows one, and the
+    /// evacuations that it knows.
+    Elsewhere(Option<SocketAddr>, Option<EvacuationNews>),
 }
 
 /// The combined state of all instances, as the holder sends it to one of them.
@@ -205,6 +209,8 @@
     /// Time in ms since the holder's configuration was last confirmed to be the newest; `u64::MAX`
     /// if never.
     pub(crate) config_age_ms: u64,
+    /// Evacuations that the holder knows.
+    pub(crate) evacuations: Option<EvacuationNews>,
     /// Number of registered instances.
     pub(crate) instances: usize,
     /// Holder of the planning duty, as the sender knows it.
--- a/crates/entry/src/exchange/origins.rs
+++ b/crates/entry/src/exchange/origins.rs
@@ -95,7 +95,7 @@
             apply(cx, view);
             Ok(())
         }
-        ExchangeAnswer::Elsewhere(_) => NoHolderSnafu.fail(),
+        ExchangeAnswer::Elsewhere(..) => NoHolderSnafu.fail(),
         ExchangeAnswer::View(_)
         | ExchangeAnswer::Grants(_)
         | ExchangeAnswer::Trials(_)
--- a/crates/entry/src/exchange/permits.rs
+++ b/crates/entry/src/exchange/permits.rs
@@ -69,7 +69,7 @@
     };
     let answer = match answer {
         Ok(ExchangeAnswer::Permits(answer)) => answer,
-        Ok(ExchangeAnswer::Elsewhere(_)) => return fail(cx, &request, NoHolderSnafu.fail()),
+        Ok(ExchangeAnswer::Elsewhere(..)) => return fail(cx, &request, NoHolderSnafu.fail()),
         Ok(_) => return fail(cx, &request, UnexpectedAnswerSnafu.fail()),
         Err(e) => return fail(cx, &request, Err(e)),
     };
--- a/crates/entry/src/exchange/server.rs
+++ b/crates/entry/src/exchange/server.rs
@@ -104,7 +104,7 @@
             ExchangeAnswer::Trials(_)
             | ExchangeAnswer::Origins(_)
             | ExchangeAnswer::Permits(_)
-            | ExchangeAnswer::Elsewhere(_) => {}
+            | ExchangeAnswer::Elsewhere(..) => {}
         }
         results.get().set_view(&view);
         Ok(())
--- a/crates/entry/src/exchange/trials.rs
+++ b/crates/entry/src/exchange/trials.rs
@@ -72,7 +72,7 @@
             cx.quarantine.apply_trials(&request, trials, cx.now());
             Ok(())
         }
-        ExchangeAnswer::Elsewhere(_) => NoHolderSnafu.fail(),
+        ExchangeAnswer::Elsewhere(..) => NoHolderSnafu.fail(),
         ExchangeAnswer::View(_)
         | ExchangeAnswer::Grants(_)
         | ExchangeAnswer::Origins(_)
--- a/crates/entry/src/follow/mod.rs
+++ b/crates/entry/src/follow/mod.rs
@@ -1,5 +1,5 @@
-//! Follows the platform's store: the operator's configuration, the upstreams and the instances of
-//! the system.
+//! Follows the platform's store: the operator's configuration, the upstreams, the evacuated zones and
+//! the instances of the system.
 
 pub(crate) mod config;
 pub(crate) mod directory;
@@ -8,6 +8,7 @@
 pub(crate) mod members;
 pub(crate) mod origins;
 pub(crate) mod outage_log;
+pub(crate) mod zones;
 
 use std::{rc::Rc, time::Duration};
 
--- a/crates/entry/src/instance.rs
+++ b/crates/entry/src/instance.rs
@@ -99,6 +99,7 @@
     let tasks = vec![
         spawn_task(&cx, Work::Store, follow::config::run(Rc::clone(&cx))),
         spawn_task(&cx, Work::Store, follow::directory::run(Rc::clone(&cx))),
+        spawn_task(&cx, Work::Store, follow::zones::run(Rc::clone(&cx))),
         spawn_task(&cx, Work::Store, follow::era::run(era_cx, era_coordinator)),
         spawn_task(&cx, Work::Store, follow::members::run(Rc::clone(&cx))),
         spawn_task(&cx, Work::Store, follow::members::register(Rc::clone(&cx))),
--- a/crates/entry/src/lib.rs
+++ b/crates/entry/src/lib.rs
@@ -18,5 +18,6 @@
 mod serve;
 mod state;
 mod work_times;
+mod zones;
 
 pub use crate::instance::{Entry, EntryError, spawn};
--- a/crates/entry/src/metrics.rs
+++ b/crates/entry/src/metrics.rs
@@ -41,6 +41,12 @@
     kind: &'static str,
 }
 
+#[derive(Clone, Debug, PartialEq, Eq, Hash)]
+#[derive(EncodeLabelSet)]
+struct ZoneLabel {
+    event: &'static str,
+}
+
 #[derive(Clone, Debug, PartialEq, Eq, Hash)]
 #[derive(EncodeLabelSet)]
 struct ResumptionLabel {
@@ -78,6 +84,7 @@
     notices: Family<NoticeLabel, Counter>,
     limited_sends: Family<SendLabel, Counter>,
     resumptions: Family<ResumptionLabel, Counter>,
+    zones: Family<ZoneLabel, Counter>,
     quarantine: Family<QuarantineLabel, Counter>,
     store_copies: Counter,
     views: Counter,
@@ -97,6 +104,7 @@
             notices: Family::default(),
             limited_sends: Family::default(),
             resumptions: Family::default(),
+            zones: Family::default(),
             quarantine: Family::default(),
             store_copies: Counter::default(),
             views: Counter::default(),
@@ -135,6 +143,11 @@
             "Streams that callers resume, by what is known of the software version that began them",
             metrics.resumptions.clone(),
         );
+        registry.register(
+            "comfreyweir_zone_events",
+            "Requests affected by evacuated zones or home regions, and evacuations that began or ended",
+            metrics.zones.clone(),
+        );
         registry.register(
             "comfreyweir_quarantine",
             "Quarantine of prompt parts: ends seen here, refused requests, and the holder's decisions",
@@ -214,6 +227,11 @@
         self.resumptions.get_or_create(&labels).inc();
     }
 
+    /// Counts a request that an evacuated zone or home regions affect, or a change of the evacuations.
+    pub(crate) fn count_zone_event(&self, event: &'static str) {
+        self.zones.get_or_create(&ZoneLabel { event }).inc();
+    }
+
     /// Counts a decision of the holder on a prompt part.
     pub(crate) fn count_quarantine(&self, event: LedgerEvent) {
         let name = match event {
--- a/crates/entry/src/platform.rs
+++ b/crates/entry/src/platform.rs
@@ -142,6 +142,9 @@
 pub struct StoreKeys {
     /// Key of the operator's configuration.
     pub config: &'static str,
+    /// Key prefix of evacuations, followed by the name of an availability zone. Written only by the
+    /// operator.
+    pub evacuations_prefix: &'static str,
     /// Key prefix of upstreams' entries, followed by the upstream's identifier.
     pub upstreams_prefix: &'static str,
     /// Key prefix that is reserved for this system's own entries.
--- a/crates/entry/src/serve/attempt.rs
+++ b/crates/entry/src/serve/attempt.rs
@@ -26,6 +26,7 @@
 use crate::{
     platform::Platform,
     state::{EntryContext, SendKind},
+    zones,
 };
 
 /// The result of one attempt.
@@ -43,7 +44,8 @@
     Failed(String),
     /// The upstream may have run the request, but did not answer in time.
     TimedOut,
-    /// Nothing was sent: the upstream has named a limit, and takes no more now. Returns the trial.
+    /// Nothing was sent: the upstream has named a limit and takes no more now, or its zone was evacuated
+    /// meanwhile. Returns the trial.
     NotPermitted(Option<Trial<P>>),
 }
 
@@ -165,7 +167,7 @@
 where
     P: Platform,
 {
-    if !cx.take_permit(&picked.upstream) {
+    if !zones::may_send(cx, request, &picked.upstream) || !cx.take_permit(&picked.upstream) {
         return AttemptResult::NotPermitted(trial);
     }
     if !bind_origin(cx, request, &picked.upstream) {
--- a/crates/entry/src/serve/mod.rs
+++ b/crates/entry/src/serve/mod.rs
@@ -21,7 +21,7 @@
 use comfreyweir_fleet::request::Artifact;
 use comfreyweir_http::{body::attach_guard, caller::CallerConnection, shutdown::Phase};
 
-pub(crate) use self::refusal::Refusal;
+pub(crate) use self::{admitted::AdmittedRequest, refusal::Refusal, resumption::OriginQuery};
 use crate::{platform::Platform, state::EntryContext};
 
 /// Serves one request of a caller. The HTTP server drops the future when the connection closes.
--- a/crates/entry/src/serve/pick.rs
+++ b/crates/entry/src/serve/pick.rs
@@ -17,7 +17,7 @@
 use tokio::time::timeout;
 
 use super::{Refusal, admitted::AdmittedRequest};
-use crate::{platform::Platform, state::EntryContext};
+use crate::{platform::Platform, state::EntryContext, zones};
 
 /// Maximum wait before the candidates are checked again.
 const RECHECK_PERIOD: Duration = Duration::from_millis(100);
@@ -222,7 +222,7 @@
         ));
     }
     let directory = cx.directory.borrow();
-    if directory.ready(&request.service).next().is_none() {
+    if zones::ready(cx, &directory, request).next().is_none() {
         let waited = now.saturating_duration_since(request.arrived);
         if waited > (waited + left).mul_f64(NO_UPSTREAM_WAIT_FRACTION) {
             let reason = format!("service {} has no upstream", request.service);
@@ -263,7 +263,7 @@
     P: Platform,
 {
     let directory = cx.directory.borrow();
-    let mut ready = directory.ready(&request.service);
+    let mut ready = zones::ready(cx, &directory, request);
     if avoided.software.is_none() || ready.any(|u| avoided.has_required_software(u)) {
         return Ok(());
     }
@@ -316,7 +316,7 @@
     let closures = cx.closures.borrow();
     let limits = cx.limits.borrow();
     let since_boot = cx.clock.since_boot();
-    let ready = directory.ready(&request.service);
+    let ready = zones::ready(cx, &directory, request);
     let able = ready.filter(|u| {
         avoided.has_required_software(u)
             && request
@@ -402,7 +402,7 @@
                 .artifact()
                 .is_none_or(|a| holds_artifact(cx, u, a, now))
     };
-    let upstreams = directory.ready(&request.service).filter(usable);
+    let upstreams = zones::ready(cx, &directory, request).filter(usable);
     let mut upstreams: Vec<_> = upstreams.filter(|u| takes_in(u)).collect();
     if request.route.is_resumable && avoided.software.is_none() {
         let versions = cx.software.borrow();
--- a/crates/entry/src/serve/resumption.rs
+++ b/crates/entry/src/serve/resumption.rs
@@ -11,11 +11,7 @@
 use tokio::time::timeout;
 
 use super::{Refusal, admitted::AdmittedRequest};
-use crate::{
-    follow::origins,
-    platform::Platform,
-    state::{EntryContext, OriginQuery},
-};
+use crate::{follow::origins, platform::Platform, state::EntryContext};
 
 /// Time in addition to an exchange period in which all instances report to the holder what they have
 /// begun.
@@ -33,6 +29,22 @@
 /// `Retry-After` when it is not known which version began a stream.
 const RETRY_AFTER: Duration = Duration::from_millis(300);
 
+/// A stream whose origin the holder is asked for.
+#[derive(Clone, Debug, Default)]
+pub(crate) struct OriginQuery {
+    pub(crate) service: String,
+    /// Requests that wait for the answer.
+    pub(crate) requests: u32,
+    /// Answers of the holder so far.
+    pub(crate) answers: u32,
+    /// Number of streams whose origin the holder remembered at its last answer.
+    pub(crate) holder_remembers: usize,
+    /// Last answer of a holder that had read what the store has.
+    pub(crate) completely_answered_at: Option<Instant>,
+    /// Time for which the holder had the duty at its last answer.
+    pub(crate) holder_tenure: Duration,
+}
+
 /// The software version to which a request is bound, because it resumes a stream; none if it may go
 /// to any. Refuses a request for which that is not known, since streams of two versions must not be
 /// joined.
--- a/crates/entry/src/serve/retry.rs
+++ b/crates/entry/src/serve/retry.rs
@@ -13,7 +13,7 @@
     pick::{self, AvoidedUpstreams},
     relay, resumption, trial,
 };
-use crate::{platform::Platform, state::EntryContext};
+use crate::{platform::Platform, state::EntryContext, zones};
 
 /// Maximum number of attempts of one request that did not run at the upstream.
 const MAX_NOT_RUN: u32 = 6;
@@ -59,9 +59,13 @@
         if let Some(software) = attempt::bound_software(cx, request) {
             state.avoided.require_software(&software);
         }
+        zones::check_home(cx, request).map_err(|refusal| state.include_earlier_runs(refusal))?;
         let picked = match pick::pick(cx, request, &state.avoided).await {
             Ok(picked) => picked,
-            Err(refusal) => return Err(state.include_earlier_runs(refusal)),
+            Err(refusal) => {
+                zones::count_refused(cx, request);
+                return Err(state.include_earlier_runs(refusal));
+            }
         };
         match trial::may_send(cx, request, &mut trial, cx.now()).await {
             Ok(true) => {}
--- a/crates/entry/src/state.rs
+++ b/crates/entry/src/state.rs
@@ -42,7 +42,9 @@
     metrics::Metrics,
     platform::{LimitNotice, Platform, PlatformError, UpstreamNotice},
     quarantine::QuarantineState,
+    serve::OriginQuery,
     work_times::WorkTimes,
+    zones::ZoneState,
 };
 
 /// Timeout for opening a connection to an upstream. Far above the round-trip time between
@@ -133,6 +135,8 @@
     pub(crate) upstreams: UpstreamClient,
     pub(crate) shutdown: Rc<ShutdownState>,
     pub(crate) metrics: Metrics,
+    /// Evacuated zones, and regions of zones.
+    pub(crate) zones: ZoneState,
     pub(crate) work_times: WorkTimes,
     pub(crate) request_log_limiter: RequestLogLimiter,
     /// Version of a configuration that is newer than the one in force, and when it was heard of.
@@ -176,22 +180,6 @@
     }
 }
 
-/// A stream whose origin the holder is asked for.
-#[derive(Clone, Debug, Default)]
-pub(crate) struct OriginQuery {
-    pub(crate) service: String,
-    /// Requests that wait for the answer.
-    pub(crate) requests: u32,
-    /// Answers of the holder so far.
-    pub(crate) answers: u32,
-    /// Number of streams whose origin the holder remembered at its last answer.
-    pub(crate) holder_remembers: usize,
-    /// Last answer of a holder that had read what the store has.
-    pub(crate) completely_answered_at: Option<Instant>,
-    /// Time for which the holder had the duty at its last answer.
-    pub(crate) holder_tenure: Duration,
-}
-
 /// The instances of the system and the holder of the planning duty, as read from the store.
 #[derive(Default)]
 pub(crate) struct Members {
@@ -423,6 +411,7 @@
             upstreams: UpstreamClient::new(CONNECT_TIMEOUT),
             shutdown: Rc::default(),
             metrics: Metrics::new(),
+            zones: ZoneState::new(settings.instance.regions()),
             work_times: WorkTimes::default(),
             request_log_limiter: RequestLogLimiter::default(),
             newer_config: Cell::default(),
--- a/crates/entry/tests/holder_load.rs
+++ b/crates/entry/tests/holder_load.rs
@@ -29,6 +29,7 @@
             burst: 6_000.0,
             unit: Unit::Tokens { plain: 1_000 },
         }),
+        home_regions: Vec::new(),
     };
     let workspace = Rc::new(workspace);
     config.workspaces.insert("vans".to_owned(), workspace);
--- a/crates/entry/tests/requests.rs
+++ b/crates/entry/tests/requests.rs
@@ -84,7 +84,7 @@
 async fn instance_without_configuration_answers_503_with_retry_after() {
     let shared = SharedState::new();
     let settings = support::settings("e1");
-    let platform = support::MemoryPlatform::new(Rc::clone(&shared));
+    let platform = support::MemoryPlatform::new(Rc::clone(&shared), "e1");
     let ready = settings.listen.ready;
     let entry = comfreyweir_entry::spawn(settings, platform).await.unwrap();
     let response = send_request(entry.addr(), "/read/", "r1", "").await;
--- a/crates/entry/tests/support/mod.rs
+++ b/crates/entry/tests/support/mod.rs
@@ -6,6 +6,7 @@
 pub mod upstream;
 
 use std::{
+    collections::BTreeMap,
     net::{Ipv4Addr, SocketAddr},
     rc::Rc,
     sync::atomic::{AtomicU16, Ordering},
@@ -50,6 +51,8 @@
         instance: EntryInstance {
             name: name.to_owned(),
             zone: "a".to_owned(),
+            region: None,
+            zones: BTreeMap::new(),
             cores: 1.0,
             link_mbps: 1_000.0,
         },
@@ -114,7 +117,7 @@
     let mut settings = settings(name);
     change_settings(&mut settings);
     let ready = settings.listen.ready;
-    let platform = MemoryPlatform::new(Rc::clone(shared));
+    let platform = MemoryPlatform::new(Rc::clone(shared), name);
     let entry = spawn(settings, platform).await.unwrap();
     wait_until("ready", async || get(ready, "/-/ready").await.status == 200).await;
     TestInstance {
--- a/crates/entry/tests/support/platform.rs
+++ b/crates/entry/tests/support/platform.rs
@@ -53,6 +53,10 @@
     era_changed: Notify,
     /// While set, every call to the store fails.
     pub store_is_down: Cell<bool>,
+    /// Names of the instances whose calls the store refuses.
+    pub rejected: RefCell<BTreeSet<String>>,
+    /// While set, reads of evacuations fail.
+    pub hides_evacuations: Cell<bool>,
     /// Reads of the batches of origins so far.
     pub origin_reads: Cell<usize>,
     /// Writes of the record of software versions that were tried so far.
@@ -140,6 +144,15 @@
         self.remove(&format!("servers/{id}"));
     }
 
+    pub fn evacuate(&self, zone: &str) {
+        let key = format!("op/evacuate/{zone}");
+        self.write(&key, Bytes::from_static(b"{}"), 0);
+    }
+
+    pub fn end_evacuation(&self, zone: &str) {
+        self.remove(&format!("op/evacuate/{zone}"));
+    }
+
     fn check_store_up(&self) -> Result<(), PlatformError> {
         if self.store_is_down.get() {
             return Err(PlatformError::Refused {
@@ -177,14 +190,17 @@
 
 pub struct MemoryPlatform {
     shared: Rc<SharedState>,
+    /// Name of the instance.
+    name: String,
     headers: HeaderNames,
 }
 
 impl MemoryPlatform {
-    pub fn new(shared: Rc<SharedState>) -> Self {
+    pub fn new(shared: Rc<SharedState>, instance: &str) -> Self {
         let name = HeaderName::from_static;
         Self {
             shared,
+            name: instance.to_owned(),
             headers: HeaderNames {
                 request_id: name("x-id"),
                 deadline: name("x-deadline"),
@@ -203,10 +219,24 @@
     }
 }
 
+impl MemoryPlatform {
+    fn check_store(&self) -> Result<(), PlatformError> {
+        self.shared.check_store_up()?;
+        if self.shared.rejected.borrow().contains(&self.name) {
+            return Err(PlatformError::Refused {
+                addr: store_addr(),
+                status: 503,
+            });
+        }
+        Ok(())
+    }
+}
+
 impl Platform for MemoryPlatform {
     fn keys(&self) -> StoreKeys {
         StoreKeys {
             config: "op/config",
+            evacuations_prefix: "op/evacuate/",
             upstreams_prefix: "servers/",
             own_prefix: "own/",
             origins_prefix: "streams/",
@@ -266,7 +296,7 @@
     }
 
     async fn get(&self, key: &str, _: Duration) -> Result<Option<(StoreItem, u64)>, PlatformError> {
-        self.shared.check_store_up()?;
+        self.check_store()?;
         let item = self
             .shared
             .items
@@ -282,12 +312,18 @@
         after: Option<&str>,
         _: Duration,
     ) -> Result<(StoreItems, bool), PlatformError> {
-        self.shared.check_store_up()?;
+        self.check_store()?;
         if prefix == self.keys().origins_prefix {
             self.shared
                 .origin_reads
                 .set(self.shared.origin_reads.get() + 1);
         }
+        if prefix == self.keys().evacuations_prefix && self.shared.hides_evacuations.get() {
+            return Err(PlatformError::Refused {
+                addr: store_addr(),
+                status: 503,
+            });
+        }
         let mut all = self.shared.items_after(prefix, 0);
         all.items
             .retain(|item| after.is_none_or(|after| item.key.as_str() > after));
@@ -313,7 +349,7 @@
         let watched = async {
             loop {
                 let changed = self.shared.changed.notified();
-                self.shared.check_store_up()?;
+                self.check_store()?;
                 let items = self.shared.items_after(prefix, after);
                 if !items.items.is_empty() || !items.removed.is_empty() {
                     return Ok(WatchOutcome::Changes(items));
@@ -335,7 +371,7 @@
     }
 
     async fn commit(&self, tx: &Transaction, _: Duration) -> Result<CommitOutcome, PlatformError> {
-        self.shared.check_store_up()?;
+        self.check_store()?;
         if tx.puts.iter().any(|(key, _, _)| key == "own/software") {
             self.shared
                 .software_commits
@@ -359,7 +395,7 @@
     }
 
     async fn grant_lease(&self, ttl: Duration, _: Duration) -> Result<Lease, PlatformError> {
-        self.shared.check_store_up()?;
+        self.check_store()?;
         self.shared
             .last_lease_id
             .set(self.shared.last_lease_id.get() + 1);
@@ -369,12 +405,12 @@
     }
 
     async fn renew_lease(&self, lease: u64, _: Duration) -> Result<bool, PlatformError> {
-        self.shared.check_store_up()?;
+        self.check_store()?;
         Ok(self.shared.live_leases.borrow().contains(&lease))
     }
 
     async fn end_lease(&self, lease: u64, _: Duration) -> Result<(), PlatformError> {
-        self.shared.check_store_up()?;
+        self.check_store()?;
         let items = self.shared.items.borrow().clone();
         for (key, _) in items.iter().filter(|(_, (_, l))| *l == lease) {
             self.shared.remove(key);
@@ -495,6 +531,7 @@
         max_upstreams: 2,
         is_public: false,
         is_resumable: kind == RouteKind::Stream,
+        home_regions: Vec::new(),
     }
 }
 
@@ -544,6 +581,7 @@
         name: "vans".to_owned(),
         rank: None,
         allowance: None,
+        home_regions: Vec::new(),
     };
     config
         .workspaces
--- a/crates/fleet/src/config.rs
+++ b/crates/fleet/src/config.rs
@@ -70,6 +70,8 @@
     pub is_public: bool,
     /// Whether another upstream may continue a stream.
     pub is_resumable: bool,
+    /// Regions to whose upstreams requests are sent; all if empty.
+    pub home_regions: Vec<String>,
 }
 
 /// Kind of the requests of a route, which determines whether they may be retried.
@@ -149,6 +151,8 @@
     pub rank: Option<u8>,
     /// Allowance; none if the workspace is unlimited.
     pub allowance: Option<Allowance>,
+    /// Regions to whose upstreams its requests are sent; all if empty.
+    pub home_regions: Vec<String>,
 }
 
 /// Rate limit of a workspace, as a token bucket over all instances together.
--- a/crates/fleet/src/lib.rs
+++ b/crates/fleet/src/lib.rs
@@ -27,3 +27,4 @@
 pub mod upstream;
 pub mod upstream_choice;
 pub mod versioned_list;
+pub mod zones;
--- a/crates/fleet/src/planner/load_planning.rs
+++ b/crates/fleet/src/planner/load_planning.rs
@@ -22,6 +22,8 @@
     Awaited(Artifact),
     /// The engines that hold the model have too many requests for it.
     Crowded(String),
+    /// Only engines in evacuated zones hold the model.
+    Displaced(String),
 }
 
 impl Planner {
@@ -34,13 +36,18 @@
         let busiest = self.demands.busiest().into_iter();
         let crowded = busiest
             .map(|(model, queue)| (queue * CROWDED_REQUEST_WEIGHT, LoadCause::Crowded(model)));
-        let mut wanted: Vec<_> = awaited.chain(crowded).collect();
+        let displaced = self.displaced_models().into_iter();
+        let displaced = displaced.map(|(demand, model)| (demand, LoadCause::Displaced(model)));
+        let mut wanted: Vec<_> = awaited.chain(crowded).chain(displaced).collect();
         wanted.sort_by(|a, b| b.0.total_cmp(&a.0).then_with(|| a.1.cmp(&b.1)));
         self.wanted = wanted.len();
         for (requests, cause) in wanted {
             match cause {
                 LoadCause::Awaited(artifact) => self.place_awaited(input, &artifact, requests, now),
                 LoadCause::Crowded(model) => self.add_replica(input, &model, now),
+                LoadCause::Displaced(model) => {
+                    self.replace_displaced(input, &model, requests, now);
+                }
             }
         }
     }
@@ -124,7 +131,7 @@
 
     /// Plans a load of a model at the engine with the lowest cost in load time and evictions. If
     /// that engine is busy, its estimate is kept for the requests that wait.
-    fn place_model(
+    pub(super) fn place_model(
         &mut self,
         input: &PlanningInput<'_>,
         model: &Model,
--- a/crates/fleet/src/planner/mod.rs
+++ b/crates/fleet/src/planner/mod.rs
@@ -11,6 +11,7 @@
 mod adapter_placement;
 mod demand;
 mod engine_state;
+mod evacuation;
 mod load_planning;
 mod model_placement;
 mod store_rate;
@@ -109,6 +110,8 @@
     waiting_for_store: usize,
     /// Number of loads that the last step had to decide on.
     wanted: usize,
+    /// Engines in evacuated zones.
+    evacuated: BTreeSet<String>,
 }
 
 /// Number of engines that hold a model.
@@ -219,8 +222,9 @@
         if artifact.adapter.is_some() && self.loaded_replica_count(&artifact.model) > 0 {
             return None;
         }
-        let engines = self.engines.values().filter(|e| !e.is_overasked());
-        let planned = engines.filter_map(|e| e.ready_in(artifact, now)).min();
+        let engines = self.engines.iter();
+        let engines = engines.filter(|(id, e)| !e.is_overasked() && !self.evacuated.contains(*id));
+        let planned = engines.filter_map(|(_, e)| e.ready_in(artifact, now)).min();
         let expected = self.expected.get(&artifact.model);
         planned.or_else(|| expected.map(|at| at.saturating_duration_since(now)))
     }
@@ -229,6 +233,7 @@
         let listed: HashSet<_> = input.upstreams.iter().map(|u| u.id.as_str()).collect();
         self.engines.retain(|id, _| listed.contains(id.as_str()));
         for upstream in input.upstreams {
+            let upstream = &self.effective_entry(upstream);
             if let Some(engine) = self.engines.get_mut(&upstream.id) {
                 engine.apply_entry(upstream, now);
                 if input.suspects.contains(&upstream.id) {
--- a/crates/fleet/tests/decisions.rs
+++ b/crates/fleet/tests/decisions.rs
@@ -34,6 +34,7 @@
         max_upstreams: 2,
         is_public: false,
         is_resumable: false,
+        home_regions: Vec::new(),
     })
 }
 
