--- a/crates/fleet/tests/zones.rs
+++ b/crates/fleet/tests/zones.rs
@@ -17,7 +17,7 @@
 use support::{FakeEngine, Fleet, LARGE_MB, artifact, model};
 
 const SEEDS: u64 = 150;
-const RUN: Duration = Duration::from_secs(60);
+const RUN: Duration = Duration::from_mins(1);
 const STEP: Duration = Duration::from_millis(50);
 const INSTANCES: usize = 6;
 const ZONES: [&str; 3] = ["a", "b", "c"];
