--- a/crates/entry/src/zones.rs
+++ b/crates/entry/src/zones.rs
@@ -51,18 +51,18 @@
     cx.settings().timing.evacuation_ms.is_some()
 }
 
-/// The rules for a request, without evacuations if these are not followed.
+/// The rules for a request. `evacuations` is none if these are not followed.
 fn rules<'a, P>(
     cx: &'a EntryContext<P>,
     request: &'a AdmittedRequest,
-    evacuations: &'a Evacuations,
+    evacuations: Option<&'a Evacuations>,
 ) -> ZoneRules<'a>
 where
     P: Platform,
 {
     let workspace = request.workspace.as_ref();
     ZoneRules {
-        evacuations: is_followed(cx).then_some(evacuations),
+        evacuations,
         regions: Some(&cx.zones.regions),
         homes: [
             &request.route.home_regions,
@@ -81,9 +81,11 @@
     P: Platform,
 {
     let evacuations = cx.zones.evacuations.borrow();
-    directory
-        .ready(&request.service)
-        .filter(move |u| rules(cx, request, &evacuations).check(&u.zone).is_ok())
+    let is_followed = is_followed(cx);
+    directory.ready(&request.service).filter(move |u| {
+        let rules = rules(cx, request, is_followed.then_some(&evacuations));
+        rules.check(&u.zone).is_ok()
+    })
 }
 
 /// Whether a request may be sent to an upstream now, as far as its zone is concerned.
@@ -96,7 +98,7 @@
     P: Platform,
 {
     let evacuations = cx.zones.evacuations.borrow();
-    let checked = rules(cx, request, &evacuations).check(&upstream.zone);
+    let checked = rules(cx, request, is_followed(cx).then_some(&evacuations)).check(&upstream.zone);
     drop(evacuations);
     if let Err(refusal) = checked {
         cx.metrics.count_zone_event("stopped");
@@ -136,7 +138,7 @@
     if !is_followed(cx) || evacuations.zones().next().is_none() {
         return false;
     }
-    let rules = rules(cx, request, &evacuations);
+    let rules = rules(cx, request, is_followed(cx).then_some(&evacuations));
     let directory = cx.directory.borrow();
     let mut ready = directory.ready(&request.service);
     ready.any(|u| rules.check(&u.zone) == Err(ZoneRefusal::Evacuated))
@@ -176,7 +178,7 @@
     P: Platform,
 {
     let evacuations = cx.zones.evacuations.borrow();
-    let rules = rules(cx, request, &evacuations);
+    let rules = rules(cx, request, is_followed(cx).then_some(&evacuations));
     if !rules.has_homes() {
         return Ok(());
     }
--- a/crates/fleet/tests/zones.rs
+++ b/crates/fleet/tests/zones.rs
@@ -452,6 +452,53 @@
     assert_eq!(fleet.planner.placement()["e2"].len(), 1);
 }
 
+/// Load: 60 engines in three zones, of which one holds 20 models alone, each asked for at another rate.
+/// Guards against loads beyond the limit of the weight store after an evacuation, in another order than
+/// that of demand, or of models that nobody asks for.
+#[test]
+fn whole_zone_is_replaced_in_order_of_demand_within_the_limit_of_the_weight_store() {
+    let names: Vec<_> = (0..20).map(|n| format!("m{n:02}")).collect();
+    let models: Vec<_> = names.iter().map(|n| model(n, LARGE_MB, 0)).collect();
+    let engines = (0..60).map(|n| {
+        let held = names.get(n).map(String::as_str);
+        FakeEngine::new(&format!("e{n:02}"), held.as_slice())
+    });
+    let mut fleet = Fleet::new(&models, engines.collect());
+    // The models of e18 and e19 are not asked for.
+    let evacuated: Vec<_> = (0..20).map(|n| format!("e{n:02}")).collect();
+    let asked = &names[..18];
+    fleet.arrivals = asked.iter().map(|name| (name.clone(), 0)).collect();
+    fleet.run_for(Duration::from_secs(1));
+    for (requests, name) in (2..).zip(asked) {
+        fleet.arrivals.insert(name.clone(), requests);
+    }
+    fleet.run_for(Duration::from_secs(2));
+    assert!(fleet.sent_orders.is_empty(), "{:?}", fleet.sent_orders);
+    fleet
+        .planner
+        .set_evacuated(&evacuated.into_iter().collect());
+    let (mut times, end) = (Vec::new(), fleet.now + Duration::from_secs(30));
+    while fleet.now < end {
+        fleet.step();
+        times.resize(fleet.sent_orders.len(), fleet.now);
+    }
+    let loaded = fleet.sent_orders.iter().map(|(_, o)| o.artifact().key());
+    let by_demand: Vec<_> = asked.iter().rev().cloned().collect();
+    assert_eq!(loaded.collect::<Vec<_>>(), by_demand);
+    let window = Duration::from_secs(5);
+    for from in &times {
+        let begun = times
+            .iter()
+            .filter(|at| from <= at && **at < *from + window);
+        let begun = f64::from(u32::try_from(begun.count()).unwrap());
+        assert!(begun <= fleet.spec.loads_per_s * window.as_secs_f64());
+    }
+    for name in asked {
+        assert_eq!(fleet.replicas(name), 2, "{name}");
+    }
+    assert!(fleet.overloads().is_empty());
+}
+
 /// Guards against a model that is hardly asked for evicting the only replica of one that is.
 #[test]
 fn displaced_model_evicts_none_with_more_demand() {
