--- a/crates/entry/src/state.rs
+++ b/crates/entry/src/state.rs
@@ -39,12 +39,13 @@
 use tokio::sync::Notify;
 
 use crate::{
-    exchange::origins::OriginQuery,
     log_limiter::RequestLogLimiter,
     metrics::Metrics,
     platform::{LimitNotice, Platform, PlatformError, UpstreamNotice},
     quarantine::QuarantineState,
+    serve::OriginQuery,
     work_times::WorkTimes,
+    zones::ZoneState,
 };
 
 /// Timeout for opening a connection to an upstream. Far above the round-trip time between
@@ -137,6 +138,8 @@
     pub(crate) upstreams: UpstreamClient,
     pub(crate) shutdown: Rc<ShutdownState>,
     pub(crate) metrics: Metrics,
+    /// Evacuated zones, and regions of zones.
+    pub(crate) zones: ZoneState,
     pub(crate) work_times: WorkTimes,
     pub(crate) request_log_limiter: RequestLogLimiter,
     /// Version of a configuration that is newer than the one in force, and when it was heard of.
@@ -412,6 +415,7 @@
             upstreams: UpstreamClient::new(CONNECT_TIMEOUT),
             shutdown: Rc::default(),
             metrics: Metrics::new(),
+            zones: ZoneState::new(settings.instance.regions()),
             work_times: WorkTimes::default(),
             request_log_limiter: RequestLogLimiter::default(),
             newer_config: Cell::default(),
--- a/crates/entry/tests/allowances.rs
+++ b/crates/entry/tests/allowances.rs
@@ -31,6 +31,7 @@
             burst: 3_000.0,
             unit: Unit::Tokens { plain: COST },
         }),
+        home_regions: Vec::new(),
     };
     let workspace = Rc::new(workspace);
     config.workspaces.insert("vans".to_owned(), workspace);
