--- a/crates/entry/src/admin.rs
+++ b/crates/entry/src/admin.rs
@@ -3,7 +3,7 @@
 use std::collections::BTreeMap;
 
 use actix_http::{Method, Request, Response, StatusCode, body::BoxBody};
-use comfreyweir_clock::whole_millis;
+use comfreyweir_clock::{Clock, whole_millis};
 use comfreyweir_fleet::{directory::UpstreamProcess, quarantine::PartId};
 use comfreyweir_http::shutdown::Phase;
 use serde_json::json;
@@ -114,6 +114,7 @@
         }),
         "prompt_parts": prompt_parts(cx),
         "limits": limits(cx),
+        "cold": cold(cx),
         "placement": placement.engines,
         "placement_is_fresh": placement.is_fresh(now),
         "in_flight": cx.shutdown.in_flight(),
@@ -135,6 +136,23 @@
     limited.collect()
 }
 
+/// Listed upstreams that are cold, with the requests a second that they take meanwhile and the time
+/// left.
+fn cold<P>(cx: &EntryContext<P>) -> BTreeMap<String, serde_json::Value>
+where
+    P: Platform,
+{
+    let since_boot = cx.clock.since_boot();
+    let directory = cx.directory.borrow();
+    let cold = directory.iter().filter_map(|upstream| {
+        let cold = cx.cold(upstream)?;
+        let left_ms = whole_millis(cold.until.saturating_sub(since_boot));
+        let state = json!({ "per_s": cold.per_s, "left_ms": left_ms });
+        Some((upstream.id.clone(), state))
+    });
+    cold.collect()
+}
+
 /// The prompt parts under suspicion, as this instance knows them.
 fn prompt_parts<P>(cx: &EntryContext<P>) -> Vec<serde_json::Value>
 where
--- a/crates/entry/src/duty/coordinator.rs
+++ b/crates/entry/src/duty/coordinator.rs
@@ -31,12 +31,14 @@
 use crate::{
     exchange::message::{
         DirectoryView, ExchangeAnswer, GrantRequest, InstanceReport, OriginReport, OriginsView,
-        PermitRequest, Permits, SystemView, TrialRequest, Trials,
+        SystemView, TrialRequest, Trials,
     },
     platform::Platform,
     state::EntryContext,
 };
 
+mod permits;
+
 /// Age at which an instance's report is stale: its loads, waiting requests and unreachable
 /// upstreams are then ignored.
 const REPORT_MAX_AGE: Duration = Duration::from_millis(1_500);
@@ -139,12 +141,6 @@
         self.has_stopped_ordering.set(false);
     }
 
-    fn begin_permits(&self) -> PermitLedger {
-        let since_boot = self.cx.clock.since_boot();
-        let known = self.cx.limits.borrow().all_known(since_boot);
-        PermitLedger::begin(&known, since_boot)
-    }
-
     /// Stops sending orders. Reports are still answered until the tenure ends.
     pub(super) fn stop_ordering(&self) {
         self.has_stopped_ordering.set(true);
@@ -260,7 +256,7 @@
         let suspects = state.suspects(now);
         let mut closed = self.cx.closures.borrow().ends(now);
         let limits = state.limits_of(&directory);
-        state.close_limited(&directory, &mut closed, self.cx.clock.since_boot(), now);
+        state.close_limited(&self.cx, &directory, &mut closed);
         for service in config.services.values() {
             let asked = (&loads, &suspects);
             state.plan_service(service, &directory, asked, (&closed, &limits), now);
@@ -388,34 +384,6 @@
         })
     }
 
-    /// Takes over which limits an instance has heard, and gives it permits.
-    pub(crate) fn permits(&self, request: &PermitRequest) -> ExchangeAnswer {
-        if !self.has_duty() {
-            return self.elsewhere();
-        }
-        let now = self.cx.clock.since_boot();
-        let mut state = self.state.borrow_mut();
-        let silent_ratio = state.grant_allocator.silent_ratio();
-        state.permits.hear(&request.limits, now);
-        let asks = request.asks.iter();
-        let answers = asks.filter_map(|ask| state.permits.ask(ask, silent_ratio, now));
-        let answers = answers.collect();
-        ExchangeAnswer::Permits(Permits {
-            limits: state.permits.told(now),
-            answers,
-        })
-    }
-
-    /// Takes a permit for a call of the holder to an upstream. False if the upstream takes nothing
-    /// more now.
-    pub(super) fn take_permit(&self, upstream: &Upstream) -> bool {
-        let now = self.cx.clock.since_boot();
-        let mut state = self.state.borrow_mut();
-        let silent_ratio = state.grant_allocator.silent_ratio();
-        let process = UpstreamProcess::of(upstream);
-        state.permits.take(&process, silent_ratio, now)
-    }
-
     /// Decides anew which prompt parts are suspect.
     fn update_quarantine(&self, state: &mut TenureState, now: Instant) {
         let ledger = &mut state.quarantine;
@@ -729,35 +697,6 @@
             .extend(actions.map(|action| (service.name.clone(), action)));
     }
 
-    /// Adds the limited upstreams without room to those that want nothing for a time.
-    fn close_limited(
-        &mut self,
-        directory: &[Rc<Upstream>],
-        closed: &mut HashMap<String, Instant>,
-        since_boot: Duration,
-        now: Instant,
-    ) {
-        let silent_ratio = self.grant_allocator.silent_ratio();
-        for upstream in directory {
-            let process = UpstreamProcess::of(upstream);
-            let permits = &mut self.permits;
-            let wait = permits.time_to_room(&process, silent_ratio, since_boot);
-            if !wait.is_zero() {
-                let until = closed.entry(process.id).or_insert(now);
-                *until = (now + wait).max(*until);
-            }
-        }
-    }
-
-    /// Limits of the listed upstreams, in requests a second, by identifier.
-    fn limits_of(&self, directory: &[Rc<Upstream>]) -> HashMap<String, f64> {
-        let limited = directory.iter().filter_map(|upstream| {
-            let limit = self.permits.limit(&UpstreamProcess::of(upstream))?;
-            Some((upstream.id.clone(), limit))
-        });
-        limited.collect()
-    }
-
     /// Reports younger than [`REPORT_MAX_AGE`].
     fn fresh_reports(&self, now: Instant) -> impl Iterator<Item = &InstanceReport> {
         let is_fresh = move |at: Instant| now.saturating_duration_since(at) < REPORT_MAX_AGE;
--- a/crates/entry/src/lib.rs
+++ b/crates/entry/src/lib.rs
@@ -11,6 +11,7 @@
 mod exchange;
 mod follow;
 mod instance;
+mod limits;
 mod log_limiter;
 mod metrics;
 pub mod platform;
--- a/crates/entry/src/metrics.rs
+++ b/crates/entry/src/metrics.rs
@@ -77,6 +77,7 @@
     orders: Family<OrderLabels, Counter>,
     notices: Family<NoticeLabel, Counter>,
     limited_sends: Family<SendLabel, Counter>,
+    cold_requests: Family<SendLabel, Counter>,
     resumptions: Family<ResumptionLabel, Counter>,
     quarantine: Family<QuarantineLabel, Counter>,
     store_copies: Counter,
@@ -96,6 +97,7 @@
             orders: Family::default(),
             notices: Family::default(),
             limited_sends: Family::default(),
+            cold_requests: Family::default(),
             resumptions: Family::default(),
             quarantine: Family::default(),
             store_copies: Counter::default(),
@@ -130,6 +132,11 @@
             "What was sent to upstreams that had named a limit, by kind",
             metrics.limited_sends.clone(),
         );
+        registry.register(
+            "comfreyweir_cold_requests",
+            "What was sent to cold upstreams, by kind, and requests that waited for one or were refused",
+            metrics.cold_requests.clone(),
+        );
         registry.register(
             "comfreyweir_resumptions",
             "Streams that callers resume, by what is known of the software version that began them",
@@ -201,6 +208,11 @@
         self.notices.get_or_create(&labels).inc();
     }
 
+    /// Counts what was sent to a cold upstream, waited for one or was refused.
+    pub(crate) fn count_cold_request(&self, kind: &'static str) {
+        self.cold_requests.get_or_create(&SendLabel { kind }).inc();
+    }
+
     /// Counts what was sent to an upstream that had named a limit.
     pub(crate) fn count_limited_send(&self, kind: &'static str) {
         self.limited_sends.get_or_create(&SendLabel { kind }).inc();
--- a/crates/entry/src/platform.rs
+++ b/crates/entry/src/platform.rs
@@ -13,6 +13,7 @@
 use bytes::Bytes;
 use comfreyweir_fleet::{
     config::Config,
+    limits::MAX_COLD_TIME,
     planner::{Order, OrderResult},
     request::RequestMetadata,
     upstream::{Report, Upstream},
@@ -177,6 +178,8 @@
     /// Requests a second that an upstream in need takes from all instances together, in all its
     /// answers.
     pub limit: HeaderName,
+    /// Time in ms for which an upstream stays cold, in its answers while it is.
+    pub cold: HeaderName,
     /// Headers that only the system may set.
     pub reserved: Vec<HeaderName>,
 }
@@ -205,9 +208,21 @@
             is_leaving: leaving.is_some_and(|v| v.as_bytes().trim_ascii() == LEAVING),
             closed_for: retry_after,
             limit: self.limit_notice(headers),
+            cold_for: self.cold_notice(headers),
         }
     }
 
+    /// The longest time for which an answer says that its upstream stays cold. Values that are no
+    /// positive number are ignored.
+    fn cold_notice(&self, headers: &HeaderMap) -> Option<Duration> {
+        let named = headers.get_all(&self.cold);
+        let times = named.filter_map(|v| v.to_str().ok()?.trim().parse::<f64>().ok());
+        let times = times.filter(|ms| ms.is_finite() && *ms > 0.0);
+        let longest = times.max_by(f64::total_cmp)?;
+        let time = Duration::try_from_secs_f64(longest / 1e3).unwrap_or(MAX_COLD_TIME);
+        Some(time.min(MAX_COLD_TIME))
+    }
+
     fn limit_notice(&self, headers: &HeaderMap) -> LimitNotice {
         let named = headers.get_all(&self.limit);
         let limits: Option<Vec<_>> = named
@@ -247,6 +262,8 @@
     pub closed_for: Option<Duration>,
     /// Limit on the requests that it takes from all instances.
     pub limit: LimitNotice,
+    /// Time for which it stays cold, if it is.
+    pub cold_for: Option<Duration>,
 }
 
 /// Outcome of a call to an engine.
--- a/crates/entry/src/serve/mod.rs
+++ b/crates/entry/src/serve/mod.rs
@@ -8,6 +8,7 @@
 mod relay;
 mod resumption;
 mod retry;
+mod room;
 mod trial;
 
 use std::{convert::Infallible, rc::Rc};
--- a/crates/entry/src/serve/pick.rs
+++ b/crates/entry/src/serve/pick.rs
@@ -9,14 +9,18 @@
 use comfreyweir_clock::{Clock, whole_millis};
 use comfreyweir_fleet::{
     directory::UpstreamProcess,
-    limits::{Room, Ticket},
+    limits::Room,
     request::Artifact,
     upstream::Upstream,
     upstream_choice::{self, Candidate},
 };
 use tokio::time::timeout;
 
-use super::{Refusal, admitted::AdmittedRequest};
+use super::{
+    Refusal,
+    admitted::AdmittedRequest,
+    room::{PermitWait, closed_times, count_refused, hopeless_for, ticket, time_to_permit},
+};
 use crate::{platform::Platform, state::EntryContext};
 
 /// Maximum wait before the candidates are checked again.
@@ -74,7 +78,7 @@
         is_avoided || !self.has_required_software(upstream)
     }
 
-    fn has_required_software(&self, upstream: &Upstream) -> bool {
+    pub(super) fn has_required_software(&self, upstream: &Upstream) -> bool {
         self.software
             .as_ref()
             .is_none_or(|s| *s == upstream.software)
@@ -119,7 +123,7 @@
             Choice::NeedsPermit(process) => {
                 let is_asked = |wait: &PermitWait<'_, P>| wait.process == process;
                 if !permit_wait.as_ref().is_some_and(is_asked) {
-                    permit_wait = Some(PermitWait::begin(cx, process));
+                    permit_wait = Some(PermitWait::begin(cx, process, request.urgency()));
                 }
                 cx.permits_wanted.notify_one();
             }
@@ -242,6 +246,7 @@
     if let Some(closed_for) = closed_for
         && !opens_elsewhere
     {
+        count_refused(cx, &closed);
         let reason = "all upstreams that could serve the request want no more for a time";
         return Err(Refusal::not_run(reason, closed_for));
     }
@@ -271,91 +276,6 @@
     Err(Refusal::not_run(reason, RETRY_AFTER))
 }
 
-/// Time until one of the upstreams that could run a request wants requests again; none if there is
-/// no such upstream.
-pub(super) fn time_closed<P>(
-    cx: &EntryContext<P>,
-    request: &AdmittedRequest,
-    avoided: &AvoidedUpstreams,
-    now: Instant,
-) -> Option<Duration>
-where
-    P: Platform,
-{
-    let closed = closed_times(cx, request, avoided, None, now).into_iter();
-    closed.map(|closed| closed.time).min()
-}
-
-/// Time until one of the upstreams that could run a request wants requests again, if none of them does
-/// in the time left, or has room within its limit.
-fn hopeless_for(closed: &[ClosedTime], left: Duration) -> Option<Duration> {
-    let is_hopeless = closed.iter().all(|c| c.is_full || c.time > left);
-    let times = closed.iter().map(|closed| closed.time);
-    times.min().filter(|_| is_hopeless)
-}
-
-/// How long an upstream wants no requests.
-struct ClosedTime {
-    time: Duration,
-    /// Whether that is because requests of all instances use up its limit.
-    is_full: bool,
-}
-
-/// How long each of the upstreams that could run a request wants none.
-fn closed_times<P>(
-    cx: &EntryContext<P>,
-    request: &AdmittedRequest,
-    avoided: &AvoidedUpstreams,
-    permit_wait: Option<&PermitWait<'_, P>>,
-    now: Instant,
-) -> Vec<ClosedTime>
-where
-    P: Platform,
-{
-    let directory = cx.directory.borrow();
-    let closures = cx.closures.borrow();
-    let limits = cx.limits.borrow();
-    let since_boot = cx.clock.since_boot();
-    let ready = directory.ready(&request.service);
-    let able = ready.filter(|u| {
-        avoided.has_required_software(u)
-            && request
-                .artifact()
-                .is_none_or(|a| holds_artifact(cx, u, a, now))
-    });
-    let closed = able.map(|u| {
-        let closed_for = closures.time_closed(&u.id, now);
-        let process = UpstreamProcess::of(u);
-        match limits.room(&process, ticket(permit_wait, &process), since_boot) {
-            Room::Full(until) => ClosedTime {
-                time: closed_for.max(until.saturating_sub(since_boot)),
-                is_full: true,
-            },
-            Room::Now | Room::From(_) | Room::Unknown => ClosedTime {
-                time: closed_for,
-                is_full: false,
-            },
-        }
-    });
-    closed.collect()
-}
-
-/// Time until the first permit that a request awaits can be used.
-fn time_to_permit<P>(wait: Option<&PermitWait<'_, P>>) -> Duration
-where
-    P: Platform,
-{
-    let Some(wait) = wait else {
-        return Duration::MAX;
-    };
-    let since_boot = wait.cx.clock.since_boot();
-    let limits = wait.cx.limits.borrow();
-    match limits.room(&wait.process, Some(wait.ticket), since_boot) {
-        Room::From(from) => from.saturating_sub(since_boot),
-        Room::Now | Room::Unknown | Room::Full(_) => Duration::MAX,
-    }
-}
-
 /// Whether an upstream can run the request now.
 pub(super) fn can_choose<P>(
     cx: &EntryContext<P>,
@@ -510,7 +430,7 @@
 /// Whether an engine has an artifact loaded, according to the placement received from the holder of
 /// the planning duty. If that is out of date or does not list the engine, the engine's entry in the
 /// list of upstreams decides, if this instance has read it from the store.
-fn holds_artifact<P>(
+pub(super) fn holds_artifact<P>(
     cx: &EntryContext<P>,
     upstream: &Upstream,
     artifact: &Artifact,
@@ -591,46 +511,3 @@
         }
     }
 }
-
-/// The ticket of a request that waits for a permit, if it is for this upstream.
-fn ticket<P>(wait: Option<&PermitWait<'_, P>>, process: &UpstreamProcess) -> Option<Ticket>
-where
-    P: Platform,
-{
-    wait.filter(|wait| wait.process == *process)
-        .map(|wait| wait.ticket)
-}
-
-/// Counts a request as waiting for a permit for an upstream, until dropped.
-struct PermitWait<'a, P>
-where
-    P: Platform,
-{
-    cx: &'a EntryContext<P>,
-    process: UpstreamProcess,
-    ticket: Ticket,
-}
-
-impl<'a, P> PermitWait<'a, P>
-where
-    P: Platform,
-{
-    fn begin(cx: &'a EntryContext<P>, process: UpstreamProcess) -> Self {
-        let ticket = cx.limits.borrow_mut().begin_wait(&process);
-        Self {
-            cx,
-            process,
-            ticket,
-        }
-    }
-}
-
-impl<P> Drop for PermitWait<'_, P>
-where
-    P: Platform,
-{
-    fn drop(&mut self) {
-        let mut limits = self.cx.limits.borrow_mut();
-        limits.end_wait(&self.process, self.ticket);
-    }
-}
--- a/crates/entry/src/serve/retry.rs
+++ b/crates/entry/src/serve/retry.rs
@@ -11,7 +11,7 @@
     admitted::AdmittedRequest,
     attempt::{self, AttemptResult, SentRequest},
     pick::{self, AvoidedUpstreams},
-    relay, resumption, trial,
+    relay, resumption, room, trial,
 };
 use crate::{platform::Platform, state::EntryContext};
 
@@ -98,7 +98,7 @@
                 state.avoided.avoid_until(&id, cx.now() + avoid);
                 if state.not_run >= MAX_NOT_RUN || !take_retry(cx, request) {
                     let reason = format!("upstreams turned the request away with {status}");
-                    let closed_for = pick::time_closed(cx, request, &state.avoided, cx.now());
+                    let closed_for = room::time_closed(cx, request, &state.avoided, cx.now());
                     let retry_after = closed_for.map_or(RETRY_AFTER, |t| t.max(RETRY_AFTER));
                     return Err(state.include_earlier_runs(Refusal::not_run(reason, retry_after)));
                 }
--- a/crates/entry/src/state.rs
+++ b/crates/entry/src/state.rs
@@ -14,10 +14,10 @@
 use comfreyweir_fleet::{
     closures::Closures,
     config::Config,
-    directory::{Changes, Directory, StoredUpstream, UpstreamProcess},
+    directory::{Changes, Directory, StoredUpstream},
     health::Health,
     intake::{IntakeLimit, WaitingLines},
-    limits::{InstanceLimits, LimitChange, ToldLimit},
+    limits::InstanceLimits,
     load::LoadTracker,
     planner::{DemandReport, Placement, WaitingRequests},
     prefix_cache::PrefixCaches,
@@ -40,7 +40,7 @@
 use crate::{
     log_limiter::RequestLogLimiter,
     metrics::Metrics,
-    platform::{LimitNotice, Platform, PlatformError, UpstreamNotice},
+    platform::{Platform, PlatformError, UpstreamNotice},
     quarantine::QuarantineState,
     work_times::WorkTimes,
 };
@@ -166,7 +166,7 @@
 }
 
 impl SendKind {
-    fn name(self) -> &'static str {
+    pub(crate) fn name(self) -> &'static str {
         match self {
             Self::Request => "request",
             Self::Repeat => "repeat",
@@ -508,6 +508,7 @@
         spdlog::info!("configuration in force", kv: {
             version, before, source, mistakes = mistakes.len()
         });
+        self.record_cold_list();
         self.state_changed.notify_waiters();
     }
 
@@ -594,6 +595,7 @@
         let is_confirmed = directory.is_copy(list);
         let changes = directory.replace(list, revision, at);
         drop(directory);
+        self.record_cold_list();
         if is_confirmed {
             return;
         }
@@ -612,6 +614,7 @@
         let age_before = directory.age(called_at);
         let changes = directory.replace_read(list, revision, called_at);
         drop(directory);
+        self.record_cold_list();
         self.announce_upstreams(&changes, revision, age_before, "store");
     }
 
@@ -727,40 +730,11 @@
         self.origins.borrow().resumption(stream, served)
     }
 
-    /// Whether something may be sent to an upstream as far as its limit is concerned. If so, it counts as
-    /// sent.
-    pub(crate) fn take_permit(&self, upstream: &Upstream) -> bool {
-        if self.limit_of(upstream).is_none() {
-            return true;
-        }
-        let process = UpstreamProcess::of(upstream);
-        let now = self.clock.since_boot();
-        self.limits.borrow_mut().take(&process, now)
-    }
-
-    /// The limit that an upstream has named, if any, in requests a second.
-    pub(crate) fn limit_of(&self, upstream: &Upstream) -> Option<f64> {
-        let limits = self.limits.borrow();
-        if limits.is_empty() {
-            return None;
-        }
-        limits.limit(&UpstreamProcess::of(upstream))
-    }
-
-    /// Takes over which limits other instances have heard.
-    pub(crate) fn apply_limits(&self, told: &[ToldLimit]) {
-        let mut limits = self.limits.borrow_mut();
-        let changes = limits.set_elsewhere(told, self.clock.since_boot());
-        drop(limits);
-        for (process, change) in changes {
-            self.announce_limit(&process, change, "holder");
-        }
-    }
-
     /// Records that something is sent to an upstream. All that reaches upstreams passes here.
     pub(crate) fn record_sent(&self, upstream: &Upstream, kind: SendKind) {
         let now = self.now();
         self.closures.borrow_mut().record_sent(&upstream.id, now);
+        self.count_cold_send(upstream, kind);
         let Some(limit) = self.limit_of(upstream) else {
             return;
         };
@@ -782,6 +756,7 @@
     ) {
         let now = self.now();
         self.record_limit(upstream, notice.limit, (kind, sent_at));
+        self.record_cold_answer(upstream, notice.cold_for);
         let id = upstream.id.as_str();
         if notice.is_leaving && self.directory.borrow_mut().record_leaving(upstream, now) {
             spdlog::info!("upstream says that it leaves", kv: { upstream = id });
@@ -803,64 +778,6 @@
         }
     }
 
-    fn record_limit(
-        &self,
-        upstream: &Upstream,
-        notice: LimitNotice,
-        (kind, sent_at): (SendKind, Duration),
-    ) {
-        let limit = match notice {
-            LimitNotice::Named(limit) => Some(limit),
-            LimitNotice::Absent => None,
-            LimitNotice::Unknown => return,
-            LimitNotice::Unusable => {
-                self.metrics.count_notice("unusable_limit");
-                if self.request_log_limiter.try_acquire(self.now()) {
-                    spdlog::warn!("upstream names a limit that is no number of requests", kv: {
-                        upstream = upstream.id.as_str()
-                    });
-                }
-                return;
-            }
-        };
-        let process = UpstreamProcess::of(upstream);
-        let since_boot = self.clock.since_boot();
-        let mut limits = self.limits.borrow_mut();
-        let change = match kind {
-            SendKind::Request | SendKind::Repeat => {
-                limits.record_answer(&process, limit, sent_at, since_boot)
-            }
-            SendKind::Report | SendKind::Order => {
-                limits.record_call_answer(&process, limit, sent_at, since_boot)
-            }
-        };
-        drop(limits);
-        if let Some(change) = change {
-            self.announce_limit(&process, change, "answer");
-            self.has_limit_news.set(true);
-            self.permits_wanted.notify_one();
-        }
-    }
-
-    /// Logs that the limit of an upstream has changed, and notifies waiting requests.
-    fn announce_limit(&self, process: &UpstreamProcess, change: LimitChange, source: &str) {
-        let upstream = process.id.as_str();
-        match change {
-            LimitChange::Begun(limit) => {
-                self.metrics.count_notice("limit");
-                spdlog::info!("upstream names a limit", kv: { upstream, source, limit });
-            }
-            LimitChange::Changed { from, to } => {
-                spdlog::info!("upstream names another limit", kv: { upstream, source, from, to });
-            }
-            LimitChange::Ended => {
-                self.metrics.count_notice("limit_ended");
-                spdlog::info!("upstream has ended its limit", kv: { upstream, source });
-            }
-        }
-        self.state_changed.notify_waiters();
-    }
-
     /// Applies the holder's grants, the answer to a report built at `reported_at`, to the local
     /// quotas.
     pub(crate) fn apply_grants(&self, grants: &HashMap<String, Grant>, reported_at: Instant) {
--- a/crates/entry/tests/support/engines.rs
+++ b/crates/entry/tests/support/engines.rs
@@ -224,6 +224,7 @@
         slots: 64,
         phase: Phase::Ready,
         born_ms: Some(1),
+        cold_for: std::time::Duration::ZERO,
         holds: Holding {
             models: vec![model],
             ..Holding::default()
--- a/crates/entry/tests/support/mod.rs
+++ b/crates/entry/tests/support/mod.rs
@@ -88,6 +88,7 @@
         slots: 8,
         phase: Phase::Ready,
         born_ms: Some(1),
+        cold_for: std::time::Duration::ZERO,
         holds: Holding {
             models: models.collect(),
             ..Holding::default()
--- a/crates/entry/tests/support/platform.rs
+++ b/crates/entry/tests/support/platform.rs
@@ -197,6 +197,7 @@
                 not_run: name("x-not-run"),
                 leaving: name("x-leaving"),
                 limit: name("x-limit"),
+                cold: name("x-cold-ms"),
                 reserved: vec![name("x-workspace"), name("x-expect"), name("x-priority")],
             },
         }
@@ -537,6 +538,7 @@
             name: name.to_owned(),
             max_connections: 10,
             engine,
+            cold: None,
         };
         config.services.insert(name.to_owned(), Rc::new(service));
     }
--- a/crates/fleet/src/config.rs
+++ b/crates/fleet/src/config.rs
@@ -102,6 +102,17 @@
     pub max_connections: u32,
     /// Properties of its model engines; none for services without model engines.
     pub engine: Option<Engine>,
+    /// What its upstreams tolerate while they are cold; none if they need no care.
+    pub cold: Option<ColdStart>,
+}
+
+/// What upstreams of a service tolerate after their start.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct ColdStart {
+    /// Time for which an upstream stays cold after a start.
+    pub time: Duration,
+    /// Requests a second that a cold upstream tolerates from all instances together.
+    pub per_s: f64,
 }
 
 /// Properties of the model engines of a service.
--- a/crates/fleet/src/limits/holder.rs
+++ b/crates/fleet/src/limits/holder.rs
@@ -3,17 +3,12 @@
 use std::{collections::HashMap, time::Duration};
 
 use super::{
-    MAX_ADVANCE, PermitAnswer, PermitAsk, ToldLimit, rate,
+    Cold, PermitAnswer, PermitAsk, ToldLimit,
+    cold::{ColdProcesses, EffectiveLimit},
     statements::{LimitChange, Statements},
 };
 use crate::directory::UpstreamProcess;
 
-/// Requests that a bucket holds beside the refill of [`BURST_TIME`].
-const BURST: f64 = 2.0;
-/// Time whose refill a bucket holds.
-const BURST_TIME: Duration = Duration::from_millis(500);
-/// Level from which a permit is given to a request that other upstreams can run too.
-const SPARE_LEVEL: f64 = 2.0;
 /// Requests whose time each ask in vain adds to the time after which the next one in vain is repeated.
 /// Less than one, since not all instances that were turned away still need a permit then.
 const ASK_WEIGHT: f64 = 0.5;
@@ -24,6 +19,8 @@
 #[derive(Debug, Default)]
 pub struct PermitLedger {
     statements: Statements,
+    /// Processes that are cold as the instances that asked for permits know, and this one.
+    cold: ColdProcesses,
     buckets: HashMap<UpstreamProcess, PermitBucket>,
 }
 
@@ -47,9 +44,9 @@
         }
     }
 
-    fn refill(&mut self, rate: f64, now: Duration) {
+    fn refill(&mut self, rate: f64, capacity: f64, now: Duration) {
         let gained = rate * now.saturating_sub(self.updated_at).as_secs_f64();
-        self.level = (self.level + gained).min(capacity(rate));
+        self.level = (self.level + gained).min(capacity);
         self.turned_away = (self.turned_away - gained).max(0.0);
         self.updated_at = self.updated_at.max(now);
     }
@@ -60,11 +57,6 @@
     }
 }
 
-/// Requests that a bucket holds.
-fn capacity(rate: f64) -> f64 {
-    BURST + rate * BURST_TIME.as_secs_f64()
-}
-
 fn seconds(seconds: f64) -> Duration {
     Duration::try_from_secs_f64(seconds.max(0.0)).map_or(MAX_ROOM_TIME, |t| t.min(MAX_ROOM_TIME))
 }
@@ -87,7 +79,14 @@
             return Vec::new();
         }
         let before: Vec<_> = told.iter().map(|t| self.limit(&t.process)).collect();
+        let told_cold = told.iter().filter(|t| t.cold.is_some());
+        let newly_cold: Vec<_> = told_cold
+            .filter(|t| !self.is_cold(&t.process, now))
+            .collect();
         self.statements.merge(told, now);
+        for told in newly_cold {
+            self.empty_bucket(&told.process);
+        }
         self.statements.forget_old(now);
         let changes = told.iter().zip(before).filter_map(|(told, before)| {
             let after = self.limit(&told.process);
@@ -95,15 +94,50 @@
             Some((told.process.clone(), change))
         });
         let changes = changes.collect();
-        let mut before = std::mem::take(&mut self.buckets);
         for process in self.statements.limited() {
-            let bucket = before.remove(process);
-            let bucket = bucket.unwrap_or_else(|| PermitBucket::new(now));
-            self.buckets.insert(process.clone(), bucket);
+            let bucket = self.buckets.entry(process.clone());
+            bucket.or_insert_with(|| PermitBucket::new(now));
         }
+        self.forget_unlimited(now);
         changes
     }
 
+    /// Records that a process is cold, as an instance knows from the list of upstreams. Others know it
+    /// from there too, and are not told.
+    pub fn record_cold(&mut self, process: &UpstreamProcess, cold: Cold, now: Duration) {
+        let was_cold = self.is_cold(process, now);
+        self.cold.record(process, cold, now);
+        if !was_cold {
+            self.forget_unlimited(now);
+            self.empty_bucket(process);
+        }
+    }
+
+    /// Discards what another limit has left of a process that becomes cold: it would come on top of
+    /// what the process tolerates.
+    fn empty_bucket(&mut self, process: &UpstreamProcess) {
+        if let Some(bucket) = self.buckets.get_mut(process) {
+            bucket.level = bucket.level.min(0.0);
+        }
+    }
+
+    fn is_cold(&self, process: &UpstreamProcess, now: Duration) -> bool {
+        self.cold(process, now).is_some()
+    }
+
+    fn cold(&self, process: &UpstreamProcess, now: Duration) -> Option<Cold> {
+        let told = self.statements.cold(process, now);
+        Cold::combine_any(told, self.cold.get(process, now))
+    }
+
+    /// Removes the buckets of processes that nothing limits any more.
+    fn forget_unlimited(&mut self, now: Duration) {
+        self.cold.forget_old(now);
+        let mut buckets = std::mem::take(&mut self.buckets);
+        buckets.retain(|process, _| self.limit(process).is_some() || self.is_cold(process, now));
+        self.buckets = buckets;
+    }
+
     /// What is known of limits, to tell an instance.
     pub fn told(&self, now: Duration) -> Vec<ToldLimit> {
         self.statements.told(now)
@@ -116,27 +150,30 @@
 
     /// Gives permits, as far as there is room. `silent_ratio` is the number of instances that do not
     /// report, and may send their equal shares, for each that does. No answer for an upstream without
-    /// a limit.
+    /// a limit that is not cold.
     pub fn ask(
         &mut self,
         ask: &PermitAsk,
         silent_ratio: f64,
         now: Duration,
     ) -> Option<PermitAnswer> {
-        let (bucket, rate) = self.bucket(&ask.process, silent_ratio, now)?;
+        if let Some(cold) = ask.cold {
+            self.record_cold(&ask.process, cold.cold(now), now);
+        }
+        let (bucket, limit, rate) = self.bucket(&ask.process, silent_ratio, now)?;
         let mut valid_in = Vec::new();
         let mut room_in = None;
         if ask.waiting == 0 {
-            if bucket.level >= SPARE_LEVEL {
+            if bucket.level >= limit.spare_level() {
                 bucket.level -= 1.0;
                 valid_in.push(Duration::ZERO);
             } else {
-                room_in = Some(seconds((SPARE_LEVEL - bucket.level) / rate));
+                room_in = Some(seconds((limit.spare_level() - bucket.level) / rate));
             }
         }
         for _ in 0..ask.waiting {
             let wait = bucket.time_to_room(rate);
-            if wait > MAX_ADVANCE {
+            if wait > limit.max_advance() {
                 room_in = Some(wait);
                 break;
             }
@@ -158,7 +195,7 @@
 
     /// Takes a permit for a call of the holder. False if there is no room.
     pub fn take(&mut self, process: &UpstreamProcess, silent_ratio: f64, now: Duration) -> bool {
-        let Some((bucket, _)) = self.bucket(process, silent_ratio, now) else {
+        let Some((bucket, ..)) = self.bucket(process, silent_ratio, now) else {
             return true;
         };
         let has_room = bucket.level >= 1.0;
@@ -176,19 +213,24 @@
         now: Duration,
     ) -> Duration {
         let bucket = self.bucket(process, silent_ratio, now);
-        bucket.map_or(Duration::ZERO, |(bucket, rate)| bucket.time_to_room(rate))
+        bucket.map_or(Duration::ZERO, |(bucket, _, rate)| {
+            bucket.time_to_room(rate)
+        })
     }
 
-    /// The bucket of a limited upstream, and the rate at which it is refilled, in requests a second.
+    /// The bucket of a limited upstream, its limit, and the rate at which it is refilled, in requests
+    /// a second.
     fn bucket(
         &mut self,
         process: &UpstreamProcess,
         silent_ratio: f64,
         now: Duration,
-    ) -> Option<(&mut PermitBucket, f64)> {
-        let rate = rate(self.limit(process)?) / (1.0 + silent_ratio);
-        let bucket = self.buckets.get_mut(process)?;
-        bucket.refill(rate, now);
-        Some((bucket, rate))
+    ) -> Option<(&mut PermitBucket, EffectiveLimit, f64)> {
+        let limit = EffectiveLimit::of(self.limit(process), self.cold(process, now))?;
+        let rate = limit.rate() / (1.0 + silent_ratio);
+        let bucket = self.buckets.entry(process.clone());
+        let bucket = bucket.or_insert_with(|| PermitBucket::new(now));
+        bucket.refill(rate, limit.capacity(), now);
+        Some((bucket, limit, rate))
     }
 }
--- a/crates/fleet/src/limits/instance.rs
+++ b/crates/fleet/src/limits/instance.rs
@@ -2,16 +2,19 @@
 
 use std::{
     collections::{HashMap, HashSet},
-    time::Duration,
+    time::{Duration, Instant},
 };
 
 use super::{
-    MAX_ADVANCE, PERMIT_TTL, PermitAnswer, PermitAsk, ToldLimit, rate,
+    Cold, PermitAnswer, PermitAsk, ToldLimit,
+    cold::{ColdProcesses, EffectiveLimit, PresumedZones},
     statements::{LimitChange, Statement, Statements},
 };
 use crate::{
     directory::UpstreamProcess,
+    intake::Urgency,
     quota::{EQUAL_SHARE_TIME, GRANT_TTL},
+    upstream::Upstream,
 };
 
 /// Time without an answer that names the limit, after which an answer to a report request can end it.
@@ -24,7 +27,7 @@
 /// Whether something may be sent to an upstream. Times are since boot.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Room {
-    /// It may: the upstream has no limit, or there is a permit.
+    /// It may: nothing limits the upstream, or there is a permit.
     Now,
     /// From this time on, for which there is a permit.
     From(Duration),
@@ -41,10 +44,14 @@
     own: Statements,
     /// What they have said to others.
     elsewhere: Statements,
+    /// Processes that are cold as the list of upstreams says, or are presumed to be. All instances
+    /// have this list, so that they are not told.
+    listed: ColdProcesses,
+    presumed: PresumedZones,
     permits: HashMap<UpstreamProcess, Vec<Permit>>,
     full: HashMap<UpstreamProcess, Full>,
-    /// Tickets of the requests that wait for each upstream, the first one first.
-    waiting: HashMap<UpstreamProcess, Vec<Ticket>>,
+    /// Requests that wait for each upstream, the first one first.
+    waiting: HashMap<UpstreamProcess, Vec<Waiting>>,
     last_ticket: u64,
     /// Upstreams that have named their limit in answers to report requests or orders.
     named_in_calls: HashSet<UpstreamProcess>,
@@ -52,6 +59,8 @@
     usable: HashSet<UpstreamProcess>,
     /// When the last report was sent that a holder has answered; at first, the start of the process.
     holder_heard_at: Duration,
+    /// Whether a holder has answered since the start of the process.
+    has_had_holder: bool,
     /// Number of instances that share a limit without a holder, and the place of this one among them.
     instances: u32,
     place: u32,
@@ -71,6 +80,15 @@
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct Ticket(u64);
 
+/// A request that waits for an upstream.
+#[derive(Clone, Copy, Debug)]
+struct Waiting {
+    ticket: Ticket,
+    /// Priority, 0 first, and goal of a request that waits for a cold upstream; others go in the order
+    /// of their arrival.
+    order: Option<(u8, Instant)>,
+}
+
 /// Permission to send one request.
 #[derive(Clone, Copy, Debug)]
 struct Permit {
@@ -92,6 +110,8 @@
         Self {
             own: Statements::default(),
             elsewhere: Statements::default(),
+            listed: ColdProcesses::default(),
+            presumed: PresumedZones::default(),
             permits: HashMap::new(),
             full: HashMap::new(),
             waiting: HashMap::new(),
@@ -99,6 +119,7 @@
             named_in_calls: HashSet::new(),
             usable: HashSet::new(),
             holder_heard_at: now,
+            has_had_holder: false,
             instances: 1,
             place: 0,
             used_turns: HashMap::new(),
@@ -174,8 +195,15 @@
         processes.extend(told.iter().map(|t| t.process.clone()));
         let processes = processes.into_iter();
         let before: Vec<_> = processes.map(|p| (self.limit(&p), p)).collect();
+        let told_cold = told.iter().filter(|t| t.cold.is_some());
+        let newly_cold: Vec<_> = told_cold
+            .filter(|t| self.cold(&t.process, now).is_none())
+            .collect();
         self.elsewhere = Statements::default();
         self.elsewhere.merge(told, now);
+        for told in newly_cold {
+            self.discard_permits(&told.process);
+        }
         let changes = before.into_iter().filter_map(|(before, process)| {
             let change = self.apply_change(&process, before)?;
             Some((process, change))
@@ -190,15 +218,93 @@
         before: Option<f64>,
     ) -> Option<LimitChange> {
         let change = LimitChange::between(before, self.limit(process))?;
+        self.discard_permits(process);
+        Some(change)
+    }
+
+    fn discard_permits(&mut self, process: &UpstreamProcess) {
         self.permits.remove(process);
         self.full.remove(process);
         self.used_turns.remove(process);
-        Some(change)
     }
 
-    /// What upstreams have said to this instance, to tell the holder.
+    /// Records the list of upstreams of services that have cold upstreams, which was read at `read_at`
+    /// or before, with the requests a second that each tolerates while cold. Returns those that have
+    /// become cold.
+    pub fn record_list<'a, L>(
+        &mut self,
+        list: L,
+        read_at: Duration,
+        now: Duration,
+    ) -> Vec<UpstreamProcess>
+    where
+        L: IntoIterator<Item = (&'a Upstream, f64)>,
+    {
+        self.listed.forget_old(now);
+        let mut newly_cold = Vec::new();
+        for (upstream, per_s) in list {
+            let until = self.presumed.end(upstream, read_at);
+            if until <= now {
+                continue;
+            }
+            let process = UpstreamProcess::of(upstream);
+            let was_cold = self.cold(&process, now).is_some();
+            self.listed.record(&process, Cold { per_s, until }, now);
+            if !was_cold {
+                self.discard_permits(&process);
+                newly_cold.push(process);
+            }
+        }
+        newly_cold
+    }
+
+    /// Makes all upstreams of a zone count as cold until a time, whatever their entries say, with the
+    /// next call of [`Self::record_list`].
+    pub fn presume_cold(&mut self, zone: &str, until: Duration, now: Duration) {
+        self.presumed.presume(zone, until, now);
+    }
+
+    /// Records that a process has said in an answer that it is cold. Returns whether this is news, of
+    /// which the holder is to be told.
+    pub fn record_cold_answer(
+        &mut self,
+        process: &UpstreamProcess,
+        cold: Cold,
+        now: Duration,
+    ) -> bool {
+        let was_cold = self.cold(process, now).is_some();
+        self.own.forget_old(now);
+        self.own.record_cold(process, cold, now);
+        let is_news = !was_cold && now < cold.until;
+        if is_news {
+            self.discard_permits(process);
+        }
+        is_news
+    }
+
+    /// Whether a process is cold, as far as this instance knows.
+    pub fn cold(&self, process: &UpstreamProcess, now: Duration) -> Option<Cold> {
+        let heard = Cold::combine_any(
+            self.own.cold(process, now),
+            self.elsewhere.cold(process, now),
+        );
+        Cold::combine_any(heard, self.listed.get(process, now))
+    }
+
+    fn effective(&self, process: &UpstreamProcess, now: Duration) -> Option<EffectiveLimit> {
+        EffectiveLimit::of(self.limit(process), self.cold(process, now))
+    }
+
+    /// What upstreams have said to this instance, to tell the holder. What the list says of cold
+    /// upstreams as well is left out.
     pub fn heard(&self, now: Duration) -> Vec<ToldLimit> {
-        self.own.told(now)
+        let mut told = self.own.told(now);
+        told.retain(|told| {
+            let listed = self.listed.get(&told.process, now);
+            let is_listed = |left| listed.is_some_and(|cold| now + left <= cold.until);
+            !told.cold.is_some_and(|cold| is_listed(cold.left))
+        });
+        told
     }
 
     /// All that this instance knows, with which it begins as the holder.
@@ -214,9 +320,9 @@
         self.known(process)?.limit
     }
 
-    /// Whether nothing is known of any limit.
+    /// Whether nothing is known of any limit or cold upstream.
     pub fn is_empty(&self) -> bool {
-        self.own.is_empty() && self.elsewhere.is_empty()
+        self.own.is_empty() && self.elsewhere.is_empty() && self.listed.is_empty()
     }
 
     fn known(&self, process: &UpstreamProcess) -> Option<Statement> {
@@ -226,6 +332,7 @@
     /// Records that a holder has answered a report that was sent at `reported_at`.
     pub fn record_holder(&mut self, reported_at: Duration) {
         self.holder_heard_at = self.holder_heard_at.max(reported_at);
+        self.has_had_holder = true;
         self.used_turns.clear();
     }
 
@@ -242,37 +349,53 @@
     /// Whether something may be sent to an upstream, for a request with a ticket, or one behind all that
     /// wait.
     pub fn room(&self, process: &UpstreamProcess, ticket: Option<Ticket>, now: Duration) -> Room {
-        let Some(limit) = self.limit(process) else {
+        let Some(limit) = self.effective(process, now) else {
             return Room::Now;
         };
         if !self.has_holder(now) {
             let turn = self.turn(process, limit, now);
             return match turn {
                 Some(turn) if turn.begins <= now => Room::Now,
-                Some(turn) => Room::Full(turn.begins),
-                None => Room::Full(now + UNKNOWN_ROOM_TIME),
+                Some(turn) => self.full_until(process, turn.begins, now),
+                None => self.full_until(process, now + UNKNOWN_ROOM_TIME, now),
             };
         }
         let line = self.waiting.get(process).map_or(&[][..], Vec::as_slice);
-        let place = line.iter().position(|t| Some(*t) == ticket);
+        let place = line.iter().position(|w| Some(w.ticket) == ticket);
+        let place = place.unwrap_or(line.len());
         let permits = self.permits.get(process).into_iter().flatten();
         let valid = permits.filter(|p| now < p.valid_until);
         let mut valid_from: Vec<_> = valid.map(|p| p.valid_from).collect();
         valid_from.sort_unstable();
-        match valid_from.get(place.unwrap_or(line.len())) {
+        match valid_from.get(place) {
             Some(from) if *from <= now => return Room::Now,
             Some(from) => return Room::From(*from),
             None => {}
         }
         match self.full.get(process) {
-            Some(full) if now < full.ask_at => Room::Full(full.until),
+            Some(full) if now < full.ask_at => {
+                let before = place - valid_from.len();
+                let before = u32::try_from(before).unwrap_or(u32::MAX);
+                let is_cold = self.cold(process, now).is_some();
+                let turn = f64::from(before) / limit.rate();
+                let turn = Duration::try_from_secs_f64(turn).unwrap_or(Duration::MAX);
+                let turn = if is_cold { turn } else { Duration::ZERO };
+                self.full_until(process, full.until.saturating_add(turn), now)
+            }
             _ => Room::Unknown,
         }
     }
 
+    /// That there is no room until a time, or until a cold process without a limit is warm.
+    fn full_until(&self, process: &UpstreamProcess, until: Duration, now: Duration) -> Room {
+        let cold = self.cold(process, now);
+        let warm_at = cold.filter(|_| self.limit(process).is_none());
+        Room::Full(warm_at.map_or(until, |cold| until.min(cold.until)))
+    }
+
     /// Takes what sending one request needs. False if it may not be sent now.
     pub fn take(&mut self, process: &UpstreamProcess, now: Duration) -> bool {
-        let Some(limit) = self.limit(process) else {
+        let Some(limit) = self.effective(process, now) else {
             return true;
         };
         if !self.has_holder(now) {
@@ -297,8 +420,14 @@
     /// The current or next turn of this instance, while it has no holder: one request at a time, in the
     /// order of the instances' places, so that all together send at the limit. A turn cannot be
     /// saved up. None once the holder no longer reserves them.
-    fn turn(&self, process: &UpstreamProcess, limit: f64, now: Duration) -> Option<Turn> {
-        let interval = Duration::try_from_secs_f64(1.0 / rate(limit)).ok()?;
+    fn turn(
+        &self,
+        process: &UpstreamProcess,
+        limit: EffectiveLimit,
+        now: Duration,
+    ) -> Option<Turn> {
+        let rate = limit.turn_rate(self.instances, self.has_had_holder)?;
+        let interval = Duration::try_from_secs_f64(1.0 / rate).ok()?;
         let round = interval.saturating_mul(self.instances);
         let lost_at = self.holder_heard_at + GRANT_TTL;
         let first = lost_at + interval.saturating_mul(self.place + 1);
@@ -310,7 +439,7 @@
             Turn {
                 number,
                 begins,
-                ends: begins + PERMIT_TTL.min(round),
+                ends: begins + limit.permit_ttl().min(round),
             }
         });
         let mut open = turns.filter(|turn| now < turn.ends && used < Some(turn.number));
@@ -320,19 +449,35 @@
 
     /// Adds a request to those that wait for an upstream. Each call needs one [`Self::end_wait`].
     pub fn begin_wait(&mut self, process: &UpstreamProcess) -> Ticket {
+        self.join(process, None)
+    }
+
+    /// Like [`Self::begin_wait`]. Requests that wait for a cold upstream go in the order of their
+    /// urgency.
+    pub fn begin_urgent_wait(
+        &mut self,
+        process: &UpstreamProcess,
+        urgency: Urgency,
+        now: Duration,
+    ) -> Ticket {
+        let is_cold = self.cold(process, now).is_some();
+        self.join(process, is_cold.then_some((urgency.rank, urgency.goal)))
+    }
+
+    fn join(&mut self, process: &UpstreamProcess, order: Option<(u8, Instant)>) -> Ticket {
         self.last_ticket += 1;
         let ticket = Ticket(self.last_ticket);
-        self.waiting
-            .entry(process.clone())
-            .or_default()
-            .push(ticket);
+        let line = self.waiting.entry(process.clone()).or_default();
+        let is_before = |w: &Waiting| order.is_none() || w.order <= order;
+        let place = line.partition_point(is_before);
+        line.insert(place, Waiting { ticket, order });
         ticket
     }
 
     /// Ends a wait that [`Self::begin_wait`] began.
     pub fn end_wait(&mut self, process: &UpstreamProcess, ticket: Ticket) {
         if let Some(line) = self.waiting.get_mut(process) {
-            line.retain(|t| *t != ticket);
+            line.retain(|w| w.ticket != ticket);
             if line.is_empty() {
                 self.waiting.remove(process);
             }
@@ -360,8 +505,14 @@
             let at_hand = self.permits_at_hand(&process, now);
             let waiting = requests.saturating_sub(at_hand);
             let is_needed = waiting > 0 || requests == 0 && at_hand == 0;
-            let may_ask = self.limit(&process).is_some() && !self.is_full(&process, now);
-            (is_needed && may_ask).then_some(PermitAsk { process, waiting })
+            let is_limited = self.effective(&process, now).is_some();
+            let may_ask = is_limited && !self.is_full(&process, now);
+            let cold = self.cold(&process, now).map(|cold| cold.told(now));
+            (is_needed && may_ask).then_some(PermitAsk {
+                process,
+                waiting,
+                cold,
+            })
         });
         asks.collect()
     }
@@ -382,17 +533,19 @@
         for answer in answers {
             let process = &answer.process;
             // The limit may have ended, or changed, meanwhile.
-            if self.limit(process).is_none() {
+            let Some(limit) = self.effective(process, now) else {
                 continue;
-            }
+            };
             let permits = self.permits.entry(process.clone()).or_default();
             permits.retain(|p| now < p.valid_until);
             permits.extend(answer.valid_in.iter().map(|valid_in| Permit {
                 valid_from: asked_at + *valid_in,
-                valid_until: asked_at + *valid_in + PERMIT_TTL,
+                valid_until: asked_at + *valid_in + limit.permit_ttl(),
             }));
             if let Some(room_in) = answer.room_in {
-                let pause = room_in.saturating_sub(MAX_ADVANCE).max(MIN_ASK_PAUSE);
+                let pause = room_in
+                    .saturating_sub(limit.max_advance())
+                    .max(MIN_ASK_PAUSE);
                 let full = Full {
                     until: now + room_in,
                     ask_at: now + pause,
--- a/crates/fleet/src/limits/mod.rs
+++ b/crates/fleet/src/limits/mod.rs
@@ -6,9 +6,13 @@
 //! permits from it, one for each request that an instance asks for. A permit counts as used when it
 //! is given, so that none is spent twice, whatever is lost, cut off or restarted.
 //!
+//! The rate that an upstream tolerates while it is cold is a limit of the same kind, which holds over
+//! each second.
+//!
 //! An instance without a holder sends one request when it is its turn among all instances; the holder
 //! gives out so much less for each instance that does not report.
 
+mod cold;
 mod holder;
 mod instance;
 mod statements;
@@ -18,28 +22,23 @@
 use serde::{Deserialize, Serialize};
 
 pub use self::{
+    cold::{Cold, MAX_COLD_TIME, ToldCold},
     holder::PermitLedger,
     instance::{InstanceLimits, Room, Ticket},
-    statements::{LimitChange, ToldLimit},
+    statements::{LimitChange, NamedLimit, ToldLimit},
 };
 use crate::directory::UpstreamProcess;
 
 /// Lowest rate, in requests a second, at which something is sent. Without an answer now and then,
 /// nothing would show that a limit has ended.
 const MIN_RATE: f64 = 0.2;
-/// Time until the bucket has room for a request, up to which a permit is given that is valid from then
-/// on.
-const MAX_ADVANCE: Duration = Duration::from_millis(300);
-/// Time for which a permit is valid.
-const PERMIT_TTL: Duration = Duration::from_millis(500);
-
 /// The rate at which requests are sent to an upstream that has named a limit, in requests a second.
 fn rate(limit: f64) -> f64 {
     limit.max(MIN_RATE)
 }
 
 /// A request of an instance for permits.
-#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Clone, Debug, PartialEq)]
 #[derive(Serialize, Deserialize)]
 pub struct PermitAsk {
     /// The upstream.
@@ -47,6 +46,8 @@
     /// Number of requests that wait for it; 0 if others could run them too, so that a permit is given
     /// only if nobody else needs it.
     pub waiting: u32,
+    /// That it is cold, as the instance knows. The holder may not know it yet.
+    pub cold: Option<ToldCold>,
 }
 
 /// Answer to a [`PermitAsk`].
--- a/crates/fleet/src/limits/statements.rs
+++ b/crates/fleet/src/limits/statements.rs
@@ -10,6 +10,7 @@
 
 use serde::{Deserialize, Serialize};
 
+use super::cold::{Cold, ColdProcesses, ToldCold};
 use crate::directory::UpstreamProcess;
 
 /// Time for which the end of a limit is remembered. Instances that have not heard of it, and answers
@@ -66,12 +67,22 @@
     }
 }
 
-/// What one instance tells another of the limit of an upstream.
+/// What one instance tells another of a process of an upstream.
 #[derive(Clone, Debug, PartialEq)]
 #[derive(Serialize, Deserialize)]
 pub struct ToldLimit {
-    /// The process that named it.
+    /// The process.
     pub process: UpstreamProcess,
+    /// What it has said of its limit, if anything.
+    pub named: Option<NamedLimit>,
+    /// That it is cold, if so.
+    pub cold: Option<ToldCold>,
+}
+
+/// What an upstream has said of its limit.
+#[derive(Clone, Copy, Debug, PartialEq)]
+#[derive(Serialize, Deserialize)]
+pub struct NamedLimit {
     /// Requests a second that it takes from all instances together; none if it has ended the limit.
     pub limit: Option<f64>,
     /// Time since the request was sent whose answer said so.
@@ -80,8 +91,8 @@
     pub heard_before: Duration,
 }
 
-impl ToldLimit {
-    fn statement(&self, now: Duration) -> Statement {
+impl NamedLimit {
+    fn statement(self, now: Duration) -> Statement {
         Statement {
             limit: self.limit,
             sent_at: now.saturating_sub(self.sent_before),
@@ -123,6 +134,7 @@
 #[derive(Debug, Default)]
 pub(super) struct Statements {
     by_process: HashMap<UpstreamProcess, Statement>,
+    cold: ColdProcesses,
 }
 
 impl Statements {
@@ -142,19 +154,34 @@
         self.by_process.insert(process.clone(), statement);
     }
 
+    /// Whether a process has said that it is cold.
+    pub(super) fn cold(&self, process: &UpstreamProcess, now: Duration) -> Option<Cold> {
+        self.cold.get(process, now)
+    }
+
+    pub(super) fn record_cold(&mut self, process: &UpstreamProcess, cold: Cold, now: Duration) {
+        self.cold.record(process, cold, now);
+    }
+
     /// Takes over what another instance has told.
     pub(super) fn merge(&mut self, told: &[ToldLimit], now: Duration) {
         for told in told {
-            let statement = told.statement(now);
-            let known = self.get(&told.process);
-            let newer = known.map_or(statement, |known| known.newer(statement));
-            self.set(&told.process, newer);
+            if let Some(named) = told.named {
+                let statement = named.statement(now);
+                let known = self.get(&told.process);
+                let newer = known.map_or(statement, |known| known.newer(statement));
+                self.set(&told.process, newer);
+            }
+            if let Some(cold) = told.cold {
+                self.record_cold(&told.process, cold.cold(now), now);
+            }
         }
     }
 
     /// Removes what is too old to matter.
     pub(super) fn forget_old(&mut self, now: Duration) {
         self.by_process.retain(|_, s| s.is_remembered(now));
+        self.cold.forget_old(now);
     }
 
     /// Processes that have named a limit.
@@ -164,21 +191,30 @@
     }
 
     pub(super) fn is_empty(&self) -> bool {
-        self.by_process.is_empty()
+        self.by_process.is_empty() && self.cold.is_empty()
     }
 
+    /// Processes that have said something of a limit.
     pub(super) fn processes(&self) -> impl Iterator<Item = &UpstreamProcess> {
         self.by_process.keys()
     }
 
     /// All statements, as another instance is told of them.
     pub(super) fn told(&self, now: Duration) -> Vec<ToldLimit> {
-        let told = self.by_process.iter().map(|(process, s)| ToldLimit {
+        let named = self.by_process.iter().map(|(process, s)| ToldLimit {
+            process: process.clone(),
+            named: Some(NamedLimit {
+                limit: s.limit,
+                sent_before: now.saturating_sub(s.sent_at),
+                heard_before: now.saturating_sub(s.heard_at),
+            }),
+            cold: None,
+        });
+        let cold = self.cold.iter(now).map(|(process, cold)| ToldLimit {
             process: process.clone(),
-            limit: s.limit,
-            sent_before: now.saturating_sub(s.sent_at),
-            heard_before: now.saturating_sub(s.heard_at),
+            named: None,
+            cold: Some(cold.told(now)),
         });
-        told.collect()
+        named.chain(cold).collect()
     }
 }
--- a/crates/fleet/src/upstream.rs
+++ b/crates/fleet/src/upstream.rs
@@ -24,6 +24,8 @@
     pub phase: Phase,
     /// Start time of the process under this identifier, in ms of Unix time, if reported.
     pub born_ms: Option<u64>,
+    /// Time for which it stays cold, from when it wrote its entry on; zero if it is not cold.
+    pub cold_for: Duration,
     /// Models and adapters that a model engine holds; empty for other upstreams.
     pub holds: Holding,
 }
@@ -40,11 +42,12 @@
             slots,
             phase,
             born_ms,
+            cold_for,
             holds: _,
         } = self;
         (id, service, addr, zone) == (&other.id, &other.service, &other.addr, &other.zone)
             && (software, slots) == (&other.software, &other.slots)
-            && (phase, born_ms) == (&other.phase, &other.born_ms)
+            && (phase, born_ms, cold_for) == (&other.phase, &other.born_ms, &other.cold_for)
     }
 }
 
--- a/crates/fleet/tests/directory.rs
+++ b/crates/fleet/tests/directory.rs
@@ -23,6 +23,7 @@
         slots: 8,
         phase,
         born_ms: Some(1),
+        cold_for: std::time::Duration::ZERO,
         holds: Holding::default(),
     }
 }
--- a/crates/fleet/tests/stream_origins.rs
+++ b/crates/fleet/tests/stream_origins.rs
@@ -50,6 +50,7 @@
         slots: 8,
         phase: Phase::Ready,
         born_ms: None,
+        cold_for: std::time::Duration::ZERO,
         holds: Holding::default(),
     })
 }
--- a/crates/fleet/tests/support/mod.rs
+++ b/crates/fleet/tests/support/mod.rs
@@ -122,6 +122,7 @@
             slots: 8,
             phase: Phase::Ready,
             born_ms: None,
+            cold_for: std::time::Duration::ZERO,
             holds: self.holds(),
         })
     }
--- a/crates/fleet/tests/versioned_list.rs
+++ b/crates/fleet/tests/versioned_list.rs
@@ -20,6 +20,7 @@
         slots,
         phase: Phase::Ready,
         born_ms: None,
+        cold_for: std::time::Duration::ZERO,
         holds: Holding::default(),
     })
 }
