--- a/crates/entry/src/limits.rs
+++ b/crates/entry/src/limits.rs
@@ -20,6 +20,10 @@
 /// later than the read began.
 const MAX_LIST_READ_TIME: Duration = Duration::from_secs(1);
 
+/// Time for which an upstream that refuses connections is taken for another process, which is cold.
+/// Longer than it takes a list with that process to arrive, 1.4 s.
+const REPLACEMENT_TIME: Duration = Duration::from_secs(2);
+
 impl<P> EntryContext<P>
 where
     P: Platform,
@@ -189,6 +193,26 @@
         }
     }
 
+    /// Records that nobody listens at the address of an upstream. The next process that does is another
+    /// one, which may come to the list later than its first request.
+    pub(crate) fn record_refused_connection(&self, upstream: &Upstream) {
+        let Some(start) = self.cold_start(&upstream.service) else {
+            return;
+        };
+        let process = UpstreamProcess::of(upstream);
+        let since_boot = self.clock.since_boot();
+        let cold = Cold {
+            per_s: start.per_s,
+            until: since_boot + REPLACEMENT_TIME,
+        };
+        let mut limits = self.limits.borrow_mut();
+        let is_news = limits.presume_process_cold(&process, cold, since_boot);
+        drop(limits);
+        if is_news {
+            self.announce_cold(&process, "refused");
+        }
+    }
+
     fn announce_cold(&self, process: &UpstreamProcess, source: &str) {
         let since_boot = self.clock.since_boot();
         let cold = self.limits.borrow().cold(process, since_boot);
--- a/crates/entry/src/serve/attempt.rs
+++ b/crates/entry/src/serve/attempt.rs
@@ -198,7 +198,12 @@
                 Err(failure) => failure,
             }
         }
-        Ok(Err(e)) if !progress.has_written_bytes() => AttemptResult::NotSent(e.to_string()),
+        Ok(Err(e)) if !progress.has_written_bytes() => {
+            if e.is_refused_connection() {
+                cx.record_refused_connection(&picked.upstream);
+            }
+            AttemptResult::NotSent(e.to_string())
+        }
         Ok(Err(e)) => AttemptResult::Failed(e.to_string()),
         Err(_) if progress.has_written_bytes() => AttemptResult::TimedOut,
         Err(_) => AttemptResult::NotSent("no connection within the time left".to_owned()),
--- a/crates/fleet/src/limits/instance.rs
+++ b/crates/fleet/src/limits/instance.rs
@@ -264,6 +264,22 @@
         self.presumed.presume(zone, until, now);
     }
 
+    /// Makes a process count as cold for this instance only. Returns whether it did not before.
+    pub fn presume_process_cold(
+        &mut self,
+        process: &UpstreamProcess,
+        cold: Cold,
+        now: Duration,
+    ) -> bool {
+        let was_cold = self.cold(process, now).is_some();
+        self.listed.forget_old(now);
+        self.listed.record(process, cold, now);
+        if !was_cold {
+            self.discard_permits(process);
+        }
+        !was_cold
+    }
+
     /// Records that a process has said in an answer that it is cold. Returns whether this is news, of
     /// which the holder is to be told.
     pub fn record_cold_answer(
--- a/crates/http/src/upstream/mod.rs
+++ b/crates/http/src/upstream/mod.rs
@@ -125,6 +125,14 @@
     },
 }
 
+impl CallError {
+    /// Whether nobody listens at the address of the upstream.
+    pub fn is_refused_connection(&self) -> bool {
+        let is_refused = |e: &io::Error| e.kind() == io::ErrorKind::ConnectionRefused;
+        matches!(self, Self::Connect { source, .. } if is_refused(source))
+    }
+}
+
 /// A call to an upstream, without its body.
 #[derive(Clone, Debug)]
 pub struct UpstreamCall {
