--- a/crates/entry/src/lib.rs
+++ b/crates/entry/src/lib.rs
@@ -12,6 +12,7 @@
 mod exchange;
 mod follow;
 mod instance;
+mod limits;
 mod log_limiter;
 mod metrics;
 pub mod platform;
--- a/crates/entry/src/metrics.rs
+++ b/crates/entry/src/metrics.rs
@@ -85,6 +85,7 @@
     orders: Family<OrderLabels, Counter>,
     notices: Family<NoticeLabel, Counter>,
     limited_sends: Family<SendLabel, Counter>,
+    cold_requests: Family<SendLabel, Counter>,
     refused_at_stop: Counter,
     resumptions: Family<ResumptionLabel, Counter>,
     zones: Family<ZoneLabel, Counter>,
@@ -110,6 +111,7 @@
             orders: Family::default(),
             notices: Family::default(),
             limited_sends: Family::default(),
+            cold_requests: Family::default(),
             refused_at_stop: Counter::default(),
             resumptions: Family::default(),
             zones: Family::default(),
@@ -147,6 +149,11 @@
             "What was sent to upstreams that had named a limit, by kind",
             metrics.limited_sends.clone(),
         );
+        registry.register(
+            "comfreyweir_cold_requests",
+            "What was sent to cold upstreams, by kind, and requests that waited for one or were refused",
+            metrics.cold_requests.clone(),
+        );
         registry.register(
             "comfreyweir_refused_at_stop",
             "Requests that were refused because they could not end before the instance stops",
@@ -233,6 +240,11 @@
         self.notices.get_or_create(&labels).inc();
     }
 
+    /// Counts what was sent to a cold upstream, waited for one or was refused.
+    pub(crate) fn count_cold_request(&self, kind: &'static str) {
+        self.cold_requests.get_or_create(&SendLabel { kind }).inc();
+    }
+
     /// Counts what was sent to an upstream that had named a limit.
     pub(crate) fn count_limited_send(&self, kind: &'static str) {
         self.limited_sends.get_or_create(&SendLabel { kind }).inc();
--- a/crates/entry/src/serve/mod.rs
+++ b/crates/entry/src/serve/mod.rs
@@ -10,6 +10,7 @@
 mod relay;
 mod resumption;
 mod retry;
+mod room;
 mod stopping;
 mod trial;
 
--- a/crates/entry/src/zones.rs
+++ b/crates/entry/src/zones.rs
@@ -253,6 +253,12 @@
     let mut evacuations = cx.zones.evacuations.borrow_mut();
     let changes = evacuations.learn_news(news, source, sent_after, now);
     drop(evacuations);
+    if changes.is_first {
+        // A process that has just started has not seen the evacuations that have ended.
+        for (zone, ..) in &news.ended {
+            cx.presume_cold(zone);
+        }
+    }
     announce(cx, &changes, news.revision, source);
 }
 
@@ -284,6 +290,8 @@
         spdlog::warn!("evacuation of an availability zone has ended", kv: {
             zone = zone.as_str(), revision, source
         });
+        // Upstreams may have become cold meanwhile, and their entries may not say so yet.
+        cx.presume_cold(zone);
     }
     cx.state_changed.notify_waiters();
 }
