Lease numbers are valid only in the era of the store that issued them

Cause: after the store comes back from a copy, it issues the numbers of lost leases again. An instance that had registered after the copy was made went on to renew a number that by then was the lease of the next holder's duty, so that the duty never lapsed. Change: leases carry their era. A renewal, an end or a write under a lease of another era is not sent and counts as gone, also if the answer is the first of a new era. Instances register again as soon as they learn of the new era, and the process that a restored duty key names takes the duty again. A list whose pages are of two eras is read again. The renewals of a duty end with its planning task.

--- a/crates/entry/src/duty/election.rs
+++ b/crates/entry/src/duty/election.rs
@@ -6,7 +6,7 @@
 use actix_rt::time::sleep;
 use bytes::Bytes;
 use comfreyweir_clock::{Clock, whole_millis};
-use comfreyweir_fleet::duty::Tenure;
+use comfreyweir_fleet::duty::{LeaseId, Tenure};
 use comfreyweir_http::shutdown::Phase;
 use rand::RngExt;
 use tokio::time::timeout;
@@ -86,8 +86,8 @@
     }
 }
 
-/// Waits until the duty is vacant or held by an earlier process of this instance. Returns the
-/// revision of the duty's key, 0 if vacant.
+/// Waits until the duty is vacant, or recorded for an earlier process of this instance or for this
+/// process, which does not hold it. Returns the revision of the duty's key, 0 if vacant.
 async fn wait_until_vacant<P>(cx: &EntryContext<P>) -> u64
 where
     P: Platform,
@@ -127,8 +127,10 @@
     let settings = cx.settings();
     let is_same_instance =
         holder.instance() == settings.instance.name && holder.peer == settings.listen.peer;
-    let is_predecessor = is_same_instance && holder.process != cx.process;
-    (is_predecessor && members.duty_revision > 0).then_some(members.duty_revision)
+    // The key may name this process, which does not hold the duty: a store that has come back from a
+    // copy has it from before, and a write that it answered while coming back may have bound it to a
+    // lease of another owner.
+    (is_same_instance && members.duty_revision > 0).then_some(members.duty_revision)
 }
 
 /// Delay before an attempt to acquire the duty. Instances with little CPU or bandwidth wait longer,
@@ -172,7 +174,7 @@
     let value = serde_json::to_vec(&holder).unwrap_or_default();
     let tx = Transaction {
         expected: vec![(key.clone(), revision)],
-        puts: vec![(key, Bytes::from(value), lease.id)],
+        puts: vec![(key, Bytes::from(value), Some(lease.id))],
         ..Transaction::default()
     };
     let committed = cx.platform.commit(&tx, limit).await;
@@ -195,16 +197,16 @@
     // A duty taken over from an earlier process of this instance needs no delay. Otherwise the
     // previous holder has sent no orders during the last part of its lease, which is subtracted.
     let min_order_gap = Duration::from_millis(cx.settings().timing.order_rest_ms);
-    let order_delay = if revision > 0 {
-        Duration::ZERO
-    } else if cx.platform.store_era() != era || may_have_lost_holder(cx, min_order_gap) {
+    let order_delay = if cx.platform.store_era() != era || may_have_lost_holder(cx, min_order_gap) {
         min_order_gap + Tenure::order_time(DUTY_LEASE_TTL)
+    } else if revision > 0 {
+        Duration::ZERO
     } else {
         min_order_gap.saturating_sub(Tenure::order_free_time(DUTY_LEASE_TTL))
     };
     let now = cx.clock.since_boot();
     let rest_ms = whole_millis(order_delay);
-    spdlog::info!("planning duty taken", kv: { fence, lease = lease.id, rest_ms });
+    spdlog::info!("planning duty taken", kv: { fence, lease = lease.id.number, rest_ms });
     Ok(Some(Tenure::begin(
         fence,
         lease.id,
@@ -225,7 +227,7 @@
     time.is_some_and(|time| time < DUTY_LEASE_TTL + min_order_gap)
 }
 
-async fn end_lease<P>(cx: &Rc<EntryContext<P>>, lease: u64)
+async fn end_lease<P>(cx: &Rc<EntryContext<P>>, lease: LeaseId)
 where
     P: Platform,
 {
@@ -233,17 +235,27 @@
     if let Err(e) = cx.platform.end_lease(lease, limit).await {
         let reason = e.to_string();
         spdlog::warn!("failed to end lease; it expires by itself", kv: {
-            lease, reason = reason.as_str()
+            lease = lease.number, reason = reason.as_str()
         });
     }
 }
 
-/// Runs the planners and starts their actions until the tenure ends.
+/// Renews the lease and runs the planners until the tenure ends. Neither goes on without the other.
 async fn hold<P>(cx: &Rc<EntryContext<P>>, coordinator: &Rc<Coordinator<P>>)
 where
     P: Platform,
 {
-    let renewals = actix_rt::spawn(renew_lease(Rc::clone(cx), Rc::clone(coordinator)));
+    tokio::select! {
+        () = renew_lease(cx, coordinator) => {}
+        () = run_planners(cx, coordinator) => {}
+    }
+}
+
+/// Runs the planners and starts their actions until the tenure ends.
+async fn run_planners<P>(cx: &Rc<EntryContext<P>>, coordinator: &Rc<Coordinator<P>>)
+where
+    P: Platform,
+{
     let mut suspension_detector = SuspensionDetector::new(cx);
     let mut has_discarded_reports = false;
     while let Some(tenure) = coordinator.tenure() {
@@ -270,12 +282,11 @@
         sleep(step_pause).await;
         let _ = timeout(MAX_STEP_PAUSE, coordinator.step_requested()).await;
     }
-    renewals.abort();
 }
 
 /// Renews the duty's lease periodically until the tenure ends; ends the tenure if the lease has
 /// expired.
-async fn renew_lease<P>(cx: Rc<EntryContext<P>>, coordinator: Rc<Coordinator<P>>)
+async fn renew_lease<P>(cx: &EntryContext<P>, coordinator: &Coordinator<P>)
 where
     P: Platform,
 {
--- a/crates/entry/src/duty/origins.rs
+++ b/crates/entry/src/duty/origins.rs
@@ -6,7 +6,10 @@
 use actix_rt::time::sleep;
 use bytes::Bytes;
 use comfreyweir_clock::whole_millis;
-use comfreyweir_fleet::stream_origins::{ORIGIN_MEMORY, ReportedOrigins};
+use comfreyweir_fleet::{
+    duty::LeaseId,
+    stream_origins::{ORIGIN_MEMORY, ReportedOrigins},
+};
 use tokio::time::Instant;
 
 use super::Coordinator;
@@ -50,7 +53,7 @@
 #[derive(Default)]
 struct BatchWriter {
     /// Lease of the next batches, and when it was granted.
-    lease: Option<(u64, Instant)>,
+    lease: Option<(LeaseId, Instant)>,
     /// Number of the last batch.
     last_batch: u64,
 }
@@ -117,7 +120,7 @@
         let value = postcard::to_allocvec(batch).unwrap_or_default();
         let tx = Transaction {
             expected: vec![(format!("{}{DUTY_KEY}", keys.own_prefix), fence)],
-            puts: vec![(key, Bytes::from(value), lease)],
+            puts: vec![(key, Bytes::from(value), Some(lease))],
             ..Transaction::default()
         };
         match cx.platform.commit(&tx, limit).await? {
--- a/crates/entry/src/duty/records.rs
+++ b/crates/entry/src/duty/records.rs
@@ -71,7 +71,7 @@
         puts: vec![(
             format!("{own_prefix}{QUARANTINE_KEY}"),
             Bytes::from(value),
-            0,
+            None,
         )],
         ..Transaction::default()
     };
--- a/crates/entry/src/duty/software.rs
+++ b/crates/entry/src/duty/software.rs
@@ -110,7 +110,7 @@
             (format!("{own_prefix}{DUTY_KEY}"), fence),
             (key.clone(), known_revision),
         ],
-        puts: vec![(key, value, 0)],
+        puts: vec![(key, value, None)],
         ..Transaction::default()
     };
     let CommitOutcome::Done(revision) = cx.platform.commit(&tx, limit).await? else {
--- a/crates/entry/src/follow/directory.rs
+++ b/crates/entry/src/follow/directory.rs
@@ -94,8 +94,10 @@
     decoded.replace(entries);
     cx.record_store_answer();
     if era.is_some() && cx.platform.store_era() != era {
-        // The list is the first of a restored copy, perhaps before the change of the era is handled.
+        // The change of the era is perhaps not handled yet. Pages of two eras are no list: entries of
+        // the copy would count as written after those of the first page.
         cx.directory.borrow_mut().begin_grace(cx.now());
+        return Ok(());
     }
     cx.replace_directory_read(list, revision, called_at);
     Ok(())
--- a/crates/entry/src/follow/members.rs
+++ b/crates/entry/src/follow/members.rs
@@ -14,7 +14,7 @@
 
 use super::{RETRY_PAUSE, ignored_log::log_ignored, outage_log::OutageLog, read_all};
 use crate::{
-    platform::{Platform, PlatformError, StoreItem, StoreItems, Transaction},
+    platform::{CommitOutcome, Platform, PlatformError, StoreItem, StoreItems, Transaction},
     state::{EntryContext, Holder, Members},
 };
 
@@ -52,7 +52,8 @@
     super::retry_forever(cx, "own entry in the store", maintain_entry).await;
 }
 
-/// Writes the entry and renews its lease until the lease has expired.
+/// Writes the entry and renews its lease until the lease has expired or the store has come back from a
+/// copy.
 async fn maintain_entry<P>(
     cx: &Rc<EntryContext<P>>,
     outage_log: &mut OutageLog,
@@ -70,13 +71,21 @@
     );
     let value = Bytes::from(cx.settings().listen.peer.to_string());
     let tx = Transaction {
-        puts: vec![(key, value, lease.id)],
+        puts: vec![(key, value, Some(lease.id))],
         ..Transaction::default()
     };
-    cx.platform.commit(&tx, limit).await?;
+    let outcome = cx.platform.commit(&tx, limit).await?;
     outage_log.record_success(cx.now());
+    if outcome == CommitOutcome::LeaseGone {
+        sleep(RETRY_PAUSE).await;
+        return Ok(());
+    }
     loop {
-        sleep(RENEW_PERIOD).await;
+        tokio::select! {
+            () = sleep(RENEW_PERIOD) => {}
+            // The store has come back from a copy, which may lack the lease and the entry.
+            _ = cx.platform.store_era_changed(lease.id.era) => return Ok(()),
+        }
         match cx.platform.renew_lease(lease.id, limit).await {
             Ok(true) => {
                 cx.record_store_answer();
@@ -160,7 +169,7 @@
     });
     let tx = Transaction {
         expected: vec![(key.clone(), 0)],
-        puts: vec![(key, secret, 0)],
+        puts: vec![(key, secret, None)],
         ..Transaction::default()
     };
     cx.platform.commit(&tx, limit).await.map(|_| ())
--- a/crates/entry/src/platform.rs
+++ b/crates/entry/src/platform.rs
@@ -13,6 +13,7 @@
 use bytes::Bytes;
 use comfreyweir_fleet::{
     config::Config,
+    duty::LeaseId,
     planner::{Order, OrderResult},
     request::RequestMetadata,
     upstream::{Report, Upstream},
@@ -57,8 +58,8 @@
 pub struct Transaction {
     /// Keys with their required revisions; 0 for keys that must not exist.
     pub expected: Vec<(String, u64)>,
-    /// Keys and values to write, each with the lease that it is bound to, or 0 for no lease.
-    pub puts: Vec<(String, Bytes, u64)>,
+    /// Keys and values to write, each with the lease that it is bound to, if any.
+    pub puts: Vec<(String, Bytes, Option<LeaseId>)>,
     /// Keys to remove.
     pub removes: Vec<String>,
 }
@@ -68,10 +69,11 @@
 pub enum CommitOutcome {
     /// The changes were applied at this revision.
     Done(u64),
-    /// A key did not have its required revision, and nothing was changed. Holds the current items
-    /// of the expected keys.
+    /// A key did not have its required revision, and nothing was changed, unless the store has come
+    /// back from a copy during the call. Holds the current items of the expected keys.
     Conflict(Vec<StoreItem>),
-    /// A lease has expired, and nothing was changed.
+    /// A lease has expired, and nothing was changed, unless the store has come back from a copy during
+    /// the call: the keys may then be bound to a lease of another owner.
     LeaseGone,
 }
 
@@ -79,7 +81,7 @@
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct Lease {
     /// Identifier of the lease.
-    pub id: u64,
+    pub id: LeaseId,
     /// Time after which the lease expires unless it is renewed.
     pub ttl: Duration,
 }
@@ -336,7 +338,8 @@
         limit: Duration,
     ) -> Result<WatchOutcome, PlatformError>;
 
-    /// Applies a transaction if its conditions hold.
+    /// Applies a transaction if its conditions hold. It is not sent if a lease is of another era than
+    /// the latest; that lease has expired.
     async fn commit(
         &self,
         tx: &Transaction,
@@ -346,11 +349,13 @@
     /// Requests a lease. The store may grant another lifetime than `ttl`.
     async fn grant_lease(&self, ttl: Duration, limit: Duration) -> Result<Lease, PlatformError>;
 
-    /// Renews a lease; false if it has already expired.
-    async fn renew_lease(&self, lease: u64, limit: Duration) -> Result<bool, PlatformError>;
+    /// Renews a lease; false if it has already expired. A lease of another era than the latest has
+    /// expired, and no call is made for it.
+    async fn renew_lease(&self, lease: LeaseId, limit: Duration) -> Result<bool, PlatformError>;
 
-    /// Ends a lease, which removes the keys bound to it.
-    async fn end_lease(&self, lease: u64, limit: Duration) -> Result<(), PlatformError>;
+    /// Ends a lease, which removes the keys bound to it. No call is made for a lease of another era
+    /// than the latest.
+    async fn end_lease(&self, lease: LeaseId, limit: Duration) -> Result<(), PlatformError>;
 
     /// Sends an order to an engine.
     async fn send_order(
--- a/crates/entry/tests/store_copies.rs
+++ b/crates/entry/tests/store_copies.rs
@@ -120,3 +120,100 @@
     })
     .await;
 }
+
+/// Guards against an instance that goes on to renew a lease whose number the restored store has given
+/// to the next holder's duty: after the loss of that holder, the duty would never lapse.
+#[actix_rt::test]
+async fn duty_lapses_though_another_instance_had_a_lease_of_its_number() {
+    let shared = SharedState::new();
+    shared.publish_config(config(1));
+    let first = start(&shared, "e1").await;
+    wait_until_orders(&first).await;
+    let copy = shared.copy();
+    // A small instance lets the other take the duty.
+    let second = start_with(&shared, "e2", |settings| settings.instance.cores = 0.1).await;
+    wait_until("the second instance is registered", async || {
+        shared.item("own/instances/e2").is_some()
+    })
+    .await;
+    let fence = status(&first).await["duty"]["fence"].as_u64();
+    // Right after a renewal, so that the next holder's duty has the number at the next one.
+    actix_rt::time::sleep(Duration::from_millis(100)).await;
+    shared.restore_with_leases(copy);
+    wait_until("the duty is taken anew", async || {
+        let duty = status(&first).await["duty"].clone();
+        duty["fence"].as_u64() > fence && duty["may_order"] == true
+    })
+    .await;
+    wait_until("the second instance is registered again", async || {
+        shared.item("own/instances/e2").is_some()
+    })
+    .await;
+    drop(first);
+    // The lease of the duty lasts 2 s.
+    let ttl = Duration::from_secs(2);
+    actix_rt::time::sleep(ttl + Duration::from_millis(500)).await;
+    shared.lapse_unrenewed(ttl);
+    wait_until("the second instance has the duty", async || {
+        status(&second).await["duty"]["may_order"] == true
+    })
+    .await;
+}
+
+/// Guards against an instance that stays without an entry because its lease number is given out again.
+#[actix_rt::test]
+async fn instance_registers_at_once_after_the_store_has_lost_its_entry() {
+    let shared = SharedState::new();
+    shared.publish_config(config(1));
+    let copy = shared.copy();
+    let instance = start(&shared, "e1").await;
+    wait_until_orders(&instance).await;
+    shared.restore(copy);
+    let restored_at = Instant::now();
+    wait_until("the instance is registered again", async || {
+        shared.item("own/instances/e1").is_some()
+    })
+    .await;
+    // Well below the period of renewals, 1.2 s.
+    assert!(restored_at.elapsed() < Duration::from_millis(600));
+}
+
+/// Guards against a list whose pages are of two eras: entries of the copy would count as written after
+/// the store came back, and be dropped when their leases lapse.
+#[actix_rt::test]
+async fn entries_of_a_list_that_was_read_over_two_eras_are_kept_when_they_lapse() {
+    let upstreams = [
+        FakeUpstream::start("u1", &[]).await,
+        FakeUpstream::start("u2", &[]).await,
+        FakeUpstream::start("u3", &[]).await,
+    ];
+    let shared = SharedState::new();
+    shared.publish_config(config(1));
+    for upstream in &upstreams {
+        shared.add_upstream(upstream_entry(upstream, "plain", &[]));
+    }
+    let instance = start(&shared, "e1").await;
+    wait_until_orders(&instance).await;
+    let copy = shared.copy();
+    shared.paging.set(Some((1, Duration::from_millis(100))));
+    wait_until("the second page is read", async || {
+        shared.upstream_pages.get() % upstreams.len() == 2
+    })
+    .await;
+    shared.restore(copy);
+    let restored_at = Instant::now();
+    actix_rt::time::sleep(Duration::from_millis(300)).await;
+    shared.paging.set(None);
+    actix_rt::time::sleep(Duration::from_millis(600)).await;
+    for id in ["u1", "u2", "u3"] {
+        shared.lapse(&format!("servers/{id}"));
+    }
+    while restored_at.elapsed() < Duration::from_millis(1_800) {
+        assert_eq!(status(&instance).await["upstreams"], 3);
+        actix_rt::time::sleep(Duration::from_millis(50)).await;
+    }
+    wait_until("the upstreams count as gone", async || {
+        status(&instance).await["upstreams"] == 0
+    })
+    .await;
+}
--- a/crates/entry/tests/support/platform.rs
+++ b/crates/entry/tests/support/platform.rs
@@ -3,7 +3,7 @@
 
 use std::{
     cell::{Cell, RefCell},
-    collections::{BTreeMap, BTreeSet},
+    collections::BTreeMap,
     net::SocketAddr,
     rc::Rc,
     time::Duration,
@@ -17,6 +17,7 @@
 };
 use comfreyweir_fleet::{
     config::{Config, Engine, Model, Route, RouteKind, Service, Target, Workspace},
+    duty::LeaseId,
     planner::{Order, OrderResult},
     request::{Artifact, PromptPart, RequestMetadata},
     upstream::{LoadedModel, Report, Upstream},
@@ -35,7 +36,8 @@
     removed_at: RefCell<BTreeMap<String, u64>>,
     revision: Cell<u64>,
     last_lease_id: Cell<u64>,
-    live_leases: RefCell<BTreeSet<u64>>,
+    /// Time of the last renewal of each lease, by number.
+    live_leases: RefCell<BTreeMap<u64, Instant>>,
     changed: Notify,
     /// Configurations by version. The store holds only the version number.
     configs: RefCell<BTreeMap<u64, Config>>,
@@ -49,6 +51,8 @@
     pub notice: Cell<UpstreamNotice>,
     /// Items in a page of a range read, and the time that a page takes; everything at once if none.
     pub paging: Cell<Option<(usize, Duration)>>,
+    /// Pages of the list of upstreams that were requested while `paging` was set.
+    pub upstream_pages: Cell<usize>,
     era: Cell<u64>,
     era_changed: Notify,
     /// While set, every call to the store fails.
@@ -59,6 +63,14 @@
     pub software_commits: Cell<usize>,
 }
 
+/// What the store holds at some time.
+pub struct StoreCopy {
+    items: BTreeMap<String, (StoreItem, u64)>,
+    leases: BTreeMap<u64, Instant>,
+    last_lease_id: u64,
+    revision: u64,
+}
+
 impl SharedState {
     pub fn new() -> Rc<Self> {
         Rc::default()
@@ -101,20 +113,54 @@
         self.remove(key);
     }
 
-    /// Replaces what the instances wrote by what `copy` returned, under the next era. All leases are
-    /// gone, with their keys.
-    pub fn restore(&self, items: BTreeMap<String, (StoreItem, u64)>) {
-        self.era.set(self.era.get() + 1);
-        self.revision.set(self.era.get() << 40);
-        let is_kept = |(_, (_, lease)): &(String, (StoreItem, u64))| *lease == 0;
-        *self.items.borrow_mut() = items.into_iter().filter(is_kept).collect();
-        self.live_leases.borrow_mut().clear();
+    /// Removes the keys of leases that have not been renewed for `ttl`.
+    pub fn lapse_unrenewed(&self, ttl: Duration) {
+        let leases = self.live_leases.borrow().clone();
+        for (number, _) in leases.iter().filter(|(_, at)| at.elapsed() >= ttl) {
+            self.end_lease(*number);
+        }
+    }
+
+    fn end_lease(&self, number: u64) {
+        self.live_leases.borrow_mut().remove(&number);
+        let items = self.items.borrow().clone();
+        for (key, _) in items.iter().filter(|(_, (_, lease))| *lease == number) {
+            self.remove(key);
+        }
+    }
+
+    /// Replaces what the instances wrote by a copy, under the next era. All leases are gone, with
+    /// their keys, and the numbers of those granted since the copy are given out again.
+    pub fn restore(&self, mut copy: StoreCopy) {
+        copy.items.retain(|_, (_, lease)| *lease == 0);
+        copy.leases.clear();
+        self.restore_with_leases(copy);
+    }
+
+    /// Like [`Self::restore`], but the leases of the copy are live.
+    pub fn restore_with_leases(&self, mut copy: StoreCopy) {
+        let era = self.era.get() + 1;
+        self.era.set(era);
+        let qualify = |revision: u64| era << 40 | revision & ((1 << 40) - 1);
+        for (item, _) in copy.items.values_mut() {
+            item.revision = qualify(item.revision);
+            item.created = qualify(item.created);
+        }
+        self.revision.set(qualify(copy.revision));
+        *self.items.borrow_mut() = copy.items;
+        *self.live_leases.borrow_mut() = copy.leases;
+        self.last_lease_id.set(copy.last_lease_id);
         self.era_changed.notify_waiters();
         self.changed.notify_waiters();
     }
 
-    pub fn copy(&self) -> BTreeMap<String, (StoreItem, u64)> {
-        self.items.borrow().clone()
+    pub fn copy(&self) -> StoreCopy {
+        StoreCopy {
+            items: self.items.borrow().clone(),
+            leases: self.live_leases.borrow().clone(),
+            last_lease_id: self.last_lease_id.get(),
+            revision: self.revision.get(),
+        }
     }
 
     pub fn item(&self, key: &str) -> Option<StoreItem> {
@@ -203,6 +249,13 @@
     }
 }
 
+impl MemoryPlatform {
+    fn is_live(&self, lease: LeaseId) -> bool {
+        lease.era == self.store_era()
+            && self.shared.live_leases.borrow().contains_key(&lease.number)
+    }
+}
+
 impl Platform for MemoryPlatform {
     fn keys(&self) -> StoreKeys {
         StoreKeys {
@@ -294,6 +347,10 @@
         let Some((page_size, time)) = self.shared.paging.get() else {
             return Ok((all, false));
         };
+        if prefix == self.keys().upstreams_prefix {
+            let pages = &self.shared.upstream_pages;
+            pages.set(pages.get() + 1);
+        }
         sleep(time).await;
         let has_more = all.items.len() > page_size;
         all.items.truncate(page_size);
@@ -352,8 +409,13 @@
                 return Ok(CommitOutcome::Conflict(item.into_iter().collect()));
             }
         }
+        let leases = tx.puts.iter().filter_map(|(_, _, lease)| *lease);
+        if !leases.clone().all(|lease| self.is_live(lease)) {
+            return Ok(CommitOutcome::LeaseGone);
+        }
         for (key, value, lease) in &tx.puts {
-            self.shared.write(key, value.clone(), *lease);
+            let lease = lease.map_or(0, |lease| lease.number);
+            self.shared.write(key, value.clone(), lease);
         }
         Ok(CommitOutcome::Done(self.shared.revision.get()))
     }
@@ -364,20 +426,27 @@
             .last_lease_id
             .set(self.shared.last_lease_id.get() + 1);
         let id = self.shared.last_lease_id.get();
-        self.shared.live_leases.borrow_mut().insert(id);
+        let now = Instant::now();
+        self.shared.live_leases.borrow_mut().insert(id, now);
+        let era = self.store_era();
+        let id = LeaseId { era, number: id };
         Ok(Lease { id, ttl })
     }
 
-    async fn renew_lease(&self, lease: u64, _: Duration) -> Result<bool, PlatformError> {
+    async fn renew_lease(&self, lease: LeaseId, _: Duration) -> Result<bool, PlatformError> {
         self.shared.check_store_up()?;
-        Ok(self.shared.live_leases.borrow().contains(&lease))
+        if !self.is_live(lease) {
+            return Ok(false);
+        }
+        let mut leases = self.shared.live_leases.borrow_mut();
+        leases.insert(lease.number, Instant::now());
+        Ok(true)
     }
 
-    async fn end_lease(&self, lease: u64, _: Duration) -> Result<(), PlatformError> {
+    async fn end_lease(&self, lease: LeaseId, _: Duration) -> Result<(), PlatformError> {
         self.shared.check_store_up()?;
-        let items = self.shared.items.borrow().clone();
-        for (key, _) in items.iter().filter(|(_, (_, l))| *l == lease) {
-            self.shared.remove(key);
+        if self.is_live(lease) {
+            self.shared.end_lease(lease.number);
         }
         Ok(())
     }
--- a/crates/fleet/src/duty.rs
+++ b/crates/fleet/src/duty.rs
@@ -13,6 +13,16 @@
 /// orders.
 const SAFE_LEASE_FRACTION: f64 = 0.6;
 
+/// Number of a lease of the store. It is valid only in the era of the store that issued it: after the
+/// store has come back from a copy, it issues the numbers of lost leases again.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct LeaseId {
+    /// Era of the store that issued the number; none if the store names no eras.
+    pub era: Option<u64>,
+    /// Number of the lease in that era.
+    pub number: u64,
+}
+
 /// One holder's term of the planning duty. All times are readings of one clock that also runs while
 /// the machine is suspended.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -20,7 +30,7 @@
     /// Fencing token.
     pub fence: u64,
     /// Lease that the duty is bound to.
-    pub lease: u64,
+    pub lease: LeaseId,
     /// Lifetime of the lease.
     ttl: Duration,
     /// Start of the latest call that granted or renewed the lease.
@@ -36,7 +46,7 @@
     /// Orders may be given from `order_delay` after `now`.
     pub fn begin(
         fence: u64,
-        lease: u64,
+        lease: LeaseId,
         ttl: Duration,
         called_at: Duration,
         now: Duration,
--- a/crates/fleet/tests/decisions.rs
+++ b/crates/fleet/tests/decisions.rs
@@ -8,7 +8,7 @@
 
 use comfreyweir_fleet::{
     config::{Config, Route, RouteKind, Target},
-    duty::Tenure,
+    duty::{LeaseId, Tenure},
     health::{Health, Outcome},
     load::Load,
     prefix_cache::PrefixCaches,
@@ -231,11 +231,15 @@
     assert_eq!(caches.uncached_tokens("u", &m, &[part(19, 100)]), 0);
 }
 
+fn lease(number: u64) -> LeaseId {
+    LeaseId { era: None, number }
+}
+
 /// The rest is the time after a takeover in which the new holder gives no orders, here 3 s.
 #[test]
 fn holder_stops_before_its_lease_ends_and_starts_after_the_rest() {
     let ms = Duration::from_millis;
-    let mut tenure = Tenure::begin(7, 1, ms(2_000), ms(1_000), ms(1_020), ms(3_000));
+    let mut tenure = Tenure::begin(7, lease(1), ms(2_000), ms(1_000), ms(1_020), ms(3_000));
     assert!(!tenure.may_order(ms(1_500)));
     tenure.renew(ms(3_500));
     assert!(tenure.may_order(ms(4_100)));
@@ -250,7 +254,7 @@
 fn orders_of_two_holders_lie_apart_although_the_second_rests_for_less() {
     let ms = Duration::from_millis;
     let (ttl, min_gap) = (ms(2_000), ms(3_000));
-    let mut first = Tenure::begin(7, 1, ttl, ms(0), ms(0), ms(0));
+    let mut first = Tenure::begin(7, lease(1), ttl, ms(0), ms(0), ms(0));
     first.renew(ms(10_000));
     let last_order = (10_000..20_000)
         .rev()
@@ -259,7 +263,7 @@
     let lease_end = ms(10_000) + ttl;
     // The first holder already gives no orders for the order-free time before its lease ends.
     let takeover_delay = min_gap.saturating_sub(Tenure::order_free_time(ttl));
-    let second = Tenure::begin(9, 2, ttl, lease_end, lease_end, takeover_delay);
+    let second = Tenure::begin(9, lease(2), ttl, lease_end, lease_end, takeover_delay);
     let mut times = (12_000..20_000).map(ms);
     let first_order = times.find(|at| {
         let mut renewed = second;
