One module decides how fresh known data is; kept entries of upstreams are marked

Cause: an instance whose own path to the store was interrupted kept entries that were gone, took the planning duty, and its list replaced the right ones of all others. Change: fleet::freshness owns version and age of the list of upstreams, the configuration and the placement. Entries that a holder only keeps are marked in what it sends, with the revision of the last list that had them; a receiver with a later list does not take them back, and drops them if the store has answered steadily. Instances tell each other when the store was reached, so that an outage of an instance's own path ends its grace period.

--- a/crates/entry/src/duty/coordinator.rs
+++ b/crates/entry/src/duty/coordinator.rs
@@ -247,15 +247,12 @@
             .directory
             .borrow_mut()
             .set_leaving_elsewhere(leaving);
-        let (directory, read_at): (Vec<_>, _) = {
-            let directory = self.cx.directory.borrow();
-            let read_at = directory.age(now).and_then(|age| now.checked_sub(age));
-            let read = read_at.map(|at| (directory.revision(), at));
-            (directory.iter().cloned().collect(), read)
-        };
+        let known = self.cx.directory.borrow();
+        let directory: Vec<_> = known.iter().cloned().collect();
         let mut state = self.state.borrow_mut();
-        state.directory.update(&directory);
-        state.directory_read = read_at;
+        state.directory.update(&directory, known.missing());
+        state.directory_read = known.read();
+        drop(known);
         let loads = state.loads(now);
         let suspects = state.suspects(now);
         let mut closed = self.cx.closures.borrow().ends(now);
@@ -556,6 +553,7 @@
             config_age_ms: self.cx.config_age(now).map_or(u64::MAX, whole_millis),
             instances: self.cx.members.borrow().instances.len(),
             holder: self.cx.members.borrow().holder.clone(),
+            store_reach: self.cx.directory.borrow().store_reach(now),
         }
     }
 
--- a/crates/entry/src/exchange/client.rs
+++ b/crates/entry/src/exchange/client.rs
@@ -260,11 +260,12 @@
         evidence: cx.quarantine.evidence().report(),
         leaving: cx.directory.borrow().leaving().cloned().collect(),
         limits: cx.limits.borrow().heard(cx.clock.since_boot()),
-        placement: placement.fence_and_version,
+        placement: placement.fence_and_version(),
         directory: placement.holder_list.version(),
         needs_config: cx
             .newer_config_age(cx.now())
             .is_some_and(|age| age >= OWN_CONFIG_READ_TIME),
+        store_reach: cx.directory.borrow().store_reach(cx.now()),
     }
 }
 
@@ -289,6 +290,7 @@
     let granted_at = reported_at + view.delay;
     cx.apply_grants(&view.grants, granted_at);
     apply_totals(cx, &view.totals, reported_loads, now);
+    cx.record_store_reach(view.store_reach, reported_at);
     apply_directory(cx, view.directory, now);
     let leaving = view.leaving.into_iter().collect();
     cx.directory.borrow_mut().set_leaving_elsewhere(leaving);
@@ -306,16 +308,16 @@
     }
     cx.holder_resigned.set(false);
     let mut placement = cx.placement.borrow_mut();
-    placement.confirm(now);
-    placement.fence_and_version = view.placement;
-    let ready_in = view.ready_in_ms.into_iter();
-    placement.ready_in = ready_in
-        .map(|(artifact, ms)| (artifact, Duration::from_millis(ms)))
-        .collect();
-    if view.is_whole {
-        placement.engines = view.engines;
-    } else {
-        placement.engines.extend(view.engines);
+    if placement.take(view.placement, now) {
+        let ready_in = view.ready_in_ms.into_iter();
+        placement.ready_in = ready_in
+            .map(|(artifact, ms)| (artifact, Duration::from_millis(ms)))
+            .collect();
+        if view.is_whole {
+            placement.engines = view.engines;
+        } else {
+            placement.engines.extend(view.engines);
+        }
     }
     drop(placement);
     cx.instances_reported.set(view.instances);
--- a/crates/entry/src/exchange/message.rs
+++ b/crates/entry/src/exchange/message.rs
@@ -11,6 +11,7 @@
     quarantine::{EvidenceReport, PartId, QuarantineView, TrialAnswer, TrialId, TrialOutcome},
     quota::{Grant, UsageTotals},
     request::Artifact,
+    store_contact::StoreReachAge,
     stream_origins::{ReportedOrigins, StreamKey},
     versioned_list::{ListChanges, ListVersion},
 };
@@ -141,6 +142,8 @@
     pub(crate) directory: ListVersion,
     /// Whether it knows of a newer configuration and could not read it from the store.
     pub(crate) needs_config: bool,
+    /// When it, or another instance as far as it knows, reached the store last.
+    pub(crate) store_reach: Option<StoreReachAge>,
 }
 
 /// Answer of the instance that was called.
@@ -209,6 +212,8 @@
     pub(crate) instances: usize,
     /// Holder of the planning duty, as the sender knows it.
     pub(crate) holder: Option<Holder>,
+    /// When any instance reached the store last, as far as the holder knows.
+    pub(crate) store_reach: Option<StoreReachAge>,
 }
 
 /// What the holder knows of the streams that an instance asks for.
--- a/crates/entry/src/exchange/origins.rs
+++ b/crates/entry/src/exchange/origins.rs
@@ -59,7 +59,7 @@
     P: Platform,
 {
     let now = cx.now();
-    let fence = cx.placement.borrow().fence_and_version.0;
+    let fence = cx.placement.borrow().fence_and_version().0;
     let software = cx.software.borrow();
     let is_mixed = |service: &str| software.is_mixed(service, now);
     let mut origins = cx.origins.borrow_mut();
--- a/crates/entry/src/exchange/server.rs
+++ b/crates/entry/src/exchange/server.rs
@@ -86,7 +86,11 @@
         let call: InstanceCall = postcard::from_bytes(params.get_report()?)
             .map_err(|e| capnp::Error::failed(format!("report cannot be decoded: {e}")))?;
         let answer = match call {
-            InstanceCall::Report(report) => self.coordinator.exchange(*report, wait).await,
+            InstanceCall::Report(report) => {
+                let cx = self.coordinator.context();
+                cx.record_store_reach(report.store_reach, cx.now());
+                self.coordinator.exchange(*report, wait).await
+            }
             InstanceCall::Grants(request) => self.coordinator.grants(&request),
             InstanceCall::Trials(request) => self.coordinator.trials(&request),
             InstanceCall::Origins(report) => self.coordinator.origins(&report),
--- a/crates/entry/src/follow/directory.rs
+++ b/crates/entry/src/follow/directory.rs
@@ -96,7 +96,7 @@
     if era.is_some() && cx.platform.store_era() != era {
         // The change of the era is perhaps not handled yet. Pages of two eras are no list: entries of
         // the copy would count as written after those of the first page.
-        cx.directory.borrow_mut().begin_grace(cx.now());
+        cx.directory.borrow_mut().begin_copy_grace(cx.now());
         return Ok(());
     }
     cx.replace_directory_read(list, revision, called_at);
--- a/crates/entry/src/follow/mod.rs
+++ b/crates/entry/src/follow/mod.rs
@@ -8,6 +8,7 @@
 pub(crate) mod members;
 pub(crate) mod origins;
 pub(crate) mod outage_log;
+mod store_contact;
 
 use std::{rc::Rc, time::Duration};
 
--- a/crates/entry/src/metrics.rs
+++ b/crates/entry/src/metrics.rs
@@ -80,6 +80,7 @@
     resumptions: Family<ResumptionLabel, Counter>,
     quarantine: Family<QuarantineLabel, Counter>,
     store_copies: Counter,
+    path_outages: Counter,
     views: Counter,
     view_bytes: Counter,
     grant_answers: Counter,
@@ -99,6 +100,7 @@
             resumptions: Family::default(),
             quarantine: Family::default(),
             store_copies: Counter::default(),
+            path_outages: Counter::default(),
             views: Counter::default(),
             view_bytes: Counter::default(),
             grant_answers: Counter::default(),
@@ -145,6 +147,11 @@
             "Times that the store has come back from a copy",
             metrics.store_copies.clone(),
         );
+        registry.register(
+            "comfreyweir_store_path_outages",
+            "Outages of the path to the store while other instances reached it",
+            metrics.path_outages.clone(),
+        );
         registry.register(
             "comfreyweir_views",
             "Views of the whole system that this instance sent to others as the holder",
@@ -239,6 +246,11 @@
         self.store_copies.inc();
     }
 
+    /// Counts an outage that was one of this instance's own path to the store.
+    pub(crate) fn count_path_outage(&self) {
+        self.path_outages.inc();
+    }
+
     /// Counts a view that was sent to another instance.
     pub(crate) fn count_view(&self, bytes: usize) {
         self.views.inc();
--- a/crates/entry/src/serve/mod.rs
+++ b/crates/entry/src/serve/mod.rs
@@ -130,7 +130,7 @@
         prompt, config = cx.config().version, config_age_ms = age_ms(cx.config_age(now)),
         upstreams = cx.directory.borrow().revision(),
         upstreams_age_ms = age_ms(cx.directory.borrow().age(now)),
-        placement = placement.fence_and_version.1, fence = placement.fence_and_version.0,
+        placement = placement.fence_and_version().1, fence = placement.fence_and_version().0,
         placement_age_ms = age_ms(placement.age(now))
     });
 }
--- a/crates/entry/src/serve/pick.rs
+++ b/crates/entry/src/serve/pick.rs
@@ -174,7 +174,7 @@
     spdlog::info!("request waits for an upstream", kv: {
         request_id = request.id.as_str(), service = request.service.as_str(),
         artifact = artifact.as_str(), left_ms = whole_millis(request.time_left_to_first_byte(now)),
-        placement = placement.fence_and_version.1, fence = placement.fence_and_version.0
+        placement = placement.fence_and_version().1, fence = placement.fence_and_version().0
     });
 }
 
--- a/crates/entry/src/state.rs
+++ b/crates/entry/src/state.rs
@@ -15,6 +15,7 @@
     closures::Closures,
     config::Config,
     directory::{Changes, Directory, StoredUpstream, UpstreamProcess},
+    freshness::Freshness,
     health::Health,
     intake::{IntakeLimit, WaitingLines},
     limits::{InstanceLimits, LimitChange, ToldLimit},
@@ -25,7 +26,6 @@
     quota::{Grant, InstanceQuotas, SILENT_INSTANCE_RESERVE_TIME},
     request::Artifact,
     retry_budget::{BudgetLimits, RetryBudget},
-    store_contact::StoreContact,
     stream_origins::{
         Resumption, SETTLE_TIME, ServedSoftware, SoftwareRecord, SoftwareVersions, StreamKey,
         StreamOrigins,
@@ -40,7 +40,7 @@
 use crate::{
     log_limiter::RequestLogLimiter,
     metrics::Metrics,
-    platform::{LimitNotice, Platform, PlatformError, UpstreamNotice},
+    platform::{LimitNotice, Platform, UpstreamNotice},
     quarantine::QuarantineState,
     work_times::WorkTimes,
 };
@@ -78,7 +78,6 @@
     config: RefCell<Rc<Config>>,
     config_value: RefCell<Bytes>,
     pub(crate) directory: RefCell<Directory>,
-    store_contact: RefCell<StoreContact>,
     /// Software versions in the list of upstreams.
     pub(crate) software: RefCell<SoftwareVersions>,
     /// Software versions that began the streams that this instance knows.
@@ -135,16 +134,14 @@
     pub(crate) metrics: Metrics,
     pub(crate) work_times: WorkTimes,
     pub(crate) request_log_limiter: RequestLogLimiter,
-    /// Version of a configuration that is newer than the one in force, and when it was heard of.
-    newer_config: Cell<Option<(u64, Instant)>>,
+    /// Version and age of the configuration in force.
+    config_freshness: Cell<Freshness<u64>>,
     /// Notified when a newer configuration was heard of.
     pub(crate) newer_config_heard: Notify,
-    /// When the configuration in force was last confirmed to be the newest.
-    config_confirmed_at: Cell<Option<Instant>>,
     /// Number of instances according to the holder's last answer; 0 before the first one.
     pub(crate) instances_reported: Cell<usize>,
     /// When the store was last seen to have come back from a copy, in time since boot.
-    store_copied_at: Cell<Option<Duration>>,
+    pub(crate) store_copied_at: Cell<Option<Duration>>,
     /// End of the shutdown's grace period, once a shutdown has begun.
     pub(crate) shutdown_deadline: Cell<Option<Instant>>,
     /// Total size of the bodies of admitted requests, in bytes; bodies that are still being read
@@ -266,32 +263,42 @@
 /// Placement of models and adapters, as received from the holder of the planning duty.
 #[derive(Default)]
 pub(crate) struct PlacementView {
-    /// Fencing token of the holder, and the version of the placement.
-    pub(crate) fence_and_version: (u64, u64),
+    /// Fencing token of the holder and version of the placement, and their age.
+    freshness: Freshness<(u64, u64)>,
     /// The holder's list of upstreams.
     pub(crate) holder_list: ListCopy,
     /// Models and adapters by engine.
     pub(crate) engines: Placement,
     /// Expected time until the artifacts that requests wait for are ready, as of the last answer.
     pub(crate) ready_in: Vec<(Artifact, Duration)>,
-    confirmed_at: Option<Instant>,
 }
 
 impl PlacementView {
-    /// Records that the holder confirmed the placement at `now`.
-    pub(crate) fn confirm(&mut self, now: Instant) {
-        self.confirmed_at = Some(now);
+    /// Fencing token of the holder, and the version of the placement.
+    pub(crate) fn fence_and_version(&self) -> (u64, u64) {
+        self.freshness.version()
+    }
+
+    /// Records that a holder sends or confirms a placement at `now`. False if it is an earlier holder
+    /// than that of a placement that can still be used.
+    pub(crate) fn take(&mut self, fence_and_version: (u64, u64), now: Instant) -> bool {
+        let accepts = self
+            .freshness
+            .accepts_after(fence_and_version, PLACEMENT_MAX_AGE, now);
+        if accepts {
+            self.freshness.take(fence_and_version, Some(now));
+        }
+        accepts
     }
 
     /// Time since the holder last confirmed the placement; none if it never has.
     pub(crate) fn age(&self, now: Instant) -> Option<Duration> {
-        Some(now.saturating_duration_since(self.confirmed_at?))
+        self.freshness.age(now)
     }
 
     /// Whether the placement is recent enough to be used.
     pub(crate) fn is_fresh(&self, now: Instant) -> bool {
-        self.confirmed_at
-            .is_some_and(|at| now.saturating_duration_since(at) < PLACEMENT_MAX_AGE)
+        self.freshness.is_younger(PLACEMENT_MAX_AGE, now)
     }
 }
 
@@ -391,7 +398,6 @@
             config: RefCell::default(),
             config_value: RefCell::default(),
             directory: RefCell::default(),
-            store_contact: RefCell::default(),
             software: RefCell::default(),
             origins: RefCell::default(),
             origins_due: Notify::new(),
@@ -425,9 +431,8 @@
             metrics: Metrics::new(),
             work_times: WorkTimes::default(),
             request_log_limiter: RequestLogLimiter::default(),
-            newer_config: Cell::default(),
+            config_freshness: Cell::default(),
             newer_config_heard: Notify::new(),
-            config_confirmed_at: Cell::default(),
             instances_reported: Cell::default(),
             store_copied_at: Cell::default(),
             shutdown_deadline: Cell::default(),
@@ -497,6 +502,7 @@
         if version <= before {
             return;
         }
+        self.update_config_freshness(|config| config.take(version, None));
         for mistake in mistakes.iter().take(MAX_LOGGED_MISTAKES) {
             let reason = mistake.to_string();
             spdlog::error!("invalid part of the configuration is ignored", kv: {
@@ -513,10 +519,8 @@
 
     /// Records which configuration the holder has, and that it was the newest one at `at`.
     pub(crate) fn hear_of_config(&self, version: u64, at: Option<Instant>) {
-        if version <= self.config.borrow().version {
-            self.confirm_config(at);
-        } else if self.newer_config.get().is_none_or(|(v, _)| v < version) {
-            self.newer_config.set(Some((version, self.now())));
+        let now = self.now();
+        if self.update_config_freshness(|config| config.hear_of(version, at, now)) {
             self.newer_config_heard.notify_one();
         }
     }
@@ -524,23 +528,26 @@
     /// Time since a configuration was heard of that is newer than the one in force; none if there
     /// is none.
     pub(crate) fn newer_config_age(&self, now: Instant) -> Option<Duration> {
-        let (version, at) = self.newer_config.get()?;
-        let is_newer = version > self.config.borrow().version;
-        is_newer.then(|| now.saturating_duration_since(at))
+        self.config_freshness.get().newer_age(now)
     }
 
     /// Records that the configuration in force was the newest one at `at`. `None`, the result of a
     /// subtraction that [`Instant`] cannot represent, has no effect.
     pub(crate) fn confirm_config(&self, at: Option<Instant>) {
-        let known = self.config_confirmed_at.get();
-        self.config_confirmed_at.set(known.max(at));
+        self.update_config_freshness(|config| config.confirm(at));
+    }
+
+    fn update_config_freshness<R>(&self, update: impl FnOnce(&mut Freshness<u64>) -> R) -> R {
+        let mut freshness = self.config_freshness.get();
+        let result = update(&mut freshness);
+        self.config_freshness.set(freshness);
+        result
     }
 
     /// Time since the configuration in force was last confirmed to be the newest; none if it never
     /// was.
     pub(crate) fn config_age(&self, now: Instant) -> Option<Duration> {
-        let at = self.config_confirmed_at.get()?;
-        Some(now.saturating_duration_since(at))
+        self.config_freshness.get().age(now)
     }
 
     /// Whether the holder of the planning duty answered recently. The limit is shorter than that of
@@ -617,7 +624,7 @@
 
     /// Takes over the software versions of a new list, logs its changes, discards health records and
     /// prefix caches of added and removed upstreams, and notifies waiting requests.
-    fn announce_upstreams(
+    pub(crate) fn announce_upstreams(
         &self,
         changes: &Changes,
         revision: u64,
@@ -653,43 +660,6 @@
         self.state_changed.notify_waiters();
     }
 
-    /// Records that the store has answered a call. After an outage, upstreams that are missing from
-    /// the list are kept for a while.
-    pub(crate) fn record_store_answer(&self) {
-        let now = self.now();
-        let heartbeat = self.settings().timing.upstream_heartbeat();
-        let outage = self
-            .store_contact
-            .borrow_mut()
-            .record_answer(heartbeat, now);
-        if let Some(outage) = outage {
-            spdlog::warn!("the store answers again after an outage", kv: {
-                ms = whole_millis(outage)
-            });
-            self.directory.borrow_mut().begin_grace(now);
-        }
-    }
-
-    /// Records that a call to the store has failed.
-    pub(crate) fn record_store_failure(&self, e: &PlatformError) {
-        if !e.is_rate_limit() {
-            self.store_contact.borrow_mut().record_failure();
-        }
-    }
-
-    /// Records that the store has come back from a copy. Entries of upstreams may be missing until
-    /// they are written again.
-    pub(crate) fn record_store_copy(&self) {
-        self.store_copied_at.set(Some(self.clock.since_boot()));
-        self.directory.borrow_mut().begin_grace(self.now());
-    }
-
-    /// Time since the store has come back from a copy; none if it has not, as far as is known.
-    pub(crate) fn time_since_store_copy(&self) -> Option<Duration> {
-        let at = self.store_copied_at.get()?;
-        Some(self.clock.since_boot().saturating_sub(at))
-    }
-
     /// Takes over which upstreams of a part of the list drain, before the whole list is known.
     pub(crate) fn note_draining(&self, page: &[StoredUpstream]) {
         let mut directory = self.directory.borrow_mut();
--- a/crates/fleet/src/directory.rs
+++ b/crates/fleet/src/directory.rs
@@ -3,7 +3,12 @@
 //! Entries come from the platform's store. Leases may expire while the store is unavailable, so
 //! entries of live upstreams may be missing right after an outage. An instance that has seen one
 //! keeps missing entries for a grace period, unless their upstreams have written them since: those
-//! were removed. Lists of other instances hold as they are, since their readers have decided.
+//! were removed. The period ends at once if other instances reached the store meanwhile, so that only
+//! the path of this instance was interrupted.
+//!
+//! Lists of other instances hold as they are, since their readers have decided, except for the entries
+//! that they only keep. Such an entry is not taken back after a later list lacked it, and it is dropped
+//! if this instance knows that there was no outage.
 //!
 //! An upstream that leaves also says so in its answers, at times before its entry does, or without
 //! an entry that does. It then takes no new requests from this instance, whatever later lists say,
@@ -17,6 +22,8 @@
 };
 
 use crate::{
+    freshness::Freshness,
+    store_contact::{StoreContact, StoreReach, StoreReachAge},
     upstream::{Phase, Upstream},
     versioned_list::{ListCopy, ListVersion},
 };
@@ -36,11 +43,15 @@
     /// Version of the other instance's list that the entries are; none if this instance has read
     /// them itself.
     copied: Option<ListVersion>,
-    revision: u64,
-    read_at: Option<Instant>,
+    /// Store revision and age of the list.
+    freshness: Freshness<u64>,
+    contact: StoreContact,
     grace: Option<Grace>,
-    /// Upstreams that are kept though they are missing from the last list.
-    missing: BTreeSet<String>,
+    /// Upstreams that are kept though they are missing from the last list, with the store revision of the
+    /// last list that had them.
+    missing: BTreeMap<String, u64>,
+    /// When the last list that had one of them was read; none if there are none.
+    missing_since: Option<Instant>,
     /// Processes that entries had as draining, by identifier: their start time in ms of Unix time, and
     /// when an entry last said so.
     drained: HashMap<String, (u64, Instant)>,
@@ -64,6 +75,8 @@
 #[derive(Debug)]
 struct Grace {
     until: Instant,
+    /// Whether the store has come back from a copy, whatever other instances reached meanwhile.
+    is_after_copy: bool,
     /// Store revision of the first list that was read in this period.
     first_revision: Option<u64>,
     /// Upstreams that have written their entries after that list. They reach the store again.
@@ -139,16 +152,53 @@
 
     /// Replaces the entries by the copy of a list that another instance read at a store revision, or
     /// confirms them if they are that copy already. A list of an older revision is ignored.
+    ///
+    /// Entries that the other instance keeps are kept here too, if this instance lists the same process
+    /// or has no later list that lacks it, and if an outage may have made them lapse.
     pub fn replace(&mut self, copy: &ListCopy, revision: u64, now: Instant) -> Changes {
-        if revision < self.revision {
+        if !self.freshness.accepts(revision) {
             return Changes::default();
         }
-        if self.is_copy(copy) {
-            self.record_read(revision, now);
+        if self.is_copy(copy) && self.missing.is_empty() {
+            self.freshness.take(revision, Some(now));
             return Changes::default();
         }
         self.copied = Some(copy.version());
-        self.apply(copy.list(), |_| false, revision, now)
+        let known_revision = self.freshness.version();
+        let listed_at = self.missing_since.or(self.freshness.confirmed_at());
+        let kept: BTreeMap<_, _> = if self.may_have_lapsed(listed_at.unwrap_or(now), now) {
+            let kept = copy.kept().map(|(u, listed_at)| (&u.id, (u, listed_at)));
+            kept.collect()
+        } else {
+            BTreeMap::new()
+        };
+        let is_kept = |known: &Upstream| {
+            let kept = kept.get(&known.id);
+            kept.is_some_and(|(upstream, _)| upstream.born_ms == known.born_ms)
+        };
+        let mut changes = self.apply(copy.listed().cloned().collect(), is_kept, revision, now);
+        for (id, (upstream, listed_at)) in kept {
+            if listed_at > known_revision && !self.entries.contains_key(id) {
+                let mut upstream = upstream.clone();
+                self.apply_drained(&mut upstream, now);
+                self.apply_leaving(&mut upstream, now);
+                changes.removed.retain(|removed| removed != id);
+                changes.added.push(id.clone());
+                self.entries.insert(id.clone(), Rc::new(upstream));
+                self.missing.insert(id.clone(), listed_at);
+                self.missing_since.get_or_insert(now);
+            }
+        }
+        changes
+    }
+
+    /// Whether entries that were listed at a time, and are missing from a list that was read at `now`, may
+    /// have lapsed with the store.
+    fn may_have_lapsed(&self, listed_at: Instant, now: Instant) -> bool {
+        let has_grace = self.grace.as_ref().is_some_and(|grace| now < grace.until);
+        // Entries may lapse until the end of the grace period that follows an outage.
+        let from = listed_at.checked_sub(RETURN_GRACE);
+        has_grace || from.is_none_or(|from| !self.contact.is_steady(from, now))
     }
 
     /// Replaces the entries by a full list that this instance has read from the store, at a revision
@@ -159,7 +209,7 @@
         revision: u64,
         now: Instant,
     ) -> Changes {
-        if revision < self.revision {
+        if !self.freshness.accepts(revision) {
             return Changes::default();
         }
         self.copied = None;
@@ -168,7 +218,7 @@
             grace.record_list(&list, revision);
         }
         let list = list.into_iter().map(|entry| entry.upstream).collect();
-        let is_kept = |id: &str| grace.as_ref().is_some_and(|g| g.may_have_lapsed(id));
+        let is_kept = |u: &Upstream| grace.as_ref().is_some_and(|g| g.may_have_lapsed(&u.id));
         let changes = self.apply(list, is_kept, revision, now);
         self.grace = grace;
         changes
@@ -177,12 +227,15 @@
     /// Replaces the entries by a full list, and keeps missing ones that `is_kept` names.
     fn apply<F>(&mut self, list: Vec<Upstream>, is_kept: F, revision: u64, now: Instant) -> Changes
     where
-        F: Fn(&str) -> bool,
+        F: Fn(&Upstream) -> bool,
     {
         let mut changes = Changes::default();
-        self.record_read(revision, now);
+        let (listed_revision, listed_at) =
+            (self.freshness.version(), self.freshness.confirmed_at());
+        self.freshness.take(revision, Some(now));
         let mut old = std::mem::take(&mut self.entries);
         let missing_before = std::mem::take(&mut self.missing);
+        let missing_since = self.missing_since.take().or(listed_at);
         for mut upstream in list {
             self.apply_drained(&mut upstream, now);
             self.apply_leaving(&mut upstream, now);
@@ -191,11 +244,14 @@
             self.entries.insert(upstream.id.clone(), Rc::new(upstream));
         }
         for (id, upstream) in old {
-            if is_kept(&id) {
-                if !missing_before.contains(&id) {
+            if is_kept(&upstream) {
+                let known = missing_before.get(&id).copied();
+                if known.is_none() {
                     changes.kept.push(id.clone());
                 }
-                self.missing.insert(id.clone());
+                let last_listed = known.unwrap_or(listed_revision);
+                self.missing.insert(id.clone(), last_listed);
+                self.missing_since = missing_since;
                 self.entries.insert(id, upstream);
             } else {
                 changes.removed.push(id);
@@ -278,19 +334,64 @@
         }
     }
 
-    /// Begins the grace period in which missing entries are kept: the store answers again at `now`
-    /// and may have lost some.
+    /// Begins the grace period in which missing entries are kept: the store has come back from a copy,
+    /// seen at `now`, and may have lost some.
+    pub fn begin_copy_grace(&mut self, now: Instant) {
+        self.begin_grace(now);
+        if let Some(grace) = &mut self.grace {
+            grace.is_after_copy = true;
+        }
+    }
+
+    /// Begins the grace period in which missing entries are kept: the store answers again at `now` after
+    /// an outage, and may have lost some.
     pub fn begin_grace(&mut self, now: Instant) {
+        let before = self.grace.take().filter(|grace| now < grace.until);
         self.grace = Some(Grace {
             until: now + RETURN_GRACE,
+            is_after_copy: before.is_some_and(|grace| grace.is_after_copy),
             first_revision: None,
             rewritten: BTreeSet::new(),
         });
     }
 
-    fn record_read(&mut self, revision: u64, now: Instant) {
-        self.revision = revision;
-        self.read_at = Some(self.read_at.map_or(now, |at| at.max(now)));
+    /// Records that the store has answered a call of this instance at `now`; upstreams write their entries
+    /// each `heartbeat`. If this ends an outage, the grace period begins, and the time without an answer
+    /// is returned.
+    pub fn record_store_answer(&mut self, heartbeat: Duration, now: Instant) -> Option<Duration> {
+        let outage = self.contact.record_answer(heartbeat, now);
+        if outage.is_some() {
+            self.begin_grace(now);
+        }
+        outage
+    }
+
+    /// Records that the store has not answered a call of this instance.
+    pub fn record_store_failure(&mut self) {
+        self.contact.record_failure();
+    }
+
+    /// Records when another instance reached the store. If the store was not out of reach for it while
+    /// it was for this one, the grace period is over, the entries that are kept are removed, and the
+    /// changes are returned.
+    pub fn record_store_reach(&mut self, reach: StoreReach) -> Option<Changes> {
+        if !self.contact.record_reach(reach) {
+            return None;
+        }
+        let mut changes = Changes::default();
+        if self.grace.take_if(|grace| !grace.is_after_copy).is_some() {
+            changes.removed = std::mem::take(&mut self.missing).into_keys().collect();
+            self.missing_since = None;
+            for id in &changes.removed {
+                self.entries.remove(id);
+            }
+        }
+        Some(changes)
+    }
+
+    /// When instances reached the store last, to be sent to others.
+    pub fn store_reach(&self, now: Instant) -> Option<StoreReachAge> {
+        self.contact.reach_age(now)
     }
 
     /// All upstreams.
@@ -309,6 +410,12 @@
             .filter(move |u| u.service == service && u.phase == Phase::Ready)
     }
 
+    /// Upstreams that are kept though they are missing from the last list, with the store revision of the
+    /// last list that had them.
+    pub fn missing(&self) -> &BTreeMap<String, u64> {
+        &self.missing
+    }
+
     /// Number of upstreams that are kept though they are missing from the last list.
     pub fn missing_count(&self) -> usize {
         self.missing.len()
@@ -316,12 +423,17 @@
 
     /// Store revision at which the list was last read or confirmed.
     pub fn revision(&self) -> u64 {
-        self.revision
+        self.freshness.version()
+    }
+
+    /// Store revision at which the list was last read or confirmed, and when; none if it never was.
+    pub fn read(&self) -> Option<(u64, Instant)> {
+        Some((self.freshness.version(), self.freshness.confirmed_at()?))
     }
 
     /// Time since the list was last read or confirmed; none if it never was.
     pub fn age(&self, now: Instant) -> Option<Duration> {
-        self.read_at.map(|at| now.saturating_duration_since(at))
+        self.freshness.age(now)
     }
 }
 
--- a/crates/fleet/src/lib.rs
+++ b/crates/fleet/src/lib.rs
@@ -8,6 +8,7 @@
 pub mod config;
 pub mod directory;
 pub mod duty;
+pub mod freshness;
 pub mod health;
 pub mod holder_search;
 pub mod intake;
--- a/crates/fleet/tests/directory.rs
+++ b/crates/fleet/tests/directory.rs
@@ -1,6 +1,7 @@
 //! Changes of the list of upstreams: added, draining, removed and lapsed ones.
 
 use std::{
+    collections::BTreeMap,
     rc::Rc,
     sync::atomic::{AtomicU64, Ordering},
     time::{Duration, Instant},
@@ -8,7 +9,7 @@
 
 use comfreyweir_fleet::{
     directory::{Directory, StoredUpstream, UpstreamProcess},
-    store_contact::StoreContact,
+    store_contact::{StoreContact, StoreReach},
     upstream::{Holding, Phase, Upstream},
     versioned_list::{ListCopy, VersionedList},
 };
@@ -31,7 +32,8 @@
 fn copy(list: &[Upstream]) -> ListCopy {
     static LISTS: AtomicU64 = AtomicU64::new(1);
     let mut sent = VersionedList::new(LISTS.fetch_add(1, Ordering::Relaxed));
-    sent.update(&list.iter().cloned().map(Rc::new).collect::<Vec<_>>());
+    let list: Vec<_> = list.iter().cloned().map(Rc::new).collect();
+    sent.update(&list, &BTreeMap::new());
     let mut copy = ListCopy::default();
     if let Some(changes) = sent.changes_since(copy.version()) {
         copy.apply(changes);
@@ -348,3 +350,86 @@
     directory.replace_read(read(restarted("a"), 23), 23, now);
     assert_eq!(ids(&directory), ["a"]);
 }
+
+/// A copy of a list whose sender keeps "b", which it last listed at a revision.
+fn copy_that_keeps_b(list_number: u64, listed_at: u64) -> ListCopy {
+    let both = ["a", "b"].map(|id| Rc::new(upstream(id, Phase::Ready)));
+    let mut sent = VersionedList::new(list_number);
+    sent.update(&both, &BTreeMap::from([("b".to_owned(), listed_at)]));
+    let mut copy = ListCopy::default();
+    copy.apply(sent.changes_since(copy.version()).unwrap());
+    copy
+}
+
+/// Guards against requests to an upstream that has left: the holder keeps its entry after an outage of
+/// its own path, and all others took it back from its list, though they had read a later one.
+#[test]
+fn entry_that_another_instance_only_keeps_is_not_taken_back() {
+    let start = Instant::now();
+    let mut directory = Directory::default();
+    directory.replace_read(vec![stored("a", 1), stored("b", 1)], 10, start);
+    directory.replace_read(vec![stored("a", 1)], 20, start);
+    assert_eq!(ids(&directory), ["a"]);
+    let changes = directory.replace(&copy_that_keeps_b(900, 10), 30, start);
+    assert!(changes.is_empty(), "{changes:?}");
+    assert_eq!(ids(&directory), ["a"]);
+    // The entry is in the list again: the upstream has registered anew.
+    let both = [upstream("a", Phase::Ready), upstream("b", Phase::Ready)];
+    directory.replace(&copy(&both), 31, start);
+    assert_eq!(ids(&directory), ["a", "b"]);
+}
+
+/// An instance that still lists the entry keeps it as long as the sender does, unless the store has
+/// answered steadily: then there was no outage, and the upstream has left.
+#[test]
+fn entry_that_another_instance_keeps_is_kept_only_if_it_may_have_lapsed() {
+    let start = Instant::now();
+    let at = |ms| start + Duration::from_millis(ms);
+    for is_steady in [false, true] {
+        let mut directory = Directory::default();
+        for ms in (0..=6_000).step_by(1_200) {
+            if is_steady || ms == 0 {
+                directory.record_store_answer(HEARTBEAT, at(ms));
+            }
+        }
+        directory.replace_read(vec![stored("a", 1), stored("b", 1)], 10, at(6_000));
+        let changes = directory.replace(&copy_that_keeps_b(901, 9), 30, at(6_200));
+        assert_eq!(changes.kept.is_empty(), is_steady);
+        assert_eq!(changes.removed.len(), usize::from(is_steady));
+        assert_eq!(directory.missing_count(), usize::from(!is_steady));
+        let changes = directory.replace(&copy(&[upstream("a", Phase::Ready)]), 31, at(6_300));
+        assert_eq!(changes.removed.len(), usize::from(!is_steady));
+    }
+}
+
+/// Guards against entries that are kept for long after an outage that other instances did not have. What
+/// they say of another time, or an outage that they had too, does not end the grace period.
+#[test]
+fn grace_period_ends_when_another_instance_reached_the_store_meanwhile() {
+    for (from_ms, to_ms, is_own) in [
+        (0, 10_000, true),
+        (2_300, 10_000, true),
+        (0, 7_700, true),
+        (2_500, 10_000, false),
+        (0, 7_500, false),
+        (9_900, 10_000, false),
+    ] {
+        let start = Instant::now();
+        let at = |ms| start + Duration::from_millis(ms);
+        let mut directory = Directory::default();
+        directory.record_store_answer(HEARTBEAT, start);
+        directory.replace_read(vec![stored("a", 1), stored("b", 1)], 10, start);
+        directory.record_store_failure();
+        let outage = directory.record_store_answer(HEARTBEAT, at(10_000));
+        assert_eq!(outage, Some(Duration::from_secs(10)));
+        directory.replace_read(vec![stored("a", 1)], 20, at(10_000));
+        assert_eq!(directory.missing_count(), 1);
+        let reach = StoreReach {
+            since: at(from_ms),
+            until: at(to_ms),
+        };
+        let changes = directory.record_store_reach(reach);
+        assert_eq!(changes.is_some(), is_own, "{from_ms} {to_ms}");
+        assert_eq!(ids(&directory).contains(&"b".to_owned()), !is_own);
+    }
+}
--- a/crates/fleet/tests/versioned_list.rs
+++ b/crates/fleet/tests/versioned_list.rs
@@ -28,17 +28,17 @@
 fn one_change_is_sent_as_one_entry() {
     let upstreams: Vec<_> = (0..300).map(|i| upstream(i, 1)).collect();
     let mut list = VersionedList::new(7);
-    list.update(&upstreams);
+    list.update(&upstreams, &BTreeMap::new());
     let mut copy = ListCopy::default();
     let whole = list.changes_since(copy.version()).unwrap();
     assert!(whole.is_whole);
     copy.apply(whole);
-    list.update(&upstreams);
+    list.update(&upstreams, &BTreeMap::new());
     assert_eq!(list.changes_since(copy.version()), None);
     let mut next = upstreams.clone();
     next[5] = upstream(5, 2);
     next.remove(9);
-    list.update(&next);
+    list.update(&next, &BTreeMap::new());
     let changes = list.changes_since(copy.version()).unwrap();
     assert_eq!((changes.upstreams.len(), changes.removed.len()), (1, 1));
 }
@@ -48,16 +48,16 @@
 fn what_engines_hold_is_not_sent_as_a_change() {
     let before = upstream(1, 1);
     let mut list = VersionedList::new(7);
-    list.update(&[Rc::clone(&before)]);
+    list.update(&[Rc::clone(&before)], &BTreeMap::new());
     let mut copy = ListCopy::default();
     copy.apply(list.changes_since(copy.version()).unwrap());
     let mut loaded = (*before).clone();
     loaded.holds.in_memory.push("m1".to_owned());
-    list.update(&[Rc::new(loaded.clone())]);
+    list.update(&[Rc::new(loaded.clone())], &BTreeMap::new());
     assert_eq!(list.changes_since(copy.version()), None);
     let mut drained = loaded;
     drained.phase = Phase::Draining(None);
-    list.update(&[Rc::new(drained.clone())]);
+    list.update(&[Rc::new(drained.clone())], &BTreeMap::new());
     copy.apply(list.changes_since(copy.version()).unwrap());
     assert_eq!(copy.list(), [drained]);
 }
@@ -66,7 +66,7 @@
 #[test]
 fn empty_list_is_sent() {
     let mut list = VersionedList::new(7);
-    list.update(&[]);
+    list.update(&[], &BTreeMap::new());
     let changes = list.changes_since(ListVersion::default()).unwrap();
     assert!(changes.is_whole && changes.upstreams.is_empty());
 }
@@ -78,7 +78,11 @@
     #[test]
     fn copy_equals_the_list_after_any_answer(
         steps in prop::collection::vec(
-            (prop::collection::vec((0_usize..8, 1_u32..4), 0..8), any::<bool>(), 0_u32..10),
+            (
+                prop::collection::vec((0_usize..8, (1_u32..4, 0_u64..4)), 0..8),
+                any::<bool>(),
+                0_u32..10,
+            ),
             1..30,
         ),
     ) {
@@ -89,14 +93,21 @@
                 list = VersionedList::new(number);
             }
             let entries: BTreeMap<_, _> = entries.into_iter().collect();
-            let upstreams: Vec<_> = entries.iter().map(|(i, slots)| upstream(*i, *slots)).collect();
-            list.update(&upstreams);
+            let upstreams = entries.iter().map(|(i, (slots, _))| upstream(*i, *slots));
+            let upstreams: Vec<_> = upstreams.collect();
+            // Those with a revision are kept.
+            let kept = entries.iter().filter(|(_, (_, listed_at))| *listed_at > 0);
+            let kept: BTreeMap<_, _> = kept.map(|(i, (_, at))| (format!("u{i}"), *at)).collect();
+            list.update(&upstreams, &kept);
             if is_answered {
                 if let Some(changes) = list.changes_since(copy.version()) {
                     copy.apply(changes);
                 }
                 let expected: Vec<_> = upstreams.iter().map(|u| (**u).clone()).collect();
                 prop_assert_eq!(copy.list(), expected);
+                let marked = copy.kept().map(|(u, at)| (u.id.clone(), at));
+                prop_assert_eq!(marked.collect::<BTreeMap<_, _>>(), kept);
+                prop_assert_eq!(copy.listed().count() + copy.kept().count(), upstreams.len());
             }
         }
     }
