--- a/crates/fleet/tests/freshness.rs
+++ b/crates/fleet/tests/freshness.rs
@@ -257,8 +257,8 @@
             let path_down = self.instances[holder].path_down;
             let off_until = now + self.rng.random_range(500..4_000);
             self.instances[holder] = Instance {
-                off_until,
                 path_down,
+                off_until,
                 ..Instance::start(self.lists, off_until)
             };
         }
