--- a/crates/entry/src/exchange/client.rs
+++ b/crates/entry/src/exchange/client.rs
@@ -263,12 +263,13 @@
         evidence: cx.quarantine.evidence().report(),
         leaving: cx.directory.borrow().leaving().cloned().collect(),
         limits: cx.limits.borrow().heard(cx.clock.since_boot()),
-        placement: placement.fence_and_version,
+        placement: placement.fence_and_version(),
         directory: placement.holder_list.version(),
         needs_config: cx
             .newer_config_age(cx.now())
             .is_some_and(|age| age >= OWN_CONFIG_READ_TIME),
         evacuations: zones::news(cx),
+        store_reach: cx.directory.borrow().store_reach(cx.now()),
     }
 }
 
@@ -295,6 +296,7 @@
     let source = EvacuationSource::Holder;
     zones::learn_news(cx, view.evacuations.as_ref(), source, Some(granted_at));
     apply_totals(cx, &view.totals, reported_loads, now);
+    cx.record_store_reach(view.store_reach, reported_at);
     apply_directory(cx, view.directory, now);
     let leaving = view.leaving.into_iter().collect();
     cx.directory.borrow_mut().set_leaving_elsewhere(leaving);
@@ -312,16 +314,16 @@
     }
     cx.holder_resigned.set(false);
     let mut placement = cx.placement.borrow_mut();
-    placement.confirm(now);
-    placement.fence_and_version = view.placement;
-    let ready_in = view.ready_in_ms.into_iter();
-    placement.ready_in = ready_in
-        .map(|(artifact, ms)| (artifact, Duration::from_millis(ms)))
-        .collect();
-    if view.is_whole {
-        placement.engines = view.engines;
-    } else {
-        placement.engines.extend(view.engines);
+    if placement.take(view.placement, now) {
+        let ready_in = view.ready_in_ms.into_iter();
+        placement.ready_in = ready_in
+            .map(|(artifact, ms)| (artifact, Duration::from_millis(ms)))
+            .collect();
+        if view.is_whole {
+            placement.engines = view.engines;
+        } else {
+            placement.engines.extend(view.engines);
+        }
     }
     drop(placement);
     cx.instances_reported.set(view.instances);
--- a/crates/entry/src/exchange/message.rs
+++ b/crates/entry/src/exchange/message.rs
@@ -11,6 +11,7 @@
     quarantine::{EvidenceReport, PartId, QuarantineView, TrialAnswer, TrialId, TrialOutcome},
     quota::{Grant, UsageTotals},
     request::Artifact,
+    store_contact::StoreReachAge,
     stream_origins::{ReportedOrigins, StreamKey},
     versioned_list::{ListChanges, ListVersion},
     zones::EvacuationNews,
@@ -144,6 +145,8 @@
     pub(crate) needs_config: bool,
     /// Evacuations that it knows.
     pub(crate) evacuations: Option<EvacuationNews>,
+    /// When it, or another instance as far as it knows, reached the store last.
+    pub(crate) store_reach: Option<StoreReachAge>,
 }
 
 /// Answer of the instance that was called.
@@ -215,6 +218,8 @@
     pub(crate) instances: usize,
     /// Holder of the planning duty, as the sender knows it.
     pub(crate) holder: Option<Holder>,
+    /// When any instance reached the store last, as far as the holder knows.
+    pub(crate) store_reach: Option<StoreReachAge>,
 }
 
 /// What the holder knows of the streams that an instance asks for.
--- a/crates/entry/src/metrics.rs
+++ b/crates/entry/src/metrics.rs
@@ -91,6 +91,7 @@
     zones: Family<ZoneLabel, Counter>,
     quarantine: Family<QuarantineLabel, Counter>,
     store_copies: Counter,
+    path_outages: Counter,
     views: Counter,
     view_bytes: Counter,
     grant_answers: Counter,
@@ -117,6 +118,7 @@
             zones: Family::default(),
             quarantine: Family::default(),
             store_copies: Counter::default(),
+            path_outages: Counter::default(),
             views: Counter::default(),
             view_bytes: Counter::default(),
             grant_answers: Counter::default(),
@@ -179,6 +181,11 @@
             "Times that the store has come back from a copy",
             metrics.store_copies.clone(),
         );
+        registry.register(
+            "comfreyweir_store_path_outages",
+            "Outages of the path to the store while other instances reached it",
+            metrics.path_outages.clone(),
+        );
         registry.register(
             "comfreyweir_log_lines_dropped",
             "Log lines dropped since the start because the log was not read in time",
@@ -293,6 +300,11 @@
         self.store_copies.inc();
     }
 
+    /// Counts an outage that was one of this instance's own path to the store.
+    pub(crate) fn count_path_outage(&self) {
+        self.path_outages.inc();
+    }
+
     /// Counts a view that was sent to another instance.
     pub(crate) fn count_view(&self, bytes: usize) {
         self.views.inc();
