--- a/crates/entry/tests/store_copies.rs
+++ b/crates/entry/tests/store_copies.rs
@@ -1,12 +1,13 @@
-//! The store comes back after an outage, or from a copy that is some seconds old.
+//! The store comes back after an outage, of its own or of one instance's path to it, or from a copy that
+//! is some seconds old.
 
 mod support;
 
-use std::time::Duration;
+use std::{rc::Rc, time::Duration};
 
 use support::{
-    FakeUpstream, ScriptStep, SharedState, TestInstance, get, platform::config, send_request,
-    start, start_with, upstream_entry, wait_until,
+    FakeUpstream, MemoryPlatform, ScriptStep, SharedState, TestInstance, get, platform::config,
+    send_request, start, start_on, start_with, upstream_entry, wait_until,
 };
 use tokio::time::Instant;
 
@@ -217,3 +218,67 @@
     })
     .await;
 }
+
+/// Guards against an instance that was cut off from the store, takes the duty, and passes on entries that
+/// it keeps though they are gone.
+#[actix_rt::test]
+async fn upstream_that_left_is_not_passed_on_by_an_instance_that_was_cut_off() {
+    // Renewals of leases, each 1.2 s, show that the store answers within two heartbeats.
+    let heartbeat_ms = 800;
+    let upstreams = [
+        FakeUpstream::start("u1", &[]).await,
+        FakeUpstream::start("u2", &[]).await,
+    ];
+    let shared = SharedState::new();
+    shared.publish_config(config(1));
+    for upstream in &upstreams {
+        shared.add_upstream(upstream_entry(upstream, "plain", &[]));
+    }
+    let with_heartbeat = |cores| {
+        move |settings: &mut comfreyweir_config::entry_settings::EntrySettings| {
+            settings.timing.upstream_heartbeat_ms = heartbeat_ms;
+            settings.instance.cores = cores;
+        }
+    };
+    let holder = start_with(&shared, "e1", with_heartbeat(1.0)).await;
+    wait_until_orders(&holder).await;
+    let platform = MemoryPlatform::new(Rc::clone(&shared));
+    let path_is_down = Rc::clone(&platform.path_is_down);
+    let cut_off = start_on(platform, &shared, "e2", with_heartbeat(1.0)).await;
+    // A small instance lets the other take the duty.
+    let third = start_with(&shared, "e3", with_heartbeat(0.1)).await;
+    for instance in [&cut_off, &third] {
+        wait_until("the holder's list is known", async || {
+            status(instance).await["upstreams"] == 2
+        })
+        .await;
+    }
+    path_is_down.set(true);
+    drop(holder);
+    shared.remove_upstream("u1");
+    wait_until("the removal is known to the third instance", async || {
+        status(&third).await["upstreams"] == 1
+    })
+    .await;
+    actix_rt::time::sleep(Duration::from_millis(heartbeat_ms * 2)).await;
+    path_is_down.set(false);
+    wait_until("the instance has read the list", async || {
+        status(&cut_off).await["upstreams_age_ms"].as_u64() < Some(200)
+    })
+    .await;
+    // It follows the holder again after the pause that follows a failed call, 250 ms.
+    actix_rt::time::sleep(Duration::from_millis(500)).await;
+    shared.lapse("own/duty");
+    wait_until("the instance has the duty", async || {
+        assert_eq!(status(&third).await["upstreams"], 1);
+        status(&cut_off).await["duty"]["fence"].is_u64()
+    })
+    .await;
+    let taken_at = Instant::now();
+    while taken_at.elapsed() < Duration::from_secs(3) {
+        assert_eq!(status(&third).await["upstreams"], 1);
+        let is_told = taken_at.elapsed() > Duration::from_millis(800);
+        assert!(!is_told || status(&cut_off).await["upstreams"] == 1);
+        actix_rt::time::sleep(Duration::from_millis(20)).await;
+    }
+}
--- a/crates/entry/tests/support/mod.rs
+++ b/crates/entry/tests/support/mod.rs
@@ -108,13 +108,31 @@
 
 /// Like [`start`], with settings changed by `change_settings`.
 pub async fn start_with<F>(shared: &Rc<SharedState>, name: &str, change_settings: F) -> TestInstance
+where
+    F: FnOnce(&mut EntrySettings),
+{
+    start_on(
+        MemoryPlatform::new(Rc::clone(shared)),
+        shared,
+        name,
+        change_settings,
+    )
+    .await
+}
+
+/// Like [`start_with`], with this platform.
+pub async fn start_on<F>(
+    platform: MemoryPlatform,
+    shared: &Rc<SharedState>,
+    name: &str,
+    change_settings: F,
+) -> TestInstance
 where
     F: FnOnce(&mut EntrySettings),
 {
     let mut settings = settings(name);
     change_settings(&mut settings);
     let ready = settings.listen.ready;
-    let platform = MemoryPlatform::new(Rc::clone(shared));
     let entry = spawn(settings, platform).await.unwrap();
     wait_until("ready", async || get(ready, "/-/ready").await.status == 200).await;
     TestInstance {
--- a/crates/entry/tests/support/platform.rs
+++ b/crates/entry/tests/support/platform.rs
@@ -186,8 +186,8 @@
         self.remove(&format!("servers/{id}"));
     }
 
-    fn check_store_up(&self) -> Result<(), PlatformError> {
-        if self.store_is_down.get() {
+    fn check_store_up(&self, path_is_down: &Cell<bool>) -> Result<(), PlatformError> {
+        if self.store_is_down.get() || path_is_down.get() {
             return Err(PlatformError::Refused {
                 addr: store_addr(),
                 status: 503,
@@ -223,6 +223,8 @@
 
 pub struct MemoryPlatform {
     shared: Rc<SharedState>,
+    /// While set, every call of this instance to the store fails.
+    pub path_is_down: Rc<Cell<bool>>,
     headers: HeaderNames,
 }
 
@@ -231,6 +233,7 @@
         let name = HeaderName::from_static;
         Self {
             shared,
+            path_is_down: Rc::default(),
             headers: HeaderNames {
                 request_id: name("x-id"),
                 deadline: name("x-deadline"),
@@ -319,7 +322,7 @@
     }
 
     async fn get(&self, key: &str, _: Duration) -> Result<Option<(StoreItem, u64)>, PlatformError> {
-        self.shared.check_store_up()?;
+        self.shared.check_store_up(&self.path_is_down)?;
         let item = self
             .shared
             .items
@@ -335,7 +338,7 @@
         after: Option<&str>,
         _: Duration,
     ) -> Result<(StoreItems, bool), PlatformError> {
-        self.shared.check_store_up()?;
+        self.shared.check_store_up(&self.path_is_down)?;
         if prefix == self.keys().origins_prefix {
             self.shared
                 .origin_reads
@@ -370,7 +373,7 @@
         let watched = async {
             loop {
                 let changed = self.shared.changed.notified();
-                self.shared.check_store_up()?;
+                self.shared.check_store_up(&self.path_is_down)?;
                 let items = self.shared.items_after(prefix, after);
                 if !items.items.is_empty() || !items.removed.is_empty() {
                     return Ok(WatchOutcome::Changes(items));
@@ -392,7 +395,7 @@
     }
 
     async fn commit(&self, tx: &Transaction, _: Duration) -> Result<CommitOutcome, PlatformError> {
-        self.shared.check_store_up()?;
+        self.shared.check_store_up(&self.path_is_down)?;
         if tx.puts.iter().any(|(key, _, _)| key == "own/software") {
             self.shared
                 .software_commits
@@ -421,7 +424,7 @@
     }
 
     async fn grant_lease(&self, ttl: Duration, _: Duration) -> Result<Lease, PlatformError> {
-        self.shared.check_store_up()?;
+        self.shared.check_store_up(&self.path_is_down)?;
         self.shared
             .last_lease_id
             .set(self.shared.last_lease_id.get() + 1);
@@ -434,7 +437,7 @@
     }
 
     async fn renew_lease(&self, lease: LeaseId, _: Duration) -> Result<bool, PlatformError> {
-        self.shared.check_store_up()?;
+        self.shared.check_store_up(&self.path_is_down)?;
         if !self.is_live(lease) {
             return Ok(false);
         }
@@ -444,7 +447,7 @@
     }
 
     async fn end_lease(&self, lease: LeaseId, _: Duration) -> Result<(), PlatformError> {
-        self.shared.check_store_up()?;
+        self.shared.check_store_up(&self.path_is_down)?;
         if self.is_live(lease) {
             self.shared.end_lease(lease.number);
         }
