--- a/crates/fleet/src/planner/evacuation.rs
+++ b/crates/fleet/src/planner/evacuation.rs
@@ -38,12 +38,12 @@
             .flat_map(|engine| engine.kept_models().map(|(model, _)| model))
             .collect();
         let lost = models.into_iter().filter(|m| self.replica_count(m) == 0);
-        let wanted = lost.map(|model| (self.displaced_demand(model), model.to_owned()));
+        let wanted = lost.map(|model| (self.demand_for(model), model.to_owned()));
         wanted.filter(|(demand, _)| *demand >= MIN_RATE).collect()
     }
 
     /// Demand for a model: requests a second, and those that run or wait.
-    fn displaced_demand(&self, model: &str) -> f64 {
+    fn demand_for(&self, model: &str) -> f64 {
         let demands = &self.demands;
         demands.rate(model).max(demands.recent_rate(model))
             + demands.queue(model)
@@ -70,13 +70,12 @@
             pressure: f64::INFINITY,
             requests: demand,
         };
-        let target = self.best_load_target(input, model, wanted, true, now);
-        let takes_too_much = |victim: &String| {
-            self.loaded_replica_count(victim) <= 1
-                && self.displaced_demand(victim) > demand * MAX_EVICTED_DEMAND_RATIO
-        };
-        if target.is_some_and(|target| !target.victims.iter().any(takes_too_much)) {
-            self.place_model(input, model, wanted, now);
-        }
+        self.place_model_if(input, model, wanted, now, |planner, target| {
+            let takes_too_much = |victim: &String| {
+                planner.loaded_replica_count(victim) <= 1
+                    && planner.demand_for(victim) > demand * MAX_EVICTED_DEMAND_RATIO
+            };
+            !target.victims.iter().any(takes_too_much)
+        });
     }
 }
--- a/crates/fleet/src/planner/load_planning.rs
+++ b/crates/fleet/src/planner/load_planning.rs
@@ -5,7 +5,7 @@
 use super::{
     CROWDED_OCCUPANCY, CROWDED_PRESSURE, LOW_PRESSURE, Planner, PlanningInput,
     engine_state::LoadTime,
-    model_placement::{Wanted, WeightSource},
+    model_placement::{LoadTarget, Wanted, WeightSource},
 };
 use crate::{config::Model, request::Artifact};
 
@@ -131,13 +131,27 @@
 
     /// Plans a load of a model at the engine with the lowest cost in load time and evictions. If
     /// that engine is busy, its estimate is kept for the requests that wait.
-    pub(super) fn place_model(
+    fn place_model(
         &mut self,
         input: &PlanningInput<'_>,
         model: &Model,
         wanted: Wanted,
         now: Instant,
     ) {
+        self.place_model_if(input, model, wanted, now, |_, _| true);
+    }
+
+    /// Like [`Self::place_model`], if `accepts` accepts the engine and its victims.
+    pub(super) fn place_model_if<F>(
+        &mut self,
+        input: &PlanningInput<'_>,
+        model: &Model,
+        wanted: Wanted,
+        now: Instant,
+        accepts: F,
+    ) where
+        F: Fn(&Self, &LoadTarget) -> bool,
+    {
         let may_use_store = self.may_load_from_store(input, now);
         let best = self.best_load_target(input, model, wanted, may_use_store, now);
         let Some(target) = best else {
@@ -146,6 +160,9 @@
             }
             return;
         };
+        if !accepts(self, &target) {
+            return;
+        }
         if !target.begins_in.is_zero() {
             let ready_at = now + target.begins_in + target.source.load_time(model);
             self.expected.insert(model.name.clone(), ready_at);
