Evacuations: ends passed on with reports keep their age; only unserved requests count as refused

A report has no time before which it was certainly not sent, and the end of an evacuation in it counted as learned at that moment. The time is now that of the report's arrival less the age that it names. The test fails on the code before.

--- a/crates/entry/src/serve/retry.rs
+++ b/crates/entry/src/serve/retry.rs
@@ -63,7 +63,7 @@
         let picked = match pick::pick(cx, request, &state.avoided).await {
             Ok(picked) => picked,
             Err(refusal) => {
-                zones::count_refused(cx, request);
+                zones::count_refused(cx, request, &refusal);
                 return Err(state.include_earlier_runs(refusal));
             }
         };
--- a/crates/entry/src/zones.rs
+++ b/crates/entry/src/zones.rs
@@ -8,6 +8,7 @@
     time::{Duration, Instant},
 };
 
+use actix_http::StatusCode;
 use comfreyweir_clock::whole_millis;
 use comfreyweir_fleet::{
     directory::Directory,
@@ -117,13 +118,14 @@
     true
 }
 
-/// Counts a refused request if an evacuated zone has upstreams that would have taken requests of its
-/// service.
-pub(crate) fn count_refused<P>(cx: &EntryContext<P>, request: &AdmittedRequest)
+/// Counts a request that no upstream could serve, if an evacuated zone has upstreams that would have
+/// taken requests of its service.
+pub(crate) fn count_refused<P>(cx: &EntryContext<P>, request: &AdmittedRequest, refusal: &Refusal)
 where
     P: Platform,
 {
-    if avoids_evacuated(cx, request) {
+    let is_unserved = refusal.status == StatusCode::SERVICE_UNAVAILABLE;
+    if is_unserved && avoids_evacuated(cx, request) {
         cx.metrics.count_zone_event("refused");
     }
 }
--- a/crates/fleet/src/zones.rs
+++ b/crates/fleet/src/zones.rs
@@ -161,7 +161,7 @@
     }
 
     /// Takes over what another instance knows. `sent_after` is a time before which it was certainly not
-    /// sent; without it the ages that it names say nothing.
+    /// sent; without it the age of the state says nothing.
     pub fn learn_news(
         &mut self,
         news: &EvacuationNews,
@@ -169,9 +169,12 @@
         sent_after: Option<Instant>,
         now: Instant,
     ) -> EvacuationChanges {
-        let before = |ms: u64| sent_after?.checked_sub(Duration::from_millis(ms));
+        let confirmed_at = sent_after.zip(news.age_ms);
+        let confirmed_at =
+            confirmed_at.and_then(|(at, ms)| at.checked_sub(Duration::from_millis(ms)));
+        // Too late by the time on the way: an end then counts as more recent, which is the safe side.
+        let before = |ms: u64| now.checked_sub(Duration::from_millis(ms));
         let zones = news.zones.iter().map(|(zone, _)| zone.clone()).collect();
-        let confirmed_at = news.age_ms.and_then(before);
         let changes = self.learn(&zones, news.revision, source, confirmed_at, now);
         let is_outdated = self.revision() > Some(news.revision);
         for (zone, ms) in &news.zones {
--- a/crates/fleet/tests/zones.rs
+++ b/crates/fleet/tests/zones.rs
@@ -378,6 +378,13 @@
     other.learn_news(&news, EvacuationSource::Holder, Some(later), later);
     assert_eq!(other.ended_at("b"), Some(ended));
     assert_eq!(other.zones().next().map(|(_, e)| e.since), Some(now));
+    // A report says when it ended too, though not how fresh its state is.
+    let mut holder = Evacuations::default();
+    holder.learn_news(&news, EvacuationSource::Instance, None, later);
+    assert_eq!(
+        (holder.ended_at("b"), holder.age(later)),
+        (Some(ended), None)
+    );
     other.learn(&zones(&["b"]), 30, source, Some(later), later);
     assert_eq!(other.ended_at("b"), None);
     // What the first instance still sends is older.
