Requests that wait for units are refused while there is time before the end of a stop

A stop ends after its grace, which is shorter than the longest waits. Such a request now leaves the time that it needs to be served before that end, and is refused else, since it has not run.

--- a/crates/entry/src/serve/allowance.rs
+++ b/crates/entry/src/serve/allowance.rs
@@ -1,6 +1,9 @@
 //! Takes the units of a request from its workspace's allowance, or waits for them.
 
-use std::{rc::Rc, time::Instant};
+use std::{
+    rc::Rc,
+    time::{Duration, Instant},
+};
 
 use actix_http::StatusCode;
 use comfreyweir_clock::whole_millis;
@@ -66,8 +69,9 @@
         Ok(None) => Ok(()),
         Ok(Some(ticket)) => {
             cx.grant_wanted.notify_one();
+            let to_serve = terms.deadline.saturating_duration_since(claim.wait_until());
             let mut wait = GrantWait::new(cx, name, ticket);
-            wait.finish(claim.wait_until()).await
+            wait.finish(claim.wait_until(), to_serve).await
         }
         Err(over) => Err(over),
     };
@@ -114,14 +118,17 @@
         }
     }
 
-    /// Waits until it is decided what becomes of the request, for as long as it may wait.
-    async fn finish(&mut self, wait_until: Instant) -> Result<(), OverQuota> {
+    /// Waits until it is decided what becomes of the request, for as long as it may wait. While this
+    /// instance stops, the time `to_serve` is left before its end, too.
+    async fn finish(&mut self, wait_until: Instant, to_serve: Duration) -> Result<(), OverQuota> {
         let outcome = loop {
             let changed = self.cx.grants_changed.notified();
             if let Some(outcome) = self.outcome() {
                 break outcome;
             }
-            let left = wait_until.saturating_duration_since(self.cx.now());
+            let now = self.cx.now();
+            let until_stop = self.cx.time_to_answer(now).saturating_sub(to_serve);
+            let left = wait_until.saturating_duration_since(now).min(until_stop);
             if timeout(left, changed).await.is_err() {
                 break self.outcome().unwrap_or_else(|| Err(self.leave()));
             }
--- a/crates/entry/tests/allowances.rs
+++ b/crates/entry/tests/allowances.rs
@@ -8,7 +8,7 @@
 };
 
 use comfreyweir_fleet::{
-    config::{Allowance, Config, Unit, Workspace},
+    config::{Allowance, Config, Route, RouteKind, Unit, Workspace},
     quota::GRANT_TTL,
 };
 use support::{
@@ -21,13 +21,18 @@
 /// Units of a request, and the whole burst, which is refilled in 0.75 s.
 const COST: u64 = 3_000;
 
-fn config_with_allowance() -> Config {
+fn config_with_allowance(per_s: f64) -> Config {
     let mut config = config(1);
+    let route = Route {
+        time_limit: Duration::from_secs(20),
+        ..support::platform::route("/slow/", RouteKind::NonIdempotent, "plain")
+    };
+    config.routes.get_mut("h").unwrap().push(Rc::new(route));
     let workspace = Workspace {
         name: "vans".to_owned(),
         rank: None,
         allowance: Some(Allowance {
-            per_s: PER_S,
+            per_s,
             burst: 3_000.0,
             unit: Unit::Tokens { plain: COST },
         }),
@@ -38,12 +43,12 @@
 }
 
 /// Starts an instance whose workspace has spent its whole allowance just now.
-async fn start_with_spent_allowance() -> (Rc<SharedState>, TestInstance, FakeUpstream) {
+async fn start_with_spent_allowance(per_s: f64) -> (Rc<SharedState>, TestInstance, FakeUpstream) {
     let shared = SharedState::new();
-    shared.publish_config(config_with_allowance());
+    shared.publish_config(config_with_allowance(per_s));
     let upstream = FakeUpstream::start("u1", &[ScriptStep::Answer(200, "served")]).await;
     shared.add_upstream(upstream_entry(&upstream, "plain", &[]));
-    let instance = start_with(&shared, "e1", |_| ()).await;
+    let instance = start_with(&shared, "e1", |s| s.timing.grace_s = 2.0).await;
     wait_until("the duty is taken", async || {
         let status = get(instance.entry.admin_addr(), "/status").await.body;
         status.contains("\"may_order\": true")
@@ -51,7 +56,8 @@
     .await;
     // The bucket of a new holder begins with the refill of half a second.
     sleep(GRANT_TTL + Duration::from_secs(1)).await;
-    let response = send_request(instance.entry.addr(), "/book/x", "r0", "").await;
+    let deadline = "x-deadline: 19000\r\n";
+    let response = send_request(instance.entry.addr(), "/slow/x", "r0", deadline).await;
     assert_eq!(response.status, 200, "{}", response.body);
     (shared, instance, upstream)
 }
@@ -69,7 +75,7 @@
 /// refill takes 0.75 s.
 #[actix_rt::test]
 async fn large_request_waits_for_the_refill_and_is_served() {
-    let (_shared, instance, _upstream) = start_with_spent_allowance().await;
+    let (_shared, instance, _upstream) = start_with_spent_allowance(PER_S).await;
     let asked_at = Instant::now();
     let response = send_request(instance.entry.addr(), "/book/x", "r1", "").await;
     assert_eq!(response.status, 200, "{}", response.body);
@@ -82,7 +88,7 @@
 /// deadline is 0.5 s, the refill takes 0.75 s.
 #[actix_rt::test]
 async fn request_that_the_refill_does_not_cover_in_time_is_refused_at_once() {
-    let (_shared, instance, _upstream) = start_with_spent_allowance().await;
+    let (_shared, instance, _upstream) = start_with_spent_allowance(PER_S).await;
     let asked_at = Instant::now();
     let deadline = "x-deadline: 1000\r\n";
     let response = send_request(instance.entry.addr(), "/book/x", "r1", deadline).await;
@@ -94,3 +100,23 @@
     let refusals = "comfreyweir_allowance_refusals_total{cause=\"exhausted\"}";
     assert!(metric(&instance, refusals).await >= 1.0);
 }
+
+/// Guards against a request that waits for its units until the end of a stop, and is then cut off: the
+/// refill takes 3 s, and the stop ends after 2 s.
+#[actix_rt::test]
+async fn request_that_waits_at_a_stop_is_refused() {
+    let (_shared, instance, _upstream) = start_with_spent_allowance(1_000.0).await;
+    let addr = instance.entry.addr();
+    let deadline = "x-deadline: 19000\r\n";
+    let caller =
+        actix_rt::spawn(async move { send_request(addr, "/slow/x", "r1", deadline).await });
+    wait_until("the request waits", async || {
+        let status = get(instance.entry.admin_addr(), "/status").await.body;
+        status.contains("\"in_flight\": 1")
+    })
+    .await;
+    instance.entry.stop().await;
+    let response = caller.await.unwrap();
+    assert!([429, 503].contains(&response.status), "{response:?}");
+    assert!(response.header("retry-after").is_some());
+}
