Allowances: what was ahead of a refused request counts until the next grant only

A later grant accounts for the requests that have been served meanwhile, so that counting them as ahead again could refuse a request that the bucket covers.

--- a/crates/fleet/src/quota/instance.rs
+++ b/crates/fleet/src/quota/instance.rs
@@ -415,11 +415,14 @@
     }
 
     /// Units before a new request, as far as they are known from one that was refused lately and was not
-    /// less urgent.
+    /// less urgent. A later grant accounts for those that have been served meanwhile.
     fn known_backlog(&self, claim: &Claim, now: Instant) -> f64 {
         let order = claim.urgency.order(now);
         let known = self.backlog.filter(|backlog| {
             now.saturating_duration_since(backlog.at) < ASK_AGAIN_AFTER
+                && self
+                    .grant
+                    .is_some_and(|grant| grant.received_at <= backlog.at)
                 && backlog.urgency.order(now) <= order
         });
         known.map_or(0.0, |backlog| backlog.units)
