--- a/crates/entry/src/metrics.rs
+++ b/crates/entry/src/metrics.rs
@@ -83,6 +83,7 @@
     views: Counter,
     view_bytes: Counter,
     grant_answers: Counter,
+    held_back: Counter,
     first_byte_seconds: Histograms,
 }
 
@@ -102,6 +103,7 @@
             views: Counter::default(),
             view_bytes: Counter::default(),
             grant_answers: Counter::default(),
+            held_back: Counter::default(),
             first_byte_seconds: Family::new_with_constructor(histogram),
         };
         let mut registry = metrics.registry.borrow_mut();
@@ -160,6 +162,11 @@
             "Answers of this instance, as the holder, to requests for larger grants",
             metrics.grant_answers.clone(),
         );
+        registry.register(
+            "comfreyweir_held_back",
+            "Requests that waited since the engines had too much to read",
+            metrics.held_back.clone(),
+        );
         registry.register(
             "comfreyweir_first_byte_seconds",
             "Time from the arrival of a stream's request to the first byte of its answer",
@@ -251,6 +258,11 @@
         self.grant_answers.inc();
     }
 
+    /// Counts a request that waits since the engines have too much to read.
+    pub(crate) fn count_held_back(&self) {
+        self.held_back.inc();
+    }
+
     /// Records the time to the first byte of a streamed answer.
     pub(crate) fn observe_first_byte(&self, workspace: &str, time: Duration) {
         let labels = WorkspaceLabel {
--- a/crates/entry/src/serve/pick.rs
+++ b/crates/entry/src/serve/pick.rs
@@ -9,6 +9,7 @@
 use comfreyweir_clock::{Clock, whole_millis};
 use comfreyweir_fleet::{
     directory::UpstreamProcess,
+    intake::IntakeLimit,
     limits::{Room, Ticket},
     request::Artifact,
     upstream::Upstream,
@@ -41,6 +42,8 @@
     Upstream(PickedUpstream),
     /// None now, but one that has named a limit could if the holder gives a permit.
     NeedsPermit(UpstreamProcess),
+    /// None now, since the engines have too much to read.
+    HeldBack,
     /// None now.
     None,
 }
@@ -108,6 +111,7 @@
         } else {
             Choice::None
         };
+        let is_held_back = matches!(choice, Choice::HeldBack);
         match choice {
             Choice::Upstream(picked) => {
                 drop(wait);
@@ -123,13 +127,13 @@
                 }
                 cx.permits_wanted.notify_one();
             }
-            Choice::None => {}
+            Choice::HeldBack | Choice::None => {}
         }
         check_time_left(cx, request, avoided, permit_wait.as_ref(), now)?;
         check_software(cx, request, avoided)?;
         if wait.is_none() {
             wait = Some(ArtifactWait::begin(cx, request, avoided.is_empty()));
-            log_waiting(cx, request, now);
+            log_waiting(cx, request, is_held_back, now);
         }
         let left = request.time_left(now);
         let recheck_in = RECHECK_PERIOD.min(time_to_permit(permit_wait.as_ref()));
@@ -162,19 +166,25 @@
         )
 }
 
-fn log_waiting<P>(cx: &EntryContext<P>, request: &AdmittedRequest, now: Instant)
+fn log_waiting<P>(cx: &EntryContext<P>, request: &AdmittedRequest, is_held_back: bool, now: Instant)
 where
     P: Platform,
 {
+    if is_held_back {
+        cx.metrics.count_held_back();
+    }
     if !cx.request_log_limiter.try_acquire(now) {
         return;
     }
     let artifact = request.artifact_key();
     let placement = cx.placement.borrow();
+    let limits = cx.intake_limits.borrow();
+    let limit = limits.get(&request.service);
     spdlog::info!("request waits for an upstream", kv: {
         request_id = request.id.as_str(), service = request.service.as_str(),
         artifact = artifact.as_str(), left_ms = whole_millis(request.time_left_to_first_byte(now)),
-        placement = placement.fence_and_version.1, fence = placement.fence_and_version.0
+        placement = placement.fence_and_version.1, fence = placement.fence_and_version.0,
+        held_back = is_held_back, read_tokens_per_ms = limit.map_or(0.0, IntakeLimit::tokens_per_ms)
     });
 }
 
@@ -443,6 +453,7 @@
     }
     match best(&unpermitted) {
         Some(limited) => Choice::NeedsPermit(UpstreamProcess::of(&limited.upstream)),
+        None if upstreams.is_empty() && is_held_back => Choice::HeldBack,
         None => Choice::None,
     }
 }
--- a/crates/entry/src/serve/relay.rs
+++ b/crates/entry/src/serve/relay.rs
@@ -195,6 +195,13 @@
         self.first = Some(now);
         true
     }
+
+    /// Mean time between two chunks; none with fewer than two.
+    fn mean_gap(&self) -> Option<Duration> {
+        let gaps = u32::try_from(self.count.checked_sub(1)?).ok()?;
+        let time = self.last?.saturating_duration_since(self.first?);
+        time.checked_div(gaps)
+    }
 }
 
 /// Why relaying from one upstream ended.
@@ -264,6 +271,9 @@
             let mut limits = self.cx.intake_limits.borrow_mut();
             let limit = limits.entry(self.request.service.clone()).or_default();
             limit.record_stream(pause, goal, self.cx.now());
+            if let Some(mean) = self.chunk_times.mean_gap() {
+                limit.record_event_time(mean);
+            }
         }
     }
 
--- a/crates/fleet/src/intake.rs
+++ b/crates/fleet/src/intake.rs
@@ -29,12 +29,17 @@
 const FIRST_BYTE_TIME: Duration = Duration::from_millis(50);
 
 /// Prompts below this number of uncached tokens tell little of the speed of reading.
-const MIN_MEASURED_TOKENS: u64 = 1_000;
+const MIN_MEASURED_TOKENS: u64 = 500;
 /// Fraction of prompts that are read more slowly than the measured speed. Most prompts wait at the
 /// engine before they are read.
 const SLOWER_FRACTION: f64 = 0.9;
 /// Relative step by which the measured speed follows a prompt.
 const SPEED_STEP: f64 = 0.2;
+/// Weight of a stream in the mean time of an event.
+const EVENT_WEIGHT: f64 = 0.1;
+/// Fraction of the time to a first event that reading the prompt takes at least, since the mean time
+/// of an event can exceed that of a single one.
+const MIN_READ_FRACTION: f64 = 0.3;
 
 /// Limit of the prompt tokens that each engine of a service may have left to read. It follows the
 /// pauses that streams show.
@@ -46,6 +51,8 @@
     has_held_back: bool,
     /// Measured speed of reading prompts in tokens per ms; 0 before the first prompt.
     tokens_per_ms: f64,
+    /// Mean time between two events of a stream in ms; 0 before the first stream.
+    event_ms: f64,
 }
 
 impl Default for IntakeLimit {
@@ -55,6 +62,7 @@
             decreased_at: None,
             has_held_back: false,
             tokens_per_ms: 0.0,
+            event_ms: 0.0,
         }
     }
 }
@@ -68,9 +76,8 @@
 
     /// As [`Self::allows`], for a service whose streams have a goal for pauses, zero if they have
     /// none. An engine may always have as many tokens left to read as it reads within the goal at
-    /// the measured speed, which is too low by the time to the first event of an unloaded engine.
-    /// Fewer would make prompts wait, and go where less of them is cached, without a gain for the
-    /// streams.
+    /// the measured speed. Fewer would make prompts wait, and go where less of them is cached,
+    /// without a gain for the streams.
     pub fn allows_within(
         &self,
         load: Load,
@@ -104,8 +111,10 @@
         if uncached_tokens < MIN_MEASURED_TOKENS || time.is_zero() {
             return;
         }
+        let ms = time.as_secs_f64() * 1e3;
+        let read_ms = (ms - self.event_ms).max(ms * MIN_READ_FRACTION);
         #[allow(clippy::cast_precision_loss)]
-        let speed = uncached_tokens as f64 / (time.as_secs_f64() * 1e3);
+        let speed = uncached_tokens as f64 / read_ms;
         if self.tokens_per_ms == 0.0 {
             self.tokens_per_ms = speed;
         } else if speed > self.tokens_per_ms {
@@ -115,6 +124,17 @@
         }
     }
 
+    /// Records the mean time between two events of a stream that has ended. A first event takes as
+    /// long after its prompt is read.
+    pub fn record_event_time(&mut self, mean: Duration) {
+        let ms = mean.as_secs_f64() * 1e3;
+        if self.event_ms == 0.0 {
+            self.event_ms = ms;
+        } else {
+            self.event_ms += EVENT_WEIGHT * (ms - self.event_ms);
+        }
+    }
+
     /// Records that a request was held back by the limit.
     pub fn record_held_back(&mut self) {
         self.has_held_back = true;
--- a/crates/fleet/tests/support/mixed_prompts.rs
+++ b/crates/fleet/tests/support/mixed_prompts.rs
@@ -147,6 +147,7 @@
     unread: u64,
     tokens: u32,
     sent: u64,
+    first_event: u64,
     last_event: Option<u64>,
     longest_pause: u64,
     ticket: Option<u64>,
@@ -349,6 +350,7 @@
             unread: 0,
             tokens: 0,
             sent: 0,
+            first_event: 0,
             last_event: None,
             longest_pause: 0,
             ticket: None,
@@ -541,6 +543,7 @@
             if let Some(last) = r.last_event.replace(self.now) {
                 r.longest_pause = r.longest_pause.max(self.now - last);
             } else {
+                r.first_event = self.now;
                 let time = self.now - r.arrived;
                 self.figures.first[usize::from(r.is_long)].push(time as f64 / 1e3);
                 if r.is_long {
@@ -566,6 +569,8 @@
                 let instance = &mut self.instances[instance];
                 instance.loads.ended(name, &key);
                 instance.limit.record_stream(pause, PAUSE_GOAL, now);
+                let time = Duration::from_micros(self.now - r.first_event);
+                instance.limit.record_event_time(time / (r.events - 1));
                 i -= 1;
                 self.engines[e].streams.swap_remove(i);
             }
