--- a/crates/entry/src/metrics.rs
+++ b/crates/entry/src/metrics.rs
@@ -97,6 +97,7 @@
     grant_answers: Counter,
     /// Waits for allowances.
     pub(crate) allowances: AllowanceMetrics,
+    held_back: Counter,
     first_byte_seconds: Histograms,
 }
 
@@ -123,6 +124,7 @@
             view_bytes: Counter::default(),
             grant_answers: Counter::default(),
             allowances,
+            held_back: Counter::default(),
             first_byte_seconds: Family::new_with_constructor(histogram),
         };
         let mut registry = metrics.registry.borrow_mut();
@@ -206,6 +208,11 @@
             "Answers of this instance, as the holder, to requests for larger grants",
             metrics.grant_answers.clone(),
         );
+        registry.register(
+            "comfreyweir_held_back",
+            "Requests that waited since the engines had too much to read",
+            metrics.held_back.clone(),
+        );
         registry.register(
             "comfreyweir_first_byte_seconds",
             "Time from the arrival of a stream's request to the first byte of its answer",
@@ -317,6 +324,11 @@
         self.grant_answers.inc();
     }
 
+    /// Counts a request that waits since the engines have too much to read.
+    pub(crate) fn count_held_back(&self) {
+        self.held_back.inc();
+    }
+
     /// Records the time to the first byte of a streamed answer.
     pub(crate) fn observe_first_byte(&self, workspace: &str, time: Duration) {
         let labels = WorkspaceLabel {
