One memory budget for what callers make an instance hold

Bodies were counted only once they had been read, buffered answers and pipelined requests not at all, so that a crowd of callers took several times a machine's memory. A connection reads only what it has room for, hands one request at a time to the HTTP server, and counts what it buffers and could not write. Callers without progress that hold most for longest are closed where room is needed; if there are none, the newest request that waits is refused. A port closes stalled callers when it is full, and limits the connections and incomplete header sections of one address. comfreyweir_http's memory::budget decides without I/O.

--- a/crates/config/src/entry_settings.rs
+++ b/crates/config/src/entry_settings.rs
@@ -46,6 +46,13 @@
     /// Bandwidth of the instance's link, in Mbit/s.
     #[serde(default = "default_link_mbps")]
     pub link_mbps: f64,
+    /// Memory of the instance, in MB. What the process may hold for callers follows from it.
+    #[serde(default = "default_memory_mb")]
+    pub memory_mb: f64,
+}
+
+fn default_memory_mb() -> f64 {
+    256.0
 }
 
 fn one_core() -> f64 {
@@ -162,6 +169,10 @@
         let is_not_blank = |text: &str| !text.trim().is_empty();
         check.require(is_not_blank(&self.instance.name), "instance.name is empty");
         check.require(is_not_blank(&self.instance.zone), "instance.zone is empty");
+        check.require(
+            self.instance.memory_mb > 0.0,
+            "instance.memory_mb must be above zero",
+        );
         check.require_distinct_addresses(&[
             ("listen.callers", self.listen.callers),
             ("listen.ready", self.listen.ready),
--- a/crates/core/tests/misbehaving_callers.rs
+++ b/crates/core/tests/misbehaving_callers.rs
@@ -146,7 +146,7 @@
 
 /// Line of the settings that gives the machine's memory.
 fn machine_settings() -> String {
-    String::new()
+    format!("memory_mb = {MACHINE_MEMORY_MB}\n")
 }
 
 fn entry(addr: SocketAddr, heartbeat: u64) -> serde_json::Value {
--- a/crates/entry/src/admin.rs
+++ b/crates/entry/src/admin.rs
@@ -117,10 +117,20 @@
         "placement": placement.engines,
         "placement_is_fresh": placement.is_fresh(now),
         "in_flight": cx.shutdown.in_flight(),
+        "caller_memory": caller_memory(cx),
     });
     format!("{status:#}\n")
 }
 
+/// Bytes that callers' connections hold, and the most that they may.
+fn caller_memory<P>(cx: &EntryContext<P>) -> serde_json::Value
+where
+    P: Platform,
+{
+    let (held, limit) = cx.caller_memory.usage();
+    json!({ "held_bytes": held, "limit_bytes": limit })
+}
+
 /// Listed upstreams that have named a limit, with the requests a second that they take.
 fn limits<P>(cx: &EntryContext<P>) -> BTreeMap<String, f64>
 where
--- a/crates/entry/src/instance.rs
+++ b/crates/entry/src/instance.rs
@@ -2,6 +2,7 @@
 
 use std::{future::ready, io, net::SocketAddr, rc::Rc, time::Duration};
 
+use actix_http::Payload;
 use actix_rt::{task::JoinHandle, time::sleep};
 use comfreyweir_config::{entry_settings::EntrySettings, settings::RequestLimits};
 use comfreyweir_http::{
@@ -62,9 +63,10 @@
     let settings = cx.settings();
     let limits = &settings.limits;
     let callers_cx = Rc::clone(&cx);
-    let callers = listener::bind(
+    let callers = listener::bind_within(
         settings.listen.callers,
         limits,
+        &cx.caller_memory,
         Rc::clone(&cx.shutdown),
         move |req| {
             let cx = Rc::clone(&callers_cx);
@@ -183,11 +185,19 @@
         + Clone
         + 'static,
 {
+    let memory = Rc::clone(&cx.caller_memory);
     let cx = Rc::clone(cx);
-    let bound = listener::bind(addr, limits, Rc::default(), move |req| {
-        let _in_use = req
-            .conn_data::<CallerConnection>()
-            .map(CallerConnection::begin_request);
+    let bound = listener::bind_within(addr, limits, &memory, Rc::default(), move |mut req| {
+        let has_body = !matches!(req.take_payload(), Payload::None);
+        let caller = req.conn_data::<CallerConnection>();
+        let _in_use = caller.map(CallerConnection::begin_request);
+        if let Some(caller) = caller {
+            if has_body {
+                caller.limit_body(0);
+            } else {
+                caller.end_body();
+            }
+        }
         ready(Ok(handler(&cx, &req)))
     });
     bound.await.context(ListenSnafu { addr })
--- a/crates/entry/src/lib.rs
+++ b/crates/entry/src/lib.rs
@@ -7,6 +7,7 @@
 //! accessed through [`platform::Platform`].
 
 mod admin;
+mod caller_memory;
 mod duty;
 mod exchange;
 mod follow;
--- a/crates/entry/src/metrics.rs
+++ b/crates/entry/src/metrics.rs
@@ -41,6 +41,12 @@
     kind: &'static str,
 }
 
+#[derive(Clone, Debug, PartialEq, Eq, Hash)]
+#[derive(EncodeLabelSet)]
+struct CauseLabel {
+    cause: &'static str,
+}
+
 #[derive(Clone, Debug, PartialEq, Eq, Hash)]
 #[derive(EncodeLabelSet)]
 struct ResumptionLabel {
@@ -79,6 +85,7 @@
     limited_sends: Family<SendLabel, Counter>,
     resumptions: Family<ResumptionLabel, Counter>,
     quarantine: Family<QuarantineLabel, Counter>,
+    evictions: Family<CauseLabel, Counter>,
     store_copies: Counter,
     views: Counter,
     view_bytes: Counter,
@@ -98,6 +105,7 @@
             limited_sends: Family::default(),
             resumptions: Family::default(),
             quarantine: Family::default(),
+            evictions: Family::default(),
             store_copies: Counter::default(),
             views: Counter::default(),
             view_bytes: Counter::default(),
@@ -140,6 +148,11 @@
             "Quarantine of prompt parts: ends seen here, refused requests, and the holder's decisions",
             metrics.quarantine.clone(),
         );
+        registry.register(
+            "comfreyweir_caller_evictions",
+            "Callers' connections that were closed, and requests refused, for memory or connections",
+            metrics.evictions.clone(),
+        );
         registry.register(
             "comfreyweir_store_copies",
             "Times that the store has come back from a copy",
@@ -234,6 +247,11 @@
         self.quarantine.get_or_create(&labels).inc();
     }
 
+    /// Counts a caller's connection that was closed, or a request that was refused.
+    pub(crate) fn count_eviction(&self, cause: &'static str) {
+        self.evictions.get_or_create(&CauseLabel { cause }).inc();
+    }
+
     /// Counts that the store has come back from a copy.
     pub(crate) fn count_store_copy(&self) {
         self.store_copies.inc();
--- a/crates/entry/src/serve/admit.rs
+++ b/crates/entry/src/serve/admit.rs
@@ -19,15 +19,12 @@
 };
 use comfreyweir_http::{
     body::{ReadError, read_body},
+    caller::CallerConnection,
     headers::end_to_end,
 };
 use tokio::time::timeout;
 
-use super::{
-    Refusal,
-    admitted::{AdmittedRequest, BodyBytesGuard},
-    trial,
-};
+use super::{Refusal, admitted::AdmittedRequest, trial};
 use crate::{platform::Platform, state::EntryContext};
 
 /// `Retry-After` while the configuration is not loaded yet or has no service for the route.
@@ -38,9 +35,6 @@
 /// Long enough for many round trips to the holder of the planning duty, which makes the grants, also
 /// when it is late.
 const GRANT_WAIT_FRACTION: f64 = 0.25;
-/// Total size of buffered request bodies, in bytes, above which no further body is read. A small
-/// part of the memory of the smallest instances.
-const MAX_BUFFERED_BODY_BYTES: usize = 48 << 20;
 
 /// Checks a request, reads its body and charges its workspace's allowance.
 pub(super) async fn admit<P>(
@@ -73,7 +67,7 @@
         .deadline
         .unwrap_or(Duration::from_millis(limits.deadline_ms));
     let deadline = arrived + requested_time.min(route.time_limit);
-    let body = read_request_body(cx, req.headers(), payload, config.limits.body_bytes).await?;
+    let body = read_request_body(cx, req, payload, config.limits.body_bytes).await?;
     let grant_deadline = arrived
         + deadline
             .saturating_duration_since(arrived)
@@ -98,7 +92,6 @@
         method: req.method().clone(),
         path: path.to_owned(),
         headers: forwarded_headers(cx, req.headers()),
-        _body_bytes: BodyBytesGuard::new(&cx.body_bytes, body.len()),
         body,
         parts: parts.into(),
         has_ended_upstream: Cell::new(false),
@@ -146,19 +139,38 @@
 
 async fn read_request_body<P>(
     cx: &Rc<EntryContext<P>>,
-    headers: &HeaderMap,
+    req: &Request,
     payload: Payload,
     limit: usize,
 ) -> Result<bytes::Bytes, Refusal>
 where
     P: Platform,
 {
-    if cx.body_bytes.get() > MAX_BUFFERED_BODY_BYTES {
+    let no_memory = || {
         let reason = "this instance's memory is taken by other requests";
-        return Err(Refusal::not_run(reason, MEMORY_RETRY_AFTER));
+        Refusal::not_run(reason, MEMORY_RETRY_AFTER)
+    };
+    let caller = req.conn_data::<CallerConnection>();
+    let declared = super::body_length(req).unwrap_or(0);
+    let declared = usize::try_from(declared).unwrap_or(usize::MAX);
+    // A body beyond the limit is refused for its length, without reading it.
+    if declared <= limit && caller.is_some_and(|caller| !caller.has_room(declared)) {
+        return Err(no_memory());
     }
     let stall_timeout = Duration::from_millis(cx.settings().limits.stall_ms);
-    let read = read_body(headers, payload, limit, stall_timeout).await;
+    let read = read_body(req.headers(), payload, limit, stall_timeout);
+    let read = match caller {
+        Some(caller) => tokio::select! {
+            read = read => read,
+            () = caller.refused() => return Err(no_memory()),
+        },
+        None => read.await,
+    };
+    if let Some(caller) = caller
+        && read.is_ok()
+    {
+        caller.end_body();
+    }
     read.map_err(|e| {
         let status = match e {
             ReadError::TooLarge { .. } => StatusCode::PAYLOAD_TOO_LARGE,
--- a/crates/entry/src/serve/admitted.rs
+++ b/crates/entry/src/serve/admitted.rs
@@ -46,7 +46,6 @@
     /// Headers to forward, without those that are set anew for each attempt.
     pub(crate) headers: HeaderMap,
     pub(crate) body: Bytes,
-    pub(super) _body_bytes: BodyBytesGuard,
     pub(crate) arrived: Instant,
     /// Time by which the whole answer must have been sent.
     pub(crate) deadline: Instant,
@@ -119,26 +118,3 @@
         }
     }
 }
-
-/// Counts a body's bytes in a total for as long as the request lasts.
-pub(super) struct BodyBytesGuard {
-    total: Rc<Cell<usize>>,
-    bytes: usize,
-}
-
-impl BodyBytesGuard {
-    /// Adds `bytes` to `total`; dropping the guard subtracts them.
-    pub(super) fn new(total: &Rc<Cell<usize>>, bytes: usize) -> Self {
-        total.set(total.get() + bytes);
-        Self {
-            total: Rc::clone(total),
-            bytes,
-        }
-    }
-}
-
-impl Drop for BodyBytesGuard {
-    fn drop(&mut self) {
-        self.total.set(self.total.get() - self.bytes);
-    }
-}
--- a/crates/entry/src/serve/mod.rs
+++ b/crates/entry/src/serve/mod.rs
@@ -13,13 +13,17 @@
 use std::{convert::Infallible, rc::Rc};
 
 use actix_http::{
-    ConnectionType, HttpMessage, Request, Response, StatusCode,
+    ConnectionType, HttpMessage, Payload, Request, Response, StatusCode,
     body::BoxBody,
-    header::{HeaderName, HeaderValue},
+    header::{self, HeaderName, HeaderValue},
 };
 use comfreyweir_clock::whole_millis;
 use comfreyweir_fleet::request::Artifact;
-use comfreyweir_http::{body::attach_guard, caller::CallerConnection, shutdown::Phase};
+use comfreyweir_http::{
+    body::{attach_guard, declared_length},
+    caller::CallerConnection,
+    shutdown::Phase,
+};
 
 pub(crate) use self::refusal::Refusal;
 use crate::{platform::Platform, state::EntryContext};
@@ -41,6 +45,11 @@
     );
     if let Some(caller) = &caller {
         caller.limit_body(cx.config().limits.body_bytes);
+        if matches!(payload, Payload::None) {
+            caller.end_body();
+        } else {
+            caller.expect_body(body_length(&req));
+        }
     }
     let declared = cx.platform.parse_declared(req.headers());
     let id = declared.id.clone();
@@ -72,6 +81,12 @@
     Ok(res.map_body(|_, body| attach_guard(body, guard)))
 }
 
+/// Length of a request's body, if the caller declares it.
+fn body_length(req: &Request) -> Option<u64> {
+    let is_encoded = req.headers().contains_key(header::TRANSFER_ENCODING);
+    declared_length(req.headers()).filter(|_| !is_encoded)
+}
+
 async fn answer<P>(
     cx: &Rc<EntryContext<P>>,
     req: &Request,
--- a/crates/entry/src/serve/relay.rs
+++ b/crates/entry/src/serve/relay.rs
@@ -5,6 +5,7 @@
 //! continues at another upstream when the first one fails.
 
 use std::{
+    cell::Cell,
     rc::Rc,
     time::{Duration, Instant},
 };
@@ -14,7 +15,7 @@
 use comfreyweir_clock::whole_millis;
 use comfreyweir_fleet::health::Outcome;
 use comfreyweir_http::{
-    body::{BodyPiece, RelayedBody, declared_length},
+    body::{BodyPiece, PiecedBody, RelayedBody, declared_length},
     event_stream::EventSplitter,
     headers::end_to_end,
     upstream::{AnswerBody, CallError, UpstreamAnswer},
@@ -61,9 +62,27 @@
     let body = if is_head {
         Bytes::new()
     } else {
-        let read = answer.body.read_all(MAX_BUFFERED_BYTES, left);
+        let waits_for_memory = Cell::new(false);
+        let length = declared_length(&answer.headers);
+        let hold = async |bytes| match &request.caller {
+            Some(caller) => {
+                waits_for_memory.set(true);
+                let has_memory = caller.hold_buffered(bytes).await;
+                waits_for_memory.set(!has_memory);
+                has_memory
+            }
+            None => true,
+        };
+        let read = answer
+            .body
+            .read_held(MAX_BUFFERED_BYTES, length, left, hold);
         match timeout(left, read).await {
             Ok(Ok(body)) => body,
+            // The upstream is not at fault, though it has run the request.
+            _ if waits_for_memory.get() => {
+                let reason = "this instance has no memory for the answer";
+                return Err(Refusal::upstream_failed(reason));
+            }
             Ok(Err(e)) => {
                 sent.record_broken(request).await;
                 return Err(Refusal::upstream_failed(e.to_string()));
@@ -96,7 +115,7 @@
         }
         return Ok(with_body(res, BoxBody::new(actix_http::body::None::new())));
     }
-    Ok(with_body(res, BoxBody::new(body)))
+    Ok(with_body(res, BoxBody::new(PiecedBody::new(body))))
 }
 
 /// Builds the response of a stream and spawns the task that relays its events. `possible_runs` is
@@ -134,7 +153,8 @@
         let times = &cx.work_times;
         times.measure(&cx.clock, Work::Requests, relay.run()).await;
     });
-    with_body(res, BoxBody::new(RelayedBody::new(rx, length)))
+    let body = RelayedBody::new(rx, length).counted_for(request.caller.clone());
+    with_body(res, BoxBody::new(body))
 }
 
 /// Starts a response with the status and the end-to-end headers of an answer.
@@ -325,7 +345,13 @@
                 let after = self.time_without_event();
                 return StreamEnd::Failed(CallError::Stalled { addr, after });
             }
-            if !bytes.is_empty() && self.tx.send(BodyPiece::Bytes(bytes)).await.is_err() {
+            if bytes.is_empty() {
+                continue;
+            }
+            if let Some(caller) = &self.request.caller {
+                caller.hold_piece(bytes.len());
+            }
+            if self.tx.send(BodyPiece::Bytes(bytes)).await.is_err() {
                 return StreamEnd::CallerLeft;
             }
         }
--- a/crates/entry/src/state.rs
+++ b/crates/entry/src/state.rs
@@ -33,7 +33,7 @@
     upstream::Upstream,
     versioned_list::ListCopy,
 };
-use comfreyweir_http::{shutdown::ShutdownState, upstream::UpstreamClient};
+use comfreyweir_http::{memory::CallerMemory, shutdown::ShutdownState, upstream::UpstreamClient};
 use comfreyweir_peer::{PeerLink, PeerSecret, peer_capnp::entry};
 use tokio::sync::Notify;
 
@@ -147,9 +147,8 @@
     store_copied_at: Cell<Option<Duration>>,
     /// End of the shutdown's grace period, once a shutdown has begun.
     pub(crate) shutdown_deadline: Cell<Option<Instant>>,
-    /// Total size of the bodies of admitted requests, in bytes; bodies that are still being read
-    /// are not included.
-    pub(crate) body_bytes: Rc<Cell<usize>>,
+    /// What connections hold for callers, over all ports.
+    pub(crate) caller_memory: Rc<CallerMemory>,
 }
 
 /// What is sent to an upstream.
@@ -382,6 +381,7 @@
 {
     pub(crate) fn new(platform: P, settings: EntrySettings) -> Self {
         let limits = retry_budget_limits(&settings);
+        let metrics = Metrics::new();
         let process = format!("{}/{:08x}", settings.instance.name, rand::random::<u32>());
         Self {
             platform,
@@ -422,7 +422,8 @@
             members_changed: Notify::new(),
             upstreams: UpstreamClient::new(CONNECT_TIMEOUT),
             shutdown: Rc::default(),
-            metrics: Metrics::new(),
+            caller_memory: crate::caller_memory::open(&settings, &metrics),
+            metrics,
             work_times: WorkTimes::default(),
             request_log_limiter: RequestLogLimiter::default(),
             newer_config: Cell::default(),
@@ -431,7 +432,6 @@
             instances_reported: Cell::default(),
             store_copied_at: Cell::default(),
             shutdown_deadline: Cell::default(),
-            body_bytes: Rc::default(),
             settings: RefCell::new(Rc::new(settings)),
         }
     }
--- a/crates/entry/tests/support/mod.rs
+++ b/crates/entry/tests/support/mod.rs
@@ -52,6 +52,7 @@
             zone: "a".to_owned(),
             cores: 1.0,
             link_mbps: 1_000.0,
+            memory_mb: 256.0,
         },
         listen: EntryListen {
             callers: free_addr(),
--- a/crates/http/src/body.rs
+++ b/crates/http/src/body.rs
@@ -1,6 +1,7 @@
 //! Reading of request bodies, and response bodies for the HTTP server.
 
 use std::{
+    convert::Infallible,
     pin::Pin,
     task::{Context, Poll, ready},
     time::Duration,
@@ -17,7 +18,7 @@
 use snafu::Snafu;
 use tokio::{sync::mpsc, time::timeout};
 
-use crate::upstream::CallError;
+use crate::{caller::CallerConnection, upstream::CallError};
 
 type BoxError = Box<dyn std::error::Error>;
 
@@ -63,6 +64,44 @@
     value.to_str().ok()?.trim().parse().ok()
 }
 
+/// Bytes of a buffered answer that are handed to the HTTP server at a time. It copies them, and asks for
+/// more once the caller has taken most of them.
+const PIECE_BYTES: usize = 16 << 10;
+
+/// A buffered answer's body, which the HTTP server gets in pieces, so that it does not copy all of it
+/// for a caller that reads slowly.
+pub struct PiecedBody {
+    rest: Bytes,
+    length: u64,
+}
+
+impl PiecedBody {
+    /// Creates a body from all of its bytes.
+    pub fn new(body: Bytes) -> Self {
+        let length = body.len() as u64;
+        Self { rest: body, length }
+    }
+}
+
+impl MessageBody for PiecedBody {
+    type Error = Infallible;
+
+    fn size(&self) -> BodySize {
+        BodySize::Sized(self.length)
+    }
+
+    fn poll_next(
+        mut self: Pin<&mut Self>,
+        _: &mut Context<'_>,
+    ) -> Poll<Option<Result<Bytes, Infallible>>> {
+        if self.rest.is_empty() {
+            return Poll::Ready(None);
+        }
+        let length = self.rest.len().min(PIECE_BYTES);
+        Poll::Ready(Some(Ok(self.rest.split_to(length))))
+    }
+}
+
 /// An answer's body that another task sends piece by piece over a channel.
 ///
 /// Unless the task sends [`BodyPiece::End`], the body ends with an error. The connection then
@@ -70,6 +109,7 @@
 pub struct RelayedBody {
     pieces: mpsc::Receiver<BodyPiece>,
     length: Option<u64>,
+    caller: Option<CallerConnection>,
 }
 
 /// A message of the task that relays an answer's body.
@@ -85,7 +125,19 @@
 impl RelayedBody {
     /// Creates a body from the pieces. Without a `length` the HTTP server sends it chunked.
     pub fn new(pieces: mpsc::Receiver<BodyPiece>, length: Option<u64>) -> Self {
-        Self { pieces, length }
+        Self {
+            pieces,
+            length,
+            caller: None,
+        }
+    }
+
+    /// Releases each piece from what `caller` holds. The sender counts it by
+    /// [`CallerConnection::hold_piece`].
+    #[must_use]
+    pub fn counted_for(mut self, caller: Option<CallerConnection>) -> Self {
+        self.caller = caller;
+        self
     }
 }
 
@@ -101,7 +153,12 @@
         cx: &mut Context<'_>,
     ) -> Poll<Option<Result<Bytes, BoxError>>> {
         let piece = match ready!(self.pieces.poll_recv(cx)) {
-            Some(BodyPiece::Bytes(bytes)) => Some(Ok(bytes)),
+            Some(BodyPiece::Bytes(bytes)) => {
+                if let Some(caller) = &self.caller {
+                    caller.release_piece(bytes.len());
+                }
+                Some(Ok(bytes))
+            }
             Some(BodyPiece::End) => None,
             Some(BodyPiece::Failed(e)) => Some(Err(e.into())),
             None => Some(Err(
@@ -146,10 +203,13 @@
     limit: usize,
     stall: Duration,
 ) -> Result<Bytes, ReadError> {
-    if declared_length(headers).is_some_and(|n| n > limit as u64) {
+    let declared = declared_length(headers).unwrap_or(0);
+    let declared = usize::try_from(declared).unwrap_or(usize::MAX);
+    if declared > limit {
         return Err(ReadError::TooLarge { limit });
     }
-    let mut buf = BytesMut::new();
+    // Pages that nothing is written to take no memory; a buffer that grows leaves gaps in the heap.
+    let mut buf = BytesMut::with_capacity(declared);
     loop {
         match timeout(stall, body.next()).await {
             Ok(None) => return Ok(buf.freeze()),
--- a/crates/http/src/caller.rs
+++ b/crates/http/src/caller.rs
@@ -8,6 +8,7 @@
     cell::Cell,
     future::Future,
     io,
+    net::SocketAddr,
     pin::Pin,
     rc::Rc,
     task::{Context, Poll, ready},
@@ -20,7 +21,14 @@
     time::{Sleep, sleep},
 };
 
-use crate::shutdown::{Phase, ShutdownState};
+use crate::{
+    memory::{
+        CallerMemory, ConnectionMemory, RETRY_INTERVAL,
+        budget::Activity,
+        request_end::{HeadScanner, body_length},
+    },
+    shutdown::{Phase, ShutdownState},
+};
 
 /// Time by which the connection outlasts the head timeout, so that the HTTP server can answer a
 /// slow head before the connection is closed.
@@ -34,6 +42,11 @@
 const MAX_OVERHEAD_BYTES: u64 = 256 << 10;
 /// Most bytes that are received for each byte that the body may have. Chunks of one byte need six.
 const MAX_OVERHEAD_RATIO: u64 = 16;
+/// Bytes of a body that are read before the HTTP server hands them on.
+const BODY_BURST_BYTES: usize = 32 << 10;
+/// The same where the end of the body is not known, so that what follows it may be pipelined requests.
+/// Each of them takes many times its length once it is parsed.
+const CHUNKED_BURST_BYTES: usize = 4 << 10;
 
 /// Timeouts of a caller's connection.
 #[derive(Clone, Copy, Debug)]
@@ -57,6 +70,17 @@
     shutdown: Rc<ShutdownState>,
     stall_timer: Option<Pin<Box<Sleep>>>,
     wait_timer: Option<(WaitFor, Pin<Box<Sleep>>)>,
+    /// Runs while there is no memory to read more.
+    memory_timer: Option<Pin<Box<Sleep>>>,
+    scanner: HeadScanner,
+    /// Whether bytes of an incomplete header section were handed over.
+    is_within_head: bool,
+    /// Bytes that were read and belong to a later request.
+    leftover: Vec<u8>,
+    /// Bytes handed over since the HTTP server was last given time to process them.
+    burst: usize,
+    /// Bytes that the caller has not taken, as of the last write.
+    unsent: usize,
 }
 
 /// Handle to a caller's connection, for handlers that watch it for a disconnect.
@@ -75,6 +99,25 @@
     has_read_since_request: Cell<bool>,
     /// Bytes that the connection may still receive before the next request.
     receivable_bytes: Cell<u64>,
+    phase: Cell<ReadPhase>,
+    /// Bytes after the header section that were handed over with it.
+    bytes_after_head: Cell<u64>,
+    memory: ConnectionMemory,
+}
+
+/// What the connection reads.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum ReadPhase {
+    /// A header section.
+    Head,
+    /// Nothing until the HTTP server has seen the header section that was handed over.
+    Parsing,
+    /// The body of the request that is being answered, and its rest if that is known.
+    Body(Option<u64>),
+    /// Nothing until the request has been answered: what follows belongs to the next one.
+    Hold,
+    /// The rest of a body that nobody wants.
+    Discard,
 }
 
 /// What a connection waits for while no request is being answered.
@@ -105,12 +148,21 @@
 
 impl CallerStream {
     /// Wraps a connection.
-    pub fn new(io: TcpStream, timeouts: CallerTimeouts, shutdown: Rc<ShutdownState>) -> Self {
+    pub fn new(
+        io: TcpStream,
+        peer: SocketAddr,
+        memory: &Rc<CallerMemory>,
+        timeouts: CallerTimeouts,
+        shutdown: Rc<ShutdownState>,
+    ) -> Self {
         let shared = SharedConnection {
             io,
             active_requests: Cell::new(0),
             has_read_since_request: Cell::new(false),
             receivable_bytes: Cell::new(u64::MAX),
+            phase: Cell::new(ReadPhase::Head),
+            bytes_after_head: Cell::new(0),
+            memory: memory.open(peer.ip()),
         };
         Self {
             shared: Rc::new(shared),
@@ -118,6 +170,12 @@
             shutdown,
             stall_timer: None,
             wait_timer: None,
+            memory_timer: None,
+            scanner: HeadScanner::default(),
+            is_within_head: false,
+            leftover: Vec::new(),
+            burst: 0,
+            unsent: 0,
         }
     }
 
@@ -181,9 +239,51 @@
         self.0.active_requests.set(self.0.active_requests.get() + 1);
         self.0.has_read_since_request.set(false);
         self.0.receivable_bytes.set(u64::MAX);
+        self.0.phase.set(ReadPhase::Body(None));
+        self.0.memory.begin_request();
         ActiveRequest(Rc::clone(&self.0))
     }
 
+    /// Declares that the request has a body, of this length if that is known.
+    pub fn expect_body(&self, length: Option<u64>) {
+        let after_head = self.0.bytes_after_head.get();
+        let rest = length.map(|length| length.saturating_sub(after_head));
+        self.0.phase.set(ReadPhase::Body(rest));
+        self.0.memory.set_activity(Activity::SendsBody);
+    }
+
+    /// Declares that the request is complete. Nothing more is read until it has been answered.
+    pub fn end_body(&self) {
+        self.0.phase.set(ReadPhase::Hold);
+        self.0.memory.set_activity(Activity::Served);
+    }
+
+    /// Whether there is memory for a body of this length, in bytes.
+    pub fn has_room(&self, bytes: usize) -> bool {
+        self.0.memory.has_room(bytes)
+    }
+
+    /// Completes when there is no memory for the request that is being read.
+    pub async fn refused(&self) {
+        self.0.memory.refused().await;
+    }
+
+    /// Counts a piece of a stream until [`Self::release_piece`].
+    pub fn hold_piece(&self, bytes: usize) {
+        self.0.memory.hold_piece(bytes);
+    }
+
+    /// Releases a piece of a stream that was handed to the HTTP server.
+    pub fn release_piece(&self, bytes: usize) {
+        self.0.memory.release_piece(bytes);
+    }
+
+    /// Counts bytes that are buffered for the caller until the request has been answered. Waits until
+    /// there is memory for them; false if there will be none.
+    pub async fn hold_buffered(&self, bytes: usize) -> bool {
+        self.0.memory.hold_buffered(bytes).await
+    }
+
     /// Limits what the connection receives until the next request begins, for a body of at most
     /// `body_bytes`. Bytes that belong to no body do not count as its length.
     pub fn limit_body(&self, body_bytes: usize) {
@@ -209,7 +309,122 @@
     fn drop(&mut self) {
         self.0.active_requests.set(self.0.active_requests.get() - 1);
         self.0.has_read_since_request.set(false);
-        self.0.receivable_bytes.set(u64::MAX);
+        self.0.memory.release();
+        if self.0.phase.get() == ReadPhase::Hold {
+            self.0.receivable_bytes.set(u64::MAX);
+            self.0.phase.set(ReadPhase::Head);
+            self.0.memory.wake();
+        } else {
+            self.0.phase.set(ReadPhase::Discard);
+            self.0.memory.set_activity(Activity::SendsBody);
+        }
+    }
+}
+
+impl CallerStream {
+    /// Bytes that may be handed over now, at most `wanted`; 0 if the HTTP server has to wait.
+    fn max_read(&self, wanted: usize) -> usize {
+        let max = match self.shared.phase.get() {
+            ReadPhase::Head => wanted,
+            ReadPhase::Parsing | ReadPhase::Hold => 0,
+            ReadPhase::Body(Some(rest)) => {
+                let rest = usize::try_from(rest).unwrap_or(usize::MAX);
+                rest.min(BODY_BURST_BYTES.saturating_sub(self.burst))
+            }
+            ReadPhase::Body(None) | ReadPhase::Discard => {
+                CHUNKED_BURST_BYTES.saturating_sub(self.burst)
+            }
+        };
+        max.min(wanted)
+    }
+
+    /// Records bytes that follow in the phase. Returns how many of them are handed over.
+    fn hand_over(&mut self, bytes: &[u8]) -> usize {
+        match self.shared.phase.get() {
+            ReadPhase::Head => self.hand_over_head(bytes),
+            ReadPhase::Body(Some(rest)) => {
+                let rest = rest.saturating_sub(bytes.len() as u64);
+                self.shared.phase.set(ReadPhase::Body(Some(rest)));
+                bytes.len()
+            }
+            _ => bytes.len(),
+        }
+    }
+
+    fn hand_over_head(&mut self, bytes: &[u8]) -> usize {
+        let Some(end) = self.scanner.scan(bytes) else {
+            if !self.is_within_head && !bytes.is_empty() {
+                self.is_within_head = true;
+                self.shared.memory.begin_head();
+            }
+            return bytes.len();
+        };
+        self.is_within_head = false;
+        self.shared.memory.set_activity(Activity::Idle);
+        self.shared.phase.set(ReadPhase::Parsing);
+        let rest = (bytes.len() - end) as u64;
+        if rest > 0 && body_length(&bytes[..end]).is_some_and(|length| rest <= length) {
+            self.shared.bytes_after_head.set(rest);
+            return bytes.len();
+        }
+        self.shared.bytes_after_head.set(0);
+        end
+    }
+
+    /// Stops reading until the HTTP server has processed what it was given, if it has to.
+    fn poll_pause(&mut self, cx: &mut Context<'_>) -> Option<Poll<io::Result<()>>> {
+        match self.shared.phase.get() {
+            // The request ends, or the handler reads on, by a wake-up of its own.
+            ReadPhase::Hold | ReadPhase::Body(Some(0)) => Some(Poll::Pending),
+            ReadPhase::Parsing => {
+                // Reached once more before the request begins only if there is no valid request.
+                self.shared.phase.set(ReadPhase::Head);
+                if !self.leftover.is_empty() {
+                    cx.waker().wake_by_ref();
+                    return Some(Poll::Pending);
+                }
+                match self.shared.io.poll_read_ready(cx) {
+                    Poll::Ready(_) => {
+                        cx.waker().wake_by_ref();
+                        Some(Poll::Pending)
+                    }
+                    Poll::Pending => Some(self.poll_wait_timeout(cx)),
+                }
+            }
+            ReadPhase::Body(_) | ReadPhase::Discard if self.max_read(1) == 0 => {
+                self.burst = 0;
+                cx.waker().wake_by_ref();
+                Some(Poll::Pending)
+            }
+            _ => None,
+        }
+    }
+
+    /// Bytes that there is memory for, at most `wanted`. Pending while there is none.
+    fn poll_room(&mut self, cx: &mut Context<'_>, wanted: usize) -> Poll<usize> {
+        if self.shared.phase.get() == ReadPhase::Discard {
+            return Poll::Ready(wanted);
+        }
+        loop {
+            let room = self.shared.memory.readable(wanted);
+            if room > 0 {
+                self.memory_timer = None;
+                return Poll::Ready(room);
+            }
+            let timer = self
+                .memory_timer
+                .get_or_insert_with(|| Box::pin(sleep(RETRY_INTERVAL)));
+            ready!(timer.as_mut().poll(cx));
+            self.memory_timer = None;
+        }
+    }
+
+    fn check_open(&self, cx: &Context<'_>) -> io::Result<()> {
+        self.shared.memory.set_waker(cx.waker());
+        if self.shared.memory.is_closed() {
+            return Err(io::ErrorKind::ConnectionAborted.into());
+        }
+        Ok(())
     }
 }
 
@@ -219,16 +434,47 @@
         cx: &mut Context<'_>,
         buf: &mut ReadBuf<'_>,
     ) -> Poll<io::Result<()>> {
+        self.check_open(cx)?;
+        if let Some(paused) = self.poll_pause(cx) {
+            return paused;
+        }
+        let wanted = self.max_read(buf.remaining());
+        if !self.leftover.is_empty() {
+            let length = wanted.min(self.leftover.len());
+            let leftover = std::mem::take(&mut self.leftover);
+            let handed_over = self.hand_over(&leftover[..length]);
+            buf.put_slice(&leftover[..handed_over]);
+            self.leftover = leftover;
+            self.leftover.drain(..handed_over);
+            self.shared.has_read_since_request.set(true);
+            self.burst += handed_over;
+            return Poll::Ready(Ok(()));
+        }
         loop {
             let Poll::Ready(readiness) = self.shared.io.poll_read_ready(cx) else {
+                self.burst = 0;
                 return self.poll_wait_timeout(cx);
             };
             readiness?;
-            match self.shared.io.try_read(buf.initialize_unfilled()) {
+            let Poll::Ready(room) = self.poll_room(cx, wanted) else {
+                return self.poll_wait_timeout(cx);
+            };
+            match self
+                .shared
+                .io
+                .try_read(&mut buf.initialize_unfilled()[..room])
+            {
                 Ok(n) => {
                     self.shared.has_read_since_request.set(true);
                     self.shared.record_received(n)?;
-                    buf.advance(n);
+                    if self.shared.phase.get() != ReadPhase::Discard {
+                        self.shared.memory.hold_read(n);
+                    }
+                    let read = &buf.initialize_unfilled()[..n];
+                    let handed_over = self.hand_over(read);
+                    self.leftover.extend_from_slice(&read[handed_over..]);
+                    buf.advance(handed_over);
+                    self.burst += handed_over;
                     return Poll::Ready(Ok(()));
                 }
                 Err(e) if e.kind() == io::ErrorKind::WouldBlock => {}
@@ -244,8 +490,13 @@
         cx: &mut Context<'_>,
         buf: &[u8],
     ) -> Poll<io::Result<usize>> {
+        self.check_open(cx)?;
         loop {
             let Poll::Ready(readiness) = self.shared.io.poll_write_ready(cx) else {
+                if self.unsent != buf.len() {
+                    self.unsent = buf.len();
+                    self.shared.memory.set_unsent(buf.len(), 0);
+                }
                 ready!(self.poll_stall_timeout(cx))?;
                 return Poll::Pending;
             };
@@ -254,6 +505,12 @@
                 Err(e) if e.kind() == io::ErrorKind::WouldBlock => {}
                 result => {
                     self.stall_timer = None;
+                    if let Ok(written) = result
+                        && self.unsent > 0
+                    {
+                        self.unsent = buf.len() - written;
+                        self.shared.memory.set_unsent(self.unsent, written);
+                    }
                     return Poll::Ready(result);
                 }
             }
@@ -264,7 +521,8 @@
         Poll::Ready(Ok(()))
     }
 
-    fn poll_shutdown(self: Pin<&mut Self>, _: &mut Context<'_>) -> Poll<io::Result<()>> {
+    fn poll_shutdown(self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
+        self.check_open(cx)?;
         // Handlers may still hold the socket, which closes when its last handle is dropped.
         // Shutting down the write side tells the caller at once.
         let result = std::os::fd::AsFd::as_fd(&self.shared.io)
--- a/crates/http/src/lib.rs
+++ b/crates/http/src/lib.rs
@@ -9,5 +9,6 @@
 pub mod headers;
 pub mod limited_client;
 pub mod listener;
+pub mod memory;
 pub mod shutdown;
 pub mod upstream;
--- a/crates/http/src/upstream/answer.rs
+++ b/crates/http/src/upstream/answer.rs
@@ -28,6 +28,9 @@
 /// may be resumed.
 const MAX_EVENT_BYTES: u64 = 256 << 10;
 
+/// Bytes of an answer without a length for which memory is asked at a time.
+const HELD_STEP_BYTES: usize = 64 << 10;
+
 /// An upstream's answer: the head, and the body that is yet to be read.
 pub struct UpstreamAnswer {
     /// Status code.
@@ -171,6 +174,47 @@
         Ok(buf.freeze())
     }
 
+    /// Like [`Self::read_all`], but asks `hold` before it buffers more, for the whole `length` if that is
+    /// known. `hold` returns false if there is no memory for so many more bytes, which ends the read
+    /// with `TooLarge`.
+    pub async fn read_held<F>(
+        &mut self,
+        limit: usize,
+        length: Option<u64>,
+        stall: Duration,
+        hold: F,
+    ) -> Result<Bytes, CallError>
+    where
+        F: AsyncFn(usize) -> bool,
+    {
+        let addr = self.addr;
+        let length = length.map(|n| usize::try_from(n).unwrap_or(usize::MAX));
+        let mut granted = length.unwrap_or(0);
+        if granted > limit || granted > 0 && !hold(granted).await {
+            return TooLargeSnafu { addr, limit }.fail();
+        }
+        let mut buf = BytesMut::with_capacity(granted);
+        while let Some(piece) = self.next(stall).await? {
+            let needed = buf.len() + piece.len();
+            if needed > limit {
+                return TooLargeSnafu { addr, limit }.fail();
+            }
+            if needed > granted {
+                let step = (needed - granted).max(HELD_STEP_BYTES);
+                if !hold(step).await {
+                    return TooLargeSnafu {
+                        addr,
+                        limit: granted,
+                    }
+                    .fail();
+                }
+                granted += step;
+            }
+            buf.extend_from_slice(&piece);
+        }
+        Ok(buf.freeze())
+    }
+
     /// Checks that the body is complete and, if so, lets the connection be reused where possible.
     ///
     /// The HTTP client treats the end of the connection as the end of any body, also of one that
