A refused request's body does not disturb the next one on its connection

The count of body bytes that were read with a header section outlasted its request where the next header section was not scanned, so that a connection could stop reading before the end of a later body, and a handler that ended without reading its body left the connection without a wake-up. The count is now taken by its request, and the end of every request wakes the connection.

--- a/crates/entry/src/instance.rs
+++ b/crates/entry/src/instance.rs
@@ -194,6 +194,7 @@
         if let Some(caller) = caller {
             if has_body {
                 caller.limit_body(0);
+                caller.expect_body(None);
             } else {
                 caller.end_body();
             }
--- a/crates/http/src/caller.rs
+++ b/crates/http/src/caller.rs
@@ -100,8 +100,8 @@
     /// Bytes that the connection may still receive before the next request.
     receivable_bytes: Cell<u64>,
     phase: Cell<ReadPhase>,
-    /// Bytes after the header section that were handed over with it.
-    bytes_after_head: Cell<u64>,
+    /// Bytes after the header section that were handed over with it; `None` if it was not scanned.
+    bytes_after_head: Cell<Option<u64>>,
     memory: ConnectionMemory,
 }
 
@@ -112,6 +112,8 @@
     Head,
     /// Nothing until the HTTP server has seen the header section that was handed over.
     Parsing,
+    /// What the handler of a request reads, which has not declared a body.
+    Any,
     /// The body of the request that is being answered, and its rest if that is known.
     Body(Option<u64>),
     /// Nothing until the request has been answered: what follows belongs to the next one.
@@ -161,7 +163,7 @@
             has_read_since_request: Cell::new(false),
             receivable_bytes: Cell::new(u64::MAX),
             phase: Cell::new(ReadPhase::Head),
-            bytes_after_head: Cell::new(0),
+            bytes_after_head: Cell::new(None),
             memory: memory.open(peer.ip()),
         };
         Self {
@@ -239,15 +241,15 @@
         self.0.active_requests.set(self.0.active_requests.get() + 1);
         self.0.has_read_since_request.set(false);
         self.0.receivable_bytes.set(u64::MAX);
-        self.0.phase.set(ReadPhase::Body(None));
+        self.0.phase.set(ReadPhase::Any);
         self.0.memory.begin_request();
         ActiveRequest(Rc::clone(&self.0))
     }
 
     /// Declares that the request has a body, of this length if that is known.
     pub fn expect_body(&self, length: Option<u64>) {
-        let after_head = self.0.bytes_after_head.get();
-        let rest = length.map(|length| length.saturating_sub(after_head));
+        let after_head = self.0.bytes_after_head.take();
+        let rest = length.and_then(|length| Some(length.saturating_sub(after_head?)));
         self.0.phase.set(ReadPhase::Body(rest));
         self.0.memory.set_activity(Activity::SendsBody);
     }
@@ -310,14 +312,16 @@
         self.0.active_requests.set(self.0.active_requests.get() - 1);
         self.0.has_read_since_request.set(false);
         self.0.memory.release();
-        if self.0.phase.get() == ReadPhase::Hold {
-            self.0.receivable_bytes.set(u64::MAX);
-            self.0.phase.set(ReadPhase::Head);
-            self.0.memory.wake();
-        } else {
+        self.0.bytes_after_head.set(None);
+        if let ReadPhase::Body(None | Some(1..)) = self.0.phase.get() {
+            // The rest of a body may follow. The HTTP server discards it.
             self.0.phase.set(ReadPhase::Discard);
             self.0.memory.set_activity(Activity::SendsBody);
+        } else {
+            self.0.receivable_bytes.set(u64::MAX);
+            self.0.phase.set(ReadPhase::Head);
         }
+        self.0.memory.wake();
     }
 }
 
@@ -331,6 +335,7 @@
                 let rest = usize::try_from(rest).unwrap_or(usize::MAX);
                 rest.min(BODY_BURST_BYTES.saturating_sub(self.burst))
             }
+            ReadPhase::Any => BODY_BURST_BYTES.saturating_sub(self.burst),
             ReadPhase::Body(None) | ReadPhase::Discard => {
                 CHUNKED_BURST_BYTES.saturating_sub(self.burst)
             }
@@ -364,10 +369,10 @@
         self.shared.phase.set(ReadPhase::Parsing);
         let rest = (bytes.len() - end) as u64;
         if rest > 0 && body_length(&bytes[..end]).is_some_and(|length| rest <= length) {
-            self.shared.bytes_after_head.set(rest);
+            self.shared.bytes_after_head.set(Some(rest));
             return bytes.len();
         }
-        self.shared.bytes_after_head.set(0);
+        self.shared.bytes_after_head.set(Some(0));
         end
     }
 
@@ -391,7 +396,7 @@
                     Poll::Pending => Some(self.poll_wait_timeout(cx)),
                 }
             }
-            ReadPhase::Body(_) | ReadPhase::Discard if self.max_read(1) == 0 => {
+            ReadPhase::Any | ReadPhase::Body(_) | ReadPhase::Discard if self.max_read(1) == 0 => {
                 self.burst = 0;
                 cx.waker().wake_by_ref();
                 Some(Poll::Pending)
