--- a/crates/entry/src/lib.rs
+++ b/crates/entry/src/lib.rs
@@ -8,6 +8,7 @@
 
 mod admin;
 mod allowance_metrics;
+mod caller_memory;
 mod duty;
 mod exchange;
 mod follow;
--- a/crates/entry/src/metrics.rs
+++ b/crates/entry/src/metrics.rs
@@ -49,6 +49,12 @@
     event: &'static str,
 }
 
+#[derive(Clone, Debug, PartialEq, Eq, Hash)]
+#[derive(EncodeLabelSet)]
+struct CauseLabel {
+    cause: &'static str,
+}
+
 #[derive(Clone, Debug, PartialEq, Eq, Hash)]
 #[derive(EncodeLabelSet)]
 struct ResumptionLabel {
@@ -90,6 +96,7 @@
     resumptions: Family<ResumptionLabel, Counter>,
     zones: Family<ZoneLabel, Counter>,
     quarantine: Family<QuarantineLabel, Counter>,
+    evictions: Family<CauseLabel, Counter>,
     store_copies: Counter,
     path_outages: Counter,
     views: Counter,
@@ -118,6 +125,7 @@
             resumptions: Family::default(),
             zones: Family::default(),
             quarantine: Family::default(),
+            evictions: Family::default(),
             store_copies: Counter::default(),
             path_outages: Counter::default(),
             views: Counter::default(),
@@ -178,6 +186,11 @@
             "Quarantine of prompt parts: ends seen here, refused requests, and the holder's decisions",
             metrics.quarantine.clone(),
         );
+        registry.register(
+            "comfreyweir_caller_evictions",
+            "Callers' connections that were closed, and requests refused, for memory or connections",
+            metrics.evictions.clone(),
+        );
         registry.register(
             "comfreyweir_store_copies",
             "Times that the store has come back from a copy",
@@ -302,6 +315,11 @@
         self.quarantine.get_or_create(&labels).inc();
     }
 
+    /// Counts a caller's connection that was closed, or a request that was refused.
+    pub(crate) fn count_eviction(&self, cause: &'static str) {
+        self.evictions.get_or_create(&CauseLabel { cause }).inc();
+    }
+
     /// Counts that the store has come back from a copy.
     pub(crate) fn count_store_copy(&self) {
         self.store_copies.inc();
