Refuse orders that cannot be sent soon after the end of their caller's input

A caller that has left looks like one that has closed its sending direction only. Its order went on to wait, for an upstream or for units of an allowance, and would have reached an upstream long after the caller had left; all requests that wait for units did so, and took units that others need. Requests that have not been sent 350 ms after the end of input are now refused, as not run.

The new test fails before the change: the order runs at an upstream that is added later.

--- a/crates/entry/src/serve/mod.rs
+++ b/crates/entry/src/serve/mod.rs
@@ -14,7 +14,7 @@
 mod stopping;
 mod trial;
 
-use std::{convert::Infallible, future::Future, rc::Rc};
+use std::{convert::Infallible, future::Future, rc::Rc, time::Duration};
 
 use actix_http::{
     ConnectionType, HttpMessage, Payload, Request, Response, StatusCode,
@@ -28,10 +28,16 @@
     caller::CallerConnection,
     shutdown::Phase,
 };
+use tokio::time::sleep;
 
 pub(crate) use self::{admitted::AdmittedRequest, refusal::Refusal, resumption::OriginQuery};
 use crate::{platform::Platform, state::EntryContext};
 
+/// Time after the end of a caller's input for which a request that has not been sent yet still waits. Most
+/// callers whose input has ended have left, and their requests must not reach an upstream half a second
+/// later.
+const MAX_UNSENT_TIME: Duration = Duration::from_millis(350);
+
 /// Serves one request of a caller. The HTTP server drops the future when the connection closes.
 pub(crate) async fn serve<P>(
     cx: Rc<EntryContext<P>>,
@@ -107,7 +113,10 @@
 where
     P: Platform,
 {
-    let mut request = admit::admit(cx, req, payload, declared).await?;
+    let mut request = tokio::select! {
+        admitted = admit::admit(cx, req, payload, declared) => admitted?,
+        () = input_ended(caller.as_ref()) => return Err(not_sent_in_time().into()),
+    };
     request.caller = caller;
     let request = Rc::new(request);
     let sending = retry::send_with_retries(cx, &request);
@@ -116,7 +125,10 @@
             answered = sending => answered,
             () = caller.closed() => return Err(Unanswered::CallerLeft),
         },
-        _ => sending.await,
+        caller => tokio::select! {
+            answered = sending => answered,
+            () = input_ended_before_sending(caller.as_ref(), &request) => Err(not_sent_in_time()),
+        },
     };
     if let Err(refusal) = &answered
         && !refusal.may_have_run
@@ -126,6 +138,28 @@
     Ok(answered?)
 }
 
+/// Completes when the caller's input has ended [`MAX_UNSENT_TIME`] ago; never if the caller is not known.
+async fn input_ended(caller: Option<&CallerConnection>) {
+    let Some(caller) = caller else {
+        return std::future::pending().await;
+    };
+    caller.closed().await;
+    sleep(MAX_UNSENT_TIME).await;
+}
+
+/// Like [`input_ended`], for a request that has not been sent by then; never for another one.
+async fn input_ended_before_sending(caller: Option<&CallerConnection>, request: &AdmittedRequest) {
+    input_ended(caller).await;
+    if !request.sent_to.borrow().is_empty() {
+        std::future::pending().await
+    }
+}
+
+fn not_sent_in_time() -> Refusal {
+    let reason = "the caller's input ended, and the request could not be sent soon after";
+    Refusal::not_run(reason, MAX_UNSENT_TIME)
+}
+
 /// Waits for the answer unless the caller's connection fails before.
 async fn unless_failed<T>(
     caller: Option<&CallerConnection>,
--- a/crates/entry/tests/half_closed.rs
+++ b/crates/entry/tests/half_closed.rs
@@ -168,3 +168,29 @@
         assert_eq!(response.status, 0, "{path}: {response:?}");
     }
 }
+
+/// Guards against orders that reach an upstream long after their callers have left: one that cannot be
+/// sent soon after the end of its caller's input is refused, and does not run.
+#[actix_rt::test]
+async fn order_that_cannot_be_sent_soon_after_the_end_of_input_is_refused() {
+    let shared = SharedState::new();
+    shared.publish_config(config(1));
+    let instance = start(&shared, "e1").await;
+    let text = request_text("/book/", "r1", "");
+    let mut io = send_and_half_close(&instance, &text, CLOSES_AFTER).await;
+    sleep(CANCEL_LIMIT).await;
+    let upstream = FakeUpstream::start("u1", &[SLOW_ANSWER]).await;
+    shared.add_upstream(upstream_entry(&upstream, "plain", &[]));
+    let response = read_response(&mut io).await;
+    assert_eq!(response.status, 503, "{response:?}");
+    assert!(response.header("retry-after").is_some(), "{response:?}");
+    wait_until("the upstream is known", async || {
+        let status = support::get(instance.entry.admin_addr(), "/status")
+            .await
+            .body;
+        status.contains("\"upstreams\": 1")
+    })
+    .await;
+    sleep(CANCEL_LIMIT).await;
+    assert_eq!(upstream.arrivals(), 0);
+}
