--- a/crates/entry/tests/zones.rs
+++ b/crates/entry/tests/zones.rs
@@ -231,21 +231,27 @@
 async fn instance_that_knows_no_state_sends_nothing_and_is_not_ready() {
     let fleet = Fleet::start(0).await;
     fleet.shared.hides_evacuations.set(true);
+    let engine = FakeUpstream::start("u3", &[SERVED]).await;
+    fleet
+        .shared
+        .add_upstream(entry_in("a", &engine, "llm", &[]));
     let instance = start_at_once(&fleet.shared, settings("e1")).await;
-    wait_until("the list is known", async || {
+    wait_until("it may give orders", async || {
         let status = get(instance.entry.admin_addr(), "/status").await.body;
-        status.contains("\"upstreams\": 2")
+        status.contains("\"upstreams\": 3") && status.contains("\"may_order\": true")
     })
     .await;
     let ready = get(instance.ready, "/-/ready").await;
     assert_eq!(ready.status, 503);
     assert!(ready.body.contains("evacuations"), "{}", ready.body);
     let addr = instance.entry.addr();
-    for path in ["/read/", "/book/"] {
-        let res = send_request(addr, path, "r1", "x-deadline: 500\r\n").await;
+    for path in ["/read/", "/book/", "/tell/"] {
+        let extra = "x-model: m1\r\nx-deadline: 1000\r\n";
+        let res = send_request(addr, path, "r1", extra).await;
         assert_eq!(res.status, 503);
     }
     assert_eq!(fleet.stays.arrivals() + fleet.evacuated.arrivals(), 0);
+    assert!(fleet.shared.orders.borrow().is_empty());
     fleet.shared.hides_evacuations.set(false);
     let res = send_request(addr, "/read/", "r2", "").await;
     assert_eq!(res.status, 200);
