--- a/crates/fleet/src/directory.rs
+++ b/crates/fleet/src/directory.rs
@@ -159,19 +159,17 @@
         if !self.freshness.accepts(revision) {
             return Changes::default();
         }
-        if self.is_copy(copy) && self.missing.is_empty() {
+        let listed_at = self.missing_since.or(self.freshness.confirmed_at());
+        let may_have_lapsed = self.may_have_lapsed(listed_at.unwrap_or(now), now);
+        if self.is_copy(copy) && (may_have_lapsed || self.missing.is_empty()) {
             self.freshness.take(revision, Some(now));
             return Changes::default();
         }
         self.copied = Some(copy.version());
         let known_revision = self.freshness.version();
-        let listed_at = self.missing_since.or(self.freshness.confirmed_at());
-        let kept: BTreeMap<_, _> = if self.may_have_lapsed(listed_at.unwrap_or(now), now) {
-            let kept = copy.kept().map(|(u, listed_at)| (&u.id, (u, listed_at)));
-            kept.collect()
-        } else {
-            BTreeMap::new()
-        };
+        let kept = copy.kept().filter(|_| may_have_lapsed);
+        let kept = kept.map(|(u, listed_at)| (&u.id, (u, listed_at)));
+        let kept: BTreeMap<_, _> = kept.collect();
         let is_kept = |known: &Upstream| {
             let kept = kept.get(&known.id);
             kept.is_some_and(|(upstream, _)| upstream.born_ms == known.born_ms)
