Settings: regions of zones are a table, rendered entry by entry

The platform renders a section once for each entry of a table, so that the former line came three times and the daemon did not start (duplicate key).

--- a/crates/config/src/entry_settings.rs
+++ b/crates/config/src/entry_settings.rs
@@ -2,7 +2,7 @@
 
 use std::{collections::BTreeMap, net::SocketAddr, time::Duration};
 
-use serde::{Deserialize, Deserializer, Serialize, de::Error};
+use serde::{Deserialize, Serialize};
 
 use crate::{
     settings::RequestLimits,
@@ -44,7 +44,7 @@
     #[serde(default, skip_serializing_if = "Option::is_none")]
     pub region: Option<String>,
     /// Regions by availability zone.
-    #[serde(default, deserialize_with = "table_or_json")]
+    #[serde(default)]
     pub zones: BTreeMap<String, String>,
     /// CPU capacity of the instance, in cores.
     #[serde(default = "one_core")]
@@ -61,23 +61,6 @@
     256.0
 }
 
-/// Reads a table, or a string with a JSON object: a template can fill in only the latter.
-fn table_or_json<'de, D>(deserializer: D) -> Result<BTreeMap<String, String>, D::Error>
-where
-    D: Deserializer<'de>,
-{
-    #[derive(Deserialize)]
-    #[serde(untagged)]
-    enum TableOrJson {
-        Table(BTreeMap<String, String>),
-        Json(String),
-    }
-    match TableOrJson::deserialize(deserializer)? {
-        TableOrJson::Table(table) => Ok(table),
-        TableOrJson::Json(text) => serde_json::from_str(&text).map_err(D::Error::custom),
-    }
-}
-
 impl EntryInstance {
     /// Regions by availability zone, with that of the instance's own zone.
     pub fn regions(&self) -> BTreeMap<String, String> {
