--- a/crates/fleet/tests/freshness.rs
+++ b/crates/fleet/tests/freshness.rs
@@ -9,6 +9,7 @@
 
 use comfreyweir_fleet::{
     directory::{Directory, StoredUpstream},
+    freshness::Freshness,
     upstream::{Holding, Phase, Upstream},
     versioned_list::{ListCopy, VersionedList},
 };
@@ -427,3 +428,37 @@
         Fleet::run(seed);
     }
 }
+
+/// Guards against an earlier holder, or an older confirmation, that replaces what is known.
+#[test]
+fn older_data_does_not_replace_newer_data_unless_that_is_outdated() {
+    let start = Instant::now();
+    let at = |ms| start + Duration::from_millis(ms);
+    let max_age = Duration::from_millis(2_500);
+    let mut known = Freshness::<(u64, u64)>::default();
+    assert!(known.accepts((1, 0)) && known.age(start).is_none());
+    known.take((7, 3), Some(at(1_000)));
+    assert!(known.accepts((7, 3)) && known.accepts((8, 0)));
+    assert!(!known.accepts((6, 9)) && !known.accepts_after((6, 9), max_age, at(3_400)));
+    assert!(known.accepts_after((6, 9), max_age, at(3_500)));
+    known.confirm(Some(at(500)));
+    known.confirm(None);
+    assert_eq!(known.confirmed_at(), Some(at(1_000)));
+}
+
+/// A version that was heard of is news once, and no longer newer once it is known.
+#[test]
+fn newer_version_is_heard_of_once() {
+    let start = Instant::now();
+    let at = |ms| start + Duration::from_millis(ms);
+    let mut known = Freshness::<u64>::default();
+    known.take(4, Some(start));
+    assert!(!known.hear_of(3, Some(at(100)), at(200)));
+    assert_eq!(known.confirmed_at(), Some(at(100)));
+    assert!(known.hear_of(5, Some(at(300)), at(300)));
+    assert!(!known.hear_of(5, Some(at(400)), at(400)));
+    assert_eq!(known.confirmed_at(), Some(at(100)));
+    assert_eq!(known.newer_age(at(500)), Some(Duration::from_millis(200)));
+    known.take(5, None);
+    assert_eq!(known.newer_age(at(600)), None);
+}
