Allowances: units within half of the goal for the first byte

Requests that waited for units got them, in the order of their goals, at the end of their goals, and were late by the time that an engine needs.

--- a/crates/entry/src/serve/allowance.rs
+++ b/crates/entry/src/serve/allowance.rs
@@ -18,6 +18,11 @@
 use super::Refusal;
 use crate::{allowance_metrics::WaitEnd, platform::Platform, state::EntryContext};
 
+/// Fraction of the goal for the first byte in which a request should get its units. The rest is for the
+/// engine: a request that gets them at the end of its goal is late, and takes what another one needs to be in
+/// time.
+const GOAL_WAIT_FRACTION: f64 = 0.5;
+
 /// What decides how long a request may wait for its units, and before which others it gets them.
 pub(super) struct Terms<'a> {
     pub(super) route: &'a Route,
@@ -30,7 +35,7 @@
         let goal = self.route.first_byte_goal;
         Urgency {
             rank: workspace.rank.unwrap_or(self.route.rank),
-            goal: self.arrived + goal,
+            goal: self.arrived + goal.mul_f64(GOAL_WAIT_FRACTION),
             gives_up: quota::wait_until(self.arrived, self.deadline, goal),
         }
     }
