Allowances: streams wait for units no longer than their callers wait for an event; split long functions

Callers give a stream up when no event comes for the route's idle timeout, which may be far below the deadline.

--- a/crates/entry/src/instance.rs
+++ b/crates/entry/src/instance.rs
@@ -86,7 +86,26 @@
         admin::serve_admin(cx, &admin_coordinator, req)
     };
     let admin = bind_side_port(&cx, settings.listen.admin, limits, admin_handler).await?;
-    let shared = || (Rc::clone(&cx), Rc::clone(&coordinator));
+    let tasks = spawn_tasks(&cx, &coordinator);
+    Ok(Entry {
+        cx,
+        coordinator,
+        callers,
+        _ready: ready,
+        admin,
+        tasks,
+    })
+}
+
+/// Spawns the background tasks.
+fn spawn_tasks<P>(
+    cx: &Rc<EntryContext<P>>,
+    coordinator: &Rc<duty::Coordinator<P>>,
+) -> Vec<JoinHandle<()>>
+where
+    P: Platform,
+{
+    let shared = || (Rc::clone(cx), Rc::clone(coordinator));
     let (duty_cx, duty_coordinator) = shared();
     let (exchange_cx, exchange_coordinator) = shared();
     let (grants_cx, grants_coordinator) = shared();
@@ -98,65 +117,57 @@
     let (software_cx, software_coordinator) = shared();
     let (era_cx, era_coordinator) = shared();
     let (times_cx, times_coordinator) = shared();
-    let tasks = vec![
-        spawn_task(&cx, Work::Store, follow::config::run(Rc::clone(&cx))),
-        spawn_task(&cx, Work::Store, follow::directory::run(Rc::clone(&cx))),
-        spawn_task(&cx, Work::Store, follow::zones::run(Rc::clone(&cx))),
-        spawn_task(&cx, Work::Store, follow::era::run(era_cx, era_coordinator)),
-        spawn_task(&cx, Work::Store, follow::members::run(Rc::clone(&cx))),
-        spawn_task(&cx, Work::Store, follow::members::register(Rc::clone(&cx))),
-        spawn_task(&cx, Work::Planning, duty::run(duty_cx, duty_coordinator)),
+    vec![
+        spawn_task(cx, Work::Store, follow::config::run(Rc::clone(cx))),
+        spawn_task(cx, Work::Store, follow::directory::run(Rc::clone(cx))),
+        spawn_task(cx, Work::Store, follow::zones::run(Rc::clone(cx))),
+        spawn_task(cx, Work::Store, follow::era::run(era_cx, era_coordinator)),
+        spawn_task(cx, Work::Store, follow::members::run(Rc::clone(cx))),
+        spawn_task(cx, Work::Store, follow::members::register(Rc::clone(cx))),
+        spawn_task(cx, Work::Planning, duty::run(duty_cx, duty_coordinator)),
         spawn_task(
-            &cx,
+            cx,
             Work::Exchange,
             exchange::client::run(exchange_cx, exchange_coordinator),
         ),
         spawn_task(
-            &cx,
+            cx,
             Work::Exchange,
             exchange::grants::run(grants_cx, grants_coordinator),
         ),
         spawn_task(
-            &cx,
+            cx,
             Work::Exchange,
             exchange::trials::run(trials_cx, trials_coordinator),
         ),
         spawn_task(
-            &cx,
+            cx,
             Work::Exchange,
             exchange::origins::run(begun_cx, begun_coordinator),
         ),
         spawn_task(
-            &cx,
+            cx,
             Work::Exchange,
             exchange::permits::run(permits_cx, permits_coordinator),
         ),
         spawn_task(
-            &cx,
+            cx,
             Work::Store,
             duty::keep_records(records_cx, records_coordinator),
         ),
         spawn_task(
-            &cx,
+            cx,
             Work::Store,
             duty::keep_origins(origins_cx, origins_coordinator),
         ),
         spawn_task(
-            &cx,
+            cx,
             Work::Store,
             duty::keep_software(software_cx, software_coordinator),
         ),
         actix_rt::spawn(work_times::run(times_cx, times_coordinator)),
-        exchange::server::spawn(Rc::clone(&cx), Rc::clone(&coordinator)),
-    ];
-    Ok(Entry {
-        cx,
-        coordinator,
-        callers,
-        _ready: ready,
-        admin,
-        tasks,
-    })
+        exchange::server::spawn(Rc::clone(cx), Rc::clone(coordinator)),
+    ]
 }
 
 /// Spawns a background task and measures its processor time.
--- a/crates/entry/src/metrics.rs
+++ b/crates/entry/src/metrics.rs
@@ -135,71 +135,93 @@
             held_back: Counter::default(),
             first_byte_seconds: Family::new_with_constructor(histogram),
         };
-        let mut registry = metrics.registry.borrow_mut();
+        metrics.register_request_metrics();
+        metrics.register_exchange_metrics();
+        metrics
+    }
+
+    /// Registers what is counted by request.
+    fn register_request_metrics(&self) {
+        let mut registry = self.registry.borrow_mut();
         registry.register(
             "comfreyweir_answers",
             "Answers of upstreams that were passed on",
-            metrics.answers.clone(),
+            self.answers.clone(),
         );
         registry.register(
             "comfreyweir_refusals",
             "Requests that were answered by the system itself",
-            metrics.refusals.clone(),
+            self.refusals.clone(),
         );
         registry.register(
             "comfreyweir_orders",
             "Orders to engines",
-            metrics.orders.clone(),
+            self.orders.clone(),
         );
         registry.register(
             "comfreyweir_upstream_notices",
             "What upstreams said of themselves beside answers: that they leave, or want no requests",
-            metrics.notices.clone(),
+            self.notices.clone(),
         );
         registry.register(
             "comfreyweir_limited_sends",
             "What was sent to upstreams that had named a limit, by kind",
-            metrics.limited_sends.clone(),
+            self.limited_sends.clone(),
         );
         registry.register(
             "comfreyweir_cold_requests",
             "What was sent to cold upstreams, by kind, and requests that waited for one or were refused",
-            metrics.cold_requests.clone(),
+            self.cold_requests.clone(),
         );
         registry.register(
             "comfreyweir_refused_at_stop",
             "Requests that were refused because they could not end before the instance stops",
-            metrics.refused_at_stop.clone(),
+            self.refused_at_stop.clone(),
         );
         registry.register(
             "comfreyweir_resumptions",
             "Streams that callers resume, by what is known of the software version that began them",
-            metrics.resumptions.clone(),
+            self.resumptions.clone(),
         );
         registry.register(
             "comfreyweir_zone_events",
             "Requests affected by evacuated zones or home regions, and evacuations that began or ended",
-            metrics.zones.clone(),
+            self.zones.clone(),
         );
         registry.register(
             "comfreyweir_quarantine",
             "Quarantine of prompt parts: ends seen here, refused requests, and the holder's decisions",
-            metrics.quarantine.clone(),
+            self.quarantine.clone(),
         );
         registry.register(
             "comfreyweir_caller_evictions",
             "Callers' connections that were closed, and requests refused, for memory or connections",
-            metrics.evictions.clone(),
+            self.evictions.clone(),
+        );
+        registry.register(
+            "comfreyweir_held_back",
+            "Requests that waited since the engines had too much to read",
+            self.held_back.clone(),
+        );
+        registry.register(
+            "comfreyweir_first_byte_seconds",
+            "Time from the arrival of a stream's request to the first byte of its answer",
+            self.first_byte_seconds.clone(),
         );
+    }
+
+    /// Registers what is counted of the store, the log and the exchange between instances.
+    fn register_exchange_metrics(&self) {
+        let mut registry = self.registry.borrow_mut();
         registry.register(
             "comfreyweir_store_copies",
             "Times that the store has come back from a copy",
-            metrics.store_copies.clone(),
+            self.store_copies.clone(),
         );
         registry.register(
             "comfreyweir_store_path_outages",
             "Outages of the path to the store while other instances reached it",
-            metrics.path_outages.clone(),
+            self.path_outages.clone(),
         );
         registry.register(
             "comfreyweir_log_lines_dropped",
@@ -209,30 +231,18 @@
         registry.register(
             "comfreyweir_views",
             "Views of the whole system that this instance sent to others as the holder",
-            metrics.views.clone(),
+            self.views.clone(),
         );
         registry.register(
             "comfreyweir_view_bytes",
             "Bytes of these views",
-            metrics.view_bytes.clone(),
+            self.view_bytes.clone(),
         );
         registry.register(
             "comfreyweir_grant_answers",
             "Answers of this instance, as the holder, to requests for larger grants",
-            metrics.grant_answers.clone(),
-        );
-        registry.register(
-            "comfreyweir_held_back",
-            "Requests that waited since the engines had too much to read",
-            metrics.held_back.clone(),
+            self.grant_answers.clone(),
         );
-        registry.register(
-            "comfreyweir_first_byte_seconds",
-            "Time from the arrival of a stream's request to the first byte of its answer",
-            metrics.first_byte_seconds.clone(),
-        );
-        drop(registry);
-        metrics
     }
 
     /// Counts an upstream's answer that was forwarded to the caller.
--- a/crates/entry/src/serve/allowance.rs
+++ b/crates/entry/src/serve/allowance.rs
@@ -8,7 +8,7 @@
 use actix_http::StatusCode;
 use comfreyweir_clock::whole_millis;
 use comfreyweir_fleet::{
-    config::{Route, Workspace},
+    config::{Route, RouteKind, Workspace},
     intake::Urgency,
     quota::{self, Claim, OverQuota},
     request::RequestMetadata,
@@ -36,7 +36,17 @@
         Urgency {
             rank: workspace.rank.unwrap_or(self.route.rank),
             goal: self.arrived + goal.mul_f64(GOAL_WAIT_FRACTION),
-            gives_up: quota::wait_until(self.arrived, self.deadline, goal),
+            gives_up: quota::wait_until(self.arrived, self.caller_gives_up(), goal),
+        }
+    }
+
+    /// Time at which the caller gives up, if the answer has not begun.
+    fn caller_gives_up(&self) -> Instant {
+        if self.route.kind == RouteKind::Stream {
+            let first_event_due = self.arrived + self.route.stream_idle_timeout;
+            self.deadline.min(first_event_due)
+        } else {
+            self.deadline
         }
     }
 }
--- a/crates/entry/src/serve/mod.rs
+++ b/crates/entry/src/serve/mod.rs
@@ -151,7 +151,7 @@
 async fn input_ended_before_sending(caller: Option<&CallerConnection>, request: &AdmittedRequest) {
     input_ended(caller).await;
     if !request.sent_to.borrow().is_empty() {
-        std::future::pending().await
+        std::future::pending::<()>().await;
     }
 }
 
