--- a/crates/entry/tests/zones.rs
+++ b/crates/entry/tests/zones.rs
@@ -10,7 +10,10 @@
 };
 use comfreyweir_config::entry_settings::EntrySettings;
 use comfreyweir_entry::spawn;
-use comfreyweir_fleet::{config::Config, upstream::Upstream};
+use comfreyweir_fleet::{
+    config::{ColdStart, Config},
+    upstream::Upstream,
+};
 use support::{
     FakeUpstream, MemoryPlatform, ScriptStep, SharedState, TestInstance, get, platform::config,
     send_request, settings, start_with, upstream_entry, wait_until,
@@ -161,6 +164,38 @@
     assert_eq!(failed, 0);
 }
 
+/// Guards against upstreams that became cold during an evacuation and get the traffic of a warm one when
+/// it ends, since their entries do not say so yet.
+#[actix_rt::test]
+async fn upstreams_of_a_zone_count_as_cold_when_its_evacuation_ends() {
+    let fleet = Fleet::start(3).await;
+    let cold = ColdStart {
+        time: Duration::from_secs(3),
+        per_s: 6.0,
+    };
+    let mut config = config(2);
+    for service in config.services.values_mut() {
+        Rc::make_mut(service).cold = Some(cold);
+    }
+    fleet.shared.publish_config(config);
+    fleet.shared.evacuate("b");
+    sleep(BOUND).await;
+    let before = fleet.evacuated.arrivals();
+    let sending = fleet.send(Duration::from_secs(5));
+    sleep(Duration::from_millis(300)).await;
+    fleet.shared.end_evacuation("b");
+    sending.await.unwrap();
+    let times = fleet.evacuated.observed.borrow().times[before..].to_vec();
+    let first = *times.first().expect("the zone is used again");
+    let is_cold = |at: &&Instant| **at < first + cold.time - Duration::from_secs(1);
+    let most = times.iter().filter(is_cold).map(|from| {
+        let second = *from..*from + Duration::from_secs(1);
+        times.iter().filter(|at| second.contains(at)).count()
+    });
+    // As the platform counts: one and a half times the rate, and five.
+    assert!(most.max() <= Some(14), "{times:?}");
+}
+
 /// Guards against an evacuation that only the holder has learned of and that ends with it.
 #[actix_rt::test]
 async fn evacuation_holds_if_the_holder_is_killed_right_after_it() {
