Reset connections of HTTP/1.0 callers whose stream is incomplete

Nothing but the close of the connection marks the end of such a stream, and an orderly close made an incomplete one look complete. The new test fails before: the caller reads to an ordinary end.

--- a/crates/entry/src/serve/admit.rs
+++ b/crates/entry/src/serve/admit.rs
@@ -7,7 +7,7 @@
 };
 
 use actix_http::{
-    HttpMessage, Payload, Request, StatusCode,
+    HttpMessage, Payload, Request, StatusCode, Version,
     header::{self, HeaderMap},
 };
 use comfreyweir_fleet::{
@@ -98,6 +98,7 @@
         arrived,
         deadline,
         caller: None,
+        is_unframed: req.version() < Version::HTTP_11,
         declared,
         route,
     })
--- a/crates/entry/src/serve/admitted.rs
+++ b/crates/entry/src/serve/admitted.rs
@@ -49,6 +49,8 @@
     pub(crate) arrived: Instant,
     /// Time by which the whole answer must have been sent.
     pub(crate) deadline: Instant,
+    /// Whether a stream of unknown length to the caller is not chunked, as in HTTP/1.0.
+    pub(crate) is_unframed: bool,
     /// The caller's connection, if known; used to detect that the caller disconnected.
     pub(crate) caller: Option<CallerConnection>,
 }
--- a/crates/entry/src/serve/relay.rs
+++ b/crates/entry/src/serve/relay.rs
@@ -274,15 +274,28 @@
                     if self.resume().await {
                         continue;
                     }
+                    self.reset_unframed();
                     let _ = self.tx.send(BodyPiece::Failed(e)).await;
                     return;
                 }
                 // Dropping the sender without `BodyPiece::End` aborts the response.
-                StreamEnd::CallerLeft | StreamEnd::OutOfTime => return,
+                StreamEnd::CallerLeft | StreamEnd::OutOfTime => {
+                    self.reset_unframed();
+                    return;
+                }
             }
         }
     }
 
+    /// Has the caller's connection reset if nothing but its close marks the end of the response.
+    fn reset_unframed(&self) {
+        if self.request.is_unframed
+            && let Some(caller) = &self.request.caller
+        {
+            caller.reset_on_close();
+        }
+    }
+
     /// Adapts what engines take in to the pauses of this stream.
     fn adapt_intake(&self) {
         let pause = self.chunk_times.longest_gap;
--- a/crates/entry/tests/broken_answers.rs
+++ b/crates/entry/tests/broken_answers.rs
@@ -3,9 +3,16 @@
 
 mod support;
 
+use std::{io, time::Duration};
+
 use support::{
-    FakeUpstream, Response, ScriptStep, SharedState, TestInstance, platform::config, send_request,
-    start, upstream_entry,
+    FakeUpstream, Response, ScriptStep, SharedState, TestInstance, platform::config, request_text,
+    send_request, start, upstream_entry,
+};
+use tokio::{
+    io::{AsyncReadExt, AsyncWriteExt},
+    net::TcpStream,
+    time::timeout,
 };
 
 async fn start_instance(upstreams: &[&FakeUpstream], service: &str) -> TestInstance {
@@ -124,3 +131,25 @@
         }
     }
 }
+
+/// Guards against an incomplete stream that looks complete to a caller of HTTP/1.0, for whom only the close
+/// of the connection marks the end: it has to be a reset.
+#[actix_rt::test]
+async fn incomplete_stream_to_an_http_1_0_caller_ends_with_a_reset() {
+    let step = ScriptStep::Events {
+        last: 2,
+        disconnects: true,
+        interval: Duration::from_millis(10),
+    };
+    let upstream = FakeUpstream::start("u1", &[step]).await;
+    let instance = start_instance(&[&upstream], "llm").await;
+    let text = request_text("/tell/", "r1", "x-model: m1\r\n").replace("HTTP/1.1", "HTTP/1.0");
+    let mut io = TcpStream::connect(instance.entry.addr()).await.unwrap();
+    io.write_all(text.as_bytes()).await.unwrap();
+    let mut answer = Vec::new();
+    let read = timeout(Duration::from_secs(10), io.read_to_end(&mut answer)).await;
+    let answer = String::from_utf8_lossy(&answer).into_owned();
+    assert!(answer.starts_with("HTTP/1.0 200"), "{answer}");
+    let end = read.unwrap().map_err(|e| e.kind());
+    assert_eq!(end, Err(io::ErrorKind::ConnectionReset), "{answer}");
+}
--- a/crates/http/src/caller.rs
+++ b/crates/http/src/caller.rs
@@ -101,6 +101,8 @@
     receivable_bytes: Cell<u64>,
     /// Whether nothing more may be written.
     is_aborted: Cell<bool>,
+    /// Whether the connection is reset when it closes.
+    is_reset_on_close: Cell<bool>,
     phase: Cell<ReadPhase>,
     /// Bytes after the header section that were handed over with it; `None` if it was not scanned.
     bytes_after_head: Cell<Option<u64>>,
@@ -165,6 +167,7 @@
             has_read_since_request: Cell::new(false),
             receivable_bytes: Cell::new(u64::MAX),
             is_aborted: Cell::new(false),
+            is_reset_on_close: Cell::new(false),
             phase: Cell::new(ReadPhase::Head),
             bytes_after_head: Cell::new(None),
             memory: memory.open(peer.ip()),
@@ -324,6 +327,14 @@
         }
     }
 
+    /// Resets the connection when it closes: where only the close marks the end of a response, an orderly
+    /// one would make an incomplete response look complete.
+    pub fn reset_on_close(&self) {
+        self.0
+            .is_reset_on_close
+            .set(self.0.io.set_zero_linger().is_ok());
+    }
+
     /// Closes the connection without writing anything more. Once the handler ends, the HTTP server
     /// closes it instead of writing the response.
     pub fn abort(&self) {
@@ -555,6 +566,9 @@
 
     fn poll_shutdown(self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
         self.check_open(cx)?;
+        if self.shared.is_reset_on_close.get() {
+            return Poll::Ready(Ok(()));
+        }
         // Handlers may still hold the socket, which closes when its last handle is dropped.
         // Shutting down the write side tells the caller at once.
         let result = std::os::fd::AsFd::as_fd(&self.shared.io)
