--- a/review/rig-2/lost.rs
+++ b/review/rig-2/lost.rs
@@ -1,6 +1,7 @@
 //! Rule LOST: beside a change of the configuration, no stream that a sound server works on is cut.
 //!
-//! Model servers pause in the middle of streams, for far less time than callers wait.
+//! Model servers whose memory is full pause streams, for far less time than callers wait, and turn newcomers
+//! away.
 
 use std::{
     net::SocketAddr,
@@ -21,11 +22,13 @@
 
 const SERVERS: u8 = 4;
 /// Streams that are read before the change, by servers that don't pause on them, and beside it.
-const STREAMS: usize = 90;
+const STREAMS: usize = 12;
+/// Time between two of them: 10 a second, where a burst of the site has 11.4.
+const STREAM_GAP: Duration = Duration::from_millis(100);
 /// Pause of each stream, after this event.
 const PAUSE: (u32, Duration) = (10, Duration::from_millis(2_500));
-/// Time from the first request to the change: about when the pauses begin.
-const CHANGE_AFTER: Duration = Duration::from_millis(1_200);
+/// Time from the first request to the change.
+const CHANGE_AFTER: Duration = Duration::from_millis(8_900);
 
 pub fn run(has_trouble: bool, record: &mut Record) -> Result<Verdict, String> {
     let folder = scratch()?;
@@ -122,6 +125,7 @@
         let front = fronts[n % fronts.len()];
         let id = format!("{letter}{n:015x}");
         thread::spawn(move || {
+            thread::sleep(STREAM_GAP * n as u32);
             let mut caller = Caller::new(n);
             caller.id.clone_from(&id);
             let outcome = caller.read(front, &id, "");
--- a/review/rig-2/versions.rs
+++ b/review/rig-2/versions.rs
@@ -27,7 +27,9 @@
 /// First letter of the identifiers of streams that pause.
 pub const PAUSED: &str = "p";
 /// Streams that callers begin at the added instance.
-const STREAMS: usize = 45;
+const STREAMS: usize = 10;
+/// Time between two of them: 10 a second.
+const STREAM_GAP: Duration = Duration::from_millis(100);
 /// Events of a stream, and the time between them.
 pub const EVENTS: u32 = 60;
 const EVENT_GAP: Duration = Duration::from_millis(100);
@@ -36,7 +38,7 @@
 /// Times after the freeze.
 const NEW_VERSION_AT: Duration = Duration::from_millis(50);
 const ADD_AT: Duration = Duration::from_millis(800);
-const KILL_AT: Duration = Duration::from_millis(1_800);
+const KILL_AT: Duration = Duration::from_millis(2_000);
 const THAW_AT: Duration = Duration::from_millis(2_400);
 /// Time from the start of the callers until they have read an answer.
 const CALLER_LIMIT: Duration = Duration::from_secs(12);
@@ -115,7 +117,12 @@
     let resume_at = frozen.front;
     let begin_at = added.front;
     let callers: Vec<_> = (0..STREAMS)
-        .map(|n| thread::spawn(move || Caller::new(n).read_stream(begin_at, resume_at)))
+        .map(|n| {
+            thread::spawn(move || {
+                thread::sleep(STREAM_GAP * n as u32);
+                Caller::new(n).read_stream(begin_at, resume_at)
+            })
+        })
         .collect();
     until(KILL_AT);
     record.line(&format!("v2 has begun {} streams", new.begun()));
@@ -331,7 +338,15 @@
 
     fn stream(&self, req: &Message, io: &mut TcpStream) -> io::Result<bool> {
         let id = req.header("x-comfreyweir-request-id").unwrap_or_default();
-        let last = req.header("last-event-id").and_then(|v| v.parse().ok());
+        let last: Option<u32> = req.header("last-event-id").and_then(|v| v.parse().ok());
+        // While its memory is full, a server preempts runs and turns newcomers away.
+        if self.pause.is_some() && id.starts_with(PAUSED) && last.is_some() {
+            let headers = [
+                ("X-Comfreyweir-Request-Id", id),
+                ("X-Comfreyweir-Not-Run", "1"),
+            ];
+            return http::answer(io, "503 Service Unavailable", &headers, b"");
+        }
         *self.begun.lock().expect("no thread panics with the lock") += 1;
         let head = format!(
             "HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\
