Write the log to standard error itself, not to a duplicate

What callers saw: nothing.

Cause: the writer thread wrote to a duplicate of the descriptor, to avoid the lock of the standard library's handle.

Change: the writer thread writes to descriptor 2, still without the lock. `log_is_written_to_no_other_descriptor_than_standard_error` fails before: ["1", "2", "3"].

--- a/crates/core/src/logging.rs
+++ b/crates/core/src/logging.rs
@@ -1,6 +1,11 @@
 //! Sets up logging: JSON lines on standard error, which never block the process.
 
-use std::{fs::File, io, os::fd::AsFd, panic, sync::Arc, time::Duration};
+use std::{
+    io::{self, Write},
+    panic,
+    sync::Arc,
+    time::Duration,
+};
 
 use comfreyweir_log::{LogWriter, spawn_writer};
 use snafu::{ResultExt, Snafu};
@@ -52,6 +57,21 @@
     }
 }
 
+/// Standard error without the lock of the standard library's handle: it would be held for as long as
+/// a write blocks, and whoever uses that handle would wait for it. It is not a duplicate of the
+/// descriptor either, since some supervisors collect the output by descriptor number.
+struct UnlockedStderr;
+
+impl Write for UnlockedStderr {
+    fn write(&mut self, buf: &[u8]) -> io::Result<usize> {
+        Ok(rustix::io::write(io::stderr(), buf)?)
+    }
+
+    fn flush(&mut self) -> io::Result<()> {
+        Ok(())
+    }
+}
+
 /// Installs a logger that writes JSON lines to standard error as the default of this process. Panics
 /// are logged too.
 pub fn init(verbosity: Verbosity) -> Result<Log, LoggingError> {
@@ -59,11 +79,7 @@
         Verbosity::Info => Level::Info,
         Verbosity::Warnings => Level::Warn,
     };
-    // A descriptor of its own: the lock of the standard library's handle would be held for as long as
-    // a write blocks, and whoever uses that handle would wait for it.
-    let stderr = io::stderr().as_fd().try_clone_to_owned();
-    let writer = stderr.and_then(|fd| spawn_writer(File::from(fd)));
-    let writer = writer.context(OutputSnafu)?;
+    let writer = spawn_writer(UnlockedStderr).context(OutputSnafu)?;
     let logger = Logger::builder()
         .sink(Arc::new(writer.sink()))
         .level_filter(LevelFilter::MoreSevereEqual(min_level))
--- a/crates/core/tests/log_output.rs
+++ b/crates/core/tests/log_output.rs
@@ -119,6 +119,24 @@
     }
 }
 
+/// Guards against a log that a supervisor does not see because it collects the output of descriptors 1
+/// and 2 only.
+#[actix_rt::test]
+async fn log_is_written_to_no_other_descriptor_than_standard_error() {
+    let daemon = Daemon::start(0);
+    assert!(daemon.metrics().await.is_some());
+    let folder = format!("/proc/{}/fd", daemon.child.id());
+    // Connections may be closed while the descriptors are listed.
+    let target = |name: &str| fs::read_link(format!("{folder}/{name}")).ok();
+    let output = target("2");
+    assert!(output.is_some());
+    let descriptors = fs::read_dir(&folder).unwrap();
+    let names = descriptors.map(|entry| entry.unwrap().file_name().into_string().unwrap());
+    let mut shared: Vec<_> = names.filter(|name| target(name) == output).collect();
+    shared.sort();
+    assert_eq!(shared, ["1", "2"]);
+}
+
 /// The daemon's only thread once wrote the log, and stopped with the first line that the full pipe did
 /// not take.
 #[actix_rt::test]
