Log and count why a stream is not continued elsewhere

The new line `stream failed at an upstream` has what the upstream did, whether another one continues the stream, and why not; `comfreyweir_stream_continuations` counts the outcomes.

--- a/crates/entry/src/metrics.rs
+++ b/crates/entry/src/metrics.rs
@@ -94,6 +94,7 @@
     cold_requests: Family<SendLabel, Counter>,
     refused_at_stop: Counter,
     resumptions: Family<ResumptionLabel, Counter>,
+    continuations: Family<ResumptionLabel, Counter>,
     zones: Family<ZoneLabel, Counter>,
     quarantine: Family<QuarantineLabel, Counter>,
     evictions: Family<CauseLabel, Counter>,
@@ -123,6 +124,7 @@
             cold_requests: Family::default(),
             refused_at_stop: Counter::default(),
             resumptions: Family::default(),
+            continuations: Family::default(),
             zones: Family::default(),
             quarantine: Family::default(),
             evictions: Family::default(),
@@ -183,6 +185,11 @@
             "Streams that callers resume, by what is known of the software version that began them",
             self.resumptions.clone(),
         );
+        registry.register(
+            "comfreyweir_stream_continuations",
+            "Streams that an upstream failed or stalled, by whether another one continues them",
+            self.continuations.clone(),
+        );
         registry.register(
             "comfreyweir_zone_events",
             "Requests affected by evacuated zones or home regions, and evacuations that began or ended",
@@ -300,6 +307,14 @@
         self.resumptions.get_or_create(&labels).inc();
     }
 
+    /// Counts a stream that an upstream failed or stalled.
+    pub(crate) fn count_continuation(&self, outcome: &str) {
+        let labels = ResumptionLabel {
+            outcome: outcome.to_owned(),
+        };
+        self.continuations.get_or_create(&labels).inc();
+    }
+
     /// Counts a request that an evacuated zone or home regions affect, or a change of the evacuations.
     pub(crate) fn count_zone_event(&self, event: &'static str) {
         self.zones.get_or_create(&ZoneLabel { event }).inc();
--- a/crates/entry/src/serve/relay.rs
+++ b/crates/entry/src/serve/relay.rs
@@ -13,13 +13,14 @@
 use actix_http::{Method, Response, ResponseBuilder, StatusCode, body::BoxBody, header};
 use bytes::Bytes;
 use comfreyweir_clock::whole_millis;
-use comfreyweir_fleet::health::Outcome;
+use comfreyweir_fleet::{health::Outcome, upstream::Upstream};
 use comfreyweir_http::{
     body::{BodyPiece, PiecedBody, RelayedBody, declared_length},
     event_stream::EventSplitter,
     headers::end_to_end,
     upstream::{AnswerBody, CallError, UpstreamAnswer},
 };
+use snafu::Snafu;
 use tokio::{sync::mpsc, time::timeout};
 
 use super::{
@@ -232,6 +233,38 @@
     Failed(CallError),
 }
 
+/// Why a stream was not resumed at another upstream.
+#[derive(Debug)]
+#[derive(Snafu)]
+enum NotResumed {
+    #[snafu(display("it cannot be resumed"))]
+    NotResumable,
+    #[snafu(display("its caller has left"))]
+    CallerLeft,
+    #[snafu(display("it may have run on as many upstreams as its route allows"))]
+    NoRunLeft,
+    #[snafu(display("the retry budget is spent"))]
+    NoRetryLeft,
+    #[snafu(display("{}", refusal.reason))]
+    NoUpstream { refusal: Refusal },
+    #[snafu(display("{}", refusal.reason))]
+    Quarantined { refusal: Refusal },
+}
+
+impl NotResumed {
+    /// Name for metrics and logs.
+    fn name(&self) -> &'static str {
+        match self {
+            Self::NotResumable => "not_resumable",
+            Self::CallerLeft => "caller_left",
+            Self::NoRunLeft => "no_run_left",
+            Self::NoRetryLeft => "no_retry_left",
+            Self::NoUpstream { .. } => "no_upstream",
+            Self::Quarantined { .. } => "quarantined",
+        }
+    }
+}
+
 impl<P> StreamRelay<P>
 where
     P: Platform,
@@ -271,7 +304,10 @@
                     return;
                 }
                 StreamEnd::Failed(e) => {
-                    if self.resume().await {
+                    let from = Rc::clone(&self.sent.upstream);
+                    let resumed = self.resume().await;
+                    self.log_resumption(&from, &e, &resumed);
+                    if resumed.is_ok() {
                         continue;
                     }
                     self.reset_unframed();
@@ -464,10 +500,9 @@
     }
 
     /// Resumes a broken stream at another upstream, after the last complete event that was relayed.
-    /// False if that is not possible.
-    async fn resume(&mut self) -> bool {
+    async fn resume(&mut self) -> Result<(), NotResumed> {
         let Some(events) = &mut self.events else {
-            return false;
+            return Err(NotResumed::NotResumable);
         };
         events.begin_continuation();
         // Close the connection first: only one engine at a time may work on a request.
@@ -475,7 +510,7 @@
         let last_event = events.last_id();
         // Without an identifier, no upstream can be told where to go on.
         if self.has_passed_events && last_event.is_none() {
-            return false;
+            return Err(NotResumed::NotResumable);
         }
         let mut avoided = self.avoided();
         let mut trial = None;
@@ -486,22 +521,22 @@
             }
             let picked = tokio::select! {
                 picked = pick::pick(&self.cx, &self.request, &avoided) => picked,
-                () = self.tx.closed() => return false,
-                () = caller_closed(&self.request) => return false,
+                () = self.tx.closed() => return Err(NotResumed::CallerLeft),
+                () = caller_closed(&self.request) => return Err(NotResumed::CallerLeft),
             };
-            let Ok(picked) = picked else { return false };
+            let picked = picked.map_err(|refusal| NotResumed::NoUpstream { refusal })?;
             let may_send = tokio::select! {
                 may = trial::may_send(&self.cx, &self.request, &mut trial, self.cx.now()) => may,
-                () = self.tx.closed() => return false,
-                () = caller_closed(&self.request) => return false,
+                () = self.tx.closed() => return Err(NotResumed::CallerLeft),
+                () = caller_closed(&self.request) => return Err(NotResumed::CallerLeft),
             };
             match may_send {
                 Ok(true) => {}
                 Ok(false) => continue,
-                Err(_) => return false,
+                Err(refusal) => return Err(NotResumed::Quarantined { refusal }),
             }
             if !has_retry && !take_retry(&self.cx, &self.request) {
-                return false;
+                return Err(NotResumed::NoRetryLeft);
             }
             has_retry = false;
             let time_left = self.request.time_left(self.cx.now());
@@ -513,8 +548,8 @@
                     (last_event, trial.take()),
                     time_left,
                 ) => attempt,
-                () = self.tx.closed() => return false,
-                () = caller_closed(&self.request) => return false,
+                () = self.tx.closed() => return Err(NotResumed::CallerLeft),
+                () = caller_closed(&self.request) => return Err(NotResumed::CallerLeft),
             };
             if let AttemptResult::NotPermitted(unused) = attempt {
                 (trial, has_retry) = (unused, true);
@@ -528,7 +563,7 @@
                     self.body = Some(answer.body);
                     self.last_event_at = self.cx.now();
                     self.possible_runs += 1;
-                    return true;
+                    return Ok(());
                 }
                 AttemptResult::NotSent(_)
                 | AttemptResult::NotRun(_)
@@ -538,7 +573,26 @@
                 | AttemptResult::TimedOut => self.possible_runs += 1,
             }
         }
-        false
+        Err(NotResumed::NoRunLeft)
+    }
+
+    /// Logs and counts whether the stream goes on after `from` failed it with `error`.
+    fn log_resumption(&self, from: &Upstream, error: &CallError, resumed: &Result<(), NotResumed>) {
+        let (outcome, reason) = match resumed {
+            Ok(()) => ("resumed", String::new()),
+            Err(e) => (e.name(), e.to_string()),
+        };
+        let now = self.cx.now();
+        self.cx.metrics.count_continuation(outcome);
+        if !self.cx.request_log_limiter.try_acquire(now) {
+            return;
+        }
+        let (error, upstream) = (error.to_string(), &self.sent.upstream.id);
+        spdlog::info!("stream failed at an upstream", kv: {
+            request_id = self.request.id.as_str(), from = from.id.as_str(), error = error.as_str(),
+            outcome, reason = reason.as_str(), upstream = upstream.as_str(),
+            silent_ms = whole_millis(self.time_without_event()), possible_runs = self.possible_runs
+        });
     }
 }
 
