Leave a stalled stream's upstream only once another one has the stream

Cause: a stream that may be resumed and brings no event for 1.5 s goes on at another upstream. Its connection was closed first, and only then an upstream, a trial and a retry were asked for. If any of these was refused, nothing was left to go back to, and the answer was broken off. An engine with full memory pauses streams for longer than 1.5 s and is sound. The class: giving up what works before its replacement is certain.

Five tests of tests/slow_streams.rs fail before: where the other engine turns the stream away, where the key was withdrawn, where no retry is left, where the engine goes on during the handover, and where the engine stays silent.

Change: the stream is sent to the other upstream while the first connection stays open, which is closed once the other one has answered, or has had the request for 300 ms without turning it away. Until then the stream stays. Two upstreams may work on a stream for 400 ms by the users' rule. Silence alone ends no stream any more.

Two checks change. `silent_engine_is_disconnected_before_...` asked for the first connection to be closed 100 ms after the request had reached the other engine; it now asks for the rule's 400 ms, and is named `..._soon_after_...`. `silent_stream_ends_after_the_time_that_callers_wait` demanded that a silent stream is ended after 4 s; the rule says "A server's silence is no reason to end an answer sooner". It is replaced by two: the stream lasts until its time is over (8 to 9 s of 8 s), and ends within 0.5 s of its caller's leaving.

--- a/crates/entry/src/serve/attempt.rs
+++ b/crates/entry/src/serve/attempt.rs
@@ -159,13 +159,15 @@
     }
 }
 
-/// Sends the request and waits for the response head, for at most `limit`.
+/// Sends the request and waits for the response head, for at most `limit`. `progress` shows how far it
+/// has come meanwhile.
 pub(super) async fn send<P>(
     cx: &Rc<EntryContext<P>>,
     request: &AdmittedRequest,
     picked: &PickedUpstream,
     (last_event, trial): (Option<u64>, Option<Trial<P>>),
     limit: Duration,
+    progress: &Rc<CallProgress>,
 ) -> AttemptResult<P>
 where
     P: Platform,
@@ -185,7 +187,6 @@
         SendKind::Repeat
     };
     cx.record_sent(&picked.upstream, kind);
-    let progress = CallProgress::new();
     let sent_at = cx.clock.since_boot();
     let connection = request.record_send(picked.upstream.addr);
     let call = build_call(cx, request, &picked.upstream, last_event, connection);
@@ -194,7 +195,7 @@
     } else {
         BoxBody::new(request.body.clone())
     };
-    let failure = match timeout(limit, cx.upstreams.send(call, body, &progress)).await {
+    let failure = match timeout(limit, cx.upstreams.send(call, body, progress)).await {
         Ok(Ok(answer)) => {
             let notice = cx.platform.headers().notice(answer.status, &answer.headers);
             cx.record_notice(&picked.upstream, notice, (kind, sent_at));
--- a/crates/entry/src/serve/pick.rs
+++ b/crates/entry/src/serve/pick.rs
@@ -285,17 +285,20 @@
     Err(Refusal::not_run(reason, RETRY_AFTER))
 }
 
-/// Whether an upstream can run the request now.
-pub(super) fn can_choose<P>(
+/// The best upstream that can run the request now, if there is one and its key is still valid.
+pub(super) fn pick_now<P>(
     cx: &EntryContext<P>,
     request: &AdmittedRequest,
     avoided: &AvoidedUpstreams,
-) -> bool
+) -> Option<PickedUpstream>
 where
     P: Platform,
 {
-    let choice = choose(cx, request, avoided, None, cx.now());
-    matches!(choice, Choice::Upstream(_))
+    check_key_is_valid(cx, request).ok()?;
+    match choose(cx, request, avoided, None, cx.now()) {
+        Choice::Upstream(picked) => Some(picked),
+        _ => None,
+    }
 }
 
 fn choose<P>(
--- a/crates/entry/src/serve/relay.rs
+++ b/crates/entry/src/serve/relay.rs
@@ -2,7 +2,9 @@
 //!
 //! Any answer but a successful stream is buffered completely, so that a truncated one is detected
 //! before the caller gets any of it. Streams are relayed as they arrive; a resumable stream
-//! continues at another upstream when the first one fails.
+//! continues at another upstream when the first one fails or stalls.
+
+mod continuation;
 
 use std::{
     cell::Cell,
@@ -10,41 +12,26 @@
     time::{Duration, Instant},
 };
 
-use actix_http::{Method, Response, ResponseBuilder, StatusCode, body::BoxBody, header};
+use actix_http::{Method, Response, ResponseBuilder, body::BoxBody, header};
 use bytes::Bytes;
 use comfreyweir_clock::whole_millis;
-use comfreyweir_fleet::{health::Outcome, upstream::Upstream};
+use comfreyweir_fleet::health::Outcome;
 use comfreyweir_http::{
     body::{BodyPiece, PiecedBody, RelayedBody, declared_length},
     event_stream::EventSplitter,
     headers::end_to_end,
     upstream::{AnswerBody, CallError, UpstreamAnswer},
 };
-use snafu::Snafu;
 use tokio::{sync::mpsc, time::timeout};
 
-use super::{
-    Refusal,
-    admitted::AdmittedRequest,
-    attempt::{self, AttemptResult, SentRequest},
-    pick::{self, AvoidedUpstreams},
-    retry::take_retry,
-    trial,
-};
+use self::continuation::Continuation;
+use super::{Refusal, admitted::AdmittedRequest, attempt::SentRequest};
 use crate::{platform::Platform, state::EntryContext, work_times::Work};
 
 /// Maximum size of a buffered answer, in bytes.
 const MAX_BUFFERED_BYTES: usize = 8 << 20;
 /// Chunks of a stream that are buffered for a slow caller.
 const CHANNEL_CAPACITY: usize = 16;
-/// Time without an event, after the first chunk, after which a resumable stream continues at another
-/// upstream if one can take it. If none can, the upstream may be slow but sound, and the stream is kept
-/// for as long as its caller waits.
-const STALL_TIMEOUT: Duration = Duration::from_millis(1_500);
-/// Pause until it is checked again whether another upstream can take a stalled stream.
-const STALL_RECHECK: Duration = Duration::from_millis(250);
-/// Time for which a stream is not resumed at an upstream that failed it.
-const AVOID_AFTER_FAILURE: Duration = Duration::from_secs(10);
 
 /// Reads the whole answer and builds the response from it.
 pub(super) async fn respond_buffered<P>(
@@ -148,6 +135,8 @@
         possible_runs,
         chunk_times: ChunkTimes::default(),
         last_event_at: cx.now(),
+        next_handover_at: cx.now(),
+        declined_by: None,
     };
     let cx = Rc::clone(cx);
     actix_rt::spawn(async move {
@@ -193,6 +182,10 @@
     chunk_times: ChunkTimes,
     /// When the upstream last brought an event, or the stream began there.
     last_event_at: Instant,
+    /// When the stream may be handed over again after another upstream did not take it.
+    next_handover_at: Instant,
+    /// The upstream that did not take the stream, and until when it is not asked again.
+    declined_by: Option<(String, Instant)>,
 }
 
 /// Arrival times of a stream's chunks.
@@ -226,43 +219,16 @@
 }
 
 /// Why relaying from one upstream ended.
-enum StreamEnd {
+enum StreamEnd<P>
+where
+    P: Platform,
+{
     Complete,
     CallerLeft,
     OutOfTime,
     Failed(CallError),
-}
-
-/// Why a stream was not resumed at another upstream.
-#[derive(Debug)]
-#[derive(Snafu)]
-enum NotResumed {
-    #[snafu(display("it cannot be resumed"))]
-    NotResumable,
-    #[snafu(display("its caller has left"))]
-    CallerLeft,
-    #[snafu(display("it may have run on as many upstreams as its route allows"))]
-    NoRunLeft,
-    #[snafu(display("the retry budget is spent"))]
-    NoRetryLeft,
-    #[snafu(display("{}", refusal.reason))]
-    NoUpstream { refusal: Refusal },
-    #[snafu(display("{}", refusal.reason))]
-    Quarantined { refusal: Refusal },
-}
-
-impl NotResumed {
-    /// Name for metrics and logs.
-    fn name(&self) -> &'static str {
-        match self {
-            Self::NotResumable => "not_resumable",
-            Self::CallerLeft => "caller_left",
-            Self::NoRunLeft => "no_run_left",
-            Self::NoRetryLeft => "no_retry_left",
-            Self::NoUpstream { .. } => "no_upstream",
-            Self::Quarantined { .. } => "quarantined",
-        }
-    }
+    /// It stalls, and another upstream has begun to continue it.
+    HandedOver(Continuation<P>),
 }
 
 impl<P> StreamRelay<P>
@@ -277,13 +243,16 @@
                 StreamEnd::CallerLeft => "caller_left",
                 StreamEnd::OutOfTime => "out_of_time",
                 StreamEnd::Failed(_) => "broken",
+                StreamEnd::HandedOver(_) => "handed_over",
             };
             match end {
                 StreamEnd::Complete => self.sent.record_complete(&self.request.route.name),
                 StreamEnd::Failed(CallError::Incomplete { .. }) => {
                     self.sent.record_broken(&self.request).await;
                 }
-                StreamEnd::Failed(_) | StreamEnd::OutOfTime => self.sent.note_outcome(Outcome::Bad),
+                StreamEnd::Failed(_) | StreamEnd::OutOfTime | StreamEnd::HandedOver(_) => {
+                    self.sent.note_outcome(Outcome::Bad);
+                }
                 StreamEnd::CallerLeft => {}
             }
             if self.chunk_times.first.is_some() {
@@ -303,10 +272,15 @@
                     let _ = self.tx.send(BodyPiece::End).await;
                     return;
                 }
+                StreamEnd::HandedOver(continuation) => {
+                    let (from, stall) = (Rc::clone(&self.sent.upstream), self.stall_error());
+                    self.take_over(continuation);
+                    self.log_continuation(&from, &stall, &Ok(()));
+                }
                 StreamEnd::Failed(e) => {
                     let from = Rc::clone(&self.sent.upstream);
                     let resumed = self.resume().await;
-                    self.log_resumption(&from, &e, &resumed);
+                    self.log_continuation(&from, &e, &resumed);
                     if resumed.is_ok() {
                         continue;
                     }
@@ -356,7 +330,7 @@
     }
 
     /// Relays chunks until the stream completes, fails or times out, or the caller disconnects.
-    async fn relay_until_end(&mut self) -> StreamEnd {
+    async fn relay_until_end(&mut self) -> StreamEnd<P> {
         loop {
             let left = self.request.time_left(self.cx.now());
             if left.is_zero() {
@@ -382,7 +356,10 @@
                 {
                     return StreamEnd::OutOfTime;
                 }
-                Err(CallError::Stalled { .. }) if self.keeps_stalled() => continue,
+                Err(CallError::Stalled { .. }) => match self.hand_over().await {
+                    Some(end) => return end,
+                    None => continue,
+                },
                 Err(e) => return StreamEnd::Failed(e),
             };
             if self.chunk_times.record_chunk(self.cx.now()) {
@@ -406,17 +383,14 @@
             if events.is_some_and(EventSplitter::is_continuation_broken) {
                 return self.not_continued("its first event does not follow the last one");
             }
-            if !bytes.is_empty() {
-                self.last_event_at = self.cx.now();
-                self.record_origin();
-            } else if self.has_stalled() && !self.keeps_stalled() {
-                let addr = self.sent.upstream.addr;
-                let after = self.time_without_event();
-                return StreamEnd::Failed(CallError::Stalled { addr, after });
-            }
             if bytes.is_empty() {
-                continue;
+                match self.hand_over().await {
+                    Some(end) => return end,
+                    None => continue,
+                }
             }
+            self.last_event_at = self.cx.now();
+            self.record_origin();
             if let Some(caller) = &self.request.caller {
                 let is_queue_empty =
                     || self.tx.capacity() == CHANNEL_CAPACITY || self.tx.is_closed();
@@ -434,59 +408,13 @@
         events.is_some_and(EventSplitter::awaits_continuation)
     }
 
-    fn not_continued(&self, reason: &str) -> StreamEnd {
+    fn not_continued(&self, reason: &str) -> StreamEnd<P> {
         StreamEnd::Failed(CallError::NotContinued {
             addr: self.sent.upstream.addr,
             reason: reason.to_owned(),
         })
     }
 
-    fn time_without_event(&self) -> Duration {
-        self.cx.now().saturating_duration_since(self.last_event_at)
-    }
-
-    /// Whether a resumable stream has brought no event for so long that it should go on elsewhere.
-    fn has_stalled(&self) -> bool {
-        self.events.is_some()
-            && self.chunk_times.first.is_some()
-            && self.time_without_event() >= STALL_TIMEOUT
-    }
-
-    /// Time without data after which a stall is to be considered.
-    fn time_to_stall_check(&self) -> Duration {
-        if self.events.is_none() || self.chunk_times.first.is_none() {
-            return Duration::MAX;
-        }
-        let left = STALL_TIMEOUT.saturating_sub(self.time_without_event());
-        left.max(STALL_RECHECK)
-    }
-
-    /// Whether a stalled stream stays at its upstream: no other one can take it, and its caller still
-    /// waits.
-    fn keeps_stalled(&self) -> bool {
-        let waited = self.time_without_event();
-        if waited < STALL_TIMEOUT {
-            return true;
-        }
-        if waited >= self.request.route.stream_idle_timeout {
-            return false;
-        }
-        let may_run_again = self.possible_runs < self.request.route.max_upstreams;
-        !may_run_again || !pick::can_choose(&self.cx, &self.request, &self.avoided())
-    }
-
-    /// The upstreams that cannot continue the stream.
-    fn avoided(&self) -> AvoidedUpstreams {
-        let mut avoided = AvoidedUpstreams::default();
-        avoided.avoid_until(&self.sent.upstream.id, self.cx.now() + AVOID_AFTER_FAILURE);
-        if self.has_passed_events {
-            avoided.require_software(&self.sent.upstream.software);
-        } else if let Some(software) = attempt::bound_software(&self.cx, &self.request) {
-            avoided.require_software(&software);
-        }
-        avoided
-    }
-
     /// Records which software version began the stream, before the caller gets its first event.
     fn record_origin(&mut self) {
         if self.has_passed_events || !self.request.route.is_resumable {
@@ -498,107 +426,6 @@
         let mut origins = self.cx.origins.borrow_mut();
         origins.record(stream, &self.request.service, software, self.cx.now());
     }
-
-    /// Resumes a broken stream at another upstream, after the last complete event that was relayed.
-    async fn resume(&mut self) -> Result<(), NotResumed> {
-        let Some(events) = &mut self.events else {
-            return Err(NotResumed::NotResumable);
-        };
-        events.begin_continuation();
-        // Close the connection first: only one engine at a time may work on a request.
-        self.body = None;
-        let last_event = events.last_id();
-        // Without an identifier, no upstream can be told where to go on.
-        if self.has_passed_events && last_event.is_none() {
-            return Err(NotResumed::NotResumable);
-        }
-        let mut avoided = self.avoided();
-        let mut trial = None;
-        let mut has_retry = false;
-        while self.possible_runs < self.request.route.max_upstreams {
-            if let Some(software) = attempt::bound_software(&self.cx, &self.request) {
-                avoided.require_software(&software);
-            }
-            let picked = tokio::select! {
-                picked = pick::pick(&self.cx, &self.request, &avoided) => picked,
-                () = self.tx.closed() => return Err(NotResumed::CallerLeft),
-                () = caller_closed(&self.request) => return Err(NotResumed::CallerLeft),
-            };
-            let picked = picked.map_err(|refusal| NotResumed::NoUpstream { refusal })?;
-            let may_send = tokio::select! {
-                may = trial::may_send(&self.cx, &self.request, &mut trial, self.cx.now()) => may,
-                () = self.tx.closed() => return Err(NotResumed::CallerLeft),
-                () = caller_closed(&self.request) => return Err(NotResumed::CallerLeft),
-            };
-            match may_send {
-                Ok(true) => {}
-                Ok(false) => continue,
-                Err(refusal) => return Err(NotResumed::Quarantined { refusal }),
-            }
-            if !has_retry && !take_retry(&self.cx, &self.request) {
-                return Err(NotResumed::NoRetryLeft);
-            }
-            has_retry = false;
-            let time_left = self.request.time_left(self.cx.now());
-            let attempt = tokio::select! {
-                attempt = attempt::send(
-                    &self.cx,
-                    &self.request,
-                    &picked,
-                    (last_event, trial.take()),
-                    time_left,
-                ) => attempt,
-                () = self.tx.closed() => return Err(NotResumed::CallerLeft),
-                () = caller_closed(&self.request) => return Err(NotResumed::CallerLeft),
-            };
-            if let AttemptResult::NotPermitted(unused) = attempt {
-                (trial, has_retry) = (unused, true);
-                continue;
-            }
-            avoided.avoid_until(&picked.upstream.id, self.cx.now() + AVOID_AFTER_FAILURE);
-            match attempt {
-                AttemptResult::Answered(mut answer, sent) if may_continue(&answer) => {
-                    answer.body.expect_events();
-                    self.sent = sent;
-                    self.body = Some(answer.body);
-                    self.last_event_at = self.cx.now();
-                    self.possible_runs += 1;
-                    return Ok(());
-                }
-                AttemptResult::NotSent(_)
-                | AttemptResult::NotRun(_)
-                | AttemptResult::NotPermitted(_) => {}
-                AttemptResult::Answered(..)
-                | AttemptResult::Failed(_)
-                | AttemptResult::TimedOut => self.possible_runs += 1,
-            }
-        }
-        Err(NotResumed::NoRunLeft)
-    }
-
-    /// Logs and counts whether the stream goes on after `from` failed it with `error`.
-    fn log_resumption(&self, from: &Upstream, error: &CallError, resumed: &Result<(), NotResumed>) {
-        let (outcome, reason) = match resumed {
-            Ok(()) => ("resumed", String::new()),
-            Err(e) => (e.name(), e.to_string()),
-        };
-        let now = self.cx.now();
-        self.cx.metrics.count_continuation(outcome);
-        if !self.cx.request_log_limiter.try_acquire(now) {
-            return;
-        }
-        let (error, upstream) = (error.to_string(), &self.sent.upstream.id);
-        spdlog::info!("stream failed at an upstream", kv: {
-            request_id = self.request.id.as_str(), from = from.id.as_str(), error = error.as_str(),
-            outcome, reason = reason.as_str(), upstream = upstream.as_str(),
-            silent_ms = whole_millis(self.time_without_event()), possible_runs = self.possible_runs
-        });
-    }
-}
-
-/// Whether an answer may continue a stream: nothing else is joined to it, also not with a success.
-fn may_continue(answer: &UpstreamAnswer) -> bool {
-    answer.status == StatusCode::OK && answer.body.may_be_events()
 }
 
 /// Completes when the caller has closed its sending direction, or its connection has failed; never if
--- a/crates/entry/src/serve/retry.rs
+++ b/crates/entry/src/serve/retry.rs
@@ -4,7 +4,7 @@
 
 use actix_http::{Response, StatusCode, body::BoxBody};
 use comfreyweir_fleet::{config::RouteKind, health::Outcome};
-use comfreyweir_http::upstream::UpstreamAnswer;
+use comfreyweir_http::upstream::{CallProgress, UpstreamAnswer};
 
 use super::{
     Refusal,
@@ -75,7 +75,9 @@
         let id = picked.upstream.id.clone();
         let timeout = head_timeout(cx, request, &state);
         let last_event = request.declared.last_event;
-        match attempt::send(cx, request, &picked, (last_event, trial.take()), timeout).await {
+        let progress = CallProgress::new();
+        let attempt = (last_event, trial.take());
+        match attempt::send(cx, request, &picked, attempt, timeout, &progress).await {
             AttemptResult::Answered(answer, sent) => {
                 let response = relay_answer(cx, request, &mut state, answer, sent).await?;
                 if let Some(res) = response {
--- a/crates/entry/src/serve/trial.rs
+++ b/crates/entry/src/serve/trial.rs
@@ -99,6 +99,17 @@
     Refusal::not_run(reason, retry_after.max(MIN_RETRY_AFTER))
 }
 
+/// Whether a request may be sent without a trial.
+pub(super) fn is_unneeded<P>(cx: &EntryContext<P>, request: &AdmittedRequest, now: Instant) -> bool
+where
+    P: Platform,
+{
+    let has_ended_upstream = request.has_ended_upstream.get();
+    let evidence = cx.quarantine.evidence();
+    let check = evidence.check(&request.parts, has_ended_upstream, now);
+    matches!(check, PartCheck::Free)
+}
+
 /// Whether a request may be sent now to an upstream chosen at `chosen_at`. If its parts are suspect, it
 /// waits for a trial first; after a long wait another upstream is to be chosen.
 pub(super) async fn may_send<P>(
