Wait for a silent upstream's answer where no other one can give it

What callers saw: 502 "nothing could serve the request in time" or 504, while the only upstream that could answer was at work and would have answered in time.

A request that may run again was taken from an upstream that had sent no head for 0.4 of its time, or three times its goal, before it was known whether another one could take it and whether the retry budget allowed it.

Change: after that time the upstream is given up only if another one can take the request, it needs no trial and a retry is left; this is checked again every 100 ms. The limit of the whole request stays.

--- a/crates/entry/src/serve/attempt.rs
+++ b/crates/entry/src/serve/attempt.rs
@@ -2,6 +2,7 @@
 
 use std::{
     net::SocketAddr,
+    pin::pin,
     rc::Rc,
     time::{Duration, Instant},
 };
@@ -29,6 +30,9 @@
     zones,
 };
 
+/// Pause until it is checked again whether a request can leave an upstream that does not answer.
+const LEAVE_RECHECK: Duration = Duration::from_millis(100);
+
 /// The result of one attempt.
 pub(super) enum AttemptResult<P>
 where
@@ -159,18 +163,64 @@
     }
 }
 
-/// Sends the request and waits for the response head, for at most `limit`. `progress` shows how far it
-/// has come meanwhile.
-pub(super) async fn send<P>(
+/// How long an attempt waits for the response head.
+pub(super) struct HeadWait<F> {
+    /// Time after which the upstream is given up if the request can go elsewhere.
+    pub(super) patience: Duration,
+    /// Time after which it is given up anyway.
+    pub(super) limit: Duration,
+    /// Whether the request can go elsewhere now.
+    pub(super) can_leave: F,
+}
+
+impl HeadWait<fn() -> bool> {
+    /// Waits for at most `limit`.
+    pub(super) fn until(limit: Duration) -> Self {
+        Self {
+            patience: limit,
+            limit,
+            can_leave: || true,
+        }
+    }
+}
+
+impl<F> HeadWait<F>
+where
+    F: Fn() -> bool,
+{
+    /// Waits for `call`; `None` if the upstream is given up.
+    async fn wait<C>(&self, call: C) -> Option<C::Output>
+    where
+        C: Future,
+    {
+        let mut call = pin!(call);
+        let (mut waited, mut next) = (Duration::ZERO, self.patience.min(self.limit));
+        loop {
+            if let Ok(output) = timeout(next, &mut call).await {
+                return Some(output);
+            }
+            waited += next;
+            let left = self.limit.saturating_sub(waited);
+            if left.is_zero() || (self.can_leave)() {
+                return None;
+            }
+            next = LEAVE_RECHECK.min(left);
+        }
+    }
+}
+
+/// Sends the request and waits for the response head. `progress` shows how far it has come meanwhile.
+pub(super) async fn send<P, F>(
     cx: &Rc<EntryContext<P>>,
     request: &AdmittedRequest,
     picked: &PickedUpstream,
     (last_event, trial): (Option<u64>, Option<Trial<P>>),
-    limit: Duration,
+    head_wait: HeadWait<F>,
     progress: &Rc<CallProgress>,
 ) -> AttemptResult<P>
 where
     P: Platform,
+    F: Fn() -> bool,
 {
     if !zones::may_send(cx, request, &picked.upstream) || !cx.take_permit(&picked.upstream) {
         return AttemptResult::NotPermitted(trial);
@@ -195,8 +245,9 @@
     } else {
         BoxBody::new(request.body.clone())
     };
-    let failure = match timeout(limit, cx.upstreams.send(call, body, progress)).await {
-        Ok(Ok(answer)) => {
+    let answer = head_wait.wait(cx.upstreams.send(call, body, progress));
+    let failure = match answer.await {
+        Some(Ok(answer)) => {
             let notice = cx.platform.headers().notice(answer.status, &answer.headers);
             cx.record_notice(&picked.upstream, notice, (kind, sent_at));
             match check_answer(cx, &answer) {
@@ -204,15 +255,15 @@
                 Err(failure) => failure,
             }
         }
-        Ok(Err(e)) if !progress.has_written_bytes() => {
+        Some(Err(e)) if !progress.has_written_bytes() => {
             if e.is_refused_connection() {
                 cx.record_refused_connection(&picked.upstream);
             }
             AttemptResult::NotSent(e.to_string())
         }
-        Ok(Err(e)) => AttemptResult::Failed(e.to_string()),
-        Err(_) if progress.has_written_bytes() => AttemptResult::TimedOut,
-        Err(_) => AttemptResult::NotSent("no connection within the time left".to_owned()),
+        Some(Err(e)) => AttemptResult::Failed(e.to_string()),
+        None if progress.has_written_bytes() => AttemptResult::TimedOut,
+        None => AttemptResult::NotSent("no connection within the time left".to_owned()),
     };
     match &failure {
         AttemptResult::NotSent(_) => sent.note_outcome(Outcome::Unreachable),
--- a/crates/entry/src/serve/pick.rs
+++ b/crates/entry/src/serve/pick.rs
@@ -56,7 +56,7 @@
 }
 
 /// Upstreams that one request is not sent to.
-#[derive(Default)]
+#[derive(Clone, Default)]
 pub(super) struct AvoidedUpstreams {
     /// Those that it is temporarily not sent to, with the time when that ends.
     until: HashMap<String, Instant>,
--- a/crates/entry/src/serve/relay/continuation.rs
+++ b/crates/entry/src/serve/relay/continuation.rs
@@ -21,7 +21,7 @@
     platform::Platform,
     serve::{
         Refusal,
-        attempt::{self, AttemptResult, SentRequest},
+        attempt::{self, AttemptResult, HeadWait, SentRequest},
         pick::{self, AvoidedUpstreams, PickedUpstream},
         retry::take_retry,
         trial,
@@ -112,7 +112,8 @@
         let progress = CallProgress::new();
         let left = request.time_left(cx.now());
         let position = (last_event, None);
-        let attempt = attempt::send(&cx, &request, &picked, position, left, &progress);
+        let wait = HeadWait::until(left);
+        let attempt = attempt::send(&cx, &request, &picked, position, wait, &progress);
         let mut attempt = pin!(attempt);
         let early = tokio::select! {
             attempt = timeout(MAX_OVERLAP, &mut attempt) => attempt,
@@ -259,7 +260,7 @@
                     &self.request,
                     &picked,
                     (last_event, trial.take()),
-                    time_left,
+                    HeadWait::until(time_left),
                     &progress,
                 ) => attempt,
                 () = self.tx.closed() => return Err(NotContinued::CallerLeft),
--- a/crates/entry/src/serve/retry.rs
+++ b/crates/entry/src/serve/retry.rs
@@ -9,7 +9,7 @@
 use super::{
     Refusal,
     admitted::AdmittedRequest,
-    attempt::{self, AttemptResult, SentRequest},
+    attempt::{self, AttemptResult, HeadWait, SentRequest},
     pick::{self, AvoidedUpstreams},
     relay, resumption, room, trial,
 };
@@ -73,11 +73,10 @@
             Err(refusal) => return Err(state.include_earlier_runs(refusal)),
         }
         let id = picked.upstream.id.clone();
-        let timeout = head_timeout(cx, request, &state);
-        let last_event = request.declared.last_event;
+        let wait = head_wait(cx, request, &state, &id);
         let progress = CallProgress::new();
-        let attempt = (last_event, trial.take());
-        match attempt::send(cx, request, &picked, attempt, timeout, &progress).await {
+        let attempt = (request.declared.last_event, trial.take());
+        match attempt::send(cx, request, &picked, attempt, wait, &progress).await {
             AttemptResult::Answered(answer, sent) => {
                 let response = relay_answer(cx, request, &mut state, answer, sent).await?;
                 if let Some(res) = response {
@@ -149,23 +148,42 @@
     }
 }
 
-/// Time limit for the response head. Retryable requests get less than the time left, so that
-/// another upstream can still be tried.
-fn head_timeout<P>(cx: &EntryContext<P>, request: &AdmittedRequest, state: &RetryState) -> Duration
+/// How long to wait for the response head of `upstream`. It may be sound, and slow for a moment, so a
+/// request that may be sent again is sent elsewhere early only if another upstream can take it.
+fn head_wait<P>(
+    cx: &Rc<EntryContext<P>>,
+    request: &Rc<AdmittedRequest>,
+    state: &RetryState,
+    upstream: &str,
+) -> HeadWait<impl Fn() -> bool + use<P>>
 where
     P: Platform,
 {
     let now = cx.now();
-    let left = request.time_left(now).min(cx.time_to_answer(now));
-    let is_last = state.possible_runs + 1 >= request.route.max_upstreams;
-    if !request.is_retryable() || is_last {
-        return left;
-    }
+    let limit = request.time_left(now).min(cx.time_to_answer(now));
+    let may_run_again = state.possible_runs + 1 < request.route.max_upstreams;
     let silence_limit = request
         .route
         .first_byte_goal
         .mul_f64(HEAD_TIMEOUT_GOAL_FACTOR);
-    left.min(silence_limit.max(left.mul_f64(HEAD_TIMEOUT_FRACTION)))
+    let patience = if request.is_retryable() && may_run_again {
+        silence_limit.max(limit.mul_f64(HEAD_TIMEOUT_FRACTION))
+    } else {
+        limit
+    };
+    let mut avoided = state.avoided.clone();
+    avoided.avoid_until(upstream, request.deadline);
+    let (cx, request) = (Rc::clone(cx), Rc::clone(request));
+    let can_leave = move || {
+        has_retry(&cx, &request)
+            && trial::is_unneeded(&cx, &request, cx.now())
+            && pick::pick_now(&cx, &request, &avoided).is_some()
+    };
+    HeadWait {
+        patience,
+        limit,
+        can_leave,
+    }
 }
 
 /// Takes a retry from the retry budget of the request's service; false if the budget is exhausted.
@@ -178,6 +196,15 @@
     budget.take_retry(&request.service, instances, cx.now())
 }
 
+fn has_retry<P>(cx: &EntryContext<P>, request: &AdmittedRequest) -> bool
+where
+    P: Platform,
+{
+    let instances = cx.instance_count();
+    let mut budget = cx.retry_budget.borrow_mut();
+    budget.has_retry(&request.service, instances, cx.now())
+}
+
 /// Relays an answer to the caller. Returns `None` if the request is to be sent again.
 async fn relay_answer<P>(
     cx: &Rc<EntryContext<P>>,
--- a/crates/entry/tests/slow_streams.rs
+++ b/crates/entry/tests/slow_streams.rs
@@ -166,7 +166,8 @@
         interval: Duration::from_millis(1_650),
     };
     let first = FakeUpstream::start("u1", &[goes_on]).await;
-    let second = FakeUpstream::start("u2", &[ScriptStep::NotRunAfter(HANDOVER_TIME)]).await;
+    let turns_away = ScriptStep::After(HANDOVER_TIME, Box::new(ScriptStep::NotRun(503)));
+    let second = FakeUpstream::start("u2", &[turns_away]).await;
     let shared = shared_with_engines(&[&first]);
     let instance = start(&shared, "i1").await;
     let addr = instance.entry.addr();
--- a/crates/entry/tests/support/upstream.rs
+++ b/crates/entry/tests/support/upstream.rs
@@ -24,12 +24,12 @@
     Unframed { body: &'static str, reset: bool },
     /// Answers with this status and the header that says that the request did not run.
     NotRun(u16),
-    /// Like `NotRun` with 503, after a time.
-    NotRunAfter(Duration),
     /// Closes the connection after it has read the request.
     Close,
     /// Never answers.
     Silent,
+    /// Takes the step after a time.
+    After(Duration, Box<ScriptStep>),
     /// Answers with the id of another request.
     WrongRequestId,
     /// Like `Answer` with 200, and writes `extra`, an answer that belongs to no request, `after` its
@@ -192,6 +192,10 @@
         )
     };
     match step {
+        ScriptStep::After(time, step) => {
+            sleep(time).await;
+            Box::pin(run_step(io, (id, lines), request, *step)).await
+        }
         ScriptStep::Answer(status, body) => {
             let rest = format!(
                 "x-own: kept\r\ncontent-type: text/plain\r\ncontent-length: {}\r\n",
@@ -207,10 +211,6 @@
         }
         ScriptStep::Unframed { body, reset } => write_raw(io, &(head(200, "") + body), reset).await,
         ScriptStep::NotRun(status) => write_not_run(io, &request_id, status).await,
-        ScriptStep::NotRunAfter(after) => {
-            sleep(after).await;
-            write_not_run(io, &request_id, 503).await
-        }
         ScriptStep::AnswerThenExtra { .. } | ScriptStep::ExtraThenAnswer { .. } => {
             let own = head(200, "content-length: 6\r\n") + "served";
             answer_with_extra(io, &request_id, &own, step).await
--- a/crates/fleet/src/retry_budget.rs
+++ b/crates/fleet/src/retry_budget.rs
@@ -61,6 +61,15 @@
     /// Takes a retry from the share of this instance, one of `instances`. Returns false, and takes
     /// nothing, if the share is used up.
     pub fn take_retry(&mut self, service: &str, instances: usize, now: Instant) -> bool {
+        let has_retry = self.has_retry(service, instances, now);
+        if has_retry {
+            self.service_counts(service).retries.push_back(now);
+        }
+        has_retry
+    }
+
+    /// Whether a retry is left in the share of this instance, one of `instances`.
+    pub fn has_retry(&mut self, service: &str, instances: usize, now: Instant) -> bool {
         let BudgetLimits {
             ratio,
             extra,
@@ -73,11 +82,7 @@
         let (requests, retries) = (counts.requests.len() as f64, counts.retries.len() as f64);
         #[allow(clippy::cast_precision_loss)]
         let share = extra / instances.max(1) as f64;
-        if retries + 1.0 > USABLE_FRACTION * (ratio * requests + share) {
-            return false;
-        }
-        counts.retries.push_back(now);
-        true
+        retries + 1.0 <= USABLE_FRACTION * (ratio * requests + share)
     }
 
     fn service_counts(&mut self, service: &str) -> &mut ServiceCounts {
