Log and show how old the configuration is

What was missing: of a request that went by an older configuration, the logs did not tell whether a read had stayed unanswered or an answer had counted for too long.

A confirmation that comes later than the time limit is logged and counted. The status page has both ages. What an instance knows of the configuration leaves state.rs for a module of its own; no logic is changed.

--- a/crates/entry/src/admin.rs
+++ b/crates/entry/src/admin.rs
@@ -107,6 +107,8 @@
         "process": cx.process,
         "unready": unready_reason(cx),
         "configuration": cx.config().version,
+        "configuration_age_ms": cx.config_age(now).map(whole_millis),
+        "newer_configuration_heard_ms": cx.newer_config_age(now).map(whole_millis),
         "upstreams": directory.iter().count(),
         "upstreams_missing": directory.missing_count(),
         "upstreams_age_ms": directory.age(now).map(whole_millis),
--- a/crates/entry/src/follow/config.rs
+++ b/crates/entry/src/follow/config.rs
@@ -112,6 +112,6 @@
             && cx.newer_config_age(cx.now()).is_none()
     };
     while !cx.is_holder() && is_fresh() {
-        let _ = timeout(POLL_INTERVAL, cx.newer_config_heard.notified()).await;
+        let _ = timeout(POLL_INTERVAL, cx.known_config.newer_heard.notified()).await;
     }
 }
--- a/crates/entry/src/follow/mod.rs
+++ b/crates/entry/src/follow/mod.rs
@@ -5,6 +5,7 @@
 pub(crate) mod directory;
 pub(crate) mod era;
 mod ignored_log;
+pub(crate) mod known_config;
 pub(crate) mod members;
 pub(crate) mod origins;
 pub(crate) mod outage_log;
--- a/crates/entry/src/metrics.rs
+++ b/crates/entry/src/metrics.rs
@@ -100,6 +100,7 @@
     evictions: Family<CauseLabel, Counter>,
     store_copies: Counter,
     path_outages: Counter,
+    outdated_configs: Counter,
     views: Counter,
     view_bytes: Counter,
     grant_answers: Counter,
@@ -130,6 +131,7 @@
             evictions: Family::default(),
             store_copies: Counter::default(),
             path_outages: Counter::default(),
+            outdated_configs: Counter::default(),
             views: Counter::default(),
             view_bytes: Counter::default(),
             grant_answers: Counter::default(),
@@ -230,6 +232,11 @@
             "Outages of the path to the store while other instances reached it",
             self.path_outages.clone(),
         );
+        registry.register(
+            "comfreyweir_configuration_outdated",
+            "Times that the configuration was not confirmed to be the newest within its time limit",
+            self.outdated_configs.clone(),
+        );
         registry.register(
             "comfreyweir_log_lines_dropped",
             "Log lines dropped since the start because the log was not read in time",
@@ -355,6 +362,11 @@
         self.path_outages.inc();
     }
 
+    /// Counts a configuration that was not confirmed within its time limit.
+    pub(crate) fn count_outdated_config(&self) {
+        self.outdated_configs.inc();
+    }
+
     /// Counts a view that was sent to another instance.
     pub(crate) fn count_view(&self, bytes: usize) {
         self.views.inc();
--- a/crates/entry/src/state.rs
+++ b/crates/entry/src/state.rs
@@ -13,7 +13,6 @@
 use comfreyweir_config::entry_settings::EntrySettings;
 use comfreyweir_fleet::{
     closures::Closures,
-    config::Config,
     directory::{Changes, Directory, StoredUpstream},
     freshness::Freshness,
     health::Health,
@@ -39,6 +38,7 @@
 use tokio::sync::Notify;
 
 use crate::{
+    follow::known_config::KnownConfig,
     log_limiter::RequestLogLimiter,
     metrics::Metrics,
     platform::{Platform, UpstreamNotice},
@@ -66,8 +66,6 @@
 const HOLDER_ANSWER_MARGIN: Duration = Duration::from_millis(300);
 /// Age at which the placement received from the holder is no longer used.
 const PLACEMENT_MAX_AGE: Duration = Duration::from_millis(2_500);
-/// Maximum number of logged mistakes of one configuration.
-const MAX_LOGGED_MISTAKES: usize = 10;
 
 /// State of one entry instance.
 pub(crate) struct EntryContext<P> {
@@ -78,8 +76,7 @@
     pub(crate) started_at: Instant,
     /// Name of this process: the instance's name and a random number drawn at start.
     pub(crate) process: String,
-    config: RefCell<Rc<Config>>,
-    config_value: RefCell<Bytes>,
+    pub(crate) known_config: KnownConfig,
     pub(crate) directory: RefCell<Directory>,
     /// Software versions in the list of upstreams.
     pub(crate) software: RefCell<SoftwareVersions>,
@@ -141,10 +138,6 @@
     pub(crate) zones: ZoneState,
     pub(crate) work_times: WorkTimes,
     pub(crate) request_log_limiter: RequestLogLimiter,
-    /// Version and age of the configuration in force.
-    config_freshness: Cell<Freshness<u64>>,
-    /// Notified when a newer configuration was heard of.
-    pub(crate) newer_config_heard: Notify,
     /// Number of instances according to the holder's last answer; 0 before the first one.
     pub(crate) instances_reported: Cell<usize>,
     /// When the store was last seen to have come back from a copy, in time since boot.
@@ -386,8 +379,7 @@
             clock,
             started_at: clock.now(),
             process,
-            config: RefCell::default(),
-            config_value: RefCell::default(),
+            known_config: KnownConfig::default(),
             directory: RefCell::default(),
             software: RefCell::default(),
             origins: RefCell::default(),
@@ -425,8 +417,6 @@
             zones: ZoneState::new(settings.instance.regions()),
             work_times: WorkTimes::default(),
             request_log_limiter: RequestLogLimiter::default(),
-            config_freshness: Cell::default(),
-            newer_config_heard: Notify::new(),
             instances_reported: Cell::default(),
             store_copied_at: Cell::default(),
             shutdown_deadline: Cell::default(),
@@ -465,85 +455,6 @@
         self.clock.now()
     }
 
-    /// The configuration in force. Its version is 0 until one is known.
-    pub(crate) fn config(&self) -> Rc<Config> {
-        Rc::clone(&self.config.borrow())
-    }
-
-    /// The configuration in force as the operator wrote it.
-    pub(crate) fn config_value(&self) -> Bytes {
-        self.config_value.borrow().clone()
-    }
-
-    /// Applies a configuration if it can be decoded and is newer than the one in force.
-    pub(crate) fn apply_config(&self, value: &Bytes, source: &str) {
-        if *value == *self.config_value.borrow() {
-            return;
-        }
-        let (config, mistakes) = match self.platform.decode_config(value) {
-            Ok(decoded) => decoded,
-            Err(e) => {
-                let reason = e.to_string();
-                spdlog::error!("configuration cannot be decoded; keeping the previous one", kv: {
-                    source, reason = reason.as_str()
-                });
-                return;
-            }
-        };
-        let before = self.config.borrow().version;
-        let version = config.version;
-        if version <= before {
-            return;
-        }
-        self.update_config_freshness(|config| config.take(version, None));
-        for mistake in mistakes.iter().take(MAX_LOGGED_MISTAKES) {
-            let reason = mistake.to_string();
-            spdlog::error!("invalid part of the configuration is ignored", kv: {
-                version, reason = reason.as_str()
-            });
-        }
-        *self.config.borrow_mut() = Rc::new(config);
-        *self.config_value.borrow_mut() = value.clone();
-        spdlog::info!("configuration in force", kv: {
-            version, before, source, mistakes = mistakes.len()
-        });
-        self.record_cold_list();
-        self.state_changed.notify_waiters();
-    }
-
-    /// Records which configuration the holder has, and that it was the newest one at `at`.
-    pub(crate) fn hear_of_config(&self, version: u64, at: Option<Instant>) {
-        let now = self.now();
-        if self.update_config_freshness(|config| config.hear_of(version, at, now)) {
-            self.newer_config_heard.notify_one();
-        }
-    }
-
-    /// Time since a configuration was heard of that is newer than the one in force; none if there
-    /// is none.
-    pub(crate) fn newer_config_age(&self, now: Instant) -> Option<Duration> {
-        self.config_freshness.get().newer_age(now)
-    }
-
-    /// Records that the configuration in force was the newest one at `at`. `None`, the result of a
-    /// subtraction that [`Instant`] cannot represent, has no effect.
-    pub(crate) fn confirm_config(&self, at: Option<Instant>) {
-        self.update_config_freshness(|config| config.confirm(at));
-    }
-
-    fn update_config_freshness<R>(&self, update: impl FnOnce(&mut Freshness<u64>) -> R) -> R {
-        let mut freshness = self.config_freshness.get();
-        let result = update(&mut freshness);
-        self.config_freshness.set(freshness);
-        result
-    }
-
-    /// Time since the configuration in force was last confirmed to be the newest; none if it never
-    /// was.
-    pub(crate) fn config_age(&self, now: Instant) -> Option<Duration> {
-        self.config_freshness.get().age(now)
-    }
-
     /// Whether the holder of the planning duty answered recently. The limit is shorter than that of
     /// the placement's age, so that an instance finds another holder, or becomes it, while it can
     /// still use the placement.
