Tests that fail: older configurations during a series of changes

The proxy of the stand-ins can let its open connections go silent; the in-memory platform publishes series of changes, and leaves reads unanswered or delays them.

--- a/crates/entry/tests/support/platform.rs
+++ b/crates/entry/tests/support/platform.rs
@@ -59,6 +59,13 @@
     pub store_is_down: Cell<bool>,
     /// Names of the instances whose calls the store refuses.
     pub rejected: RefCell<BTreeSet<String>>,
+    /// How many of the next reads and watches get no answer, by the name of the instance and the key or
+    /// prefix.
+    pub unanswered: RefCell<BTreeMap<(String, String), usize>>,
+    /// Time that the answers to reads and watches take.
+    pub answer_time: Cell<Duration>,
+    /// Versions of the configuration that cannot be decoded.
+    pub undecodable: RefCell<BTreeSet<u64>>,
     /// While set, reads of evacuations fail.
     pub hides_evacuations: Cell<bool>,
     /// Reads of the batches of origins so far.
@@ -177,6 +184,20 @@
         self.write("op/config", Bytes::from(version.to_string()), 0);
     }
 
+    /// Publishes one version of the configuration after the other, with a pause after each, and calls
+    /// `accepted` as soon as the store holds it.
+    pub async fn publish_series<F>(&self, configs: Vec<Config>, pause: Duration, accepted: F)
+    where
+        F: Fn(u64),
+    {
+        for config in configs {
+            let version = config.version;
+            self.publish_config(config);
+            accepted(version);
+            sleep(pause).await;
+        }
+    }
+
     pub fn add_upstream(&self, upstream: Upstream) {
         let key = format!("servers/{}", upstream.id);
         self.upstreams
@@ -278,6 +299,26 @@
         Ok(())
     }
 
+    /// Waits as long as the answer to a read or watch takes; fails at the limit of the call if there is
+    /// none.
+    async fn answer_arrives(&self, key: &str, limit: Duration) -> Result<(), PlatformError> {
+        let is_answered = {
+            let mut unanswered = self.shared.unanswered.borrow_mut();
+            let left = unanswered.get_mut(&(self.name.clone(), key.to_owned()));
+            left.is_none_or(|left| std::mem::replace(left, left.saturating_sub(1)) == 0)
+        };
+        let time = self.shared.answer_time.get();
+        if is_answered && time < limit {
+            sleep(time).await;
+            return Ok(());
+        }
+        sleep(limit).await;
+        Err(PlatformError::NoAnswer {
+            addr: store_addr(),
+            reason: "no answer".to_owned(),
+        })
+    }
+
     fn is_live(&self, lease: LeaseId) -> bool {
         lease.era == self.store_era()
             && self.shared.live_leases.borrow().contains_key(&lease.number)
@@ -320,6 +361,12 @@
 
     fn decode_config(&self, value: &[u8]) -> Result<(Config, Vec<DecodeError>), DecodeError> {
         let version: u64 = std::str::from_utf8(value).unwrap().parse().unwrap();
+        if self.shared.undecodable.borrow().contains(&version) {
+            return Err(DecodeError {
+                what: "configuration".to_owned(),
+                reason: format!("version {version}"),
+            });
+        }
         Ok((self.shared.configs.borrow()[&version].clone(), Vec::new()))
     }
 
@@ -347,7 +394,11 @@
         }
     }
 
-    async fn get(&self, key: &str, _: Duration) -> Result<Option<(StoreItem, u64)>, PlatformError> {
+    async fn get(
+        &self,
+        key: &str,
+        limit: Duration,
+    ) -> Result<Option<(StoreItem, u64)>, PlatformError> {
         self.check_store()?;
         let item = self
             .shared
@@ -355,14 +406,16 @@
             .borrow()
             .get(key)
             .map(|(item, _)| item.clone());
-        Ok(item.map(|item| (item, self.shared.revision.get())))
+        let revision = self.shared.revision.get();
+        self.answer_arrives(key, limit).await?;
+        Ok(item.map(|item| (item, revision)))
     }
 
     async fn range(
         &self,
         prefix: &str,
         after: Option<&str>,
-        _: Duration,
+        limit: Duration,
     ) -> Result<(StoreItems, bool), PlatformError> {
         self.check_store()?;
         if prefix == self.keys().origins_prefix {
@@ -379,6 +432,7 @@
         let mut all = self.shared.items_after(prefix, 0);
         all.items
             .retain(|item| after.is_none_or(|after| item.key.as_str() > after));
+        self.answer_arrives(prefix, limit).await?;
         let Some((page_size, time)) = self.shared.paging.get() else {
             return Ok((all, false));
         };
@@ -397,7 +451,7 @@
         prefix: &str,
         after: u64,
         wait: Duration,
-        _: Duration,
+        limit: Duration,
     ) -> Result<WatchOutcome, PlatformError> {
         if after >> 40 != self.shared.era.get() {
             return Ok(WatchOutcome::HistoryGone);
@@ -416,14 +470,18 @@
                 }
             }
         };
-        match timeout(wait, watched).await {
-            Ok(watched) => watched,
-            Err(_) => Ok(WatchOutcome::Changes(StoreItems {
+        let began_at = Instant::now();
+        let outcome = match timeout(wait, watched).await {
+            Ok(watched) => watched?,
+            Err(_) => WatchOutcome::Changes(StoreItems {
                 items: Vec::new(),
                 removed: Vec::new(),
                 revision: self.shared.revision.get(),
-            })),
-        }
+            }),
+        };
+        let left = limit.saturating_sub(began_at.elapsed());
+        self.answer_arrives(prefix, left).await?;
+        Ok(outcome)
     }
 
     async fn commit(&self, tx: &Transaction, _: Duration) -> Result<CommitOutcome, PlatformError> {
--- a/crates/fleet/tests/freshness.rs
+++ b/crates/fleet/tests/freshness.rs
@@ -463,3 +463,29 @@
     known.take(5, None);
     assert_eq!(known.newer_age(at(600)), None);
 }
+
+/// Guards against an instance that hears of one newer version after the other, and for which each one
+/// counts as the first: it then never asks the holder for one.
+#[test]
+fn time_without_the_newest_version_goes_on_while_newer_ones_follow() {
+    let begin = Instant::now();
+    let at = |ms| begin + Duration::from_millis(ms);
+    let mut config = Freshness::default();
+    config.take(1, Some(begin));
+    for n in 0..10 {
+        config.hear_of(2 + n, None, at(100 + n * 150));
+    }
+    assert_eq!(
+        config.newer_age(at(1_600)),
+        Some(Duration::from_millis(1_500))
+    );
+    // The version that is taken is not the newest one: the time begins again.
+    config.take(5, Some(at(1_600)));
+    let age = config.newer_age(at(1_700));
+    assert!(
+        age <= Some(Duration::from_millis(100)) && age.is_some(),
+        "{age:?}"
+    );
+    config.take(11, Some(at(1_800)));
+    assert_eq!(config.newer_age(at(1_900)), None);
+}
--- a/crates/standins/src/proxy.rs
+++ b/crates/standins/src/proxy.rs
@@ -122,6 +122,8 @@
 #[derive(Clone)]
 struct Shared {
     faults: Rc<watch::Sender<Faults>>,
+    /// Number of times that the open connections were silenced.
+    silenced: Rc<watch::Sender<u64>>,
     counts: Rc<RefCell<Counts>>,
 }
 
@@ -138,6 +140,7 @@
     let addr = listener.local_addr().context(BindSnafu { addr })?;
     let shared = Shared {
         faults: Rc::new(watch::Sender::new(settings.faults)),
+        silenced: Rc::default(),
         counts: Rc::default(),
     };
     let accept = actix_rt::spawn(accept_all(listener, settings.upstream, shared.clone()));
@@ -176,6 +179,11 @@
         self.shared.faults.send_replace(faults);
     }
 
+    /// Lets the connections that are open now carry no more bytes, without a reset. New ones work.
+    pub fn silence_open(&self) {
+        self.shared.silenced.send_modify(|count| *count += 1);
+    }
+
     /// Closes all connections and refuses new ones, as a process that has ended.
     pub fn refuse(&self) {
         if let Some(accept) = self.accept.borrow_mut().take() {
@@ -234,9 +242,14 @@
     let (upstream_rx, upstream_tx) = upstream.into_split();
     let to_upstream = forward_direction(caller_rx, upstream_tx, Direction::ToUpstream, &shared);
     let to_caller = forward_direction(upstream_rx, caller_tx, Direction::ToCaller, &shared);
+    let mut silenced = shared.silenced.subscribe();
+    let forwarding = async { tokio::try_join!(to_upstream, to_caller) };
+    tokio::pin!(forwarding);
     tokio::select! {
         () = wait_for_cut(&shared) => {}
-        _ = async { tokio::try_join!(to_upstream, to_caller) } => {}
+        _ = &mut forwarding => {}
+        // The forwarding task keeps the connections open, and is not polled any more.
+        _ = silenced.changed() => wait_for_cut(&shared).await,
     }
     shared.counts.borrow_mut().open -= 1;
 }
