Send the configuration to instances that the store turns away during a series

What callers saw: 404 for a route that was added 9 s before, from an instance that the store turned away while it exchanged reports with the holder several times a second.

Cause: an instance asks the holder for the configuration once a newer one has been heard of for 500 ms. Each version that was newer still began this time anew, so that with changes 150 ms apart it never ended.

Change: the time counts from when a version newer than the one in force was first heard of. It begins anew only when another version is put in force.

--- a/crates/entry/src/follow/known_config.rs
+++ b/crates/entry/src/follow/known_config.rs
@@ -75,7 +75,7 @@
         let age_ms = self.config_age(now).map_or(-1, signed_millis);
         let heard_ms = self.newer_config_age(now).map_or(-1, signed_millis);
         self.known_config
-            .update_freshness(|config| config.take(version, None));
+            .update_freshness(|config| config.take(version, None, now));
         for mistake in mistakes.iter().take(MAX_LOGGED_MISTAKES) {
             let reason = mistake.to_string();
             spdlog::error!("invalid part of the configuration is ignored", kv: {
--- a/crates/entry/src/state.rs
+++ b/crates/entry/src/state.rs
@@ -269,7 +269,7 @@
             .freshness
             .accepts_after(fence_and_version, PLACEMENT_MAX_AGE, now);
         if accepts {
-            self.freshness.take(fence_and_version, Some(now));
+            self.freshness.take(fence_and_version, Some(now), now);
         }
         accepts
     }
--- a/crates/fleet/src/directory.rs
+++ b/crates/fleet/src/directory.rs
@@ -162,7 +162,7 @@
         let listed_at = self.missing_since.or(self.freshness.confirmed_at());
         let may_have_lapsed = self.may_have_lapsed(listed_at.unwrap_or(now), now);
         if self.is_copy(copy) && (may_have_lapsed || self.missing.is_empty()) {
-            self.freshness.take(revision, Some(now));
+            self.freshness.take(revision, Some(now), now);
             return Changes::default();
         }
         self.copied = Some(copy.version());
@@ -230,7 +230,7 @@
         let mut changes = Changes::default();
         let (listed_revision, listed_at) =
             (self.freshness.version(), self.freshness.confirmed_at());
-        self.freshness.take(revision, Some(now));
+        self.freshness.take(revision, Some(now), now);
         let mut old = std::mem::take(&mut self.entries);
         let missing_before = std::mem::take(&mut self.missing);
         let missing_since = self.missing_since.take().or(listed_at);
--- a/crates/fleet/src/freshness.rs
+++ b/crates/fleet/src/freshness.rs
@@ -12,7 +12,7 @@
 pub struct Freshness<V> {
     version: V,
     confirmed_at: Option<Instant>,
-    /// A newer version that was heard of, and when it was.
+    /// The newest version that was heard of, and since when one newer than the known data has been.
     newer: Option<(V, Instant)>,
 }
 
@@ -35,11 +35,15 @@
         self.accepts(version) || !self.is_younger(max_age, now)
     }
 
-    /// Records that data of a version is known from now on, and that it was the newest at `at`; `None`
+    /// Records that data of a version is known from `now` on, and that it was the newest at `at`; `None`
     /// if that is not known.
-    pub fn take(&mut self, version: V, at: Option<Instant>) {
+    pub fn take(&mut self, version: V, at: Option<Instant>, now: Instant) {
         self.version = version;
         self.confirm(at);
+        self.newer = self.newer.filter(|(newer, _)| *newer > version);
+        if let Some((_, since)) = &mut self.newer {
+            *since = now;
+        }
     }
 
     /// Records that the known data was the newest at `at`. `None` has no effect, and neither has a time
@@ -57,15 +61,17 @@
         }
         let is_news = self.newer.is_none_or(|(newer, _)| newer < version);
         if is_news {
-            self.newer = Some((version, now));
+            let since = self.newer.map_or(now, |(_, since)| since);
+            self.newer = Some((version, since));
         }
         is_news
     }
 
     /// Time since a version was heard of that is newer than the known data; none if there is none.
+    /// Further versions that are heard of do not begin it anew.
     pub fn newer_age(&self, now: Instant) -> Option<Duration> {
-        let (version, at) = self.newer?;
-        (version > self.version).then(|| now.saturating_duration_since(at))
+        let (_, since) = self.newer?;
+        Some(now.saturating_duration_since(since))
     }
 
     /// When the known data was last confirmed to be the newest; none if it never was.
--- a/crates/fleet/tests/freshness.rs
+++ b/crates/fleet/tests/freshness.rs
@@ -438,7 +438,7 @@
     let max_age = Duration::from_millis(2_500);
     let mut known = Freshness::<(u64, u64)>::default();
     assert!(known.accepts((1, 0)) && known.age(start).is_none());
-    known.take((7, 3), Some(at(1_000)));
+    known.take((7, 3), Some(at(1_000)), at(1_000));
     assert!(known.accepts((7, 3)) && known.accepts((8, 0)));
     assert!(!known.accepts((6, 9)) && !known.accepts_after((6, 9), max_age, at(3_400)));
     assert!(known.accepts_after((6, 9), max_age, at(3_500)));
@@ -453,14 +453,14 @@
     let start = Instant::now();
     let at = |ms| start + Duration::from_millis(ms);
     let mut known = Freshness::<u64>::default();
-    known.take(4, Some(start));
+    known.take(4, Some(start), start);
     assert!(!known.hear_of(3, Some(at(100)), at(200)));
     assert_eq!(known.confirmed_at(), Some(at(100)));
     assert!(known.hear_of(5, Some(at(300)), at(300)));
     assert!(!known.hear_of(5, Some(at(400)), at(400)));
     assert_eq!(known.confirmed_at(), Some(at(100)));
     assert_eq!(known.newer_age(at(500)), Some(Duration::from_millis(200)));
-    known.take(5, None);
+    known.take(5, None, start);
     assert_eq!(known.newer_age(at(600)), None);
 }
 
@@ -471,7 +471,7 @@
     let begin = Instant::now();
     let at = |ms| begin + Duration::from_millis(ms);
     let mut config = Freshness::default();
-    config.take(1, Some(begin));
+    config.take(1, Some(begin), begin);
     for n in 0..10 {
         config.hear_of(2 + n, None, at(100 + n * 150));
     }
@@ -480,12 +480,12 @@
         Some(Duration::from_millis(1_500))
     );
     // The version that is taken is not the newest one: the time begins again.
-    config.take(5, Some(at(1_600)));
+    config.take(5, Some(at(1_600)), at(1_600));
     let age = config.newer_age(at(1_700));
     assert!(
         age <= Some(Duration::from_millis(100)) && age.is_some(),
         "{age:?}"
     );
-    config.take(11, Some(at(1_800)));
+    config.take(11, Some(at(1_800)), at(1_800));
     assert_eq!(config.newer_age(at(1_900)), None);
 }
