Refuse unknown routes and keys with 503 while the configuration may be outdated

What callers saw: 404 and 401, which they do not repeat, by a configuration of any age, for as long as an instance could not learn of a newer one.

Cause: a refusal by the configuration did not ask how old that is.

Evidence: unknown_route_and_key_are_not_refused_for_good_by_an_old_configuration fails before with 404.

Change: such a refusal is 503 with Retry-After if the configuration was not the newest within config_ms. What the configuration allows is served as before.

Result: the test passes.

--- a/crates/entry/src/follow/known_config.rs
+++ b/crates/entry/src/follow/known_config.rs
@@ -128,6 +128,13 @@
         }
     }
 
+    /// Whether the configuration in force was the newest within the time in which a newer one must be in
+    /// force.
+    pub(crate) fn is_config_in_time(&self, now: Instant) -> bool {
+        let limit = self.settings().timing.max_config_delay();
+        self.known_config.freshness.get().is_younger(limit, now)
+    }
+
     /// Time since the configuration in force was last confirmed to be the newest; none if it never
     /// was.
     pub(crate) fn config_age(&self, now: Instant) -> Option<Duration> {
--- a/crates/entry/src/serve/admit.rs
+++ b/crates/entry/src/serve/admit.rs
@@ -50,8 +50,8 @@
         let reason = "this instance does not know its configuration yet";
         return Err(Refusal::not_run(reason, CONFIG_RETRY_AFTER));
     }
-    let route = find_route(&config, req)?;
-    let workspace = authenticate(&config, &route, &declared)?;
+    let route = find_route(&config, req).map_err(|e| soften_outdated(cx, e))?;
+    let workspace = authenticate(&config, &route, &declared).map_err(|e| soften_outdated(cx, e))?;
     let id = declared.id.clone().ok_or_else(|| {
         Refusal::client_error(StatusCode::BAD_REQUEST, "the request has no identifier")
     })?;
@@ -104,6 +104,19 @@
     })
 }
 
+/// Replaces a refusal by the configuration if that may no longer be the newest: callers do not repeat a
+/// request whose route or key does not exist, although a newer version may have it.
+fn soften_outdated<P>(cx: &EntryContext<P>, refusal: Refusal) -> Refusal
+where
+    P: Platform,
+{
+    if cx.is_config_in_time(cx.now()) {
+        return refusal;
+    }
+    let reason = "this instance cannot tell whether its configuration is still the newest";
+    Refusal::not_run(reason, CONFIG_RETRY_AFTER)
+}
+
 fn find_route(config: &Config, req: &Request) -> Result<Rc<Route>, Refusal> {
     let host = req.headers().get(header::HOST);
     let host = host.and_then(|h| h.to_str().ok()).unwrap_or_default();
