Time plan for configurations: leave time for a second call to the store

What callers saw: 404 for routes that were added, and answers on routes that were removed, for longer than config_ms after the store had accepted the change.

Cause: the parts of the time in which a configuration reaches an instance added up to more than the bound as soon as one of them failed. Without news from the holder an instance queried the store at an age of 1.3 s of 2 s; one call that got no answer took 0.8 to 1 s, and a pause of 250 ms followed. The same holds for the holder's watch, for the list of upstreams (1 s, then 1.25 s for a call without an answer, of 2 s) and for evacuations. Besides, an answer to a watch confirmed the configuration as of 400 ms before it was read, however long it had been on its way.

Change: a read that has no answer after a tenth of the bound is made again beside it, on a new connection, twice at most; the first answer counts. The time of a failed call counts as part of the pause after it. A change confirms as of the call's start, an answer without changes as of the end of the time that the store waits for one.

--- a/crates/entry/src/follow/directory.rs
+++ b/crates/entry/src/follow/directory.rs
@@ -10,7 +10,7 @@
 use actix_rt::time::sleep;
 use comfreyweir_fleet::{directory::StoredUpstream, upstream::Upstream};
 
-use super::{RETRY_PAUSE, ignored_log::IgnoredLog, outage_log::OutageLog, read_pages};
+use super::{RETRY_PAUSE, ReadLimits, ignored_log::IgnoredLog, outage_log::OutageLog, read_pages};
 use crate::{
     platform::{Platform, PlatformError, StoreItem},
     state::EntryContext,
@@ -43,10 +43,12 @@
             sleep(POLL_INTERVAL.min(max_age)).await;
             continue;
         }
+        let called_at = cx.now();
         if let Err(e) = read_upstreams(&cx, &mut decoded).await {
             cx.record_store_failure(&e);
             outage_log.record_failure(&e, cx.now());
-            sleep(RETRY_PAUSE).await;
+            let spent = cx.now().saturating_duration_since(called_at);
+            sleep(RETRY_PAUSE.saturating_sub(spent)).await;
             continue;
         }
         outage_log.record_success(cx.now());
@@ -79,12 +81,15 @@
     P: Platform,
 {
     let prefix = cx.platform.keys().upstreams_prefix;
-    let limit = cx.settings().timing.store_call_timeout();
+    let limits = ReadLimits {
+        call: cx.settings().timing.store_call_timeout(),
+        bound: Some(cx.settings().timing.max_drain_delay()),
+    };
     let called_at = cx.now();
     let era = cx.platform.store_era();
     let mut entries = HashMap::new();
     let mut list = Vec::new();
-    let revision = read_pages(cx, prefix, limit, |items| {
+    let revision = read_pages(cx, prefix, limits, |items| {
         let page = decoded.decode_page(cx, prefix, items, &mut entries);
         // The whole of a long list takes longer to arrive than upstreams that leave can wait.
         cx.note_draining(&page);
--- a/crates/entry/src/follow/members.rs
+++ b/crates/entry/src/follow/members.rs
@@ -12,7 +12,7 @@
 use comfreyweir_fleet::stream_origins::SoftwareRecord;
 use comfreyweir_peer::PeerSecret;
 
-use super::{RETRY_PAUSE, ignored_log::log_ignored, outage_log::OutageLog, read_all};
+use super::{RETRY_PAUSE, ReadLimits, ignored_log::log_ignored, outage_log::OutageLog, read_all};
 use crate::{
     platform::{CommitOutcome, Platform, PlatformError, StoreItem, StoreItems, Transaction},
     state::{EntryContext, Holder, Members},
@@ -121,7 +121,11 @@
 {
     let own_prefix = cx.platform.keys().own_prefix;
     let limit = cx.settings().timing.store_call_timeout();
-    let mut items = read_all(cx, own_prefix, limit).await?;
+    let limits = ReadLimits {
+        call: limit,
+        bound: Some(ENTRY_TTL),
+    };
+    let mut items = read_all(cx, own_prefix, limits).await?;
     outage_log.record_success(cx.now());
     if !items
         .items
@@ -129,7 +133,7 @@
         .any(|item| item.key == format!("{own_prefix}{SECRET_KEY}"))
     {
         create_secret(cx, own_prefix, limit).await?;
-        items = read_all(cx, own_prefix, limit).await?;
+        items = read_all(cx, own_prefix, limits).await?;
     }
     let mut after = items.revision;
     replace_members(cx, own_prefix, &items);
--- a/crates/entry/src/follow/mod.rs
+++ b/crates/entry/src/follow/mod.rs
@@ -9,15 +9,19 @@
 pub(crate) mod members;
 pub(crate) mod origins;
 pub(crate) mod outage_log;
+mod repeated_read;
 pub(crate) mod software;
 mod store_contact;
 pub(crate) mod zones;
 
-use std::{rc::Rc, time::Duration};
+use std::{
+    rc::Rc,
+    time::{Duration, Instant},
+};
 
 use actix_rt::time::sleep;
 
-use self::outage_log::OutageLog;
+use self::{outage_log::OutageLog, repeated_read::read_repeatedly};
 use crate::{
     platform::{Platform, PlatformError, StoreItem, StoreItems, WatchOutcome},
     state::EntryContext,
@@ -72,18 +76,39 @@
     }
 }
 
+/// Until when an answer to a watch without changes confirms what is known. The store answers no sooner
+/// than after `wait`, unless it cuts the call short; the answer may have been on its way since, or have
+/// waited for a process that stood still.
+fn watch_confirms_at(called_at: Instant, wait: Duration, now: Instant) -> Instant {
+    if now >= called_at + wait {
+        called_at + wait
+    } else {
+        called_at
+    }
+}
+
+/// Time limits of a read of many items.
+#[derive(Clone, Copy)]
+struct ReadLimits {
+    /// Timeout of each call.
+    call: Duration,
+    /// Time within which what is read must be in force, if there is one: a call that has no answer is
+    /// repeated accordingly.
+    bound: Option<Duration>,
+}
+
 /// Reads all items with a prefix. The result has the revision of the first page; later pages may be
 /// newer.
 async fn read_all<P>(
     cx: &Rc<EntryContext<P>>,
     prefix: &str,
-    limit: Duration,
+    limits: ReadLimits,
 ) -> Result<StoreItems, PlatformError>
 where
     P: Platform,
 {
     let mut items = Vec::new();
-    let revision = read_pages(cx, prefix, limit, |page| items.extend(page)).await?;
+    let revision = read_pages(cx, prefix, limits, |page| items.extend(page)).await?;
     Ok(StoreItems {
         items,
         removed: Vec::new(),
@@ -96,21 +121,24 @@
 async fn read_pages<P, F>(
     cx: &Rc<EntryContext<P>>,
     prefix: &str,
-    limit: Duration,
+    limits: ReadLimits,
     mut take_page: F,
 ) -> Result<u64, PlatformError>
 where
     P: Platform,
     F: FnMut(Vec<StoreItem>),
 {
-    let (mut page, mut has_more) = cx.platform.range(prefix, None, limit).await?;
-    let revision = page.revision;
+    let mut last: Option<String> = None;
+    let mut revision = None;
     loop {
-        let last = page.items.last().map(|item| item.key.clone());
+        let after = last.as_deref();
+        let read = async || cx.platform.range(prefix, after, limits.call).await;
+        let (page, has_more) = read_repeatedly(cx, limits.bound, read).await?;
+        let revision = *revision.get_or_insert(page.revision);
+        last = page.items.last().map(|item| item.key.clone());
         take_page(page.items);
         if !has_more || last.is_none() {
             return Ok(revision);
         }
-        (page, has_more) = cx.platform.range(prefix, last.as_deref(), limit).await?;
     }
 }
--- a/crates/entry/src/follow/origins.rs
+++ b/crates/entry/src/follow/origins.rs
@@ -5,7 +5,7 @@
 
 use comfreyweir_fleet::stream_origins::ReportedOrigins;
 
-use super::read_pages;
+use super::{ReadLimits, read_pages};
 use crate::{
     platform::{Platform, PlatformError, StoreItem},
     state::EntryContext,
@@ -17,9 +17,12 @@
     P: Platform,
 {
     let prefix = cx.platform.keys().origins_prefix;
-    let limit = cx.settings().timing.store_call_timeout();
+    let limits = ReadLimits {
+        call: cx.settings().timing.store_call_timeout(),
+        bound: None,
+    };
     let mut batches = Vec::new();
-    read_pages(cx, prefix, limit, |items| {
+    read_pages(cx, prefix, limits, |items| {
         batches.extend(items.iter().filter_map(decode));
     })
     .await?;
--- a/crates/entry/src/follow/zones.rs
+++ b/crates/entry/src/follow/zones.rs
@@ -9,7 +9,7 @@
 
 use actix_rt::time::sleep;
 
-use super::{RETRY_PAUSE, outage_log::OutageLog};
+use super::{RETRY_PAUSE, ReadLimits, outage_log::OutageLog, watch_confirms_at};
 use crate::{
     platform::{Platform, PlatformError, StoreItem},
     state::EntryContext,
@@ -24,9 +24,6 @@
 const WATCH_ANSWER_MARGIN: Duration = Duration::from_millis(400);
 /// Pause between two watch calls, so that a series of changes is fetched in batches.
 const WATCH_PAUSE: Duration = Duration::from_millis(100);
-/// Timeout of the first read, as a fraction of the time within which an evacuation must be in force,
-/// so that a lost answer leaves time for another read. The next reads may take the whole time of a call.
-const FIRST_READ_RATIO: f64 = 0.1;
 /// Pause between checks of the age of what is known.
 const POLL_INTERVAL: Duration = Duration::from_millis(50);
 /// Pause between checks of whether the settings have evacuations followed.
@@ -38,7 +35,6 @@
     P: Platform,
 {
     let mut outage_log = OutageLog::new("evacuations in the store");
-    let mut has_failed = false;
     loop {
         let Some(bound) = cx.settings().timing.max_evacuation_delay() else {
             sleep(SETTINGS_PAUSE).await;
@@ -48,9 +44,7 @@
             sleep(POLL_INTERVAL).await;
             continue;
         }
-        let result = follow(&cx, &mut outage_log, bound, has_failed).await;
-        has_failed = result.is_err();
-        if let Err(e) = result {
+        if let Err(e) = follow(&cx, &mut outage_log, bound).await {
             cx.record_store_failure(&e);
             outage_log.record_failure(&e, cx.now());
             sleep(RETRY_PAUSE).await;
@@ -64,20 +58,17 @@
     cx: &Rc<EntryContext<P>>,
     outage_log: &mut OutageLog,
     bound: Duration,
-    has_failed: bool,
 ) -> Result<(), PlatformError>
 where
     P: Platform,
 {
     let prefix = cx.platform.keys().evacuations_prefix;
-    let call_timeout = cx.settings().timing.store_call_timeout();
-    let limit = if has_failed {
-        call_timeout
-    } else {
-        call_timeout.min(bound.mul_f64(FIRST_READ_RATIO))
+    let limits = ReadLimits {
+        call: cx.settings().timing.store_call_timeout(),
+        bound: Some(bound),
     };
     let called_at = cx.now();
-    let read = super::read_all(cx, prefix, limit).await?;
+    let read = super::read_all(cx, prefix, limits).await?;
     outage_log.record_success(cx.now());
     let zone = |item: &StoreItem| zone_of(prefix, &item.key);
     let mut evacuated: BTreeSet<String> = read.items.iter().filter_map(zone).collect();
@@ -85,7 +76,8 @@
     zones::learn(cx, &evacuated, after, called_at);
     while cx.is_holder() {
         let called_at = cx.now();
-        let waits = (bound.mul_f64(WATCH_WAIT_RATIO), WATCH_ANSWER_MARGIN);
+        let wait = bound.mul_f64(WATCH_WAIT_RATIO);
+        let waits = (wait, WATCH_ANSWER_MARGIN);
         let watched = super::watch_changes(cx, outage_log, (prefix, after), waits).await?;
         let Some(changes) = watched else {
             return Ok(());
@@ -95,10 +87,12 @@
             evacuated.remove(&zone);
         }
         after = after.max(changes.revision);
-        // The answer may have been in transit for up to the answer margin, so it confirms the state
-        // only as of that long ago.
-        let answered_at = cx.now().checked_sub(WATCH_ANSWER_MARGIN);
-        let confirmed_at = answered_at.map_or(called_at, |at| at.max(called_at));
+        let is_unchanged = changes.items.is_empty() && changes.removed.is_empty();
+        let confirmed_at = if is_unchanged {
+            watch_confirms_at(called_at, wait, cx.now())
+        } else {
+            called_at
+        };
         zones::learn(cx, &evacuated, after, confirmed_at);
         sleep(WATCH_PAUSE).await;
     }
--- a/crates/entry/src/metrics.rs
+++ b/crates/entry/src/metrics.rs
@@ -101,6 +101,7 @@
     store_copies: Counter,
     path_outages: Counter,
     outdated_configs: Counter,
+    repeated_reads: Counter,
     views: Counter,
     view_bytes: Counter,
     grant_answers: Counter,
@@ -132,6 +133,7 @@
             store_copies: Counter::default(),
             path_outages: Counter::default(),
             outdated_configs: Counter::default(),
+            repeated_reads: Counter::default(),
             views: Counter::default(),
             view_bytes: Counter::default(),
             grant_answers: Counter::default(),
@@ -237,6 +239,11 @@
             "Times that the configuration was not confirmed to be the newest within its time limit",
             self.outdated_configs.clone(),
         );
+        registry.register(
+            "comfreyweir_store_reads_repeated",
+            "Reads of the store that were made again on a new connection since they had no answer",
+            self.repeated_reads.clone(),
+        );
         registry.register(
             "comfreyweir_log_lines_dropped",
             "Log lines dropped since the start because the log was not read in time",
@@ -367,6 +374,11 @@
         self.outdated_configs.inc();
     }
 
+    /// Counts a read of the store that is made again since it has no answer.
+    pub(crate) fn count_repeated_read(&self) {
+        self.repeated_reads.inc();
+    }
+
     /// Counts a view that was sent to another instance.
     pub(crate) fn count_view(&self, bytes: usize) {
         self.views.inc();
--- a/crates/entry/src/platform.rs
+++ b/crates/entry/src/platform.rs
@@ -333,6 +333,10 @@
     /// Waits until the latest era is not `known`, and returns it.
     async fn store_era_changed(&self, known: Option<u64>) -> Option<u64>;
 
+    /// Has calls to the store that begin from now on use new connections: open ones may have stopped
+    /// delivering data without an error. Calls in progress go on.
+    fn renew_connections(&self);
+
     /// Reads one item, with the revision of the store; none if the key does not exist.
     async fn get(
         &self,
--- a/crates/entry/tests/configurations.rs
+++ b/crates/entry/tests/configurations.rs
@@ -283,7 +283,11 @@
     let refused = send_request(addr, "/none/", "r1", "").await;
     assert_eq!(refused.status, 404);
     fleet.shared.store_is_down.set(true);
-    sleep(BOUND + Duration::from_millis(300)).await;
+    let instance = fleet.instances.take().remove("e0").unwrap();
+    wait_until("the configuration is old", async || {
+        status(&instance).await["configuration_age_ms"].as_u64() >= Some(2_000)
+    })
+    .await;
     let refused = send_request(addr, "/none/", "r2", "").await;
     assert_eq!(refused.status, 503);
     assert!(refused.header("retry-after").is_some());
@@ -329,3 +333,24 @@
         assert!(late <= Some(BOUND), "{calls}: {late:?}");
     }
 }
+
+/// Guards against an answer that is long on its way and confirms the configuration as of when it
+/// arrives: others would be told that an older one is the newest.
+#[actix_rt::test]
+async fn late_answer_confirms_the_configuration_only_as_of_its_call() {
+    const ANSWER_TIME: Duration = Duration::from_millis(700);
+    let fleet = Fleet::start(1).await;
+    fleet.shared.answer_time.set(ANSWER_TIME);
+    let changing = fleet.change_for(Duration::from_secs(5));
+    // Answers of before the delay have arrived by then.
+    sleep(Duration::from_secs(1)).await;
+    let instance = fleet.instances.take().remove("e0").unwrap();
+    let begin = Instant::now();
+    while begin.elapsed() < Duration::from_secs(3) {
+        let status = status(&instance).await;
+        let age = status["configuration_age_ms"].as_u64().unwrap();
+        assert!(u128::from(age) >= ANSWER_TIME.as_millis(), "{age} ms");
+        sleep(ROUND_PAUSE).await;
+    }
+    changing.await.unwrap();
+}
--- a/crates/entry/tests/support/platform.rs
+++ b/crates/entry/tests/support/platform.rs
@@ -394,6 +394,8 @@
         }
     }
 
+    fn renew_connections(&self) {}
+
     async fn get(
         &self,
         key: &str,
