Do not confirm the configuration by one that cannot be decoded

What callers saw: requests refused or served by an older configuration for as long as the newest one could not be decoded, by instances that counted the older one as confirmed and told others so.

Cause: a configuration that cannot be decoded is dropped and the one before it stays in force, but the read that brought it confirmed that one as the newest.

Evidence: configuration_is_not_confirmed_by_one_that_cannot_be_decoded fails before: the age is 586 ms instead of over 2 s, and an unknown route is refused with 404.

Change: the configuration in force is confirmed only if the newest one that was seen could be decoded. Until then each instance watches the store by itself, and refuses unknown routes and keys with 503 once the bound is over.

--- a/crates/entry/src/follow/config.rs
+++ b/crates/entry/src/follow/config.rs
@@ -17,6 +17,7 @@
 };
 
 use actix_rt::time::sleep;
+use bytes::Bytes;
 use tokio::time::timeout;
 
 use super::{
@@ -85,10 +86,21 @@
 }
 
 /// Progress in the store's history.
-#[derive(Default)]
 struct Follower {
     /// Revision from which on changes are watched; none if the configuration has to be read.
     after: Option<u64>,
+    /// Whether the newest configuration that was seen could be decoded. If not, the one in force is not
+    /// the newest, and is not confirmed.
+    is_decoded: bool,
+}
+
+impl Default for Follower {
+    fn default() -> Self {
+        Self {
+            after: None,
+            is_decoded: true,
+        }
+    }
 }
 
 impl Follower {
@@ -119,17 +131,19 @@
     {
         let bound = cx.settings().timing.max_config_delay();
         let mut wait = CHECK_WAIT;
-        if cx.is_holder() {
+        if cx.is_holder() || !self.is_decoded {
             wait = bound.mul_f64(WATCH_WAIT_RATIO);
         }
         let has_news = cx.newer_config_age(called_at).is_some() && !cx.is_holder();
         let seen = match self.after {
-            Some(after) if !has_news => watch_or_read(cx, (after, wait), bound).await?,
+            Some(after) if !has_news || !self.is_decoded => {
+                watch_or_read(cx, (after, wait), bound).await?
+            }
             _ => read(cx, bound).await?,
         };
         let (revision, confirmed_at) = match seen {
             Seen::Item(item, revision) => {
-                cx.apply_config(&item.value, "store");
+                self.take(cx, &item.value);
                 (revision, called_at)
             }
             Seen::NoChange(revision) => (revision, watch_confirms_at(called_at, wait, cx.now())),
@@ -144,9 +158,18 @@
             }
         };
         self.after = self.after.max(Some(revision));
-        cx.confirm_config(Some(confirmed_at));
+        if self.is_decoded {
+            cx.confirm_config(Some(confirmed_at));
+        }
         Ok(())
     }
+
+    fn take<P>(&mut self, cx: &EntryContext<P>, value: &Bytes)
+    where
+        P: Platform,
+    {
+        self.is_decoded = cx.apply_config(value, "store");
+    }
 }
 
 /// Age of the last confirmation at which an instance other than the holder queries the store. Reports to
--- a/crates/entry/src/follow/known_config.rs
+++ b/crates/entry/src/follow/known_config.rs
@@ -50,10 +50,11 @@
         self.known_config.value.borrow().clone()
     }
 
-    /// Applies a configuration if it can be decoded and is newer than the one in force.
-    pub(crate) fn apply_config(&self, value: &Bytes, source: &str) {
+    /// Applies a configuration if it can be decoded and is newer than the one in force. Returns whether
+    /// it could be decoded.
+    pub(crate) fn apply_config(&self, value: &Bytes, source: &str) -> bool {
         if *value == *self.known_config.value.borrow() {
-            return;
+            return true;
         }
         let (config, mistakes) = match self.platform.decode_config(value) {
             Ok(decoded) => decoded,
@@ -62,13 +63,13 @@
                 spdlog::error!("configuration cannot be decoded; keeping the previous one", kv: {
                     source, reason = reason.as_str()
                 });
-                return;
+                return false;
             }
         };
         let before = self.known_config.config.borrow().version;
         let version = config.version;
         if version <= before {
-            return;
+            return true;
         }
         let now = self.now();
         // -1 stands for a time that is not known.
@@ -89,6 +90,7 @@
         });
         self.record_cold_list();
         self.state_changed.notify_waiters();
+        true
     }
 
     /// Records which configuration the holder has, and that it was the newest one at `at`.
