Soak: series of configurations, judged by the version that answers go by

What was missing: the soak changed keys only and did not judge by which configuration an answer was given; stand-in connections could not go silent.

Change: versions follow each other every 150 ms; each adds a route and removes one, and requests to both show which version an instance goes by. A request that is sent later than the bound after the acceptance, by an instance in touch, must not be handled as only an older version allows; 5 s more for instances that the store turns away. The output names the longest time after which an older version was used. The plan 'configurations' adds late and lost answers of the store, instances that it turns away, connections that go silent in and before a series, and the loss of the holder.

--- a/crates/core/tests/soak.rs
+++ b/crates/core/tests/soak.rs
@@ -73,3 +73,20 @@
         .await;
     }
 }
+
+/// Seeds that failed: instances in touch went by an older configuration for 2.7 to 3.2 s. Connections to the
+/// store had gone silent, and one call after the other was made on another of them.
+#[actix_rt::test]
+async fn series_of_configurations_is_in_force_in_time_beside_outages() {
+    run_with(SoakSettings {
+        program: PathBuf::from(env!("CARGO_BIN_EXE_comfreyweir-entry")),
+        seed: 11,
+        instances: 4,
+        callers: 32,
+        fault_duration: Duration::from_secs(5),
+        plan: Plan::Configurations,
+        servers: ServerCounts::default(),
+        cpu_share: 1.0,
+    })
+    .await;
+}
--- a/crates/soak/src/cluster.rs
+++ b/crates/soak/src/cluster.rs
@@ -14,7 +14,7 @@
 use actix_http::StatusCode;
 use actix_rt::{task::JoinHandle, time::sleep};
 use comfreyweir_platform_standins::{
-    caller::{self, Call, Caller, Outcome, RequestKind, configuration},
+    caller::{self, Call, Caller, Outcome, RequestKind, configuration_with_changes},
     server::{Server, ServerRecord, ServerSpec, StreamFault},
     store::Store,
 };
@@ -48,6 +48,8 @@
     pub(crate) disturbances: RefCell<Vec<Instant>>,
     /// Times in which the store or the link to it was in trouble.
     pub(crate) store_troubles: RefCell<Vec<Range<Instant>>>,
+    /// Times in which the store turned this instance away.
+    pub(crate) turned_away: RefCell<Vec<Range<Instant>>>,
 }
 
 /// An address at which one server after the other runs. The address and the proxy stay when a fault
@@ -82,6 +84,10 @@
     pub(crate) software: Rc<Cell<u32>>,
     /// All callers' keys published so far, oldest first. Only the last one is valid.
     pub(crate) keys: RefCell<Vec<String>>,
+    /// Version of the configuration that was published last.
+    version: Cell<u64>,
+    /// Versions that changed routes, and when the store accepted each.
+    pub(crate) accepted: RefCell<Vec<(u64, Instant)>>,
     heartbeats: JoinHandle<()>,
     folder: RefCell<Option<TempDir>>,
     _block: LoopbackBlock,
@@ -141,6 +147,8 @@
             ledger,
             software,
             keys: RefCell::default(),
+            version: Cell::default(),
+            accepted: RefCell::default(),
             heartbeats: actix_rt::spawn(heartbeat_loop),
             folder: RefCell::new(Some(folder)),
             _block: block,
@@ -155,14 +163,23 @@
         let key = format!("key-{}", keys.len() + 1);
         keys.push(key);
         drop(keys);
+        self.version.set(self.version.get() + 1);
         self.write_config();
     }
 
+    /// Publishes a configuration that adds a route and removes one.
+    pub(crate) fn change_routes(&self) {
+        let version = self.version.get() + 1;
+        self.version.set(version);
+        self.write_config();
+        self.accepted.borrow_mut().push((version, Instant::now()));
+    }
+
     /// Writes the configuration that was published last.
     pub(crate) fn write_config(&self) {
         let keys = self.keys.borrow();
-        let version = u64::try_from(keys.len()).unwrap_or_default();
-        let config = configuration(version, &keys[keys.len() - 1..], ROUTE_TIME_LIMIT);
+        let (version, key) = (self.version.get(), &keys[keys.len() - 1..]);
+        let config = configuration_with_changes(version, key, ROUTE_TIME_LIMIT);
         self.store.put("op/config", &config);
     }
 
@@ -305,6 +322,15 @@
     }
 }
 
+impl Instance {
+    /// Whether the store turned this instance away at some time within `time` before `at`.
+    pub(crate) fn was_turned_away(&self, at: Instant, time: Duration) -> bool {
+        let turned_away = self.turned_away.borrow();
+        let mut spans = turned_away.iter();
+        spans.any(|t| (t.start..t.end + time).contains(&at))
+    }
+}
+
 impl ServerSlot {
     /// Starts a server under a new id at the slot's address.
     pub(crate) fn start_server(&self, ledger: &Rc<ServerRecord>) -> Result<(), SoakError> {
@@ -449,5 +475,6 @@
         is_halted: Cell::default(),
         disturbances: RefCell::new(vec![Instant::now()]),
         store_troubles: RefCell::default(),
+        turned_away: RefCell::default(),
     })
 }
--- a/crates/soak/src/faults.rs
+++ b/crates/soak/src/faults.rs
@@ -16,7 +16,10 @@
 use rustix::process::Signal;
 use tokio::task::JoinSet;
 
-use crate::cluster::{Instance, ServerSlot, SoakCluster};
+use crate::{
+    cluster::{Instance, ServerSlot, SoakCluster},
+    configurations,
+};
 
 /// How long a server that leaves goes on serving after it was told to drain.
 const DRAIN_TIME: Duration = Duration::from_millis(2_500);
@@ -89,6 +92,8 @@
 const KILL_OF_ALL_RATIO: f64 = 0.5;
 /// Number of the random stream that the servers with repeated refusals are drawn from.
 const REPEATED_REFUSALS_STREAM: u64 = 3;
+/// Number of the random stream that series of configurations are drawn from.
+const SERIES_STREAM: u64 = 6;
 /// Number of the random stream that the faults of [`draw_added_fault`] are drawn from.
 const ADDED_FAULTS_STREAM: u64 = 1;
 
@@ -109,7 +114,9 @@
     kills_rng.set_stream(KILLS_OF_ALL_STREAM);
     let mut limits_rng = rng.clone();
     limits_rng.set_stream(LIMITS_STREAM);
-    let (mut injected, added, limits, refusals, kills, fatal) = tokio::join!(
+    let mut series_rng = rng.clone();
+    series_rng.set_stream(SERIES_STREAM);
+    let (mut injected, added, limits, refusals, kills, fatal, series) = tokio::join!(
         inject_drawn(cluster, time, rng, draw_fault, 50..1_000),
         inject_drawn(cluster, time, &mut added_rng, draw_added_fault, 500..4_000),
         inject_drawn(cluster, time, &mut limits_rng, draw_limit, 3_000..9_000),
@@ -122,12 +129,34 @@
         ),
         inject_kill_of_all(cluster, time, &mut kills_rng),
         inject_fatal_parts(cluster, time, &mut fatal_rng),
+        inject_series(cluster, time, &mut series_rng),
     );
     injected.extend(added);
     injected.extend(limits);
     injected.extend(refusals);
     injected.extend(kills);
     injected.extend(fatal);
+    injected.extend(series);
+    injected
+}
+
+/// Publishes series of configurations, with pauses between them.
+async fn inject_series(
+    cluster: &Rc<SoakCluster>,
+    time: Duration,
+    rng: &mut ChaCha8Rng,
+) -> Vec<String> {
+    let start = Instant::now();
+    let mut injected = Vec::new();
+    while start.elapsed() < time {
+        sleep(Duration::from_millis(rng.random_range(200..4_000))).await;
+        let length = Duration::from_millis(rng.random_range(300..5_000));
+        let at = start.elapsed().as_secs_f64();
+        injected.push(format!(
+            "{at:.2} s: a series of configurations for {length:?}"
+        ));
+        configurations::change_for(cluster, length).await;
+    }
     injected
 }
 
--- a/crates/soak/src/lib.rs
+++ b/crates/soak/src/lib.rs
@@ -15,6 +15,7 @@
 mod callers;
 mod check;
 mod cluster;
+mod configurations;
 mod faults;
 mod processor;
 mod releases;
@@ -60,6 +61,8 @@
     /// The same planned work again and again beside outages: releases and servers that leave, while some
     /// instances lose the store and the holder of the planning duty is gone.
     Releases,
+    /// Series of configurations beside troubles of the store, of connections to it and of the holder.
+    Configurations,
 }
 
 /// Numbers of servers.
@@ -119,6 +122,10 @@
     pub fatal: (usize, usize),
     /// Longest time for which a server was leaving when a request reached it from an instance in touch.
     pub latest_after_leaving: Duration,
+    /// Number of answered requests that show which configuration an instance goes by.
+    pub probes: usize,
+    /// Longest time after which an instance in touch went by an older configuration.
+    pub latest_outdated: Duration,
     /// Injected faults, each with its start time and duration.
     pub faults: Vec<String>,
     /// Broken promises, one description each; empty if the soak passed.
@@ -158,15 +165,22 @@
     let cluster = Rc::new(SoakCluster::start(settings)?);
     cluster.wait_until_all_serve().await?;
     let caller_tasks = callers::spawn(&cluster, settings.callers, &mut rng);
+    let probe_tasks = configurations::spawn_probes(&cluster, &rng);
     let throttle = processor::throttle(&cluster, settings.cpu_share);
     let faults = match settings.plan {
         Plan::Drawn => faults::inject(&cluster, settings.fault_duration, &mut rng).await,
         Plan::Releases => releases::play(&cluster, settings.fault_duration, &mut rng).await,
+        Plan::Configurations => {
+            configurations::play(&cluster, settings.fault_duration, &mut rng).await
+        }
     };
     drop(throttle);
     let recovered = cluster.wait_until_all_serve().await;
     let records = caller_tasks.finish().await;
+    let probes = probe_tasks.finish().await;
+    let configurations = configurations::judge(&probes, &cluster);
     let mut broken = check::broken_promises(&records, &cluster);
+    broken.extend(configurations.broken);
     if let Err(e) = recovered {
         broken.push(format!("not everything is served again: {e}"));
     }
@@ -180,6 +194,8 @@
         served,
         resumed: (resumptions.count(), went_on),
         fatal: check::fatal_requests(&cluster),
+        probes: configurations.probes,
+        latest_outdated: configurations.latest_outdated,
         latest_after_leaving: check::latest_after_leaving(&records, &cluster),
         faults,
         broken_promises: broken,
--- a/crates/soak/src/main.rs
+++ b/crates/soak/src/main.rs
@@ -17,7 +17,8 @@
   --instances N     instances [default: 4]
   --callers N       tasks that send requests [default: 32]
   --seconds N       time in which faults begin [default: 15]
-  --plan PLAN       drawn, or releases: planned work beside outages, each 10 s [default: drawn]
+  --plan PLAN       drawn, releases: planned work beside outages, each 10 s, or configurations:
+                    series of changes beside outages, each 19 s [default: drawn]
   --engines N       engines [default: 3]
   --plain N         other servers [default: 2]
   --cpu-share X     share of a core that each instance gets [default: 1]
@@ -74,7 +75,8 @@
                 settings.plan = match parser.value()?.string()?.as_str() {
                     "drawn" => Plan::Drawn,
                     "releases" => Plan::Releases,
-                    _ => return Err("--plan is drawn or releases".into()),
+                    "configurations" => Plan::Configurations,
+                    _ => return Err("--plan is drawn, releases or configurations".into()),
                 };
             }
             Long("engines") => settings.servers.engines = parser.value()?.parse()?,
@@ -107,7 +109,8 @@
         println!(
             "seed {seed}: {} faults, {} of {} requests served, {} of {} resumed streams went on, \
              {} engines ended under {} requests with a fatal part, last request {} ms after a server \
-             began to leave, {} promises broken",
+             began to leave, older configuration used after {} ms at most ({} probes), {} promises \
+             broken",
             verdict.faults.len(),
             verdict.served,
             verdict.requests,
@@ -116,6 +119,8 @@
             verdict.fatal.0,
             verdict.fatal.1,
             verdict.latest_after_leaving.as_millis(),
+            verdict.latest_outdated.as_millis(),
+            verdict.probes,
             verdict.broken_promises.len()
         );
         if !verdict.broken_promises.is_empty() {
--- a/crates/soak/src/releases.rs
+++ b/crates/soak/src/releases.rs
@@ -123,7 +123,10 @@
         match work {
             Work::CutFromStore => self.cut_from_store(&mut rng).await,
             Work::Release(service, share) => self.release(service, share, &mut rng).await,
-            Work::LoseHolder => self.lose_holder(&mut rng).await,
+            Work::LoseHolder => {
+                let what = lose_holder(&self.cluster, &mut rng).await;
+                self.record(&what);
+            }
             Work::ScaleIn => {
                 let leaving = self.draw_running(None, SCALE_IN_SHARE, &mut rng);
                 self.leave_all(leaving, Duration::ZERO, &mut rng).await;
@@ -175,32 +178,6 @@
         }
     }
 
-    /// Stops the holder for a while. Its machine loses power, so that it answers nothing until it starts
-    /// anew, or the process is killed and started anew, or it is only frozen.
-    async fn lose_holder(&self, rng: &mut ChaCha8Rng) {
-        let Some(index) = self.cluster.holder() else {
-            self.record("nobody holds the planning duty");
-            return;
-        };
-        let instance = &self.cluster.instances[index];
-        let how = ["loses power", "is killed", "is frozen"][rng.random_range(0..3)];
-        self.record(&format!("entry-{index} holds the planning duty and {how}"));
-        instance.is_halted.set(true);
-        instance.record_disturbance();
-        if how == "is killed" {
-            restart(instance, Signal::KILL, HOLDER_LOST_TIME).await;
-        } else {
-            send_signal(instance, Signal::STOP);
-            sleep(HOLDER_LOST_TIME).await;
-        }
-        if how == "loses power" {
-            restart(instance, Signal::KILL, Duration::ZERO).await;
-        }
-        send_signal(instance, Signal::CONT);
-        instance.is_halted.set(false);
-        instance.record_disturbance();
-    }
-
     async fn release(self: &Rc<Self>, service: &'static str, share: f64, rng: &mut ChaCha8Rng) {
         let old = self.draw_running(Some(service), share, rng);
         for index in &old {
@@ -302,8 +279,33 @@
     }
 }
 
+/// Stops the holder for a while. Its machine loses power, so that it answers nothing until it starts
+/// anew, or the process is killed and started anew, or it is only frozen. Returns what was done.
+pub(crate) async fn lose_holder(cluster: &SoakCluster, rng: &mut ChaCha8Rng) -> String {
+    let Some(index) = cluster.holder() else {
+        return "nobody holds the planning duty".to_owned();
+    };
+    let instance = &cluster.instances[index];
+    let how = ["loses power", "is killed", "is frozen"][rng.random_range(0..3)];
+    instance.is_halted.set(true);
+    instance.record_disturbance();
+    if how == "is killed" {
+        restart(instance, Signal::KILL, HOLDER_LOST_TIME).await;
+    } else {
+        send_signal(instance, Signal::STOP);
+        sleep(HOLDER_LOST_TIME).await;
+    }
+    if how == "loses power" {
+        restart(instance, Signal::KILL, Duration::ZERO).await;
+    }
+    send_signal(instance, Signal::CONT);
+    instance.is_halted.set(false);
+    instance.record_disturbance();
+    format!("entry-{index} held the planning duty and {how} for {HOLDER_LOST_TIME:?}")
+}
+
 /// A share of a number, at least 1.
-fn share_of(count: usize, share: f64) -> usize {
+pub(crate) fn share_of(count: usize, share: f64) -> usize {
     let count = u32::try_from(count).unwrap_or(u32::MAX);
     let part = (f64::from(count) * share).round().max(1.0);
     #[allow(clippy::cast_possible_truncation, clippy::cast_sign_loss)]
