--- a/crates/entry/src/follow/config.rs
+++ b/crates/entry/src/follow/config.rs
@@ -17,7 +17,6 @@
 };
 
 use actix_rt::time::sleep;
-use bytes::Bytes;
 use tokio::time::timeout;
 
 use super::{
@@ -110,10 +109,9 @@
     where
         P: Platform,
     {
-        let max_age = own_read_age(cx);
         let is_fresh = || {
-            cx.config_age(cx.now()).is_some_and(|age| age < max_age)
-                && cx.newer_config_age(cx.now()).is_none()
+            let age = cx.config_age(cx.now());
+            age.is_some_and(|age| age < own_read_age(cx)) && cx.newer_config_age(cx.now()).is_none()
         };
         while !cx.is_holder() && is_fresh() {
             let _ = timeout(POLL_INTERVAL, cx.known_config.newer_heard.notified()).await;
@@ -143,7 +141,7 @@
         };
         let (revision, confirmed_at) = match seen {
             Seen::Item(item, revision) => {
-                self.take(cx, &item.value);
+                self.is_decoded = cx.apply_config(&item.value, "store");
                 (revision, called_at)
             }
             Seen::NoChange(revision) => (revision, watch_confirms_at(called_at, wait, cx.now())),
@@ -163,13 +161,6 @@
         }
         Ok(())
     }
-
-    fn take<P>(&mut self, cx: &EntryContext<P>, value: &Bytes)
-    where
-        P: Platform,
-    {
-        self.is_decoded = cx.apply_config(value, "store");
-    }
 }
 
 /// Age of the last confirmation at which an instance other than the holder queries the store. Reports to
--- a/crates/soak/src/configurations.rs
+++ b/crates/soak/src/configurations.rs
@@ -25,6 +25,7 @@
 
 use crate::{
     cluster::SoakCluster,
+    event_log::EventLog,
     releases::{lose_holder, share_of},
 };
 
@@ -195,10 +196,9 @@
 ) -> Vec<String> {
     let day = Rc::new(Day {
         cluster: Rc::clone(cluster),
-        began_at: Instant::now(),
-        log: RefCell::default(),
+        log: EventLog::begin(),
     });
-    while day.began_at.elapsed() < time {
+    while day.log.began_at().elapsed() < time {
         let cycle = [
             Trouble::Late,
             Trouble::Lost,
@@ -247,23 +247,17 @@
 
 struct Day {
     cluster: Rc<SoakCluster>,
-    began_at: Instant,
-    /// What was done, with times.
-    log: RefCell<Vec<String>>,
+    log: EventLog,
 }
 
 impl Day {
-    fn record(&self, what: &str) {
-        let at = self.began_at.elapsed().as_secs_f64();
-        self.log.borrow_mut().push(format!("{at:.2} s: {what}"));
-    }
-
     async fn run(&self, trouble: Trouble, rng: &mut ChaCha8Rng) {
         let time = Duration::from_millis(rng.random_range(300..3_000));
         match trouble {
             Trouble::Late => {
                 let delay = Duration::from_millis(rng.random_range(50..800));
-                self.record(&format!("the store answers {delay:?} late for {time:?}"));
+                self.log
+                    .record(&format!("the store answers {delay:?} late for {time:?}"));
                 let faults = store::Faults {
                     delay,
                     ..store::Faults::default()
@@ -271,7 +265,8 @@
                 self.disturb_store(faults, time).await;
             }
             Trouble::Lost => {
-                self.record(&format!("answers of the store are lost for {time:?}"));
+                self.log
+                    .record(&format!("answers of the store are lost for {time:?}"));
                 let faults = store::Faults {
                     loses_answers: true,
                     ..store::Faults::default()
@@ -282,7 +277,7 @@
             Trouble::Silence => self.silence(),
             Trouble::HolderLost => {
                 let what = lose_holder(&self.cluster, rng).await;
-                self.record(&what);
+                self.log.record(&what);
             }
         }
     }
@@ -304,7 +299,7 @@
             .iter()
             .map(|i| i.process.borrow().name().to_owned())
             .collect();
-        self.record(&format!(
+        self.log.record(&format!(
             "the store turns away {} for {time:?}",
             names.join(" ")
         ));
@@ -328,7 +323,7 @@
 
     /// Lets all open connections to the store go silent.
     fn silence(&self) {
-        self.record("connections to the store go silent");
+        self.log.record("connections to the store go silent");
         for instance in &self.cluster.instances {
             instance.store_proxy.silence_open();
             let now = Instant::now();
--- a/crates/soak/src/lib.rs
+++ b/crates/soak/src/lib.rs
@@ -16,6 +16,7 @@
 mod check;
 mod cluster;
 mod configurations;
+mod event_log;
 mod faults;
 mod processor;
 mod releases;
--- a/crates/soak/src/releases.rs
+++ b/crates/soak/src/releases.rs
@@ -5,7 +5,6 @@
 //! away. An instance that was without the store becomes the next holder in some of the cycles.
 
 use std::{
-    cell::RefCell,
     ops::Range,
     rc::Rc,
     time::{Duration, Instant},
@@ -24,6 +23,7 @@
 
 use crate::{
     cluster::{ServerSlot, SoakCluster},
+    event_log::EventLog,
     faults::{restart, send_signal},
 };
 
@@ -72,8 +72,7 @@
 ) -> Vec<String> {
     let day = Rc::new(Day {
         cluster: Rc::clone(cluster),
-        began_at: Instant::now(),
-        log: RefCell::default(),
+        log: EventLog::begin(),
     });
     let mut tasks = JoinSet::new();
     let mut cycle_start = Duration::ZERO;
@@ -113,9 +112,7 @@
 
 struct Day {
     cluster: Rc<SoakCluster>,
-    began_at: Instant,
-    /// What was done, with times.
-    log: RefCell<Vec<String>>,
+    log: EventLog,
 }
 
 impl Day {
@@ -125,7 +122,7 @@
             Work::Release(service, share) => self.release(service, share, &mut rng).await,
             Work::LoseHolder => {
                 let what = lose_holder(&self.cluster, &mut rng).await;
-                self.record(&what);
+                self.log.record(&what);
             }
             Work::ScaleIn => {
                 let leaving = self.draw_running(None, SCALE_IN_SHARE, &mut rng);
@@ -135,11 +132,6 @@
         }
     }
 
-    fn record(&self, what: &str) {
-        let at = self.began_at.elapsed().as_secs_f64();
-        self.log.borrow_mut().push(format!("{at:.2} s: {what}"));
-    }
-
     /// Resets, freezes or blocks the connections of some instances to the store for a while.
     async fn cut_from_store(&self, rng: &mut ChaCha8Rng) {
         let instances = &self.cluster.instances;
@@ -159,7 +151,8 @@
             Mode::DropToCaller,
         ];
         let mode = *modes.choose(rng).unwrap_or(&Mode::Cut);
-        self.record(&format!("{} lose the store: {mode:?}", names.join(" ")));
+        self.log
+            .record(&format!("{} lose the store: {mode:?}", names.join(" ")));
         let set_mode = |mode| {
             let faults = proxy::Faults {
                 mode,
@@ -217,7 +210,7 @@
         } else {
             slot.unlist(store);
         }
-        self.record(&format!(
+        self.log.record(&format!(
             "{key} leaves, announced: {is_announced}, serves for {time:?}"
         ));
         sleep(time).await;
@@ -252,7 +245,8 @@
                 && !slot.is_being_replaced.get()
         };
         let Some(slot) = slots.find(is_free) else {
-            self.record(&format!("no address for another server of {service}"));
+            self.log
+                .record(&format!("no address for another server of {service}"));
             return;
         };
         let started = slot.start_server(&self.cluster.ledger);
