--- a/crates/entry/src/follow/known_config.rs
+++ b/crates/entry/src/follow/known_config.rs
@@ -96,10 +96,7 @@
     /// Records which configuration the holder has, and that it was the newest one at `at`.
     pub(crate) fn hear_of_config(&self, version: u64, at: Option<Instant>) {
         let now = self.now();
-        if self
-            .known_config
-            .update_freshness(|config| config.hear_of(version, at, now))
-        {
+        if self.update_config_freshness(|config| config.hear_of(version, at, now)) {
             self.known_config.newer_heard.notify_one();
         }
     }
@@ -113,21 +110,27 @@
     /// Records that the configuration in force was the newest one at `at`. `None`, the result of a
     /// subtraction that [`Instant`] cannot represent, has no effect.
     pub(crate) fn confirm_config(&self, at: Option<Instant>) {
-        self.log_outdated_config();
-        self.known_config
-            .update_freshness(|config| config.confirm(at));
+        self.update_config_freshness(|config| config.confirm(at));
     }
 
-    /// Logs and counts a confirmation that comes later than the configuration's time limit.
-    fn log_outdated_config(&self) {
-        let age = self.config_age(self.now());
-        if let Some(age) = age.filter(|age| *age > self.settings().timing.max_config_delay()) {
+    /// Updates the age, and logs and counts a confirmation that comes later than the time limit of
+    /// configurations.
+    fn update_config_freshness<R>(&self, update: impl FnOnce(&mut Freshness<u64>) -> R) -> R {
+        let confirmed_at = || self.known_config.freshness.get().confirmed_at();
+        let before = confirmed_at();
+        let result = self.known_config.update_freshness(update);
+        let age = before.map(|before| self.now().saturating_duration_since(before));
+        let is_outdated = |age: &Duration| *age > self.settings().timing.max_config_delay();
+        if confirmed_at() != before
+            && let Some(age) = age.filter(is_outdated)
+        {
             self.metrics.count_outdated_config();
             let version = self.config().version;
             spdlog::warn!("configuration was not confirmed in time", kv: {
                 version, age_ms = whole_millis(age)
             });
         }
+        result
     }
 
     /// Whether the configuration in force was the newest within the time in which a newer one must be in
--- a/crates/entry/src/follow/mod.rs
+++ b/crates/entry/src/follow/mod.rs
@@ -76,7 +76,7 @@
     }
 }
 
-/// Until when an answer to a watch without changes confirms what is known. The store answers no sooner
+/// As of when an answer to a watch without changes confirms what is known. The store answers no sooner
 /// than after `wait`, unless it cuts the call short; the answer may have been on its way since, or have
 /// waited for a process that stood still.
 fn watch_confirms_at(called_at: Instant, wait: Duration, now: Instant) -> Instant {
