Soak: judge how often added routes are served

Requests to routes that were added more than the bound ago, at instances in touch, must be served at least a quarter as often as those of routes that all versions have, where there are 20 or more.

--- a/crates/soak/src/configurations.rs
+++ b/crates/soak/src/configurations.rs
@@ -12,7 +12,7 @@
 use actix_http::StatusCode;
 use actix_rt::time::sleep;
 use comfreyweir_platform_standins::{
-    caller::{self, RouteChange},
+    caller::{self, RequestKind, RouteChange},
     store,
 };
 use comfreyweir_standins::proxy::{self, Mode};
@@ -24,6 +24,7 @@
 use tokio::task::JoinSet;
 
 use crate::{
+    callers::{Record, UNKNOWN_KEY},
     cluster::SoakCluster,
     event_log::EventLog,
     releases::{lose_holder, share_of},
@@ -39,6 +40,8 @@
 const CONTACT: Duration = Duration::from_secs(3);
 /// Probes ask for versions that were accepted so long ago at most.
 const MAX_PROBED_AGE: Duration = Duration::from_secs(9);
+/// Fewer requests to added routes than this are not judged by how many are served.
+const MIN_ADDED_PROBES: usize = 20;
 /// Pause between two probes of an instance.
 const PROBE_PAUSE: Duration = Duration::from_millis(15);
 
@@ -158,6 +161,33 @@
     pub(crate) broken: Vec<String>,
 }
 
+/// Reports added routes that instances in touch serve less than a quarter as often as the routes that all
+/// versions have.
+pub(crate) fn unserved_routes(
+    probes: &[Probe],
+    records: &[Record],
+    cluster: &SoakCluster,
+) -> Option<String> {
+    let in_touch = |instance: usize, sent| cluster.instances[instance].was_in_touch(sent, CONTACT);
+    let added = probes.iter().filter(|p| {
+        p.change == RouteChange::Added && p.after > CONFIG_LIMIT && in_touch(p.instance, p.sent)
+    });
+    let added: Vec<_> = added.map(|p| p.status.is_success()).collect();
+    let known = records.iter().filter(|r| {
+        r.call.kind == RequestKind::Read
+            && r.call.key != UNKNOWN_KEY
+            && in_touch(r.instance, r.sent)
+    });
+    let known: Vec<_> = known.map(Record::is_served).collect();
+    let served = |all: &[bool]| all.iter().filter(|is_served| **is_served).count();
+    let (added_served, known_served) = (served(&added), served(&known));
+    let is_rarely_served = added_served * known.len() * 4 < known_served * added.len();
+    (added.len() >= MIN_ADDED_PROBES && is_rarely_served).then(|| {
+        let (added, known) = (added.len(), known.len());
+        format!("added routes: {added_served} of {added} served, others {known_served} of {known}")
+    })
+}
+
 /// Judges which version each probe was handled by.
 pub(crate) fn judge(probes: &[Probe], cluster: &SoakCluster) -> Verdict {
     let mut verdict = Verdict {
--- a/crates/soak/src/lib.rs
+++ b/crates/soak/src/lib.rs
@@ -179,9 +179,10 @@
     let recovered = cluster.wait_until_all_serve().await;
     let records = caller_tasks.finish().await;
     let probes = probe_tasks.finish().await;
-    let configurations = configurations::judge(&probes, &cluster);
+    let verdict = configurations::judge(&probes, &cluster);
     let mut broken = check::broken_promises(&records, &cluster);
-    broken.extend(configurations.broken);
+    broken.extend(verdict.broken);
+    broken.extend(configurations::unserved_routes(&probes, &records, &cluster));
     if let Err(e) = recovered {
         broken.push(format!("not everything is served again: {e}"));
     }
@@ -195,8 +196,8 @@
         served,
         resumed: (resumptions.count(), went_on),
         fatal: check::fatal_requests(&cluster),
-        probes: configurations.probes,
-        latest_outdated: configurations.latest_outdated,
+        probes: verdict.probes,
+        latest_outdated: verdict.latest_outdated,
         latest_after_leaving: check::latest_after_leaving(&records, &cluster),
         faults,
         broken_promises: broken,
