--- a/crates/standins/src/proxy.rs
+++ b/crates/standins/src/proxy.rs
@@ -32,6 +32,8 @@
 };
 
 const CHUNK_BYTES: usize = 64 << 10;
+/// Bytes of a connection that a link of limited bandwidth carries before it is the next one's turn.
+const TURN_BYTES: usize = 8 << 10;
 /// Maximum number of chunks that each direction of a connection queues.
 const MAX_QUEUED_CHUNKS: usize = 1024;
 const ACCEPT_RETRY_DELAY: Duration = Duration::from_millis(100);
@@ -125,6 +127,16 @@
     /// Number of times that the open connections were silenced.
     silenced: Rc<watch::Sender<u64>>,
     counts: Rc<RefCell<Counts>>,
+    link: Rc<Link>,
+}
+
+/// A link that all connections share.
+#[derive(Default)]
+struct Link {
+    /// Bandwidth in Mbit/s, in each direction; unlimited if there is none.
+    mbps: Cell<Option<f64>>,
+    /// When it is free again, by direction.
+    free_at: [Cell<Option<Instant>>; 2],
 }
 
 #[derive(Clone, Copy, Eq, PartialEq)]
@@ -142,6 +154,7 @@
         faults: Rc::new(watch::Sender::new(settings.faults)),
         silenced: Rc::default(),
         counts: Rc::default(),
+        link: Rc::default(),
     };
     let accept = actix_rt::spawn(accept_all(listener, settings.upstream, shared.clone()));
     let control = match settings.control {
@@ -179,6 +192,12 @@
         self.shared.faults.send_replace(faults);
     }
 
+    /// Sets the bandwidth in Mbit/s that all connections share, in each direction; unlimited if there is
+    /// none.
+    pub fn set_bandwidth(&self, mbps: Option<f64>) {
+        self.shared.link.mbps.set(mbps);
+    }
+
     /// Lets the connections that are open now carry no more bytes, without a reset. New ones work.
     pub fn silence_open(&self) {
         self.shared.silenced.send_modify(|count| *count += 1);
@@ -319,7 +338,10 @@
         chunk.truncate(usize::try_from(remaining_bytes).unwrap_or(usize::MAX));
         forwarded_bytes.set(forwarded_bytes.get() + chunk.len() as u64);
         direction.count(&mut shared.counts.borrow_mut(), chunk.len() as u64);
-        tx.write_all(&chunk).await?;
+        for piece in chunk.chunks(TURN_BYTES) {
+            shared.link.carry(direction, piece.len()).await;
+            tx.write_all(piece).await?;
+        }
         if reaches_limit && limit.is_some() {
             return reset_after_delivery(&tx).await;
         }
@@ -327,6 +349,22 @@
     tx.shutdown().await
 }
 
+impl Link {
+    /// Waits until the link has carried `bytes`, after what other connections have sent before.
+    async fn carry(&self, direction: Direction, bytes: usize) {
+        let Some(mbps) = self.mbps.get() else {
+            return;
+        };
+        #[allow(clippy::cast_precision_loss)]
+        let time = Duration::from_secs_f64(bytes as f64 * 8.0 / (mbps * 1e6));
+        let free_at = &self.free_at[direction as usize];
+        let now = Instant::now();
+        let end = free_at.get().map_or(now, |at| at.max(now)) + time;
+        free_at.set(Some(end));
+        time::sleep_until(end).await;
+    }
+}
+
 /// Fails after the last bytes have had time to arrive: an immediate reset would overtake them.
 async fn reset_after_delivery(tx: &OwnedWriteHalf) -> io::Result<()> {
     const DELIVERY_TIME: Duration = Duration::from_millis(20);
