Store: end a read when nothing arrives, not by a limit on the whole

Instances with links of 10 Mbit/s kept an older configuration for good after a large one, and large lists of upstreams met the same limit.

Cause: a call ended after store_call_ms whatever had arrived of its answer; a value of 1 MiB takes 1.1 s there. A read whose answer was not complete after a tenth of the bound was made again, up to three copies of the answer shared the link, and each took three times as long.

A read is made again only while nothing arrives; once something does, the other calls of it end.

--- a/crates/entry/src/follow/mod.rs
+++ b/crates/entry/src/follow/mod.rs
@@ -61,7 +61,7 @@
 {
     match cx
         .platform
-        .watch(prefix, after, wait, wait + answer_margin)
+        .watch(prefix, after, wait, (wait + answer_margin).into())
         .await?
     {
         WatchOutcome::HistoryGone => {
@@ -90,7 +90,7 @@
 /// Time limits of a read of many items.
 #[derive(Clone, Copy)]
 struct ReadLimits {
-    /// Timeout of each call.
+    /// Longest time of each call without any progress.
     call: Duration,
     /// Time within which what is read must be in force, if there is one: a call that has no answer is
     /// repeated accordingly.
@@ -132,8 +132,9 @@
     let mut revision = None;
     loop {
         let after = last.as_deref();
-        let read = async || cx.platform.range(prefix, after, limits.call).await;
-        let (page, has_more) = read_repeatedly(cx, limits.bound, read).await?;
+        let read = async |limit| cx.platform.range(prefix, after, limit).await;
+        let times = (limits.bound, limits.call);
+        let (page, has_more) = read_repeatedly(cx, times, &Rc::default(), read).await?;
         let revision = *revision.get_or_insert(page.revision);
         last = page.items.last().map(|item| item.key.clone());
         take_page(page.items);
--- a/crates/entry/src/follow/software.rs
+++ b/crates/entry/src/follow/software.rs
@@ -40,7 +40,7 @@
 {
     let key = format!("{}{SOFTWARE_KEY}", cx.platform.keys().own_prefix);
     let limit = cx.settings().timing.store_call_timeout();
-    if cx.platform.get(&key, limit).await?.is_none() {
+    if cx.platform.get(&key, limit.into()).await?.is_none() {
         cx.software.borrow_mut().settle_first_list();
         cx.state_changed.notify_waiters();
     }
--- a/crates/entry/src/platform.rs
+++ b/crates/entry/src/platform.rs
@@ -4,7 +4,7 @@
 //! and contains no policy. Methods that call the store or an engine make one call each; retries,
 //! timeouts and decisions are up to this crate.
 
-use std::{net::SocketAddr, time::Duration};
+use std::{cell::Cell, net::SocketAddr, rc::Rc, time::Duration};
 
 use actix_http::{
     StatusCode,
@@ -140,6 +140,42 @@
     pub reason: String,
 }
 
+/// How much of the answer to a call has arrived.
+#[derive(Debug, Default)]
+pub struct Progress {
+    bytes: Cell<u64>,
+}
+
+impl Progress {
+    /// Records that `bytes` more have arrived.
+    pub fn add(&self, bytes: usize) {
+        self.bytes.set(self.bytes.get() + bytes as u64);
+    }
+
+    /// Bytes that have arrived.
+    pub fn bytes(&self) -> u64 {
+        self.bytes.get()
+    }
+}
+
+/// Time limit of a read, whose answer may be large.
+#[derive(Clone, Debug)]
+pub struct ReadLimit {
+    /// Longest time until the answer begins, and between two parts of it.
+    pub stall: Duration,
+    /// Where the parts that arrive are counted.
+    pub progress: Rc<Progress>,
+}
+
+impl From<Duration> for ReadLimit {
+    fn from(stall: Duration) -> Self {
+        Self {
+            stall,
+            progress: Rc::default(),
+        }
+    }
+}
+
 /// Store keys that the platform prescribes.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct StoreKeys {
@@ -304,7 +340,8 @@
 
 /// The platform that an entry instance runs on.
 ///
-/// `limit` is the timeout of a call.
+/// `limit` is the timeout of a call. Reads and watches end only if nothing arrives for so long: how large
+/// an answer is, and how long a thin link takes for it, is not up to this crate.
 #[allow(clippy::missing_errors_doc)]
 pub trait Platform: 'static {
     /// Keys and key prefixes in the store.
@@ -342,7 +379,7 @@
     async fn get(
         &self,
         key: &str,
-        limit: Duration,
+        limit: ReadLimit,
     ) -> Result<Option<(StoreItem, u64)>, PlatformError>;
 
     /// Reads a page of the items whose keys begin with `prefix`, from the first key after `after`.
@@ -351,7 +388,7 @@
         &self,
         prefix: &str,
         after: Option<&str>,
-        limit: Duration,
+        limit: ReadLimit,
     ) -> Result<(StoreItems, bool), PlatformError>;
 
     /// Waits for changes of keys with a prefix after the revision `after`, for at most `wait`.
@@ -360,7 +397,7 @@
         prefix: &str,
         after: u64,
         wait: Duration,
-        limit: Duration,
+        limit: ReadLimit,
     ) -> Result<WatchOutcome, PlatformError>;
 
     /// Applies a transaction if its conditions hold. It is not sent if a lease is of another era than
