Send configurations between instances as differences

Cause: the store sends a configuration only as a whole, and each instance read each version whole; the way over the holder sent the whole too, under a limit of 0.5 s. The link of 10 Mbit/s needs 1.1 s for a value of 1 MiB, a version comes every 150 ms.

Now an instance tells with its report which configuration it has, by version and hash. What differs comes with the view if it is short, compressed, else in parts that any instance is asked for, the widest of which the holder names. Sending takes 0.3 of the link at most; a version is applied no sooner than four times the time that the last one took; only instances whose link carries the whole in a twentieth of the bound read the store first, and a large value is read once after a change instead of being watched. Fixed limits for the whole are gone from this way too.

--- a/crates/entry/src/duty/coordinator.rs
+++ b/crates/entry/src/duty/coordinator.rs
@@ -29,11 +29,14 @@
 };
 use tokio::{sync::Notify, time::timeout};
 
-use super::quarantine_log::log_quarantine;
+use super::{config_sources::ConfigSources, quarantine_log::log_quarantine};
 use crate::{
-    exchange::message::{
-        DirectoryView, ExchangeAnswer, GrantRequest, InstanceReport, OriginReport, OriginsView,
-        SystemView, TrialRequest, Trials,
+    exchange::{
+        config::ConfigId,
+        message::{
+            DirectoryView, ExchangeAnswer, GrantRequest, InstanceReport, OriginReport, OriginsView,
+            SystemView, TrialRequest, Trials,
+        },
     },
     platform::Platform,
     state::EntryContext,
@@ -46,9 +49,6 @@
 /// upstreams are then ignored.
 const REPORT_MAX_AGE: Duration = Duration::from_millis(1_500);
 
-/// Fraction of the instance's bandwidth that sending configurations to other instances may take.
-const CONFIG_LINK_FRACTION: f64 = 0.3;
-
 /// Runs the planners and answers other instances' reports. Every instance has one; it is active
 /// only while the instance holds the planning duty.
 pub(crate) struct Coordinator<P> {
@@ -92,8 +92,8 @@
     origins: OriginIndex,
     /// Upstreams that told any instance that they leave, as of the last planner run.
     leaving: BTreeSet<UpstreamProcess>,
-    /// Time until which the configurations that were sent last take the instance's bandwidth.
-    sending_config_until: Option<Instant>,
+    /// Instances to get the configuration from, as of the last planner run.
+    config_sources: ConfigSources,
     /// Upstreams in evacuated zones, as of the last planner run.
     evacuated: BTreeSet<String>,
 }
@@ -265,6 +265,11 @@
             state.plan_service(service, &directory, asked, (&closed, &limits), now);
         }
         state.update_totals(&loads);
+        let members = self.cx.members.borrow();
+        let reports = state.fresh_reports(now);
+        let sources = ConfigSources::of(reports, &members.instances);
+        drop(members);
+        state.config_sources = sources;
         self.update_quarantine(&mut state, now);
         let wanted = state.planners.values().map(Planner::wanted_count).sum();
         self.cx.work_times.record_wanted(wanted);
@@ -508,8 +513,6 @@
                 grants.extend(grant.map(|grant| (name.clone(), grant)));
             }
         }
-        let sends_config = request.needs_config && self.may_send_config(&mut state, now);
-        let value = self.cx.config_value();
         SystemView {
             placement,
             is_whole: request.placement.0 != placement.0,
@@ -525,7 +528,9 @@
             mixed: state.mixed_services(now),
             recorded: self.cx.recorded_software(),
             quarantine: state.quarantine.view(request.quarantine, now),
-            config: sends_config.then(|| String::from_utf8_lossy(&value).into_owned()),
+            config: request.config.and_then(|id| self.cx.config_for_view(id)),
+            config_bytes: self.cx.config_value().len(),
+            config_sources: state.config_sources.draw(),
             config_version: config.version,
             config_age_ms: self.cx.config_age(now).map_or(u64::MAX, whole_millis),
             evacuations: zones::news(&self.cx),
@@ -534,21 +539,6 @@
             store_reach: self.cx.directory.borrow().store_reach(now),
         }
     }
-
-    /// Whether a configuration may be sent now: one after the other, so that they leave bandwidth
-    /// for everything else. If so, it counts as sent.
-    fn may_send_config(&self, state: &mut TenureState, now: Instant) -> bool {
-        if state.sending_config_until.is_some_and(|until| now < until) {
-            return false;
-        }
-        let link_mbps = self.cx.settings().instance.link_mbps;
-        let bits_per_s = (link_mbps * 1e6 * CONFIG_LINK_FRACTION).max(1.0);
-        #[allow(clippy::cast_precision_loss)]
-        let bits = self.cx.config_value().len() as f64 * 8.0;
-        let time = Duration::try_from_secs_f64(bits / bits_per_s).unwrap_or_default();
-        state.sending_config_until = Some(now + time);
-        true
-    }
 }
 
 /// The parts of a report that its view depends on: which versions the instance already knows, and
@@ -557,7 +547,8 @@
     process: String,
     placement: (u64, u64),
     directory: ListVersion,
-    needs_config: bool,
+    /// The configuration that the instance has, if it would apply a newer one at once.
+    config: Option<ConfigId>,
     waiting: Vec<(String, Artifact)>,
     /// Fencing token and version of the records of prompt parts.
     quarantine: (u64, u64),
@@ -573,7 +564,7 @@
             process: report.process.clone(),
             placement: report.placement,
             directory: report.directory,
-            needs_config: report.needs_config,
+            config: report.takes_config.then_some(report.config),
             waiting: waiting.collect(),
             quarantine: report.evidence.known,
         }
--- a/crates/entry/src/duty/mod.rs
+++ b/crates/entry/src/duty/mod.rs
@@ -2,6 +2,7 @@
 //! models and adapters engines load, and sends them orders to load and unload.
 
 mod actions;
+mod config_sources;
 mod coordinator;
 mod election;
 mod origins;
--- a/crates/entry/src/exchange/client.rs
+++ b/crates/entry/src/exchange/client.rs
@@ -7,7 +7,6 @@
 };
 
 use actix_rt::time::sleep;
-use bytes::Bytes;
 use comfreyweir_clock::Clock;
 use comfreyweir_fleet::{
     holder_search::HolderSearch,
@@ -20,13 +19,16 @@
 use tokio::time::timeout;
 
 use super::message::{DirectoryView, ExchangeAnswer, InstanceCall, InstanceReport, SystemView};
-use crate::{duty::Coordinator, follow::members, platform::Platform, state::EntryContext, zones};
+use crate::{
+    duty::Coordinator,
+    follow::{known_config::Source, members},
+    platform::Platform,
+    state::EntryContext,
+    zones,
+};
 
 /// Time beyond that delay after which a call to the holder times out.
 const ANSWER_TIMEOUT_MARGIN: Duration = Duration::from_millis(500);
-/// Time that an instance has for reading a newer configuration from the store before it asks the
-/// holder for it. The store serves all instances sooner than the holder could.
-const OWN_CONFIG_READ_TIME: Duration = Duration::from_millis(500);
 /// Pause after a failed exchange.
 const RETRY_PAUSE: Duration = Duration::from_millis(150);
 /// Shortest pause between two reports.
@@ -44,6 +46,8 @@
         addr: SocketAddr,
         source: postcard::Error,
     },
+    #[snafu(display("cannot connect to {addr} in time"))]
+    Connect { addr: SocketAddr },
     #[snafu(display("no holder of the planning duty is known"))]
     NoHolder,
     #[snafu(display("the holder of the planning duty sent an answer of another kind"))]
@@ -182,7 +186,8 @@
                 ExchangeAnswer::Grants(_)
                 | ExchangeAnswer::Trials(_)
                 | ExchangeAnswer::Origins(_)
-                | ExchangeAnswer::Permits(_),
+                | ExchangeAnswer::Permits(_)
+                | ExchangeAnswer::Config(_),
             ) => UnexpectedAnswerSnafu.fail(),
             Err(e) => {
                 self.search.record_failure();
@@ -265,9 +270,9 @@
         limits: cx.limits.borrow().heard(cx.clock.since_boot()),
         placement: placement.fence_and_version(),
         directory: placement.holder_list.version(),
-        needs_config: cx
-            .newer_config_age(cx.now())
-            .is_some_and(|age| age >= OWN_CONFIG_READ_TIME),
+        config: cx.known_config.sender.id(),
+        takes_config: cx.known_config.apply_pause(cx.now()).is_zero(),
+        link_mbps: cx.settings().instance.link_mbps,
         evacuations: zones::news(cx),
         store_reach: cx.directory.borrow().store_reach(cx.now()),
     }
@@ -287,9 +292,11 @@
     let exchange_time = now.saturating_duration_since(reported_at);
     cx.work_times
         .record_exchange(exchange_time.saturating_sub(view.delay));
-    if let Some(config) = view.config {
-        cx.apply_config(&Bytes::from(config), "holder");
+    if let Some(difference) = &view.config {
+        cx.apply_config_part(difference, Source::Holder);
     }
+    cx.known_config.hear_of_size(view.config_bytes);
+    *cx.known_config.sources.borrow_mut() = view.config_sources;
     // The holder has made the view no earlier than this, and it may have been on its way since, or have
     // waited for a process that was frozen.
     let made_at = reported_at + view.delay;
--- a/crates/entry/src/exchange/grants.rs
+++ b/crates/entry/src/exchange/grants.rs
@@ -90,6 +90,7 @@
         ExchangeAnswer::View(_)
         | ExchangeAnswer::Trials(_)
         | ExchangeAnswer::Origins(_)
-        | ExchangeAnswer::Permits(_) => UnexpectedAnswerSnafu.fail(),
+        | ExchangeAnswer::Permits(_)
+        | ExchangeAnswer::Config(_) => UnexpectedAnswerSnafu.fail(),
     }
 }
--- a/crates/entry/src/exchange/message.rs
+++ b/crates/entry/src/exchange/message.rs
@@ -22,6 +22,7 @@
 };
 use serde::{Deserialize, Serialize};
 
+use super::config::{ConfigAnswer, ConfigId, ConfigPart, ConfigRequest};
 use crate::state::Holder;
 
 /// What an instance sends to the holder.
@@ -41,6 +42,8 @@
     /// Limits that upstreams have named to it, and requests for permits, between two reports. The answer
     /// is permits.
     Permits(PermitRequest),
+    /// A request for the configuration, which any instance answers.
+    Config(ConfigRequest),
 }
 
 /// Limits of upstreams, and requests for permits.
@@ -145,8 +148,12 @@
     pub(crate) placement: (u64, u64),
     /// Version of the holder's list of upstreams that it knows.
     pub(crate) directory: ListVersion,
-    /// Whether it knows of a newer configuration and could not read it from the store.
-    pub(crate) needs_config: bool,
+    /// The configuration that it has.
+    pub(crate) config: ConfigId,
+    /// Whether it would apply a newer one at once.
+    pub(crate) takes_config: bool,
+    /// Bandwidth of its link, in Mbit/s.
+    pub(crate) link_mbps: f64,
     /// Evacuations that it knows.
     pub(crate) evacuations: Option<EvacuationNews>,
     /// When it, or another instance as far as it knows, reached the store last.
@@ -167,6 +174,8 @@
     Origins(OriginsView),
     /// Permits.
     Permits(Permits),
+    /// The configuration.
+    Config(ConfigAnswer),
     /// The called instance does not hold the duty. The holder's peer address, if it knows one, and the
     /// evacuations that it knows.
     Elsewhere(Option<SocketAddr>, Option<EvacuationNews>),
@@ -210,8 +219,12 @@
     pub(crate) recorded: (Option<u64>, BTreeMap<String, u64>),
     /// The holder's records of prompt parts, if the instance knows another version.
     pub(crate) quarantine: Option<QuarantineView>,
-    /// The configuration, if the instance needs it.
-    pub(crate) config: Option<String>,
+    /// The difference to the holder's configuration, if it is a short one.
+    pub(crate) config: Option<ConfigPart>,
+    /// Size of the holder's configuration in bytes.
+    pub(crate) config_bytes: usize,
+    /// Peer addresses of instances to ask for the configuration.
+    pub(crate) config_sources: Vec<SocketAddr>,
     /// Version of the holder's configuration.
     pub(crate) config_version: u64,
     /// Time in ms since the holder's configuration was last confirmed to be the newest; `u64::MAX`
--- a/crates/entry/src/exchange/mod.rs
+++ b/crates/entry/src/exchange/mod.rs
@@ -4,6 +4,7 @@
 //! all instances. The cost grows linearly with the number of instances, not quadratically.
 
 pub(crate) mod client;
+pub(crate) mod config;
 pub(crate) mod grants;
 pub(crate) mod message;
 pub(crate) mod origins;
--- a/crates/entry/src/exchange/origins.rs
+++ b/crates/entry/src/exchange/origins.rs
@@ -99,7 +99,8 @@
         ExchangeAnswer::View(_)
         | ExchangeAnswer::Grants(_)
         | ExchangeAnswer::Trials(_)
-        | ExchangeAnswer::Permits(_) => UnexpectedAnswerSnafu.fail(),
+        | ExchangeAnswer::Permits(_)
+        | ExchangeAnswer::Config(_) => UnexpectedAnswerSnafu.fail(),
     }
 }
 
--- a/crates/entry/src/exchange/server.rs
+++ b/crates/entry/src/exchange/server.rs
@@ -95,6 +95,10 @@
             InstanceCall::Trials(request) => self.coordinator.trials(&request),
             InstanceCall::Origins(report) => self.coordinator.origins(&report),
             InstanceCall::Permits(request) => self.coordinator.permits(&request),
+            InstanceCall::Config(request) => {
+                let cx = self.coordinator.context();
+                ExchangeAnswer::Config(cx.answer_config(&request).await)
+            }
         };
         let view = postcard::to_allocvec(&answer)
             .map_err(|e| capnp::Error::failed(format!("view cannot be encoded: {e}")))?;
@@ -108,6 +112,7 @@
             ExchangeAnswer::Trials(_)
             | ExchangeAnswer::Origins(_)
             | ExchangeAnswer::Permits(_)
+            | ExchangeAnswer::Config(_)
             | ExchangeAnswer::Elsewhere(..) => {}
         }
         results.get().set_view(&view);
--- a/crates/entry/src/exchange/trials.rs
+++ b/crates/entry/src/exchange/trials.rs
@@ -76,6 +76,7 @@
         ExchangeAnswer::View(_)
         | ExchangeAnswer::Grants(_)
         | ExchangeAnswer::Origins(_)
-        | ExchangeAnswer::Permits(_) => UnexpectedAnswerSnafu.fail(),
+        | ExchangeAnswer::Permits(_)
+        | ExchangeAnswer::Config(_) => UnexpectedAnswerSnafu.fail(),
     }
 }
--- a/crates/entry/src/instance.rs
+++ b/crates/entry/src/instance.rs
@@ -119,6 +119,7 @@
     let (times_cx, times_coordinator) = shared();
     vec![
         spawn_task(cx, Work::Store, follow::config::run(Rc::clone(cx))),
+        spawn_task(cx, Work::Store, follow::config::log_overdue(Rc::clone(cx))),
         spawn_task(cx, Work::Store, follow::directory::run(Rc::clone(cx))),
         spawn_task(cx, Work::Store, follow::software::run(Rc::clone(cx))),
         spawn_task(cx, Work::Store, follow::zones::run(Rc::clone(cx))),
--- a/crates/entry/src/metrics.rs
+++ b/crates/entry/src/metrics.rs
@@ -1,11 +1,11 @@
 //! Metrics of an entry instance.
 
-use std::{cell::RefCell, rc::Rc, time::Duration};
+use std::{cell::RefCell, rc::Rc, sync::atomic::AtomicU64, time::Duration};
 
 use comfreyweir_fleet::quarantine::LedgerEvent;
 use prometheus_client::{
     encoding::{EncodeLabelSet, text},
-    metrics::{counter::Counter, family::Family, histogram::Histogram},
+    metrics::{counter::Counter, family::Family, gauge::Gauge, histogram::Histogram},
     registry::Registry,
 };
 
@@ -43,6 +43,12 @@
     kind: &'static str,
 }
 
+#[derive(Clone, Debug, PartialEq, Eq, Hash)]
+#[derive(EncodeLabelSet)]
+struct SourceLabel {
+    source: &'static str,
+}
+
 #[derive(Clone, Debug, PartialEq, Eq, Hash)]
 #[derive(EncodeLabelSet)]
 struct ZoneLabel {
@@ -101,6 +107,10 @@
     store_copies: Counter,
     path_outages: Counter,
     outdated_configs: Counter,
+    configs: Family<SourceLabel, Counter>,
+    /// Ages in seconds; -1 if there is none.
+    config_age: Gauge<f64, AtomicU64>,
+    newer_config_age: Gauge<f64, AtomicU64>,
     repeated_reads: Counter,
     views: Counter,
     view_bytes: Counter,
@@ -133,6 +143,9 @@
             store_copies: Counter::default(),
             path_outages: Counter::default(),
             outdated_configs: Counter::default(),
+            configs: Family::default(),
+            config_age: Gauge::default(),
+            newer_config_age: Gauge::default(),
             repeated_reads: Counter::default(),
             views: Counter::default(),
             view_bytes: Counter::default(),
@@ -239,6 +252,21 @@
             "Times that the configuration was not confirmed to be the newest within its time limit",
             self.outdated_configs.clone(),
         );
+        registry.register(
+            "comfreyweir_configurations",
+            "Versions of the configuration that were put in force, by where they came from",
+            self.configs.clone(),
+        );
+        registry.register(
+            "comfreyweir_configuration_age_seconds",
+            "Time since the configuration was last confirmed to be the newest; -1 if it never was",
+            self.config_age.clone(),
+        );
+        registry.register(
+            "comfreyweir_newer_configuration_seconds",
+            "Time since a newer configuration is known of that is not in force; -1 if there is none",
+            self.newer_config_age.clone(),
+        );
         registry.register(
             "comfreyweir_store_reads_repeated",
             "Reads of the store that were made again on a new connection since they had no answer",
@@ -266,6 +294,18 @@
         );
     }
 
+    /// Counts a configuration that was put in force.
+    pub(crate) fn count_config(&self, source: &'static str) {
+        self.configs.get_or_create(&SourceLabel { source }).inc();
+    }
+
+    /// Sets the age of the configuration, and since when a newer one is known of.
+    pub(crate) fn set_config_ages(&self, [age, newer_age]: [Option<Duration>; 2]) {
+        let seconds = |age: Option<Duration>| age.map_or(-1.0, |age| age.as_secs_f64());
+        self.config_age.set(seconds(age));
+        self.newer_config_age.set(seconds(newer_age));
+    }
+
     /// Counts an upstream's answer that was forwarded to the caller.
     pub(crate) fn count_answer(&self, workspace: &str, status: u16, outcome: &str) {
         let labels = AnswerLabels {
