Show an instance that cannot keep its configuration up to date

An instance that never got a configuration logged one line, said that it was ready, and served by a version of any age: refusing unknown routes with 503 hid it, and requests to removed routes were run.

If it has known of a newer version for longer than the bound, it is not ready and refuses all requests as not run. An outage of the store is not that case, since nothing newer is known of then.

--- a/crates/entry/src/admin.rs
+++ b/crates/entry/src/admin.rs
@@ -40,7 +40,7 @@
     P: Platform,
 {
     match req.path() {
-        "/metrics" => match cx.metrics.encode() {
+        "/metrics" => match encode_metrics(cx) {
             Ok(metrics) => text(StatusCode::OK, metrics),
             Err(e) => text(StatusCode::INTERNAL_SERVER_ERROR, format!("{e}\n")),
         },
@@ -53,6 +53,16 @@
     }
 }
 
+fn encode_metrics<P>(cx: &EntryContext<P>) -> Result<String, std::fmt::Error>
+where
+    P: Platform,
+{
+    let now = cx.now();
+    let ages = [cx.config_age(now), cx.newer_config_age(now)];
+    cx.metrics.set_config_ages(ages);
+    cx.metrics.encode()
+}
+
 /// Releases a prompt part from the quarantine. The holder of the planning duty does it with the next
 /// call.
 fn release<P>(cx: &EntryContext<P>, req: &Request) -> Response<BoxBody>
@@ -86,6 +96,9 @@
     if cx.config().version == 0 {
         return Some("the configuration is not known yet");
     }
+    if cx.is_config_overdue(cx.now()) {
+        return Some("a newer configuration is known of and has not arrived in time");
+    }
     if cx.directory.borrow().age(cx.now()).is_none() {
         return Some("the upstreams are not known yet");
     }
@@ -109,6 +122,7 @@
         "configuration": cx.config().version,
         "configuration_age_ms": cx.config_age(now).map(whole_millis),
         "newer_configuration_heard_ms": cx.newer_config_age(now).map(whole_millis),
+        "configuration_waits_for": waits_for(cx),
         "upstreams": directory.iter().count(),
         "upstreams_missing": directory.missing_count(),
         "upstreams_age_ms": directory.age(now).map(whole_millis),
@@ -129,6 +143,16 @@
     format!("{status:#}\n")
 }
 
+/// What this instance waits for to get its configuration up to date; none if it is.
+fn waits_for<P>(cx: &EntryContext<P>) -> Option<String>
+where
+    P: Platform,
+{
+    let now = cx.now();
+    let is_current = cx.is_config_in_time(now) && cx.newer_config_age(now).is_none();
+    (!is_current).then(|| cx.known_config.waits_for())
+}
+
 /// Bytes that callers' connections hold, and the most that they may.
 fn caller_memory<P>(cx: &EntryContext<P>) -> serde_json::Value
 where
--- a/crates/entry/src/serve/admit.rs
+++ b/crates/entry/src/serve/admit.rs
@@ -50,6 +50,10 @@
         let reason = "this instance does not know its configuration yet";
         return Err(Refusal::not_run(reason, CONFIG_RETRY_AFTER));
     }
+    if cx.is_config_overdue(cx.now()) {
+        let reason = "this instance waits for a newer configuration";
+        return Err(Refusal::not_run(reason, CONFIG_RETRY_AFTER));
+    }
     let route = find_route(&config, req).map_err(|e| soften_outdated(cx, e))?;
     let workspace = authenticate(&config, &route, &declared).map_err(|e| soften_outdated(cx, e))?;
     let id = declared.id.clone().ok_or_else(|| {
--- a/crates/entry/tests/configurations.rs
+++ b/crates/entry/tests/configurations.rs
@@ -354,3 +354,35 @@
     }
     changing.await.unwrap();
 }
+
+/// Guards against an instance that knows of a newer configuration, cannot get it in force, and serves by an
+/// older one of any age while it says that it is ready.
+#[actix_rt::test]
+async fn instance_without_a_newer_configuration_that_it_knows_of_serves_nothing() {
+    let fleet = Fleet::start(2).await;
+    let behind = fleet.others(&fleet.holder().await)[0].clone();
+    fleet
+        .shared
+        .cannot_decode
+        .borrow_mut()
+        .insert(behind.clone());
+    fleet.shared.undecodable.borrow_mut().insert(2);
+    fleet.shared.publish_config(version(2));
+    let instance = fleet.instances.borrow_mut().remove(&behind).unwrap();
+    let addr = instance.entry.addr();
+    sleep(BOUND / 2).await;
+    assert_eq!(send_request(addr, "/read/", "r1", "").await.status, 200);
+    sleep(BOUND / 2 + Duration::from_millis(500)).await;
+    let refused = send_request(addr, "/read/", "r2", "").await;
+    assert_eq!(refused.status, 503);
+    assert!(refused.header("retry-after").is_some());
+    assert_eq!(get(instance.ready, "/-/ready").await.status, 503);
+    assert!(status(&instance).await["newer_configuration_heard_ms"].as_u64() > Some(2_000));
+    assert!(status(&instance).await["configuration_waits_for"].is_string());
+    fleet.shared.publish_config(version(3));
+    wait_until("the next version is in force", async || {
+        send_request(addr, "/added-3/", "r3", "").await.status == 200
+            && get(instance.ready, "/-/ready").await.status == 200
+    })
+    .await;
+}
--- a/crates/entry/tests/support/platform.rs
+++ b/crates/entry/tests/support/platform.rs
@@ -67,6 +67,8 @@
     pub answer_time: Cell<Duration>,
     /// Versions of the configuration that cannot be decoded.
     pub undecodable: RefCell<BTreeSet<u64>>,
+    /// Names of the instances that cannot decode these; all if there are none.
+    pub cannot_decode: RefCell<BTreeSet<String>>,
     /// While set, reads of evacuations fail.
     pub hides_evacuations: Cell<bool>,
     /// Reads of the batches of origins so far.
@@ -362,7 +364,9 @@
 
     fn decode_config(&self, value: &Bytes) -> Result<(Config, Vec<DecodeError>), DecodeError> {
         let version: u64 = std::str::from_utf8(value).unwrap().parse().unwrap();
-        if self.shared.undecodable.borrow().contains(&version) {
+        let names = self.shared.cannot_decode.borrow();
+        let is_concerned = names.is_empty() || names.contains(&self.name);
+        if is_concerned && self.shared.undecodable.borrow().contains(&version) {
             return Err(DecodeError {
                 what: "configuration".to_owned(),
                 reason: format!("version {version}"),
