--- a/crates/core/tests/soak.rs
+++ b/crates/core/tests/soak.rs
@@ -14,6 +14,8 @@
         plan: Plan::Drawn,
         servers: ServerCounts::default(),
         cpu_share: 1.0,
+        config_bytes: 0,
+        thin_links: 0,
     })
     .await;
 }
@@ -69,6 +71,8 @@
                 spare: 12,
             },
             cpu_share: 0.25,
+            config_bytes: 0,
+            thin_links: 0,
         })
         .await;
     }
@@ -87,6 +91,26 @@
         plan: Plan::Configurations,
         servers: ServerCounts::default(),
         cpu_share: 1.0,
+        config_bytes: 0,
+        thin_links: 0,
+    })
+    .await;
+}
+
+/// Guards against configurations of size that instances with thin links have late or never.
+#[actix_rt::test]
+async fn series_of_large_configurations_is_in_force_in_time_over_thin_links() {
+    run_with(SoakSettings {
+        program: PathBuf::from(env!("CARGO_BIN_EXE_comfreyweir-entry")),
+        seed: 21,
+        instances: 4,
+        callers: 8,
+        fault_duration: Duration::from_secs(5),
+        plan: Plan::Configurations,
+        servers: ServerCounts::default(),
+        cpu_share: 1.0,
+        config_bytes: 900_000,
+        thin_links: 2,
     })
     .await;
 }
--- a/crates/soak/src/cluster.rs
+++ b/crates/soak/src/cluster.rs
@@ -14,7 +14,10 @@
 use actix_http::StatusCode;
 use actix_rt::{task::JoinHandle, time::sleep};
 use comfreyweir_platform_standins::{
-    caller::{self, Call, Caller, Outcome, RequestKind, configuration_with_changes},
+    caller::{
+        self, Call, Caller, Outcome, RequestKind, configuration_with_changes, padded_configuration,
+        padding_routes,
+    },
     server::{Server, ServerRecord, ServerSpec, StreamFault},
     store::Store,
 };
@@ -76,6 +79,10 @@
     pub(crate) slots: Rc<Vec<ServerSlot>>,
     /// Numbers of servers at the start.
     pub(crate) servers: ServerCounts,
+    /// Time within which a configuration must be in force.
+    pub(crate) config_limit: Duration,
+    /// Routes that all configurations have besides, as text.
+    padding: String,
     pub(crate) store: Rc<Store>,
     /// Times in which the store was in trouble for all instances.
     pub(crate) store_troubles: RefCell<Vec<Range<Instant>>>,
@@ -142,6 +149,8 @@
             instances,
             slots,
             servers: settings.servers,
+            config_limit: settings.config_limit(),
+            padding: padding_routes(settings.config_bytes),
             store,
             store_troubles: RefCell::default(),
             ledger,
@@ -180,7 +189,8 @@
         let keys = self.keys.borrow();
         let (version, key) = (self.version.get(), &keys[keys.len() - 1..]);
         let config = configuration_with_changes(version, key, ROUTE_TIME_LIMIT);
-        self.store.put("op/config", &config);
+        let text = padded_configuration(&config, &self.padding);
+        self.store.put_bytes("op/config", text);
     }
 
     /// Records for all instances that the store was in trouble from `began_at` until now.
@@ -453,12 +463,16 @@
 ) -> Result<Instance, SoakError> {
     let name = format!("entry-{index}");
     let store_proxy = start_proxy(block.addr(host, 7_000), store.addr())?;
+    let link_mbps = settings.link_mbps(index);
+    store_proxy.set_bandwidth(link_mbps);
+    let link = link_mbps.map_or_else(String::new, |mbps| format!("link_mbps = {mbps:.1}\n"));
+    let config_ms = settings.config_limit().as_millis();
     let (caller_addr, ready_addr) = (block.addr(host, 8_080), block.addr(host, 8_081));
     let mut process = Process::new(&name, &settings.program, folder.path());
     let text = format!(
-        "[instance]\nname = \"{name}\"\nzone = \"{}\"\n\n[listen]\ncallers = \"{caller_addr}\"\n\
+        "[instance]\nname = \"{name}\"\nzone = \"{}\"\n{link}\n[listen]\ncallers = \"{caller_addr}\"\n\
          ready = \"{ready_addr}\"\npeer = \"{}\"\nadmin = \"{}\"\n\n[store]\naddr = \"{}\"\n\n\
-         [timing]\ngrace_s = 5.0\n",
+         [timing]\ngrace_s = 5.0\nconfig_ms = {config_ms}\n",
         ZONES[index % ZONES.len()],
         block.addr(host, 8_082),
         block.addr(host, 8_083),
--- a/crates/soak/src/configurations.rs
+++ b/crates/soak/src/configurations.rs
@@ -32,8 +32,6 @@
 
 /// Pause between two versions of a series.
 const CHANGE_PAUSE: Duration = Duration::from_millis(150);
-/// Time within which a version must be in force.
-const CONFIG_LIMIT: Duration = Duration::from_secs(2);
 /// What is added to it at an instance that the store turns away.
 const TURNED_AWAY_EXTRA: Duration = Duration::from_secs(5);
 /// Time without a disturbance after which an instance is in touch.
@@ -170,7 +168,9 @@
 ) -> Option<String> {
     let in_touch = |instance: usize, sent| cluster.instances[instance].was_in_touch(sent, CONTACT);
     let added = probes.iter().filter(|p| {
-        p.change == RouteChange::Added && p.after > CONFIG_LIMIT && in_touch(p.instance, p.sent)
+        p.change == RouteChange::Added
+            && p.after > cluster.config_limit
+            && in_touch(p.instance, p.sent)
     });
     let added: Vec<_> = added.map(|p| p.status.is_success()).collect();
     let known = records.iter().filter(|r| {
@@ -208,7 +208,7 @@
         } else {
             Duration::ZERO
         };
-        if probe.after > CONFIG_LIMIT + extra {
+        if probe.after > cluster.config_limit + extra {
             verdict
                 .broken
                 .push(format!("an older configuration: {probe:?}"));
--- a/crates/soak/src/lib.rs
+++ b/crates/soak/src/lib.rs
@@ -31,6 +31,13 @@
 
 use crate::cluster::SoakCluster;
 
+/// Time within which a configuration must be in force, also where links are thin.
+const CONFIG_LIMIT: Duration = Duration::from_secs(2);
+const THIN_CONFIG_LIMIT: Duration = Duration::from_secs(3);
+/// Bandwidth of a thin link and of the others beside it, in Mbit/s.
+const THIN_MBPS: f64 = 10.0;
+const WIDE_MBPS: f64 = 200.0;
+
 /// Settings of one soak.
 #[derive(Clone, Debug)]
 pub struct SoakSettings {
@@ -51,6 +58,28 @@
     pub servers: ServerCounts,
     /// Share of a core that each instance gets, as a quota in short periods; all of it if 1.
     pub cpu_share: f64,
+    /// Size in bytes up to which configurations are filled with routes.
+    pub config_bytes: usize,
+    /// Number of instances with a thin link. With any, the others have a wider one, and a configuration
+    /// has more time to be in force.
+    pub thin_links: usize,
+}
+
+impl SoakSettings {
+    /// Time within which a configuration must be in force.
+    fn config_limit(&self) -> Duration {
+        if self.thin_links > 0 {
+            THIN_CONFIG_LIMIT
+        } else {
+            CONFIG_LIMIT
+        }
+    }
+
+    /// Bandwidth of an instance's link, in Mbit/s; none if it is not limited.
+    fn link_mbps(&self, instance: usize) -> Option<f64> {
+        let is_thin = instance + self.thin_links >= self.instances;
+        (self.thin_links > 0).then_some(if is_thin { THIN_MBPS } else { WIDE_MBPS })
+    }
 }
 
 /// What disturbs the system.
--- a/crates/soak/src/main.rs
+++ b/crates/soak/src/main.rs
@@ -22,6 +22,8 @@
   --engines N       engines [default: 3]
   --plain N         other servers [default: 2]
   --cpu-share X     share of a core that each instance gets [default: 1]
+  --config-bytes N  size up to which configurations are filled with routes [default: 0]
+  --thin-links N    instances whose link to the store carries 10 Mbit/s, the others then 200 [default: 0]
   -h, --help        this text
 ";
 
@@ -58,6 +60,8 @@
         plan: Plan::Drawn,
         servers: ServerCounts::default(),
         cpu_share: 1.0,
+        config_bytes: 0,
+        thin_links: 0,
     };
     let mut seeds = 1;
     let mut parser = lexopt::Parser::from_env();
@@ -82,6 +86,8 @@
             Long("engines") => settings.servers.engines = parser.value()?.parse()?,
             Long("plain") => settings.servers.plain = parser.value()?.parse()?,
             Long("cpu-share") => settings.cpu_share = parser.value()?.parse()?,
+            Long("config-bytes") => settings.config_bytes = parser.value()?.parse()?,
+            Long("thin-links") => settings.thin_links = parser.value()?.parse()?,
             Short('h') | Long("help") => return Ok(None),
             _ => return Err(arg.unexpected()),
         }
