Reads of the store: do not end the calls that may still be answered

Cause: a call that failed after a part of its answer had arrived still counted as the one in progress. The calls beside it were ended for it, none was left, and no failure was returned.

Ended calls no longer count, progress is that of each call since the last check, and the read fails with the last failure once no call is left.

--- a/crates/config/src/entry_settings.rs
+++ b/crates/config/src/entry_settings.rs
@@ -139,7 +139,8 @@
     pub order_rest_ms: u64,
     /// Time after the process was suspended during which it sends no orders, in ms.
     pub thaw_ms: u64,
-    /// Time limit of one call to the store, in ms. A slow store answers within a few hundred ms.
+    /// Time limit of one call to the store, in ms, and of a read without any progress. A slow store answers
+    /// within a few hundred ms.
     pub store_call_ms: u64,
     /// Interval between exchanges with the holder of the planning duty, in ms.
     pub exchange_ms: u64,
--- a/crates/entry/src/follow/repeated_read.rs
+++ b/crates/entry/src/follow/repeated_read.rs
@@ -1,11 +1,11 @@
 //! Reads of the store that leave time for another try.
 
-use std::{future::Future, rc::Rc, time::Duration};
+use std::{cell::Cell, future::Future, rc::Rc, time::Duration};
 
 use actix_rt::time::sleep;
 use futures_util::{
     StreamExt,
-    future::{AbortHandle, Abortable, abortable},
+    future::{AbortHandle, Abortable, Aborted, abortable},
     stream::FuturesUnordered,
 };
 
@@ -54,13 +54,19 @@
     let first = calls.begin(read_once(progress), progress);
     let mut running = FuturesUnordered::new();
     running.push(first);
+    let mut failure = None;
     loop {
         tokio::select! {
-            Some(result) = running.next() => match result {
-                Ok(result) if result.is_ok() || running.is_empty() => return result,
-                // The others may be answered; those that were ended are none.
-                _ => {}
-            },
+            Some(result) = running.next() => {
+                match result {
+                    Ok(Ok(answer)) => return Ok(answer),
+                    Ok(Err(e)) => failure = Some(e),
+                    Err(Aborted) => {}
+                }
+                if running.is_empty() && let Some(e) = failure.take() {
+                    return Err(e);
+                }
+            }
             () = sleep(repeat_pause(bound)) => {
                 if calls.has_progress() || calls.count() == MAX_CALLS {
                     continue;
@@ -74,22 +80,43 @@
     }
 }
 
-/// The calls of one read, with what has arrived of each.
+/// The calls of one read.
 #[derive(Default)]
 struct Calls {
-    calls: Vec<(AbortHandle, Rc<Progress>)>,
-    /// What had arrived of the call with most at the last check.
-    arrived: u64,
+    calls: Vec<Call>,
+}
+
+/// A call, and how much of its answer had arrived at the last check.
+struct Call {
+    handle: AbortHandle,
+    progress: Rc<Progress>,
+    checked: u64,
+    has_ended: Rc<Cell<bool>>,
 }
 
 impl Calls {
     /// Adds a call.
-    fn begin<F>(&mut self, call: F, progress: &Rc<Progress>) -> Abortable<F>
+    fn begin<F>(
+        &mut self,
+        call: F,
+        progress: &Rc<Progress>,
+    ) -> Abortable<impl Future<Output = F::Output> + use<F>>
     where
         F: Future,
     {
-        let (call, handle) = abortable(call);
-        self.calls.push((handle, Rc::clone(progress)));
+        let has_ended = Rc::<Cell<bool>>::default();
+        let ended = Rc::clone(&has_ended);
+        let (call, handle) = abortable(async move {
+            let result = call.await;
+            ended.set(true);
+            result
+        });
+        self.calls.push(Call {
+            handle,
+            progress: Rc::clone(progress),
+            checked: progress.bytes(),
+            has_ended,
+        });
         call
     }
 
@@ -98,19 +125,22 @@
     }
 
     /// Whether something has arrived since the last check. If so, all calls end but the one of which most
-    /// has arrived.
+    /// has arrived since, so that one always goes on.
     fn has_progress(&mut self) -> bool {
-        let arrived = |(_, progress): &(AbortHandle, Rc<Progress>)| progress.bytes();
-        let most = self.calls.iter().map(arrived).max().unwrap_or_default();
-        let has_progress = most > self.arrived;
-        self.arrived = most;
-        if has_progress {
-            let leading = self.calls.iter().position(|call| arrived(call) == most);
+        let arrived = |call: &mut Call| {
+            let before = std::mem::replace(&mut call.checked, call.progress.bytes());
+            call.checked - before
+        };
+        let arrived: Vec<_> = self.calls.iter_mut().map(arrived).collect();
+        let running = (0..arrived.len()).filter(|i| !self.calls[*i].has_ended.get());
+        let leading = running.max_by_key(|i| arrived[*i]);
+        let leading = leading.filter(|i| arrived[*i] > 0);
+        if let Some(leading) = leading {
             let others = self.calls.iter().enumerate();
-            for (_, (handle, _)) in others.filter(|(i, _)| Some(*i) != leading) {
-                handle.abort();
+            for (_, call) in others.filter(|(i, _)| *i != leading) {
+                call.handle.abort();
             }
         }
-        has_progress
+        leading.is_some()
     }
 }
--- a/crates/entry/tests/configurations.rs
+++ b/crates/entry/tests/configurations.rs
@@ -386,3 +386,20 @@
     })
     .await;
 }
+
+/// Guards against a read that never ends: a call that fails in the middle of its answer ended the calls beside
+/// it, so that the list of upstreams was not read any more.
+#[actix_rt::test]
+async fn read_ends_if_a_call_fails_in_the_middle_of_its_answer() {
+    let fleet = Fleet::start(1).await;
+    let millis = Duration::from_millis;
+    // The second of three calls fails while nothing of the others has arrived.
+    let broken = [(5_000, 100), (350, 20), (800, 100)];
+    let broken = broken.map(|(arrives, fails)| (millis(arrives), millis(fails)));
+    fleet.shared.broken_reads.borrow_mut().extend(broken);
+    sleep(Duration::from_secs(4)).await;
+    let instance = fleet.instances.take().remove("e0").unwrap();
+    let age_ms = status(&instance).await["upstreams_age_ms"].as_u64();
+    assert!(age_ms < Some(1_000), "{age_ms:?}");
+    assert!(fleet.shared.broken_reads.borrow().is_empty());
+}
--- a/crates/entry/tests/support/platform.rs
+++ b/crates/entry/tests/support/platform.rs
@@ -3,7 +3,7 @@
 
 use std::{
     cell::{Cell, RefCell},
-    collections::{BTreeMap, BTreeSet},
+    collections::{BTreeMap, BTreeSet, VecDeque},
     net::SocketAddr,
     rc::Rc,
     time::Duration,
@@ -63,6 +63,9 @@
     /// How many of the next reads and watches get no answer, by the name of the instance and the key or
     /// prefix.
     pub unanswered: RefCell<BTreeMap<(String, String), usize>>,
+    /// When something of the answer to each of the next reads of the list of upstreams arrives, and when the
+    /// read fails after that.
+    pub broken_reads: RefCell<VecDeque<(Duration, Duration)>>,
     /// Time that the answers to reads and watches take.
     pub answer_time: Cell<Duration>,
     /// Versions of the configuration that cannot be decoded.
@@ -223,6 +226,10 @@
         self.remove(&format!("op/evacuate/{zone}"));
     }
 
+    fn broken_read(&self, is_list: bool) -> Option<(Duration, Duration)> {
+        self.broken_reads.borrow_mut().pop_front_if(|_| is_list)
+    }
+
     fn check_store_up(&self) -> Result<(), PlatformError> {
         if self.store_is_down.get() {
             return Err(PlatformError::Refused {
@@ -436,6 +443,19 @@
                 status: 503,
             });
         }
+        let is_list = prefix == self.keys().upstreams_prefix;
+        let broken = self.shared.broken_read(is_list);
+        if let Some((arrives_after, fails_after)) = broken {
+            sleep(arrives_after.min(limit.stall)).await;
+            if arrives_after < limit.stall {
+                limit.progress.add(1);
+                sleep(fails_after).await;
+            }
+            return Err(PlatformError::NoAnswer {
+                addr: store_addr(),
+                reason: "connection reset".to_owned(),
+            });
+        }
         let mut all = self.shared.items_after(prefix, 0);
         all.items
             .retain(|item| after.is_none_or(|after| item.key.as_str() > after));
