--- a/crates/entry/src/duty/config_sources.rs
+++ b/crates/entry/src/duty/config_sources.rs
@@ -11,7 +11,7 @@
 /// Number of instances that one view names.
 const MAX_NAMED: usize = 3;
 
-/// Instances that have as new a configuration as any, widest links first.
+/// The instances with the widest links; of those with links alike, the ones with the newest configuration.
 #[derive(Debug, Default)]
 pub(super) struct ConfigSources {
     addrs: Vec<SocketAddr>,
--- a/crates/entry/src/exchange/config.rs
+++ b/crates/entry/src/exchange/config.rs
@@ -226,7 +226,7 @@
         if let Some(wait) = wait {
             sleep(wait).await;
         }
-        // As of before the wait, which is also true of the part.
+        // After the wait, as the other counts it from when it asked.
         let now = self.now();
         let age = self.config_age(now).map(comfreyweir_clock::whole_millis);
         ConfigAnswer {
